--- /dev/null
+++ b/include/dragonflystair/config/settings.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "dragonflystair/support/finding.h"
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonflystair::config {
+
+/// Settings of one node, read from its INI file. Addresses are `IP:PORT`.
+struct settings {
+    std::string name;
+    std::string data_centre;
+    std::string region;
+    std::string caller_address;
+    std::string peer_address;
+    std::string operator_address;
+    unsigned threads = 2;
+    std::vector<std::string> peers;
+    std::string log_address;
+    std::string vm_list_address;
+    std::string operator_token;
+    std::string peer_secret;
+    std::chrono::milliseconds lease{10'000};
+    std::chrono::milliseconds lease_margin{2'000};
+    std::chrono::milliseconds renewal_period{2'000};
+    std::chrono::milliseconds answer_lifetime{30'000};
+    std::chrono::milliseconds progress_timeout{5'000};
+    std::chrono::milliseconds drain_timeout{600'000};
+};
+
+/// Settings and all findings; the settings are usable only if there are none.
+struct settings_result {
+    settings values;
+    support::findings findings;
+};
+
+/// Reads settings from INI text; `file` names the place in findings.
+settings_result parse_settings(std::string_view text, std::string_view file);
+
+} // namespace dragonflystair::config
--- /dev/null
+++ b/include/dragonflystair/net/engine_client.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "dragonflystair/net/http_client.h"
+#include "dragonflystair/stream/sse.h"
+#include "dragonflystair/support/json.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dragonflystair::net {
+
+/// Answer of `GET /v1/state`.
+struct engine_state {
+    std::string start;
+    std::string model;
+    std::size_t slots = 0;
+    std::size_t batch_limit = 0;
+    std::size_t running = 0;
+    std::size_t queued = 0;
+    std::vector<std::string> resident;
+    std::map<std::string, std::size_t> active;
+};
+
+/// A completion to send to an engine.
+struct engine_call {
+    std::string request_id;
+    support::json body;            ///< OpenAI body; `model` is the adapter's full name.
+    bool chat = false;             ///< `/v1/chat/completions` instead of `/v1/completions`.
+    std::uint64_t resume_from = 0; ///< Position of the first event wanted.
+};
+
+/// Events of a running completion.
+class engine_stream {
+public:
+    explicit engine_stream(std::unique_ptr<http_body_stream> body) : body_(std::move(body)) {}
+    /// The next event, nothing at the orderly end, or an error.
+    awaitable<async_result<std::optional<stream::sse_event>>>
+    next(std::chrono::milliseconds timeout);
+    void close() { body_->close(); }
+
+private:
+    std::unique_ptr<http_body_stream> body_;
+    stream::sse_reader reader_;
+};
+
+/// Client of model engines. Order errors: `conflict` for a stale fencing number (409), `refused`
+/// for a failed load or no free slot (503, 507), `unknown` when the answer was lost.
+class engine_client {
+public:
+    explicit engine_client(http_client& http) : http_(http) {}
+
+    awaitable<async_result<engine_state>> state(std::string address,
+                                                std::chrono::milliseconds timeout);
+    awaitable<async_result<void>> load(std::string address, std::string adapter,
+                                       std::uint64_t fence, std::chrono::milliseconds timeout);
+    awaitable<async_result<void>> unload(std::string address, std::string adapter,
+                                         std::uint64_t fence, std::chrono::milliseconds timeout);
+    /// Always asks for a stream. `refused` carries the engine's message when it answers with an
+    /// error.
+    awaitable<async_result<std::unique_ptr<engine_stream>>>
+    complete(std::string address, engine_call call, std::chrono::milliseconds timeout);
+    awaitable<async_result<void>> cancel(std::string address, std::string request_id,
+                                         std::chrono::milliseconds timeout);
+
+private:
+    http_client& http_;
+};
+
+} // namespace dragonflystair::net
--- /dev/null
+++ b/include/dragonflystair/support/time.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+
+namespace dragonflystair::support {
+
+/// Clock that goes on while the VM is suspended (CLOCK_BOOTTIME), so that a lease also lapses
+/// during a suspension. It is never compared between VMs.
+struct boot_clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+};
+
+using duration = boot_clock::duration;
+using time_point = boot_clock::time_point;
+
+/// Source of the current time; tests pass a manual one.
+using time_source = std::function<time_point()>;
+
+} // namespace dragonflystair::support
--- /dev/null
+++ b/tools/dragonflystair/main.cpp
@@ -0,0 +1,6 @@
+#include <cstdio>
+
+int main() {
+    std::puts("dragonflystair " DRAGONFLYSTAIR_VERSION);
+    return 0;
+}
--- /dev/null
+++ b/unittests/support/support_test.cpp
@@ -0,0 +1,51 @@
+#include "dragonflystair/support/counters.h"
+#include "dragonflystair/support/finding.h"
+#include "dragonflystair/support/hash.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace dragonflystair::support;
+
+class support_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(support_test);
+    CPPUNIT_TEST(findings_out_of_order_are_rendered_by_place);
+    CPPUNIT_TEST(counter_with_reason_is_rendered_as_label);
+    CPPUNIT_TEST(rendezvous_order_after_member_leaves_keeps_the_rest);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void findings_out_of_order_are_rendered_by_place() {
+        const findings items{{"b.ini", 2, "second"}, {"b.ini", 1, "first"}};
+        CPPUNIT_ASSERT_EQUAL(std::string("b.ini:1: error: first\nb.ini:2: error: second\n"),
+                             to_string(items));
+    }
+
+    void counter_with_reason_is_rendered_as_label() {
+        counters counted;
+        counted.increment("refusals_total", "queue_full", 2);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, counted.value("refusals_total", "queue_full"));
+        CPPUNIT_ASSERT(
+            counted.render().find("dragonflystair_refusals_total{reason=\"queue_full\"} 2") !=
+            std::string::npos);
+    }
+
+    /// Guards against an owner change for endpoints whose owner did not leave.
+    void rendezvous_order_after_member_leaves_keeps_the_rest() {
+        const std::vector<std::string> members{"a", "b", "c", "d"};
+        auto all = rendezvous_order("endpoint-1", members);
+        const std::vector<std::string> rest{"a", "c", "d"};
+        const auto fewer = rendezvous_order("endpoint-1", rest);
+        std::erase(all, "b");
+        CPPUNIT_ASSERT(all == fewer);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(support_test);
+
+} // namespace
