Add configuration readers and validators

Cause: nodes and operators need the text and the node settings read with all findings in one pass. Ruled out: inih's multi-line values (a continuation reaches the handler as a repeated key), its 200-byte lines and 49-byte section names (cut off without a report), so lines are checked and headings read before inih sees them. Before: headers only.

--- /dev/null
+++ b/lib/config/reference_check.cpp
@@ -0,0 +1,63 @@
+#include "reference_check.h"
+
+#include "dependency_cycles.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+namespace dragonflystair::config {
+namespace {
+
+void check_service(const service& item, const located_deployment& target, const std::string& file,
+                   support::findings& findings) {
+    for (const auto& name : item.data_centres) {
+        if (!target.values.region_by_data_centre.contains(name)) {
+            findings.push_back(
+                {file, target.data_centres_line.at(item.name),
+                 fmt::format("unknown data centre '{}' in [service {}]", name, item.name)});
+        }
+    }
+    for (const auto& name : item.depends_on) {
+        if (!target.values.services.contains(name)) {
+            findings.push_back({file, target.depends_on_line.at(item.name),
+                                fmt::format("unknown service '{}' in depends_on of [service {}]",
+                                            name, item.name)});
+        }
+    }
+}
+
+void check_adapter(const std::string& full_name, const adapter& item,
+                   const located_deployment& target, const std::string& file,
+                   support::findings& findings) {
+    const int line = target.adapter_line.at(full_name);
+    const auto place = target.values.services.find(item.service);
+    if (place == target.values.services.end()) {
+        findings.push_back(
+            {file, line,
+             fmt::format("unknown service '{}' in [adapter {}]", item.service, full_name)});
+        return;
+    }
+    if (place->second.kind == service_kind::plain) {
+        findings.push_back(
+            {file, line,
+             fmt::format("[adapter {}] is of a plain service, which has no adapters", full_name)});
+    }
+}
+
+} // namespace
+
+void check_references(const located_deployment& target, const std::string& file,
+                      support::findings& findings) {
+    for (const auto& [name, item] : target.values.services) {
+        check_service(item, target, file, findings);
+    }
+    for (const auto& [full_name, item] : target.values.adapters) {
+        check_adapter(full_name, item, target, file, findings);
+    }
+    for (const auto& cycle : dependency_cycles(target.values.services)) {
+        findings.push_back({file, target.depends_on_line.at(cycle.front()),
+                            fmt::format("dependency cycle: {}", fmt::join(cycle, " -> "))});
+    }
+}
+
+} // namespace dragonflystair::config
--- /dev/null
+++ b/lib/config/section_map.cpp
@@ -0,0 +1,55 @@
+#include "dragonflystair/config/deployment.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace dragonflystair::config {
+namespace {
+
+/// Referred sections come before those that refer to them, as in the documentation.
+std::size_t rank(std::string_view name) {
+    constexpr std::array<std::string_view, 4> order{"deployment", "data_centre", "service",
+                                                    "adapter"};
+    const auto kind = name.substr(0, name.find(' '));
+    return static_cast<std::size_t>(std::ranges::find(order, kind) - order.begin());
+}
+
+} // namespace
+
+std::string render(const section_map& sections) {
+    std::vector<const section_map::value_type*> ordered;
+    for (const auto& item : sections) {
+        ordered.push_back(&item);
+    }
+    std::ranges::stable_sort(ordered, {}, [](const auto* item) { return rank(item->first); });
+    std::string text;
+    for (const auto* item : ordered) {
+        text += fmt::format("{}[{}]\n", text.empty() ? "" : "\n", item->first);
+        for (const auto& [key, value] : item->second) {
+            text += fmt::format("{} = {}\n", key, value);
+        }
+    }
+    return text;
+}
+
+std::map<std::string, std::optional<section_values>> changed_sections(const section_map& from,
+                                                                      const section_map& to) {
+    std::map<std::string, std::optional<section_values>> changes;
+    for (const auto& [name, values] : to) {
+        const auto place = from.find(name);
+        if (place == from.end() || place->second != values) {
+            changes.emplace(name, values);
+        }
+    }
+    for (const auto& [name, values] : from) {
+        if (!to.contains(name)) {
+            changes.emplace(name, std::nullopt);
+        }
+    }
+    return changes;
+}
+
+} // namespace dragonflystair::config
--- /dev/null
+++ b/lib/config/settings.cpp
@@ -0,0 +1,123 @@
+#include "dragonflystair/config/settings.h"
+
+#include "duplicate_sections.h"
+#include "ini_reader.h"
+#include "section_reader.h"
+#include "values.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace dragonflystair::config {
+namespace {
+
+/// More threads than this are a typing error on the small entry VMs.
+constexpr std::size_t max_threads = 256;
+
+struct section_kind {
+    std::string_view name;
+    bool required;
+    void (*read)(section_reader& reader, settings& values);
+};
+
+/// An address that others are told, so it must name one host.
+std::string announced_address(section_reader& reader, std::string_view key) {
+    auto address = reader.address(key);
+    if (address.starts_with("0.0.0.0:") || address.starts_with("[::]:")) {
+        reader.report(
+            reader.find(key)->line,
+            fmt::format("{} = '{}' names no host that others could connect to", key, address));
+    }
+    return address;
+}
+
+void read_node(section_reader& reader, settings& values) {
+    values.name = reader.name("name");
+    values.data_centre = reader.name("data_centre");
+    values.region = reader.name("region");
+    values.caller_address = announced_address(reader, "caller_address");
+    values.peer_address = announced_address(reader, "peer_address");
+    values.operator_address = reader.address("operator_address");
+    std::size_t threads = values.threads;
+    reader.count("threads", max_threads, threads);
+    values.threads = static_cast<unsigned>(threads);
+}
+
+void read_peers(section_reader& reader, settings& values) {
+    const auto* entry = reader.find("addresses");
+    if (entry == nullptr) {
+        return;
+    }
+    for (auto& item : split_list(entry->value)) {
+        if (const auto fault = address_fault(item); !fault.empty()) {
+            reader.report(entry->line,
+                          fmt::format("'{}' in addresses is not IP:PORT: {}", item, fault));
+            continue;
+        }
+        values.peers.push_back(std::move(item));
+    }
+}
+
+void read_platform(section_reader& reader, settings& values) {
+    values.log_address = reader.address("log");
+    values.vm_list_address = reader.address("vm_list");
+}
+
+void read_secrets(section_reader& reader, settings& values) {
+    values.operator_token = reader.text("operator_token");
+    values.peer_secret = reader.text("peer_secret");
+}
+
+void read_timing(section_reader& reader, settings& values) {
+    reader.duration("lease", values.lease);
+    reader.duration("lease_margin", values.lease_margin);
+    reader.duration("renewal_period", values.renewal_period);
+    reader.duration("answer_lifetime", values.answer_lifetime);
+    reader.duration("progress_timeout", values.progress_timeout);
+    reader.duration("drain_timeout", values.drain_timeout);
+    if (values.renewal_period >= values.lease) {
+        reader.report(reader.section().line, "renewal_period is not shorter than lease, so the "
+                                             "lease would lapse between two renewals");
+    }
+}
+
+constexpr std::array<section_kind, 5> kinds{{{"node", true, read_node},
+                                             {"peers", false, read_peers},
+                                             {"platform", true, read_platform},
+                                             {"secrets", true, read_secrets},
+                                             {"timing", false, read_timing}}};
+
+void report_missing_sections(const ini_document& document, support::findings& findings) {
+    for (const auto& kind : kinds) {
+        const auto place = std::ranges::find(document.sections, kind.name, &ini_section::name);
+        if (!document.damaged_heading && kind.required && place == document.sections.end()) {
+            findings.push_back({document.file, 0, fmt::format("missing section [{}]", kind.name)});
+        }
+    }
+}
+
+} // namespace
+
+settings_result parse_settings(std::string_view text, std::string_view file) {
+    settings_result result;
+    const auto document = read_ini(text, file, result.findings);
+    report_duplicate_sections(document, result.findings);
+    for (const auto& section : document.sections) {
+        const auto kind = std::ranges::find(kinds, section.name, &section_kind::name);
+        if (kind == kinds.end()) {
+            result.findings.push_back(
+                {document.file, section.line, fmt::format("unknown section [{}]", section.name)});
+            continue;
+        }
+        section_reader reader(section, document.file, result.findings);
+        kind->read(reader, result.values);
+        reader.finish();
+    }
+    report_missing_sections(document, result.findings);
+    std::ranges::stable_sort(result.findings, {}, &support::finding::line);
+    return result;
+}
+
+} // namespace dragonflystair::config
--- /dev/null
+++ b/lib/config/values.cpp
@@ -0,0 +1,100 @@
+#include "values.h"
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace dragonflystair::config {
+namespace {
+
+template <class Number> std::optional<Number> parse_whole(std::string_view value) {
+    Number number{};
+    const auto [end, code] = std::from_chars(value.begin(), value.end(), number);
+    if (value.empty() || code != std::errc{} || end != value.end()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::optional<std::chrono::milliseconds> unit_of(std::string_view unit) {
+    using namespace std::chrono_literals;
+    if (unit == "ms") {
+        return 1ms;
+    }
+    if (unit == "s") {
+        return 1s;
+    }
+    if (unit == "min") {
+        return 1min;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::vector<std::string> split_list(std::string_view value) {
+    std::vector<std::string> items;
+    boost::algorithm::split(items, value, boost::algorithm::is_any_of(","));
+    for (auto& item : items) {
+        boost::algorithm::trim(item);
+    }
+    if (items.size() == 1 && items.front().empty()) {
+        items.clear();
+    }
+    return items;
+}
+
+bool is_name(std::string_view word) {
+    constexpr std::string_view letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                         "0123456789._-";
+    return !word.empty() && word.find_first_not_of(letters) == std::string_view::npos;
+}
+
+std::optional<std::chrono::milliseconds> parse_duration(std::string_view value) {
+    constexpr std::chrono::milliseconds longest = std::chrono::hours{24};
+    const auto digits = std::min(value.find_first_not_of("0123456789"), value.size());
+    const auto count = parse_whole<std::uint32_t>(value.substr(0, digits));
+    const auto unit = unit_of(value.substr(digits));
+    if (!count || !unit || *count == 0 || *count > longest / *unit) {
+        return std::nullopt;
+    }
+    return *count * *unit;
+}
+
+std::optional<std::size_t> parse_count(std::string_view value) {
+    return parse_whole<std::size_t>(value);
+}
+
+std::optional<double> parse_number(std::string_view value) {
+    const auto number = parse_whole<double>(value);
+    return number && std::isfinite(*number) ? number : std::nullopt;
+}
+
+std::string address_fault(std::string_view value) {
+    const auto colon = value.rfind(':');
+    if (colon == std::string_view::npos) {
+        return "the port is missing";
+    }
+    const auto port = parse_whole<std::uint16_t>(value.substr(colon + 1));
+    if (!port || *port == 0) {
+        return "the port is not a number from 1 to 65535";
+    }
+    std::string host(value.substr(0, colon));
+    const bool bracketed = host.starts_with('[') && host.ends_with(']');
+    if (bracketed) {
+        host = host.substr(1, host.size() - 2);
+    }
+    boost::system::error_code code;
+    const auto address = boost::asio::ip::make_address(host, code);
+    if (code || address.is_v6() != bracketed) {
+        return "the host is not an IP number";
+    }
+    return {};
+}
+
+} // namespace dragonflystair::config
