--- /dev/null
+++ b/lib/node/answer_writer.cpp
@@ -0,0 +1,89 @@
+#include "answer_writer.h"
+
+#include "dragonflystair/stream/sse.h"
+
+#include <fmt/format.h>
+
+namespace dragonflystair::node {
+
+answer_writer::answer_writer(net::http_exchange& exchange, const model_request& request)
+    : exchange_(exchange), request_(request) {}
+
+net::awaitable<void> answer_writer::begin() {
+    started_ = true;
+    net::http_response head;
+    head.headers["Content-Type"] = "text/event-stream";
+    head.headers["Cache-Control"] = "no-store";
+    co_await exchange_.begin_stream(std::move(head));
+}
+
+net::awaitable<bool> answer_writer::write(std::uint64_t position, const std::string& data) {
+    if (!request_.stream) {
+        collect(data);
+        co_return !exchange_.disconnected();
+    }
+    if (!started_) {
+        co_await begin();
+    }
+    const auto text = stream::render({fmt::format("{}", position), "", data});
+    co_return co_await exchange_.write(text);
+}
+
+void answer_writer::collect(const std::string& data) {
+    auto event = support::json::parse(data, nullptr, false);
+    if (!event.is_object() || !event.contains("choices") || !event["choices"].is_array() ||
+        event["choices"].empty() || !event["choices"][0].is_object()) {
+        return;
+    }
+    const auto& choice = event["choices"][0];
+    const auto& holder = request_.chat && choice.contains("delta") ? choice["delta"] : choice;
+    const auto member = request_.chat ? "content" : "text";
+    if (holder.is_object() && holder.contains(member) && holder[member].is_string()) {
+        text_ += holder[member].get<std::string>();
+    }
+    if (choice.contains("finish_reason") && choice["finish_reason"].is_string()) {
+        finish_reason_ = choice["finish_reason"].get<std::string>();
+    }
+    last_ = std::move(event);
+}
+
+net::awaitable<void> answer_writer::finish() {
+    if (request_.stream) {
+        if (!started_) {
+            co_await begin();
+        }
+        const auto text = stream::render({"", "", "[DONE]"});
+        co_await exchange_.write(text);
+        co_await exchange_.end_stream();
+        co_return;
+    }
+    support::json choice{{"index", 0},
+                         {"finish_reason", finish_reason_.empty() ? "stop" : finish_reason_}};
+    if (request_.chat) {
+        choice["message"] = {{"role", "assistant"}, {"content", text_}};
+    } else {
+        choice["text"] = text_;
+    }
+    support::json body{{"object", request_.chat ? "chat.completion" : "text_completion"},
+                       {"model", request_.model}};
+    body["choices"] = support::json::array({std::move(choice)});
+    if (last_.is_object() && last_.contains("id")) {
+        body["id"] = last_["id"];
+    }
+    net::http_response response;
+    response.headers["Content-Type"] = "application/json";
+    response.body = body.dump();
+    co_await exchange_.respond(std::move(response));
+}
+
+net::awaitable<void> answer_writer::refuse(const problem& item) {
+    if (!started_) {
+        co_await exchange_.respond(problem_response(item));
+        co_return;
+    }
+    const auto text = stream::render({"", "error", problem_body(item)});
+    co_await exchange_.write(text);
+    co_await exchange_.end_stream();
+}
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/caller_api.cpp
@@ -0,0 +1,47 @@
+#include "caller_api.h"
+
+#include <utility>
+
+namespace dragonflystair::node {
+
+caller_api::caller_api(node_context& context, resolver& resolver, model_calls& models,
+                       plain_calls& plain, std::function<bool()> serves)
+    : context_(context), resolver_(resolver), models_(models), plain_(plain),
+      serves_(std::move(serves)) {}
+
+net::awaitable<void> caller_api::serve(net::http_exchange& exchange) {
+    const auto& request = exchange.request();
+    const auto path = net::path_of(request.target);
+    if (!serves_()) {
+        co_await refuse(exchange,
+                        {503, "not_ready", "this node does not take callers now; resolve again",
+                         "not_run", std::chrono::seconds{1}});
+        co_return;
+    }
+    if (path == "/v1/resolve" && request.method == "GET") {
+        auto response = resolver_.resolve(request);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    if (path.starts_with("/services/")) {
+        co_await plain_.serve(exchange);
+        co_return;
+    }
+    const bool chat = path == "/v1/chat/completions";
+    if (!chat && path != "/v1/completions") {
+        co_await refuse(exchange, {404, "unknown_path", "no such interface", "not_run", {}});
+        co_return;
+    }
+    if (request.method != "POST") {
+        co_await refuse(exchange, {405, "wrong_method", "use POST", "not_run", {}});
+        co_return;
+    }
+    co_await models_.serve(exchange, chat);
+}
+
+net::awaitable<void> caller_api::refuse(net::http_exchange& exchange, problem item) {
+    context_.counters.increment("refusals_total", item.reason);
+    co_await exchange.respond(problem_response(item));
+}
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/caller_api.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "dragonflystair/net/http_server.h"
+
+#include "model_calls.h"
+#include "node_context.h"
+#include "plain_calls.h"
+#include "resolver.h"
+
+namespace dragonflystair::node {
+
+/// The callers' HTTP interface.
+class caller_api {
+public:
+    caller_api(node_context& context, resolver& resolver, model_calls& models, plain_calls& plain,
+               std::function<bool()> serves);
+
+    net::awaitable<void> serve(net::http_exchange& exchange);
+
+private:
+    net::awaitable<void> refuse(net::http_exchange& exchange, problem item);
+
+    node_context& context_;
+    resolver& resolver_;
+    model_calls& models_;
+    plain_calls& plain_;
+    std::function<bool()> serves_;
+};
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/claim_table.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "dragonflystair/calls/call_coordinator.h"
+#include "dragonflystair/ledger/claim_fold.h"
+
+#include <functional>
+#include <mutex>
+#include <span>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace dragonflystair::node {
+
+/// Shared table of idempotency keys with this node's own open calls.
+class claim_table {
+public:
+    using call_number = calls::call_coordinator::call_number;
+    /// Receives the step of a call that can go on; runs without the table's lock.
+    using step_hook = std::function<void(call_number, const calls::call_step&)>;
+
+    claim_table(calls::call_coordinator::hooks hooks, step_hook on_step);
+
+    void apply(std::span<const ledger::stream_entry> entries, support::time_point now);
+    void tick(support::time_point now);
+    void restore(const support::json& state);
+    void reset();
+    void set_session(ledger::session_id own);
+
+    [[nodiscard]] std::uint64_t next_offset() const;
+    [[nodiscard]] support::json state() const;
+    [[nodiscard]] std::size_t open_calls() const;
+    [[nodiscard]] std::size_t keys() const;
+
+    calls::call_step begin(call_number call, std::string_view key, std::string_view digest,
+                           support::time_point now, support::time_point append_deadline,
+                           support::time_point deadline);
+
+    /// Runs one event of the coordinator under the table's lock.
+    template <class Event> calls::call_step on_event(Event event) {
+        const std::lock_guard lock(mutex_);
+        return event(coordinator_);
+    }
+
+private:
+    using steps = std::vector<std::pair<call_number, calls::call_step>>;
+    void deliver(const steps& due) const;
+
+    mutable std::mutex mutex_; ///< Third in the lock order.
+    ledger::claim_fold fold_;
+    calls::call_coordinator coordinator_;
+    step_hook on_step_;
+};
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/config_table.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "dragonflystair/ledger/config_fold.h"
+
+#include "config_view.h"
+
+#include <memory>
+#include <mutex>
+#include <span>
+#include <vector>
+
+namespace dragonflystair::node {
+
+/// Shared table of the configuration: the fold and an immutable view of what is in force.
+class config_table {
+public:
+    config_table();
+
+    void apply(std::span<const ledger::stream_entry> entries);
+    void restore(const support::json& state);
+    void reset();
+
+    [[nodiscard]] std::uint64_t next_offset() const;
+    [[nodiscard]] support::json state() const;
+    [[nodiscard]] std::shared_ptr<const config_view> view() const;
+    [[nodiscard]] std::vector<ledger::change_outcome> history() const;
+
+private:
+    void publish_view();
+
+    mutable std::mutex mutex_; ///< First in the lock order.
+    ledger::config_fold fold_;
+    std::shared_ptr<const config_view> view_;
+};
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/crash_table.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "dragonflystair/policy/crash_suspects.h"
+
+#include <cstdint>
+#include <mutex>
+#include <span>
+#include <vector>
+
+namespace dragonflystair::node {
+
+/// Shared table of requests that are suspected of crashing endpoints.
+class crash_table {
+public:
+    void on_crash(std::span<const std::uint64_t> in_flight, support::time_point now) {
+        const std::lock_guard lock(mutex_);
+        suspects_.on_crash(in_flight, now);
+    }
+    void on_finished(std::uint64_t fingerprint) {
+        const std::lock_guard lock(mutex_);
+        suspects_.on_finished(fingerprint);
+    }
+    void on_peer_quarantine(std::uint64_t fingerprint, support::time_point now) {
+        const std::lock_guard lock(mutex_);
+        suspects_.on_peer_quarantine(fingerprint, now);
+    }
+    [[nodiscard]] policy::suspicion state(std::uint64_t fingerprint,
+                                          support::time_point now) const {
+        const std::lock_guard lock(mutex_);
+        return suspects_.state(fingerprint, now);
+    }
+    [[nodiscard]] std::vector<std::uint64_t> quarantined(support::time_point now) const {
+        const std::lock_guard lock(mutex_);
+        return suspects_.quarantined(now);
+    }
+
+private:
+    mutable std::mutex mutex_;
+    policy::crash_suspects suspects_;
+};
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/endpoint_directory.cpp
@@ -0,0 +1,131 @@
+#include "endpoint_directory.h"
+
+#include <utility>
+
+namespace dragonflystair::node {
+
+void endpoint_directory::update_list(std::span<const membership::listed_vm> vms,
+                                     support::time_point now) {
+    const std::lock_guard lock(mutex_);
+    view_.update_list(vms, now);
+}
+
+void endpoint_directory::update_text(const config::deployment& text) {
+    std::map<std::string, std::set<std::string>> data_centres;
+    for (const auto& [name, item] : text.services) {
+        data_centres[name] = {item.data_centres.begin(), item.data_centres.end()};
+    }
+    const std::lock_guard lock(mutex_);
+    view_.update_text(std::move(data_centres), text.region_by_data_centre);
+}
+
+void endpoint_directory::on_report(const std::string& endpoint, const std::string& reporter,
+                                   policy::endpoint_load load, support::time_point now) {
+    const std::lock_guard lock(mutex_);
+    view_.on_heartbeat(endpoint, now);
+    reports_[endpoint] = {reporter, std::move(load), now, 0};
+}
+
+void endpoint_directory::on_peer_says_leaving(const std::string& endpoint) {
+    const std::lock_guard lock(mutex_);
+    view_.on_peer_says_leaving(endpoint);
+}
+
+void endpoint_directory::on_attempt_begin(const std::string& endpoint) {
+    const std::lock_guard lock(mutex_);
+    ++in_flight_[endpoint];
+    const auto found = reports_.find(endpoint);
+    if (found != reports_.end()) {
+        ++found->second.sent_since;
+    }
+}
+
+void endpoint_directory::on_attempt_end(const std::string& endpoint) {
+    const std::lock_guard lock(mutex_);
+    auto& count = in_flight_[endpoint];
+    count -= count > 0 ? 1 : 0;
+    const auto found = reports_.find(endpoint);
+    if (found != reports_.end() && found->second.sent_since > 0) {
+        --found->second.sent_since;
+    }
+}
+
+void endpoint_directory::on_latency(const std::string& endpoint, double relative,
+                                    support::time_point now) {
+    const std::lock_guard lock(mutex_);
+    health_.on_sample(endpoint, relative, now);
+}
+
+void endpoint_directory::on_failure(const std::string& endpoint, support::time_point now) {
+    const std::lock_guard lock(mutex_);
+    health_.on_failure(endpoint, now);
+}
+
+endpoint_row endpoint_directory::row_of(membership::endpoint_status status,
+                                        support::time_point now) const {
+    endpoint_row row;
+    const auto& id = status.vm.id;
+    row.health = health_.weight(id, now);
+    const auto found = reports_.find(id);
+    if (found != reports_.end() && now - found->second.at < report_lifetime) {
+        row.reporter = found->second.reporter;
+        row.load = found->second.load;
+        row.own_in_flight = found->second.sent_since;
+    } else if (const auto count = in_flight_.find(id); count != in_flight_.end()) {
+        row.own_in_flight = count->second;
+    }
+    row.status = std::move(status);
+    return row;
+}
+
+std::vector<endpoint_row> endpoint_directory::of_service(std::string_view service,
+                                                         support::time_point now) const {
+    const std::lock_guard lock(mutex_);
+    std::vector<endpoint_row> rows;
+    for (auto& status : view_.of_service(service, now)) {
+        rows.push_back(row_of(std::move(status), now));
+    }
+    return rows;
+}
+
+std::vector<endpoint_row> endpoint_directory::all(support::time_point now) const {
+    const std::lock_guard lock(mutex_);
+    std::vector<endpoint_row> rows;
+    for (auto& status : view_.all(now)) {
+        rows.push_back(row_of(std::move(status), now));
+    }
+    return rows;
+}
+
+std::optional<endpoint_row> endpoint_directory::find(std::string_view endpoint,
+                                                     support::time_point now) const {
+    const std::lock_guard lock(mutex_);
+    auto status = view_.find(endpoint, now);
+    if (!status) {
+        return std::nullopt;
+    }
+    return row_of(std::move(*status), now);
+}
+
+std::vector<std::string> endpoint_directory::leaving() const {
+    const std::lock_guard lock(mutex_);
+    return view_.leaving();
+}
+
+std::vector<membership::ownable> endpoint_directory::ownables(const config::deployment& text,
+                                                              support::time_point now) const {
+    std::vector<membership::ownable> result;
+    for (const auto& row : all(now)) {
+        const auto service = text.services.find(row.status.vm.service);
+        if (service == text.services.end() || service->second.kind != config::service_kind::model) {
+            continue;
+        }
+        if (row.status.state == membership::endpoint_state::gone) {
+            continue;
+        }
+        result.push_back({row.status.vm.id, row.status.region, row.status.vm.data_centre});
+    }
+    return result;
+}
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/endpoint_directory.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "dragonflystair/config/deployment.h"
+#include "dragonflystair/membership/endpoint_view.h"
+#include "dragonflystair/membership/grant_planner.h"
+#include "dragonflystair/policy/endpoint_health.h"
+#include "dragonflystair/policy/endpoint_scheduler.h"
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonflystair::node {
+
+/// An endpoint as this node sees it: its state and the last report of its owner.
+struct endpoint_row {
+    membership::endpoint_status status;
+    std::string reporter; ///< Incarnation of the owner that sent the last report.
+    std::optional<policy::endpoint_load> load;
+    std::size_t own_in_flight = 0;
+    double health = 1.0;
+};
+
+/// Shared table of endpoints, from the VM list, the text, peers' reports and own calls.
+class endpoint_directory {
+public:
+    /// A report older than this is no longer used to find resident adapters.
+    static constexpr std::chrono::milliseconds report_lifetime{5'000};
+
+    void update_list(std::span<const membership::listed_vm> vms, support::time_point now);
+    void update_text(const config::deployment& text);
+    void on_report(const std::string& endpoint, const std::string& reporter,
+                   policy::endpoint_load load, support::time_point now);
+    void on_peer_says_leaving(const std::string& endpoint);
+
+    void on_attempt_begin(const std::string& endpoint);
+    void on_attempt_end(const std::string& endpoint);
+    void on_latency(const std::string& endpoint, double relative, support::time_point now);
+    void on_failure(const std::string& endpoint, support::time_point now);
+
+    [[nodiscard]] std::vector<endpoint_row> of_service(std::string_view service,
+                                                       support::time_point now) const;
+    [[nodiscard]] std::vector<endpoint_row> all(support::time_point now) const;
+    [[nodiscard]] std::optional<endpoint_row> find(std::string_view endpoint,
+                                                   support::time_point now) const;
+    [[nodiscard]] std::vector<std::string> leaving() const;
+
+    /// Endpoints of model services that are not gone. Leaving ones are included, since their
+    /// running work needs an owner until it has finished.
+    [[nodiscard]] std::vector<membership::ownable> ownables(const config::deployment& text,
+                                                            support::time_point now) const;
+
+private:
+    struct report {
+        std::string reporter;
+        policy::endpoint_load load;
+        support::time_point at;
+        std::size_t sent_since = 0;
+    };
+    [[nodiscard]] endpoint_row row_of(membership::endpoint_status status,
+                                      support::time_point now) const;
+
+    mutable std::mutex mutex_;
+    membership::endpoint_view view_;
+    policy::endpoint_health health_;
+    std::map<std::string, report, std::less<>> reports_;
+    std::map<std::string, std::size_t, std::less<>> in_flight_;
+};
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/log_follower.cpp
@@ -0,0 +1,86 @@
+#include "log_follower.h"
+
+#include "dragonflystair/support/log.h"
+
+#include "sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+
+namespace dragonflystair::node {
+
+log_follower::log_follower(node_context& context, net::log_client& log, std::string stream,
+                           hooks callbacks)
+    : context_(context), log_(log), stream_(std::move(stream)), hooks_(std::move(callbacks)) {}
+
+void log_follower::start() {
+    boost::asio::co_spawn(
+        context_.executor, [this] { return run(); }, boost::asio::detached);
+}
+
+void log_follower::on_forwarded(std::span<const ledger::stream_entry> entries) {
+    apply_in_order(entries);
+}
+
+net::awaitable<void> log_follower::run() {
+    while (!context_.stopping) {
+        co_await read_page();
+    }
+}
+
+net::awaitable<void> log_follower::read_page() {
+    const auto from = hooks_.next_offset();
+    auto page = co_await log_.read(stream_, from, page_limit,
+                                   caught_up_ ? poll_wait : std::chrono::milliseconds{0});
+    if (page.has_value()) {
+        set_unreachable(false, {});
+        apply_in_order(page.value().entries);
+        if (hooks_.next_offset() >= page.value().next) {
+            caught_up_ = true;
+        }
+        co_return;
+    }
+    if (page.error().kind == support::error_kind::gone) {
+        co_await restart_from_first();
+        co_return;
+    }
+    set_unreachable(true, page.error().message);
+    hooks_.unreachable();
+    co_await sleep_for(retry_pause);
+}
+
+net::awaitable<void> log_follower::restart_from_first() {
+    context_.counters.increment("log_restarts_total", stream_);
+    support::log_change("log_read_restarted", {{"stream", stream_}});
+    hooks_.reset();
+    auto first = co_await log_.first_offset(stream_);
+    if (!first.has_value()) {
+        co_await sleep_for(retry_pause);
+        co_return;
+    }
+    // An empty table takes its state from the first snapshot that is still kept.
+    auto page =
+        co_await log_.read(stream_, first.value(), page_limit, std::chrono::milliseconds{0});
+    if (page.has_value()) {
+        apply_in_order(page.value().entries);
+    }
+}
+
+void log_follower::apply_in_order(std::span<const ledger::stream_entry> entries) {
+    const std::lock_guard lock(apply_mutex_);
+    if (!entries.empty()) {
+        hooks_.apply(entries);
+    }
+}
+
+void log_follower::set_unreachable(bool value, const std::string& cause) {
+    if (unreachable_.exchange(value) == value) {
+        return;
+    }
+    support::log_change(value ? "log_unreachable" : "log_reachable",
+                        {{"stream", stream_}, {"cause", cause}});
+}
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/log_follower.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "dragonflystair/ledger/stream_entry.h"
+#include "dragonflystair/net/log_client.h"
+
+#include "node_context.h"
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <mutex>
+#include <span>
+#include <string>
+
+namespace dragonflystair::node {
+
+/// Reads one stream to its end and goes on reading, from the log or, while it is out of reach, from
+/// what peers forward.
+class log_follower {
+public:
+    /// Hooks to the table that the stream feeds.
+    struct hooks {
+        std::function<void(std::span<const ledger::stream_entry>)> apply;
+        std::function<std::uint64_t()> next_offset;
+        std::function<void()> reset;       ///< The log no longer keeps what follows; start anew.
+        std::function<void()> unreachable; ///< Called each time that a read fails.
+    };
+
+    static constexpr std::chrono::milliseconds poll_wait{1'000};
+    static constexpr std::chrono::milliseconds retry_pause{200};
+    static constexpr std::size_t page_limit = 1'000;
+
+    log_follower(node_context& context, net::log_client& log, std::string stream, hooks callbacks);
+
+    void start();
+
+    /// Entries that a peer forwarded.
+    void on_forwarded(std::span<const ledger::stream_entry> entries);
+
+    /// True once the end of the stream has been reached, by the log or by a peer.
+    [[nodiscard]] bool caught_up() const { return caught_up_; }
+    /// True while the last read failed.
+    [[nodiscard]] bool unreachable() const { return unreachable_; }
+    void mark_caught_up() { caught_up_ = true; }
+
+    [[nodiscard]] const std::string& stream() const { return stream_; }
+
+private:
+    net::awaitable<void> run();
+    net::awaitable<void> read_page();
+    net::awaitable<void> restart_from_first();
+    void apply_in_order(std::span<const ledger::stream_entry> entries);
+    void set_unreachable(bool value, const std::string& cause);
+
+    node_context& context_;
+    net::log_client& log_;
+    std::string stream_;
+    hooks hooks_;
+    std::mutex apply_mutex_; ///< Keeps the log's and the peers' entries in order.
+    std::atomic<bool> caught_up_ = false;
+    std::atomic<bool> unreachable_ = false;
+};
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/member_table.cpp
@@ -0,0 +1,157 @@
+#include "member_table.h"
+
+#include <set>
+#include <utility>
+
+namespace dragonflystair::node {
+
+member_table::member_table(std::string incarnation, membership::lease_timing timing)
+    : incarnation_(std::move(incarnation)), timing_(timing), lease_(timing), watch_(timing) {}
+
+void member_table::apply(std::span<const ledger::stream_entry> entries, support::time_point now) {
+    const std::lock_guard lock(mutex_);
+    for (const auto& entry : entries) {
+        fold_.apply(entry);
+    }
+    watch_.observe(fold_, now);
+}
+
+void member_table::restore(const support::json& state) {
+    const std::lock_guard lock(mutex_);
+    fold_.restore(state);
+}
+
+void member_table::reset() {
+    const std::lock_guard lock(mutex_);
+    fold_ = ledger::member_fold();
+}
+
+void member_table::on_log_unreachable() {
+    const std::lock_guard lock(mutex_);
+    watch_.on_log_unreachable();
+}
+
+std::uint64_t member_table::next_offset() const {
+    const std::lock_guard lock(mutex_);
+    return fold_.next_offset();
+}
+
+support::json member_table::state() const {
+    const std::lock_guard lock(mutex_);
+    return fold_.state();
+}
+
+std::optional<ledger::session_id> member_table::own_session() const {
+    const std::lock_guard lock(mutex_);
+    return fold_.session_of(incarnation_);
+}
+
+bool member_table::lease_holds(support::time_point now) const {
+    const std::lock_guard lock(mutex_);
+    return fold_.session_of(incarnation_).has_value() && lease_.holds(now);
+}
+
+std::optional<ledger::position> member_table::fence_if_held(std::string_view endpoint,
+                                                            support::time_point now) const {
+    const std::lock_guard lock(mutex_);
+    const auto own = fold_.session_of(incarnation_);
+    const auto held = fold_.holder_of(endpoint);
+    if (!own || !held || held->session != *own || !lease_.holds(now)) {
+        return std::nullopt;
+    }
+    return held->fence;
+}
+
+std::optional<owner_info> member_table::owner_of(std::string_view endpoint) const {
+    const std::lock_guard lock(mutex_);
+    const auto held = fold_.holder_of(endpoint);
+    if (!held) {
+        return std::nullopt;
+    }
+    return owner_info{*held, fold_.sessions().at(held->session).open};
+}
+
+std::vector<live_session> member_table::sessions() const {
+    const std::lock_guard lock(mutex_);
+    std::vector<live_session> result;
+    for (const auto& [id, state] : fold_.sessions()) {
+        result.push_back({id, state.open});
+    }
+    return result;
+}
+
+bool member_table::session_lives(ledger::session_id session) const {
+    const std::lock_guard lock(mutex_);
+    return fold_.live(session);
+}
+
+std::vector<std::string> member_table::held_by_self() const {
+    const std::lock_guard lock(mutex_);
+    const auto own = fold_.session_of(incarnation_);
+    return own ? fold_.held_by(*own) : std::vector<std::string>{};
+}
+
+std::vector<ledger::unresolved_intent> member_table::intents_on(std::string_view endpoint) const {
+    const std::lock_guard lock(mutex_);
+    return fold_.intents_on(endpoint, fold_.session_of(incarnation_).value_or(0));
+}
+
+std::vector<std::string> member_table::foreign_intents(std::string_view endpoint) const {
+    std::set<std::string> adapters;
+    for (const auto& intent : intents_on(endpoint)) {
+        adapters.insert(intent.adapter);
+    }
+    return {adapters.begin(), adapters.end()};
+}
+
+ledger::session_id member_table::successor_for(const membership::ownable& endpoint) const {
+    const std::lock_guard lock(mutex_);
+    const auto own = fold_.session_of(incarnation_).value_or(0);
+    for (const auto session : membership::grant_planner::preference(fold_, endpoint)) {
+        if (session != own) {
+            return session;
+        }
+    }
+    return 0;
+}
+
+bool member_table::renewal_due(support::time_point now) const {
+    const std::lock_guard lock(mutex_);
+    return lease_.renewal_due(now);
+}
+
+void member_table::on_renewal_sending(support::time_point now) {
+    const std::lock_guard lock(mutex_);
+    lease_.on_sending(now);
+}
+
+void member_table::on_renewal_read_back() {
+    const std::lock_guard lock(mutex_);
+    // A renewal that was read back after the session was expired is not valid, so it proves
+    // nothing.
+    if (fold_.session_of(incarnation_)) {
+        lease_.on_read_back();
+    }
+}
+
+void member_table::begin_new_lease() {
+    const std::lock_guard lock(mutex_);
+    lease_ = membership::lease_keeper(timing_);
+}
+
+std::vector<ledger::session_expire> member_table::overdue(support::time_point now) const {
+    const std::lock_guard lock(mutex_);
+    return watch_.overdue(now);
+}
+
+std::vector<ledger::grant> member_table::plan_grants(std::span<const membership::ownable> endpoints,
+                                                     support::time_point now) {
+    const std::lock_guard lock(mutex_);
+    const auto own = fold_.session_of(incarnation_);
+    if (!own || !lease_.holds(now)) {
+        return {};
+    }
+    return planner_.plan(fold_, endpoints, *own, now);
+}
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/model_calls.cpp
@@ -0,0 +1,264 @@
+#include "model_calls.h"
+
+#include "dragonflystair/support/hash.h"
+
+#include "sleep.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflystair::node {
+
+namespace {
+
+constexpr double retry_share = 0.1;
+constexpr double retry_burst = 50;
+/// Pause before an attempt that follows a refusal for a passing cause, such as a change of owner.
+constexpr std::chrono::milliseconds retry_pause{50};
+
+bool passing(std::string_view reason) {
+    return reason == "not_owner" || reason == "endpoint_leaving" || reason == "draining";
+}
+
+problem problem_of(const attempt_end& end) {
+    problem item;
+    item.reason = end.reason;
+    item.retry_after = end.retry_after.count() > 0 ? end.retry_after : std::chrono::seconds{1};
+    item.detail = "the request was not completed";
+    if (end.reason == "quarantined") {
+        item.status = 422;
+        item.retry_after = {};
+        item.detail = "this request crashed endpoints before and is not run again";
+    }
+    return item;
+}
+
+} // namespace
+
+model_calls::model_calls(model_call_services services)
+    : services_(std::move(services)), router_(policy::router_limits{}),
+      budget_(retry_share, retry_burst), random_(std::random_device{}()) {}
+
+net::awaitable<void> model_calls::serve(net::http_exchange& exchange, bool chat) {
+    const auto now = node_context::now();
+    const auto view = services_.config.view();
+    auto read = read_model_request(exchange.request(), chat, *view, now);
+    if (const auto* fault = std::get_if<problem>(&read)) {
+        services_.context.counters.increment("refusals_total", fault->reason);
+        co_await exchange.respond(problem_response(*fault));
+        co_return;
+    }
+    co_await run(exchange, std::get<model_request>(std::move(read)));
+}
+
+net::awaitable<void> model_calls::run(net::http_exchange& exchange, model_request request) {
+    call_state call{std::move(request), {}, 0, false, node_context::now()};
+    answer_writer writer(exchange, call.request);
+    stream::stream_check check(call.request.model, call.request.first_position);
+    services_.context.counters.increment("model_requests_total");
+    for (;;) {
+        const auto suspicion =
+            services_.crashes.state(call.request.fingerprint, node_context::now());
+        if (suspicion == policy::suspicion::quarantined) {
+            co_await refuse(writer, {attempt_end_kind::refused, "quarantined", {}});
+            co_return;
+        }
+        auto route = route_for(call.request.service, call.request.model, call.excluded);
+        if (!route && !call.excluded.empty()) {
+            // All endpoints were tried; a passing fault of one of them may be over.
+            call.excluded.clear();
+            route = route_for(call.request.service, call.request.model, call.excluded);
+        }
+        if (!route) {
+            co_await refuse(writer,
+                            {attempt_end_kind::refused, "no_endpoint", std::chrono::seconds{1}});
+            co_return;
+        }
+        const auto end = co_await run_attempt(call, writer, check, exchange, *route);
+        if (end.kind == attempt_end_kind::completed) {
+            services_.context.counters.increment("model_answers_total");
+            {
+                const std::lock_guard lock(mutex_);
+                budget_.on_success();
+            }
+            co_await writer.finish();
+            co_return;
+        }
+        if (end.kind == attempt_end_kind::caller_gone) {
+            services_.context.counters.increment("callers_gone_total");
+            co_return;
+        }
+        if (!may_retry(call, end)) {
+            co_await refuse(writer, end);
+            co_return;
+        }
+        services_.context.counters.increment("retries_total", end.reason);
+        if (!passing(end.reason)) {
+            call.excluded.push_back(route->endpoint);
+        }
+        co_await sleep_for(retry_pause);
+    }
+}
+
+net::awaitable<attempt_end> model_calls::run_attempt(call_state& call, answer_writer& writer,
+                                                     stream::stream_check& check,
+                                                     net::http_exchange& exchange,
+                                                     const policy::route& route) {
+    const auto& endpoint = route.endpoint;
+    const auto& request = call.request;
+    const auto now = node_context::now();
+    attempt item;
+    item.id = support::random_id();
+    item.endpoint = endpoint;
+    item.model = request.model;
+    item.body = request.body;
+    item.chat = request.chat;
+    item.long_work = request.long_work;
+    item.isolated = services_.crashes.state(request.fingerprint, now) == policy::suspicion::suspect;
+    item.fingerprint = request.fingerprint;
+    item.resume_from = check.expected();
+    item.deadline = request.deadline;
+    ++call.attempts;
+
+    auto queue = std::make_shared<event_queue>(services_.context.executor);
+    const call_sink sink = [queue](call_event event) { queue->push(std::move(event)); };
+    exchange.on_disconnect([queue] {
+        queue->push(attempt_end{attempt_end_kind::caller_gone, "caller_gone", {}});
+    });
+    services_.directory.on_attempt_begin(endpoint);
+    auto end = attempt_end{attempt_end_kind::interrupted, "owner_unreachable", {}};
+    if (send_attempt(item, sink)) {
+        end = co_await relay(call, writer, check, *queue, route);
+        if (end.kind != attempt_end_kind::completed && end.kind != attempt_end_kind::refused) {
+            cancel(item);
+        }
+    }
+    services_.remote_attempts.remove(item.id);
+    services_.directory.on_attempt_end(endpoint);
+    if (end.kind == attempt_end_kind::interrupted || end.kind == attempt_end_kind::crashed) {
+        services_.directory.on_failure(endpoint, node_context::now());
+    }
+    co_return end;
+}
+
+net::awaitable<attempt_end> model_calls::relay(call_state& call, answer_writer& writer,
+                                               stream::stream_check& check, event_queue& queue,
+                                               const policy::route& route) {
+    for (;;) {
+        auto event = co_await queue.pop();
+        if (const auto* end = std::get_if<attempt_end>(&event)) {
+            co_return *end;
+        }
+        const auto& token = std::get<token_event>(event);
+        const auto verdict = check.check(token.position, model_of(token.data));
+        if (verdict == stream::event_verdict::repeat) {
+            services_.context.counters.increment("events_repeated_total");
+            continue;
+        }
+        if (verdict == stream::event_verdict::gap) {
+            co_return attempt_end{attempt_end_kind::interrupted, "stream_gap", {}};
+        }
+        if (verdict == stream::event_verdict::wrong_model) {
+            services_.context.counters.increment("wrong_model_total");
+            co_return attempt_end{attempt_end_kind::interrupted, "wrong_model", {}};
+        }
+        if (!std::exchange(call.first_token_seen, true)) {
+            const auto latency = node_context::now() - call.began;
+            services_.context.first_token_latency.record(latency);
+            // The time of a load says nothing about the speed of the endpoint.
+            if (!route.needs_load && call.attempts == 1) {
+                services_.directory.on_latency(route.endpoint,
+                                               std::chrono::duration<double>(latency).count(),
+                                               node_context::now());
+            }
+        }
+        const bool sent = co_await writer.write(token.position, token.data);
+        if (!sent) {
+            co_return attempt_end{attempt_end_kind::caller_gone, "caller_gone", {}};
+        }
+    }
+}
+
+bool model_calls::send_attempt(const attempt& item, const call_sink& sink) {
+    const auto owner = services_.members.owner_of(item.endpoint);
+    if (!owner) {
+        return false;
+    }
+    if (owner->session.incarnation == services_.context.incarnation) {
+        const auto owned = services_.owners.find(item.endpoint);
+        if (!owned) {
+            return false;
+        }
+        owned->submit(item, sink);
+        return true;
+    }
+    auto frame = to_json(item, node_context::now());
+    frame["type"] = "open_call";
+    services_.remote_attempts.add(item.id, owner->session.incarnation, sink);
+    return services_.send(owner->session.incarnation, frame);
+}
+
+void model_calls::cancel(const attempt& item) {
+    services_.owners.cancel(item.id);
+    const auto owner = services_.members.owner_of(item.endpoint);
+    if (owner && owner->session.incarnation != services_.context.incarnation) {
+        services_.send(owner->session.incarnation, {{"type", "cancel_call"}, {"id", item.id}});
+    }
+}
+
+std::optional<policy::route> model_calls::route_for(const std::string& service,
+                                                    const std::string& model,
+                                                    std::span<const std::string> excluded) {
+    std::vector<policy::route_candidate> candidates;
+    for (const auto& row : services_.directory.of_service(service, node_context::now())) {
+        const auto state = row.status.state;
+        if (state == membership::endpoint_state::leaving ||
+            state == membership::endpoint_state::gone ||
+            !services_.members.owner_of(row.status.vm.id)) {
+            continue;
+        }
+        policy::route_candidate candidate;
+        candidate.endpoint = row.status.vm.id;
+        candidate.same_region = row.status.region == services_.context.settings.region;
+        candidate.suspected = state == membership::endpoint_state::suspected || !row.load;
+        candidate.own_in_flight = row.own_in_flight;
+        candidate.health = row.health;
+        if (row.load) {
+            candidate.resident =
+                std::ranges::find(row.load->resident, model) != row.load->resident.end();
+            candidate.running = row.load->running;
+            candidate.queued = row.load->queued;
+            candidate.batch_limit = row.load->batch_limit;
+            candidate.expected_wait = row.load->expected_wait;
+        }
+        candidates.push_back(std::move(candidate));
+    }
+    const std::lock_guard lock(mutex_);
+    return router_.choose(model, candidates, excluded, random_);
+}
+
+bool model_calls::may_retry(call_state& call, const attempt_end& end) {
+    if (call.attempts >= max_attempts || node_context::now() >= call.request.deadline ||
+        end.reason == "wrong_model") {
+        return false;
+    }
+    const bool broken =
+        end.kind == attempt_end_kind::interrupted || end.kind == attempt_end_kind::crashed;
+    const bool elsewhere = end.reason == "load_failed" || passing(end.reason);
+    if (!broken && !elsewhere) {
+        return false;
+    }
+    const std::lock_guard lock(mutex_);
+    if (budget_.try_take()) {
+        return true;
+    }
+    services_.context.counters.increment("retry_budget_exhausted_total");
+    return false;
+}
+
+net::awaitable<void> model_calls::refuse(answer_writer& writer, const attempt_end& end) {
+    services_.context.counters.increment("refusals_total", end.reason);
+    co_await writer.refuse(problem_of(end));
+}
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/node_context.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "dragonflystair/config/settings.h"
+#include "dragonflystair/net/awaitable.h"
+#include "dragonflystair/support/counters.h"
+#include "dragonflystair/support/latency_summary.h"
+#include "dragonflystair/support/time.h"
+
+#include <atomic>
+#include <string>
+
+namespace dragonflystair::node {
+
+/// What every part of a node needs: its settings, its identity, its executor and its metrics.
+struct node_context {
+    config::settings settings;
+    std::string incarnation;
+    net::executor executor;
+    support::counters counters;
+    support::latency_summary first_token_latency;
+    support::latency_summary plain_call_latency;
+    /// Set when the node stops; background loops end at their next turn.
+    std::atomic<bool> stopping = false;
+
+    [[nodiscard]] static support::time_point now() { return support::boot_clock::now(); }
+};
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/operator_api.cpp
@@ -0,0 +1,238 @@
+#include "operator_api.h"
+
+#include "dragonflystair/support/json.h"
+
+#include "problem.h"
+#include "sleep.h"
+
+#include <openssl/crypto.h>
+
+#include <charconv>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace dragonflystair::node {
+
+namespace {
+
+net::http_response json_response(const support::json& body, int status = 200) {
+    net::http_response response;
+    response.status = status;
+    response.headers["Content-Type"] = "application/json";
+    response.body = body.dump(-1, ' ', false, support::json::error_handler_t::replace);
+    return response;
+}
+
+net::http_response text_response(std::string body, int status = 200) {
+    net::http_response response;
+    response.status = status;
+    response.headers["Content-Type"] = "text/plain; charset=utf-8";
+    response.body = std::move(body);
+    return response;
+}
+
+/// Compares without telling by its duration where the first difference is.
+bool equal_secret(std::string_view left, std::string_view right) {
+    return left.size() == right.size() &&
+           CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::string_view name_of(membership::endpoint_state state) {
+    switch (state) {
+    case membership::endpoint_state::live:
+        return "live";
+    case membership::endpoint_state::suspected:
+        return "suspected";
+    case membership::endpoint_state::leaving:
+        return "leaving";
+    case membership::endpoint_state::gone:
+        return "gone";
+    }
+    return "unknown";
+}
+
+std::optional<ledger::position> revision_of(const std::string& text) {
+    ledger::position value = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || fault != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+} // namespace
+
+operator_api::operator_api(operator_services services) : services_(std::move(services)) {}
+
+net::awaitable<void> operator_api::serve(net::http_exchange& exchange) {
+    auto response = co_await route(exchange.request());
+    co_await exchange.respond(std::move(response));
+}
+
+bool operator_api::authorized(const net::http_request& request) const {
+    constexpr std::string_view scheme = "Bearer ";
+    const auto given = net::header(request.headers, "Authorization");
+    return given.starts_with(scheme) &&
+           equal_secret(given.substr(scheme.size()), services_.context.settings.operator_token);
+}
+
+net::awaitable<net::http_response> operator_api::route(const net::http_request& request) {
+    const auto path = net::path_of(request.target);
+    if (path == "/healthz") {
+        co_return text_response("ok\n");
+    }
+    if (path == "/readyz") {
+        const bool ready = services_.ready();
+        co_return text_response(ready ? "ready\n" : services_.lifecycle() + "\n",
+                                ready ? 200 : 503);
+    }
+    if (path == "/metrics") {
+        co_return metrics();
+    }
+    if (!authorized(request)) {
+        services_.context.counters.increment("operator_refusals_total", "unauthorized");
+        co_return problem_response(
+            {401, "unauthorized", "a valid bearer token is needed", "not_run", {}});
+    }
+    if (path == "/v1/status") {
+        co_return status();
+    }
+    if (path == "/v1/history") {
+        co_return history();
+    }
+    if (path == "/v1/text") {
+        auto response = text_response(config::render(services_.config.view()->sections));
+        response.headers["X-Revision"] = std::to_string(services_.config.view()->revision);
+        co_return response;
+    }
+    if (path == "/v1/publish" && request.method == "POST") {
+        auto response = co_await publish(request);
+        co_return response;
+    }
+    co_return problem_response({404, "unknown_path", "no such operator interface", "not_run", {}});
+}
+
+net::http_response operator_api::metrics() const {
+    services_.update_gauges();
+    auto text = services_.context.counters.render();
+    services_.context.first_token_latency.render("first_token_seconds", text);
+    services_.context.plain_call_latency.render("plain_call_seconds", text);
+    return text_response(std::move(text));
+}
+
+net::http_response operator_api::status() const {
+    support::json peers = support::json::array();
+    for (const auto& peer : services_.peers.all()) {
+        peers.push_back(
+            {{"node", peer.node}, {"data_centre", peer.data_centre}, {"revision", peer.revision}});
+    }
+    support::json endpoints = support::json::array();
+    for (const auto& row : services_.directory.all(node_context::now())) {
+        const auto& vm = row.status.vm;
+        const auto owner = services_.members.owner_of(vm.id);
+        endpoints.push_back({{"id", vm.id},
+                             {"service", vm.service},
+                             {"data_centre", vm.data_centre},
+                             {"state", name_of(row.status.state)},
+                             {"owner", owner ? owner->session.node : ""},
+                             {"resident", row.load ? row.load->resident.size() : 0},
+                             {"running", row.load ? row.load->running : row.own_in_flight},
+                             {"queued", row.load ? row.load->queued : 0}});
+    }
+    return json_response({{"node", services_.context.settings.name},
+                          {"revision", services_.config.view()->revision},
+                          {"ready", services_.ready()},
+                          {"lifecycle", services_.lifecycle()},
+                          {"peers", peers},
+                          {"endpoints", endpoints}});
+}
+
+net::http_response operator_api::history() const {
+    support::json changes = support::json::array();
+    for (const auto& change : services_.config.history()) {
+        changes.push_back({{"revision", change.at},
+                           {"base", change.base},
+                           {"author", change.author},
+                           {"sections", change.sections},
+                           {"conflicts", change.conflicts}});
+    }
+    return json_response({{"changes", changes}});
+}
+
+net::awaitable<net::http_response> operator_api::publish(const net::http_request& request) {
+    const auto base = revision_of(net::query_value(request.target, "base"));
+    if (!base) {
+        co_return problem_response(
+            {400, "missing_base", "the query needs base=REVISION", "not_run", {}});
+    }
+    const auto parsed = config::parse_deployment(request.body, "text");
+    if (!parsed.findings.empty()) {
+        support::json findings = support::json::array();
+        for (const auto& item : parsed.findings) {
+            findings.push_back({{"line", item.line}, {"message", item.message}});
+        }
+        services_.context.counters.increment("operator_refusals_total", "findings");
+        co_return json_response({{"findings", findings}}, 400);
+    }
+    ledger::config_change change;
+    change.base = *base;
+    change.author = std::string(net::header(request.headers, "X-Author"));
+    change.sections = config::changed_sections(services_.config.view()->sections, parsed.sections);
+    if (change.sections.empty()) {
+        auto unchanged = co_await wait_until_in_force(services_.config.view()->revision);
+        co_return unchanged;
+    }
+    const auto place =
+        co_await services_.config_writer.append_and_wait(std::move(change), publish_timeout);
+    if (!place) {
+        services_.context.counters.increment("operator_refusals_total", "log_unavailable");
+        co_return problem_response(
+            {503, "log_unavailable",
+             "the change was not read back in time and may still be accepted; see history",
+             "unknown", std::chrono::seconds{2}});
+    }
+    for (const auto& decided : services_.config.history()) {
+        if (decided.at == *place && !decided.conflicts.empty()) {
+            services_.context.counters.increment("operator_refusals_total", "conflict");
+            co_return json_response(
+                {{"conflicts", decided.conflicts}, {"revision", services_.config.view()->revision}},
+                409);
+        }
+    }
+    auto response = co_await wait_until_in_force(*place);
+    co_return response;
+}
+
+std::pair<std::vector<std::string>, std::vector<std::string>>
+operator_api::data_centres_by_revision(ledger::position revision) const {
+    std::map<std::string, bool> in_force;
+    in_force[services_.context.settings.data_centre] =
+        services_.config.view()->revision >= revision;
+    for (const auto& session : services_.members.sessions()) {
+        if (session.open.incarnation == services_.context.incarnation) {
+            continue;
+        }
+        const auto peer = services_.peers.find(session.open.incarnation);
+        auto [place, added] = in_force.try_emplace(session.open.data_centre, true);
+        place->second = place->second && peer && peer->revision >= revision;
+    }
+    std::pair<std::vector<std::string>, std::vector<std::string>> result;
+    for (const auto& [data_centre, reached] : in_force) {
+        (reached ? result.first : result.second).push_back(data_centre);
+    }
+    return result;
+}
+
+net::awaitable<net::http_response> operator_api::wait_until_in_force(ledger::position revision) {
+    const auto deadline = node_context::now() + publish_timeout;
+    auto reached = data_centres_by_revision(revision);
+    while (!reached.second.empty() && node_context::now() < deadline) {
+        co_await sleep_for(std::chrono::milliseconds{50});
+        reached = data_centres_by_revision(revision);
+    }
+    co_return json_response(
+        {{"revision", revision}, {"in_force", reached.first}, {"missing", reached.second}});
+}
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/plain_calls.cpp
@@ -0,0 +1,350 @@
+#include "plain_calls.h"
+
+#include "dragonflystair/support/hash.h"
+
+#include "model_request.h"
+
+#include <boost/asio/experimental/concurrent_channel.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace dragonflystair::node {
+
+namespace {
+
+constexpr double retry_share = 0.1;
+constexpr double retry_burst = 20;
+constexpr std::chrono::milliseconds lookup_timeout{2'000};
+constexpr std::string_view services_prefix = "/services/";
+
+/// Request as the endpoint gets it: without the headers that concern one connection only.
+net::http_request forwarded(const net::http_request& request, const std::string& path) {
+    net::http_request copy = request;
+    copy.target = path;
+    for (const auto* name : {"Connection", "Host", "Keep-Alive", "Transfer-Encoding", "TE",
+                             "Upgrade", "Content-Length", "Proxy-Authorization", "Trailer"}) {
+        copy.headers.erase(name);
+    }
+    return copy;
+}
+
+net::http_response relayed(net::http_response response) {
+    for (const auto* name : {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length"}) {
+        response.headers.erase(name);
+    }
+    return response;
+}
+
+std::string digest_of(const net::http_request& request, const std::string& path) {
+    const auto head = fmt::format("{} {}\n", request.method, path);
+    return fmt::format("{:016x}{:016x}", support::fingerprint(head + request.body),
+                       support::fingerprint(request.body + head));
+}
+
+bool refused_before_running(const net::http_response& response) {
+    return response.status == 503 && net::header(response.headers, "X-Not-Run") == "true";
+}
+
+} // namespace
+
+/// Carries the steps of one claimed call from the thread that reads the log to its coroutine.
+class plain_calls::step_queue {
+public:
+    explicit step_queue(const net::executor& executor) : channel(executor, 8) {}
+    boost::asio::experimental::concurrent_channel<void(boost::system::error_code, calls::call_step)>
+        channel;
+};
+
+plain_calls::plain_calls(plain_call_services services)
+    : services_(services), budget_(retry_share, retry_burst), random_(std::random_device{}()) {}
+
+std::chrono::milliseconds plain_calls::time_left(const plain_call& call) {
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - node_context::now());
+    return std::max(left, std::chrono::milliseconds{1});
+}
+
+net::awaitable<void> plain_calls::serve(net::http_exchange& exchange) {
+    const auto& request = exchange.request();
+    const auto target = std::string_view(request.target).substr(services_prefix.size());
+    const auto end = target.find_first_of("/?");
+    plain_call call;
+    call.service_name = std::string(target.substr(0, end));
+    call.path = end == std::string_view::npos ? "/" : std::string(target.substr(end));
+    if (!call.path.starts_with('/')) {
+        call.path.insert(0, "/");
+    }
+    const auto view = services_.config.view();
+    const auto found = view->deployment.services.find(call.service_name);
+    if (found == view->deployment.services.end() ||
+        found->second.kind != config::service_kind::plain) {
+        co_await refuse(exchange,
+                        {404, "unknown_service", "no plain service of this name", "not_run", {}});
+        co_return;
+    }
+    call.service = found->second;
+    call.number = next_number_++;
+    call.request = forwarded(request, call.path);
+    call.deadline = deadline_of(request.headers, node_context::now());
+    services_.context.counters.increment("plain_requests_total");
+    const auto began = node_context::now();
+    if (call.service.is_non_idempotent(request.method, net::path_of(call.path))) {
+        co_await serve_claimed(exchange, std::move(call));
+    } else {
+        co_await serve_idempotent(exchange, std::move(call));
+    }
+    services_.context.plain_call_latency.record(node_context::now() - began);
+}
+
+std::optional<endpoint_row> plain_calls::choose(const std::string& service,
+                                                const std::set<std::string>& excluded) {
+    std::vector<endpoint_row> best;
+    bool best_is_near = false;
+    for (auto& row : services_.directory.of_service(service, node_context::now())) {
+        const auto state = row.status.state;
+        if (state == membership::endpoint_state::leaving ||
+            state == membership::endpoint_state::gone || excluded.contains(row.status.vm.id)) {
+            continue;
+        }
+        const bool near = row.status.region == services_.context.settings.region;
+        if (near && !best_is_near) {
+            best.clear();
+            best_is_near = true;
+        }
+        if (near == best_is_near) {
+            best.push_back(std::move(row));
+        }
+    }
+    if (best.empty()) {
+        return std::nullopt;
+    }
+    const auto cost = [](const endpoint_row& row) {
+        return static_cast<double>(row.own_in_flight + 1) / std::max(row.health, 0.01);
+    };
+    const std::lock_guard lock(mutex_);
+    std::uniform_int_distribution<std::size_t> any(0, best.size() - 1);
+    const auto& first = best[any(random_)];
+    const auto& second = best[any(random_)];
+    return cost(first) <= cost(second) ? first : second;
+}
+
+net::awaitable<void> plain_calls::serve_idempotent(net::http_exchange& exchange, plain_call call) {
+    std::set<std::string> excluded;
+    std::string reason = "no_endpoint";
+    for (int attempt = 0; attempt < max_attempts; ++attempt) {
+        const auto row = choose(call.service_name, excluded);
+        if (!row) {
+            break;
+        }
+        const auto& id = row->status.vm.id;
+        services_.directory.on_attempt_begin(id);
+        const auto sent_at = node_context::now();
+        auto answer =
+            co_await services_.http.request(row->status.vm.address, call.request, time_left(call));
+        services_.directory.on_attempt_end(id);
+        if (answer.has_value()) {
+            const std::chrono::duration<double> latency = node_context::now() - sent_at;
+            services_.directory.on_latency(id, latency.count(), node_context::now());
+            {
+                const std::lock_guard lock(mutex_);
+                budget_.on_success();
+            }
+            auto response = relayed(std::move(answer.value()));
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+        services_.directory.on_failure(id, node_context::now());
+        reason = fmt::format("endpoint_{}", to_string(answer.error().kind));
+        excluded.insert(id);
+        bool allowed = false;
+        {
+            const std::lock_guard lock(mutex_);
+            allowed = budget_.try_take();
+        }
+        if (!allowed || node_context::now() >= call.deadline) {
+            break;
+        }
+        services_.context.counters.increment("retries_total", reason);
+    }
+    const auto* outcome =
+        reason == "endpoint_unknown" || reason == "endpoint_malformed" ? "unknown" : "not_run";
+    co_await refuse(exchange,
+                    {503, reason, "no endpoint answered", outcome, std::chrono::seconds{1}});
+}
+
+net::awaitable<void> plain_calls::serve_claimed(net::http_exchange& exchange, plain_call call) {
+    const std::string key(net::header(call.request.headers, "Idempotency-Key"));
+    if (key.empty() || key.size() > 200) {
+        co_await refuse(exchange, {400,
+                                   "missing_idempotency_key",
+                                   "this call needs an Idempotency-Key of 1 to 200 bytes",
+                                   "not_run",
+                                   {}});
+        co_return;
+    }
+    const auto now = node_context::now();
+    auto queue = std::make_shared<step_queue>(services_.context.executor);
+    {
+        const std::lock_guard lock(mutex_);
+        queues_[call.number] = queue;
+    }
+    // Keys of different services must not meet.
+    const auto full_key = call.service_name + "/" + key;
+    auto step =
+        services_.claims.begin(call.number, full_key, digest_of(call.request, call.path), now,
+                               std::min(now + claim_timeout, call.deadline), call.deadline);
+    while (!step.answer && !step.dispatch) {
+        step = co_await wait_for_step(queue);
+    }
+    calls::call_answer result;
+    if (step.dispatch) {
+        result = co_await dispatch(call);
+    } else {
+        result = *step.answer;
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        queues_.erase(call.number);
+    }
+    co_await answer(exchange, std::move(call), std::move(result));
+}
+
+net::awaitable<calls::call_step> plain_calls::wait_for_step(std::shared_ptr<step_queue> queue) {
+    auto step = co_await queue->channel.async_receive(boost::asio::use_awaitable);
+    co_return step;
+}
+
+void plain_calls::on_step(claim_table::call_number call, const calls::call_step& step) {
+    std::shared_ptr<step_queue> queue;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = queues_.find(call);
+        if (found == queues_.end()) {
+            return;
+        }
+        queue = found->second;
+    }
+    queue->channel.try_send(boost::system::error_code{}, step);
+}
+
+net::awaitable<calls::call_answer> plain_calls::dispatch(plain_call call) {
+    const auto number = call.number;
+    std::set<std::string> excluded;
+    for (;;) {
+        const auto row = choose(call.service_name, excluded);
+        if (!row) {
+            break;
+        }
+        const auto& id = row->status.vm.id;
+        services_.directory.on_attempt_begin(id);
+        auto answer = co_await services_.http.request(row->status.vm.address, call.request,
+                                                      time_left(call), false);
+        services_.directory.on_attempt_end(id);
+        if (answer.has_value() && !refused_before_running(answer.value())) {
+            const auto& response = answer.value();
+            const auto step = services_.claims.on_event([&](auto& coordinator) {
+                return coordinator.on_answer(number, response.status,
+                                             net::header(response.headers, "Content-Type"),
+                                             response.body);
+            });
+            co_return *step.answer;
+        }
+        if (!answer.has_value() && answer.error().kind != support::error_kind::unavailable) {
+            services_.directory.on_failure(id, node_context::now());
+            const auto found = co_await look_up(call);
+            const auto step = services_.claims.on_event([&](auto& coordinator) {
+                return found ? coordinator.on_lookup_found(
+                                   number, found->status,
+                                   net::header(found->headers, "Content-Type"), found->body)
+                             : coordinator.on_no_answer(number);
+            });
+            co_return *step.answer;
+        }
+        // Nothing has run, so another endpoint may be asked under the same claim.
+        services_.directory.on_failure(id, node_context::now());
+        services_.context.counters.increment("retries_total", "endpoint_refused");
+        excluded.insert(id);
+    }
+    const auto step = services_.claims.on_event(
+        [&](auto& coordinator) { return coordinator.on_refused(number); });
+    co_return *step.answer;
+}
+
+net::awaitable<std::optional<net::http_response>> plain_calls::look_up(plain_call call) {
+    const auto at = call.service.status_lookup.find("{key}");
+    if (at == std::string::npos) {
+        co_return std::nullopt;
+    }
+    net::http_request request;
+    request.target = call.service.status_lookup;
+    request.target.replace(at, 5, net::header(call.request.headers, "Idempotency-Key"));
+    std::set<std::string> excluded;
+    for (int attempt = 0; attempt < max_attempts; ++attempt) {
+        const auto row = choose(call.service_name, excluded);
+        if (!row) {
+            break;
+        }
+        excluded.insert(row->status.vm.id);
+        auto answer =
+            co_await services_.http.request(row->status.vm.address, request, lookup_timeout);
+        if (answer.has_value() && answer.value().status == 200) {
+            services_.context.counters.increment("status_lookups_total", "found");
+            co_return std::move(answer.value());
+        }
+    }
+    services_.context.counters.increment("status_lookups_total", "not_found");
+    co_return std::nullopt;
+}
+
+net::awaitable<void> plain_calls::answer(net::http_exchange& exchange, plain_call call,
+                                         calls::call_answer result) {
+    if (result.outcome == calls::call_outcome::unknown) {
+        const auto found = co_await look_up(call);
+        if (found) {
+            result.outcome = calls::call_outcome::completed;
+            result.result =
+                ledger::key_outcome{{},
+                                    0,
+                                    found->status,
+                                    std::string(net::header(found->headers, "Content-Type")),
+                                    found->body,
+                                    false};
+        }
+    }
+    if (result.outcome == calls::call_outcome::completed && result.result) {
+        services_.context.counters.increment("claimed_calls_total", "completed");
+        net::http_response response;
+        response.status = result.result->status;
+        response.headers["X-Outcome"] = "completed";
+        if (result.result->body_dropped) {
+            response.headers["X-Body-Dropped"] = "true";
+        }
+        response.headers["Content-Type"] = result.result->content_type;
+        response.body = result.result->body;
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    const bool unknown = result.outcome == calls::call_outcome::unknown;
+    services_.context.counters.increment("claimed_calls_total", unknown ? "unknown" : "not_run");
+    problem item{unknown ? 504 : 503, result.reason, "", unknown ? "unknown" : "not_run",
+                 std::chrono::seconds{1}};
+    item.detail = unknown
+                      ? "the call may have run; repeat it with the same key to learn its outcome"
+                      : "the call was not run";
+    if (result.reason.find("conflict") != std::string::npos) {
+        item.status = 409;
+        item.retry_after = {};
+    }
+    co_await refuse(exchange, std::move(item));
+}
+
+net::awaitable<void> plain_calls::refuse(net::http_exchange& exchange, problem item) {
+    services_.context.counters.increment("refusals_total", item.reason);
+    co_await exchange.respond(problem_response(item));
+}
+
+} // namespace dragonflystair::node
--- /dev/null
+++ b/lib/node/session_agent.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "log_follower.h"
+#include "log_writer.h"
+#include "member_table.h"
+#include "node_context.h"
+
+#include <chrono>
+#include <functional>
+#include <span>
+#include <vector>
+
+namespace dragonflystair::node {
+
+/// Keeps this node's session alive on the log, ends the sessions of silent nodes, and claims
+/// endpoints without an owner.
+class session_agent {
+public:
+    /// Hooks to the rest of the node.
+    struct hooks {
+        std::function<std::vector<membership::ownable>()> ownables; ///< What needs an owner now.
+        std::function<void(ledger::session_id)> on_session;         ///< A new session is open.
+        std::function<void()> on_session_lost;
+        std::function<bool()> draining;
+    };
+
+    static constexpr std::chrono::milliseconds tick_period{100};
+
+    session_agent(node_context& context, member_table& members, log_writer& writer,
+                  const log_follower& follower, ledger::session_open self, hooks callbacks);
+
+    void start();
+
+    /// Ends the session after a graceful shutdown and waits until that has been read back.
+    net::awaitable<void> close();
+
+    /// Releases an endpoint and waits until that has been read back.
+    net::awaitable<bool> release(membership::ownable endpoint);
+
+private:
+    enum class phase { none, opening, open };
+
+    net::awaitable<void> run();
+    void tick();
+    void open();
+    void renew();
+    void expire_silent_sessions();
+    void claim_endpoints();
+
+    node_context& context_;
+    member_table& members_;
+    log_writer& writer_;
+    const log_follower& follower_;
+    ledger::session_open self_;
+    hooks hooks_;
+    std::atomic<phase> phase_ = phase::none;
+    std::atomic<bool> closing_ = false;
+    std::atomic<bool> renewal_queued_ = false;
+    support::time_point last_expiry_attempt_;
+};
+
+} // namespace dragonflystair::node
