--- a/include/dragonflystair/policy/endpoint_scheduler.h
+++ b/include/dragonflystair/policy/endpoint_scheduler.h
@@ -22,6 +22,26 @@
     std::size_t queue_limit = 512;
     std::chrono::milliseconds load_time{250};
     std::chrono::milliseconds load_retry{500}; ///< First wait after a failed load; doubles to 8 s.
+
+    /// After this time without a permit the waiters are refused, since the store is down or far
+    /// behind.
+    std::chrono::milliseconds permit_patience{3'000};
+
+    /// The first long request that waited this long starts before short work; at most one does so
+    /// in each such period. The long request at position n of the lane therefore gets a free place
+    /// after n times this at the latest, as long as the long share has room and its adapter is
+    /// resident.
+    std::chrono::milliseconds long_patience{5'000};
+
+    /// Requests of this expected or learned length use the long lane whatever their class is.
+    double long_tokens = 1'000;
+
+    /// Age that an engine's report may have.
+    std::chrono::milliseconds report_lag{2'000};
+
+    /// A permit is dropped when no slot became free within this time; it has to be shorter than the
+    /// permit's lifetime by the time of a load.
+    std::chrono::milliseconds permit_use{2'000};
 };
 
 /// What the engine reported about itself.
@@ -38,11 +58,15 @@
     std::string request;
     bool priority = false;
 };
-/// Ask for a load permit; answered by `on_permit`.
+/// Ask for a load permit; answered by `on_permit`. Repeated each second while it is waited for.
 struct want_permit_action {
     std::string adapter;
     double urgency = 0; ///< Waiting work, short work weighing more.
 };
+/// The permit that was asked for or granted is not needed any more: withdraw it or give it back.
+struct drop_permit_action {
+    std::string adapter;
+};
 /// Order the engine to load; answered by `on_load_done`.
 struct load_action {
     std::string adapter;
@@ -57,8 +81,8 @@
     std::string request;
     refusal why;
 };
-using scheduler_action =
-    std::variant<dispatch_action, want_permit_action, load_action, unload_action, refuse_action>;
+using scheduler_action = std::variant<dispatch_action, want_permit_action, drop_permit_action,
+                                      load_action, unload_action, refuse_action>;
 
 /// What peers need to route to the endpoint.
 struct endpoint_load {
@@ -73,11 +97,14 @@
 enum class finish_kind { done, cancelled, failed };
 
 /// Queue, lanes, slots and batch of one endpoint, run by its owner. Pure: the owner calls `poll`
-/// after each event and at `next_wakeup`, and carries out the actions.
+/// after each event and at `next_wakeup`, and carries out the actions. Each load and unload order
+/// is answered exactly once, also one that was sent before the engine restarted.
 class endpoint_scheduler {
 public:
     explicit endpoint_scheduler(scheduler_limits limits);
     ~endpoint_scheduler();
+    endpoint_scheduler(const endpoint_scheduler&) = delete;
+    endpoint_scheduler& operator=(const endpoint_scheduler&) = delete;
     endpoint_scheduler(endpoint_scheduler&&) noexcept;
     endpoint_scheduler& operator=(endpoint_scheduler&&) noexcept;
 
@@ -109,6 +136,9 @@
     void on_takeover(const engine_report& report, std::span<const std::string> unusable,
                      support::time_point now);
 
+    /// An unresolved intent of an earlier session is resolved: the adapter may be used again.
+    void allow_adapter(std::string_view adapter);
+
     /// While false (lease lapsed, log outage), neither loads nor unloads are ordered.
     void allow_orders(bool allowed);
 
--- a/include/dragonflystair/policy/load_permits.h
+++ b/include/dragonflystair/policy/load_permits.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,15 +32,20 @@
 /// ended.
 class load_permits {
 public:
+    static constexpr std::chrono::milliseconds request_lifetime{3'000};
+
     load_permits(store_limits limits, support::time_point start);
     ~load_permits();
+    load_permits(const load_permits&) = delete;
+    load_permits& operator=(const load_permits&) = delete;
     load_permits(load_permits&&) noexcept;
     load_permits& operator=(load_permits&&) noexcept;
 
     /// The text changed the limits.
     void set_limits(store_limits limits);
 
-    /// Asks for a permit, or changes the urgency of a request that waits already.
+    /// Asks for a permit, or renews a request that waits already with its new urgency. A request
+    /// that is not renewed within `request_lifetime` is forgotten: its owner is gone.
     void request(std::string_view endpoint, std::string_view adapter, double urgency,
                  support::time_point now);
     void withdraw(std::string_view endpoint, std::string_view adapter);
@@ -53,6 +59,9 @@
     [[nodiscard]] std::size_t waiting() const;
     [[nodiscard]] std::size_t outstanding(support::time_point now) const;
 
+    /// When `poll` may hand out a permit next; nothing while no request waits.
+    [[nodiscard]] std::optional<support::time_point> next_wakeup(support::time_point now) const;
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
--- a/include/dragonflystair/policy/slot_table.h
+++ b/include/dragonflystair/policy/slot_table.h
@@ -21,11 +21,16 @@
 public:
     explicit slot_table(std::size_t slots);
     ~slot_table();
+    slot_table(const slot_table&) = delete;
+    slot_table& operator=(const slot_table&) = delete;
     slot_table(slot_table&&) noexcept;
     slot_table& operator=(slot_table&&) noexcept;
 
     [[nodiscard]] slot_state state(std::string_view adapter) const;
     [[nodiscard]] std::size_t slots() const;
+
+    /// The engine reported another number of slots. Nothing is dropped when there are fewer.
+    void resize(std::size_t slots);
     [[nodiscard]] std::size_t free_slots() const;
     [[nodiscard]] std::vector<std::string> resident() const;
 
@@ -34,7 +39,13 @@
     void unpin(std::string_view adapter);
     [[nodiscard]] std::size_t pins(std::string_view adapter) const;
 
-    /// Takes a free slot; false if there is none or the adapter is not absent.
+    /// Whether `pin` would succeed.
+    [[nodiscard]] bool usable(std::string_view adapter) const;
+
+    /// Whether `set_unusable` forbids it.
+    [[nodiscard]] bool forbidden(std::string_view adapter) const;
+
+    /// Takes a free slot; false if there is none, the adapter is not absent or it is forbidden.
     bool begin_load(std::string_view adapter);
     void end_load(std::string_view adapter, bool loaded);
 
@@ -58,11 +69,17 @@
     /// A report newer than the takeover shows which adapters run nothing.
     void release_takeover_pins(std::span<const std::string> idle);
 
+    /// Adapters that are still pinned by the takeover.
+    [[nodiscard]] std::vector<std::string> takeover_pinned() const;
+
     /// Forbids the use of an adapter that an earlier session may still unload, and allows it again.
     void set_unusable(std::string_view adapter, bool unusable);
 
-    /// Compares with a report of the engine: resolves slots in doubt, drops adapters that are gone.
-    void reconcile(std::span<const std::string> reported);
+    /// Compares with a report of the engine: resolves slots in doubt, drops adapters that are gone
+    /// and takes in those that a load with a lost answer left there. Adapters in `unsettled`
+    /// changed less than the report lag ago, so the report says nothing about them.
+    void reconcile(std::span<const std::string> reported,
+                   std::span<const std::string> unsettled = {});
 
 private:
     struct impl;
--- /dev/null
+++ b/lib/policy/service_estimate.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "dragonflystair/policy/request.h"
+#include "dragonflystair/support/time.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace dragonflystair::policy {
+
+/// Time in the batch as measured, by lane, and the length of an adapter's answers. Without a
+/// measurement every estimate is zero, so that nothing is refused on a guess.
+class service_estimate {
+public:
+    void on_finished(work_class lane, std::string_view adapter, support::duration taken,
+                     std::size_t tokens);
+
+    /// Expected time in the batch.
+    [[nodiscard]] support::duration service(work_class lane, double expected_tokens) const;
+
+    /// As `service`, with a margin for the spread of what was measured.
+    [[nodiscard]] support::duration cautious(work_class lane, double expected_tokens) const;
+
+    /// Mean tokens of the adapter's answers; 0 if unknown.
+    [[nodiscard]] double learned_tokens(std::string_view adapter) const;
+
+private:
+    struct lane_record {
+        double seconds = 0;
+        double deviation = 0;
+        double seconds_per_token = 0;
+    };
+    [[nodiscard]] const lane_record& of(work_class lane) const;
+    lane_record short_;
+    lane_record long_;
+    std::map<std::string, double, std::less<>> tokens_;
+};
+
+} // namespace dragonflystair::policy
