--- a/lib/node/claim_table.cpp
+++ b/lib/node/claim_table.cpp
@@ -37,11 +37,6 @@
     fold_.restore(state);
 }
 
-void claim_table::reset() {
-    const std::lock_guard lock(mutex_);
-    fold_ = ledger::claim_fold();
-}
-
 void claim_table::set_session(ledger::session_id own) {
     const std::lock_guard lock(mutex_);
     coordinator_.set_session(own);
--- a/lib/node/claim_table.h
+++ b/lib/node/claim_table.h
@@ -24,7 +24,6 @@
     void apply(std::span<const ledger::stream_entry> entries, support::time_point now);
     void tick(support::time_point now);
     void restore(const support::json& state);
-    void reset();
     void set_session(ledger::session_id own);
 
     [[nodiscard]] std::uint64_t next_offset() const;
--- a/lib/node/config_table.cpp
+++ b/lib/node/config_table.cpp
@@ -23,11 +23,6 @@
     publish_view();
 }
 
-void config_table::reset() {
-    const std::lock_guard lock(mutex_);
-    fold_ = ledger::config_fold();
-}
-
 std::uint64_t config_table::next_offset() const {
     const std::lock_guard lock(mutex_);
     return fold_.next_offset();
@@ -49,7 +44,6 @@
 }
 
 void config_table::publish_view() {
-    // A fold that was reset to be read anew must not take back what is in force.
     if (fold_.revision() <= view_->revision) {
         return;
     }
--- a/lib/node/config_table.h
+++ b/lib/node/config_table.h
@@ -18,7 +18,6 @@
 
     void apply(std::span<const ledger::stream_entry> entries);
     void restore(const support::json& state);
-    void reset();
 
     [[nodiscard]] std::uint64_t next_offset() const;
     [[nodiscard]] support::json state() const;
--- a/lib/node/log_follower.cpp
+++ b/lib/node/log_follower.cpp
@@ -54,13 +54,12 @@
 net::awaitable<void> log_follower::restart_from_first() {
     context_.counters.increment("log_restarts_total", stream_);
     support::log_change("log_read_restarted", {{"stream", stream_}});
-    hooks_.reset();
     auto first = co_await log_.first_offset(stream_);
     if (!first.has_value()) {
         co_await sleep_for(retry_pause);
         co_return;
     }
-    // An empty table takes its state from the first snapshot that is still kept.
+    // The fold holds these entries back until it meets a snapshot that covers the gap.
     auto page =
         co_await log_.read(stream_, first.value(), page_limit, std::chrono::milliseconds{0});
     if (page.has_value()) {
--- a/lib/node/log_follower.h
+++ b/lib/node/log_follower.h
@@ -22,7 +22,6 @@
     struct hooks {
         std::function<void(std::span<const ledger::stream_entry>)> apply;
         std::function<std::uint64_t()> next_offset;
-        std::function<void()> reset;       ///< The log no longer keeps what follows; start anew.
         std::function<void()> unreachable; ///< Called each time that a read fails.
     };
 
--- a/lib/node/member_table.cpp
+++ b/lib/node/member_table.cpp
@@ -21,11 +21,6 @@
     fold_.restore(state);
 }
 
-void member_table::reset() {
-    const std::lock_guard lock(mutex_);
-    fold_ = ledger::member_fold();
-}
-
 void member_table::on_log_unreachable() {
     const std::lock_guard lock(mutex_);
     watch_.on_log_unreachable();
--- a/lib/node/member_table.h
+++ b/lib/node/member_table.h
@@ -33,7 +33,6 @@
 
     void apply(std::span<const ledger::stream_entry> entries, support::time_point now);
     void restore(const support::json& state);
-    void reset();
     void on_log_unreachable();
 
     [[nodiscard]] std::uint64_t next_offset() const;
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -129,7 +129,6 @@
         }
     };
     hooks.next_offset = [&table] { return table.next_offset(); };
-    hooks.reset = [&table] { table.reset(); };
     hooks.unreachable = [this] { members.on_log_unreachable(); };
     return hooks;
 }
--- a/lib/node/owned_endpoint.cpp
+++ b/lib/node/owned_endpoint.cpp
@@ -42,7 +42,6 @@
             }
         }
         co_await refresh();
-        drop_stale_permits();
         pump();
         co_await sleep_for(state_period);
     }
@@ -83,7 +82,14 @@
         if (!ready_) {
             scheduler_.on_takeover(report, unusable, now);
             ready_ = true;
+            unusable_ = unusable;
         } else {
+            for (const auto& adapter : unusable_) {
+                if (std::ranges::find(unusable, adapter) == unusable.end()) {
+                    scheduler_.allow_adapter(adapter);
+                }
+            }
+            unusable_ = unusable;
             for (const auto& id : scheduler_.on_report(report, now)) {
                 const auto found = attempts_.find(id);
                 if (found != attempts_.end()) {
@@ -187,17 +193,21 @@
     pump();
 }
 
-void owned_endpoint::drop_stale_permits() {
-    const auto now = node_context::now();
-    const std::lock_guard lock(mutex_);
-    for (auto at = permits_.begin(); at != permits_.end();) {
-        if (at->second.ends_at - now >= shortest_load) {
-            ++at;
-            continue;
+void owned_endpoint::drop_permit(const std::string& adapter) {
+    std::optional<held_permit> held;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = permits_.find(adapter);
+        if (found != permits_.end()) {
+            held = found->second;
+            permits_.erase(found);
         }
-        scheduler_.on_permit(at->first, false, now);
-        at = permits_.erase(at);
     }
+    if (held) {
+        services_.permits.give_back(*held, false);
+        return;
+    }
+    services_.permits.withdraw(setup_.id, adapter);
 }
 
 void owned_endpoint::prefetch(const std::string& adapter, double urgency) {
@@ -266,6 +276,8 @@
             boost::asio::detached);
     } else if (const auto* wanted = std::get_if<policy::want_permit_action>(&action)) {
         services_.permits.want(setup_.id, wanted->adapter, wanted->urgency);
+    } else if (const auto* dropped = std::get_if<policy::drop_permit_action>(&action)) {
+        drop_permit(dropped->adapter);
     } else if (const auto* load = std::get_if<policy::load_action>(&action)) {
         boost::asio::co_spawn(
             executor, [self, adapter = load->adapter] { return self->run_load(adapter); },
--- a/lib/node/owned_endpoint.h
+++ b/lib/node/owned_endpoint.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace dragonflystair::node {
 
@@ -103,7 +104,7 @@
                                             std::shared_ptr<net::engine_stream> stream);
     void finish(const active_ptr& active, const attempt_end& end);
     void cancel_at_engine(const std::string& id);
-    void drop_stale_permits();
+    void drop_permit(const std::string& adapter);
 
     owner_services services_;
     endpoint_setup setup_;
@@ -111,6 +112,7 @@
     policy::endpoint_scheduler scheduler_;
     std::map<std::string, active_ptr, std::less<>> attempts_;
     std::map<std::string, held_permit> permits_;
+    std::vector<std::string> unusable_; ///< Adapters with unresolved intents of earlier sessions.
     std::string start_id_;
     bool ready_ = false;
     bool retired_ = false;
--- a/lib/node/permit_desk.cpp
+++ b/lib/node/permit_desk.cpp
@@ -57,6 +57,29 @@
     hooks_.send(holder_peer, frame);
 }
 
+void permit_desk::withdraw(const std::string& endpoint, const std::string& adapter) {
+    const auto holder_peer = holder();
+    {
+        const std::lock_guard lock(mutex_);
+        wishes_.erase({endpoint, adapter});
+        if (holder_peer == context_.incarnation) {
+            forget_request({endpoint, adapter});
+            return;
+        }
+    }
+    if (!holder_peer.empty()) {
+        hooks_.send(holder_peer,
+                    {{"type", "permit_withdraw"}, {"endpoint", endpoint}, {"adapter", adapter}});
+    }
+}
+
+void permit_desk::forget_request(const place& where) {
+    requesters_.erase(where);
+    if (permits_) {
+        permits_->withdraw(where.first, where.second);
+    }
+}
+
 void permit_desk::give_back(const held_permit& permit, bool failed) {
     if (permit.issuer != context_.incarnation) {
         hooks_.send(permit.issuer,
@@ -83,6 +106,11 @@
         on_granted(peer, frame);
         return;
     }
+    if (type == "permit_withdraw") {
+        const std::lock_guard lock(mutex_);
+        forget_request({frame.value("endpoint", ""), frame.value("adapter", "")});
+        return;
+    }
     if (type == "permit_return") {
         {
             const std::lock_guard lock(mutex_);
--- a/lib/node/permit_desk.h
+++ b/lib/node/permit_desk.h
@@ -42,9 +42,11 @@
     permit_desk(node_context& context, member_table& members, hooks callbacks);
 
     void want(const std::string& endpoint, const std::string& adapter, double urgency);
+    /// The wish is no longer needed.
+    void withdraw(const std::string& endpoint, const std::string& adapter);
     void give_back(const held_permit& permit, bool failed);
 
-    /// Frames `permit_request`, `permit`, `permit_return`.
+    /// Frames `permit_request`, `permit`, `permit_return`, `permit_withdraw`.
     void on_frame(std::string_view peer, const support::json& frame);
 
     /// Issues what is due and repeats open wishes.
@@ -66,6 +68,7 @@
 
     [[nodiscard]] std::string holder() const;
     void ask(const place& where, wish& item, const std::string& holder_peer);
+    void forget_request(const place& where);
     void on_request(std::string_view peer, const support::json& frame);
     void on_granted(std::string_view peer, const support::json& frame);
     std::vector<support::json> issue(std::vector<std::string>& peers);
--- a/lib/node/snapshot_keeper.cpp
+++ b/lib/node/snapshot_keeper.cpp
@@ -48,7 +48,8 @@
         }
         pending_ = true;
     }
-    writer_.append(ledger::snapshot{state_()}, [this](ledger::position) {
+    const auto keep_from = next_offset > key_window_appends ? next_offset - key_window_appends : 0;
+    writer_.append(ledger::snapshot{state_(), keep_from}, [this](ledger::position) {
         const std::lock_guard lock(mutex_);
         pending_ = false;
     });
--- a/lib/node/snapshot_keeper.h
+++ b/lib/node/snapshot_keeper.h
@@ -16,6 +16,9 @@
     /// A snapshot is due after this many appends, or after this time if there was any append.
     static constexpr std::uint64_t appends_between_snapshots = 1'000;
     static constexpr std::chrono::minutes time_between_snapshots{10};
+    /// What has not changed for this many appends is forgotten, idempotency keys above all. At 300
+    /// appends a second it is an hour.
+    static constexpr std::uint64_t key_window_appends = 1'000'000;
 
     snapshot_keeper(log_writer& writer, std::function<support::json()> state);
 
