--- a/include/dragonflystair/ledger/config_fold.h
+++ b/include/dragonflystair/ledger/config_fold.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "dragonflystair/ledger/duplicate_filter.h"
-#include "dragonflystair/ledger/stream_entry.h"
+#include "dragonflystair/ledger/fold_base.h"
 
 #include <deque>
 #include <map>
@@ -24,16 +23,14 @@
     std::string author;
     std::vector<std::string> sections;
     std::vector<std::string> conflicts; ///< Sections that made it lose; empty if accepted.
+    bool operator==(const change_outcome&) const = default;
 };
 
 /// Fold of the stream `config`. A change is accepted if none of its sections, nor a section that
-/// they refer to, has a revision above the change's base.
-class config_fold {
+/// they refer to, nor (for a removed section) a section that refers to it, has a revision above the
+/// change's base. A change whose base is not before its own position changes nothing.
+class config_fold final : public fold_base {
 public:
-    void apply(const stream_entry& entry);
-
-    [[nodiscard]] std::uint64_t next_offset() const { return next_offset_; }
-
     /// Position of the last accepted change; 0 before the first.
     [[nodiscard]] position revision() const { return revision_; }
     [[nodiscard]] const std::map<std::string, section_state>& sections() const { return sections_; }
@@ -42,15 +39,19 @@
     [[nodiscard]] const std::deque<change_outcome>& history() const { return history_; }
     static constexpr std::size_t max_history = 100;
 
-    [[nodiscard]] support::json state() const;
-    void restore(const support::json& state);
-
 private:
+    void apply_record(position place, const record& item) override;
     void apply_change(position place, const config_change& change);
+    void set(position place, const std::string& name, const std::optional<section>& values);
+    void forget_before(std::uint64_t offset) override;
+    [[nodiscard]] support::json body() const override;
+    void load_body(const support::json& value) override;
+
+    /// Position of the last change of a section, removals included; 0 if it never existed.
+    [[nodiscard]] position revision_of(const std::string& name) const;
+    [[nodiscard]] std::vector<std::string> conflicts_of(const config_change& change) const;
 
-    std::uint64_t next_offset_ = 0;
     position revision_ = 0;
-    duplicate_filter duplicates_;
     std::map<std::string, section_state> sections_;
     std::map<std::string, position> removed_; ///< Revision at which a section was removed.
     std::deque<change_outcome> history_;
--- a/include/dragonflystair/ledger/member_fold.h
+++ b/include/dragonflystair/ledger/member_fold.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "dragonflystair/ledger/duplicate_filter.h"
-#include "dragonflystair/ledger/stream_entry.h"
+#include "dragonflystair/ledger/fold_base.h"
 
 #include <map>
 #include <optional>
@@ -15,13 +14,16 @@
 /// A live session as the fold knows it.
 struct session_state {
     session_open open;
-    position last_renewal = 0; ///< Position of the last renewal, or of the open record.
+    position last_renewal = 0;  ///< Position of the last renewal, or of the open record.
+    std::uint64_t renewals = 0; ///< Accepted renewals, the open record included.
+    bool operator==(const session_state&) const = default;
 };
 
 /// The holder of an endpoint and its fencing number.
 struct holder {
     session_id session = 0;
     position fence = 0;
+    bool operator==(const holder&) const = default;
 };
 
 /// An announced unload whose result is not known.
@@ -34,15 +36,11 @@
 
 /// Fold of the stream `members`: live sessions, grants, unresolved eviction intents. Deterministic:
 /// the same entries in the same order give the same state on each node.
-class member_fold {
+///
+/// An incarnation has one live session at most: a new `session_open` of it ends the one before.
+/// An intent stays unresolved after its session has ended, until an `eviction_done` names it.
+class member_fold final : public fold_base {
 public:
-    /// Applies one append; entries must come in offset order, and a copy already applied is
-    /// ignored. Records that are not valid at their position change nothing.
-    void apply(const stream_entry& entry);
-
-    /// Offset of the next entry to apply.
-    [[nodiscard]] std::uint64_t next_offset() const { return next_offset_; }
-
     [[nodiscard]] const std::map<session_id, session_state>& sessions() const { return sessions_; }
     [[nodiscard]] bool live(session_id session) const { return sessions_.contains(session); }
 
@@ -65,11 +63,6 @@
     [[nodiscard]] std::vector<unresolved_intent> intents_on(std::string_view endpoint,
                                                             session_id except) const;
 
-    /// State for a snapshot record or for a peer, and its inverse. `restore` ignores a state older
-    /// than its own, so that a fold never goes back.
-    [[nodiscard]] support::json state() const;
-    void restore(const support::json& state);
-
 private:
     struct grant_state {
         holder current;
@@ -77,11 +70,22 @@
         bool released = false;
     };
 
-    void apply_record(position place, const record& item);
+    void apply_record(position place, const record& item) override;
     void end_session(session_id session);
+    void on_open(position place, const session_open& item);
+    void on_renew(position place, const session_renew& item);
+    void on_expire(const session_expire& item);
+    void on_grant(position place, const grant& item);
+    void on_release(const release& item);
+    void on_intent(const eviction_intent& item);
+    void on_done(const eviction_done& item);
+
+    /// Forgets grants of ended sessions that are older than `offset` and have no open intent.
+    void forget_before(std::uint64_t offset) override;
+    [[nodiscard]] support::json body() const override;
+    void load_body(const support::json& value) override;
+    [[nodiscard]] bool held_by_live(std::string_view endpoint, session_id session) const;
 
-    std::uint64_t next_offset_ = 0;
-    duplicate_filter duplicates_;
     std::map<session_id, session_state> sessions_;
     std::map<std::string, grant_state, std::less<>> grants_;
     std::map<std::string, std::set<unresolved_intent>, std::less<>> intents_;
--- a/include/dragonflystair/ledger/records.h
+++ b/include/dragonflystair/ledger/records.h
@@ -93,6 +93,7 @@
     std::string key;
     std::string digest;
     session_id session = 0;
+    std::uint64_t attempt = 0; ///< Rises with each claim of the writer, to tell its claims apart.
     bool operator==(const key_claim&) const = default;
 };
 
@@ -114,9 +115,12 @@
     bool operator==(const key_abandon&) const = default;
 };
 
-/// Any stream: the state of that stream's fold just before this record.
+/// Any stream: the state of that stream's fold at some offset not after this record. On reaching
+/// it, each fold forgets what has not changed since offset `keep_from`; the writer takes that
+/// offset from half of the retention ago. As part of the record it is the same for all readers.
 struct snapshot {
     support::json state;
+    std::uint64_t keep_from = 0;
     bool operator==(const snapshot&) const = default;
 };
 
@@ -124,7 +128,8 @@
                             session_close, grant, release, eviction_intent, eviction_done,
                             key_claim, key_outcome, key_abandon, snapshot>;
 
-/// JSON form: an object with `type` and the record's members.
+/// JSON form: an object with `type` and the record's members. A body that is not UTF-8 is written
+/// as `body_base64`.
 support::json to_json(const record& item);
 
 /// Fails with `error_kind::malformed` on an unknown type or a missing or mistyped member.
--- /dev/null
+++ b/lib/ledger/records.cpp
@@ -0,0 +1,268 @@
+#include "dragonflystair/ledger/records.h"
+
+#include "base64.h"
+#include "json_fields.h"
+
+#include <functional>
+#include <map>
+#include <string_view>
+#include <type_traits>
+
+namespace dragonflystair::ledger {
+
+namespace {
+
+using support::json;
+
+json encode(const config_change& item) {
+    json sections = json::object();
+    for (const auto& [name, values] : item.sections) {
+        sections[name] = values ? json(*values) : json(nullptr);
+    }
+    return {{"type", "config_change"},
+            {"base", item.base},
+            {"sections", std::move(sections)},
+            {"author", item.author}};
+}
+
+json encode(const session_open& item) {
+    return {{"type", "session_open"},           {"node", item.node},
+            {"incarnation", item.incarnation},  {"region", item.region},
+            {"data_centre", item.data_centre},  {"caller_address", item.caller_address},
+            {"peer_address", item.peer_address}};
+}
+
+json encode(const session_renew& item) {
+    return {{"type", "session_renew"}, {"sessions", item.sessions}};
+}
+
+json encode(const session_expire& item) {
+    return {
+        {"type", "session_expire"}, {"session", item.session}, {"seen_renewal", item.seen_renewal}};
+}
+
+json encode(const session_close& item) {
+    return {{"type", "session_close"}, {"session", item.session}};
+}
+
+json encode(const grant& item) {
+    return {{"type", "grant"}, {"endpoint", item.endpoint}, {"session", item.session}};
+}
+
+json encode(const release& item) {
+    return {{"type", "release"},
+            {"endpoint", item.endpoint},
+            {"session", item.session},
+            {"successor", item.successor}};
+}
+
+json encode(const eviction_intent& item) {
+    return {{"type", "eviction_intent"},
+            {"endpoint", item.endpoint},
+            {"session", item.session},
+            {"adapter", item.adapter}};
+}
+
+json encode(const eviction_done& item) {
+    return {{"type", "eviction_done"},
+            {"endpoint", item.endpoint},
+            {"session", item.session},
+            {"adapter", item.adapter}};
+}
+
+json encode(const key_claim& item) {
+    return {{"type", "key_claim"},
+            {"key", item.key},
+            {"digest", item.digest},
+            {"session", item.session},
+            {"attempt", item.attempt}};
+}
+
+/// Whether the text can be part of a JSON message, which must be UTF-8.
+bool is_utf8(const std::string& text) {
+    try {
+        (void)json(text).dump();
+        return true;
+    } catch (const json::exception&) {
+        return false;
+    }
+}
+
+json encode(const key_outcome& item) {
+    json value{{"type", "key_outcome"},
+               {"key", item.key},
+               {"claim", item.claim},
+               {"status", item.status},
+               {"content_type", item.content_type},
+               {"body_dropped", item.body_dropped}};
+    if (is_utf8(item.body)) {
+        value["body"] = item.body;
+    } else {
+        value["body_base64"] = to_base64(item.body);
+    }
+    return value;
+}
+
+json encode(const key_abandon& item) {
+    return {{"type", "key_abandon"}, {"key", item.key}, {"claim", item.claim}};
+}
+
+json encode(const snapshot& item) {
+    return {{"type", "snapshot"}, {"state", item.state}, {"keep_from", item.keep_from}};
+}
+
+bool decode(const json& value, config_change& out) {
+    const auto sections = value.find("sections");
+    if (sections == value.end() || !sections->is_object()) {
+        return false;
+    }
+    for (const auto& [name, values] : sections->items()) {
+        auto& section_out = out.sections[name];
+        if (values.is_null()) {
+            continue;
+        }
+        if (!values.is_object()) {
+            return false;
+        }
+        section_out.emplace();
+        for (const auto& [key, text] : values.items()) {
+            if (!read(text, (*section_out)[key])) {
+                return false;
+            }
+        }
+    }
+    return read_member(value, "base", out.base) && read_member(value, "author", out.author);
+}
+
+bool decode(const json& value, session_open& out) {
+    return read_member(value, "node", out.node) &&
+           read_member(value, "incarnation", out.incarnation) &&
+           read_member(value, "region", out.region) &&
+           read_member(value, "data_centre", out.data_centre) &&
+           read_member(value, "caller_address", out.caller_address) &&
+           read_member(value, "peer_address", out.peer_address);
+}
+
+bool decode(const json& value, session_renew& out) {
+    return read_member(value, "sessions", out.sessions);
+}
+
+bool decode(const json& value, session_expire& out) {
+    return read_member(value, "session", out.session) &&
+           read_member(value, "seen_renewal", out.seen_renewal);
+}
+
+bool decode(const json& value, session_close& out) {
+    return read_member(value, "session", out.session);
+}
+
+bool decode(const json& value, grant& out) {
+    return read_member(value, "endpoint", out.endpoint) &&
+           read_member(value, "session", out.session);
+}
+
+bool decode(const json& value, release& out) {
+    return read_member(value, "endpoint", out.endpoint) &&
+           read_member(value, "session", out.session) &&
+           read_member(value, "successor", out.successor);
+}
+
+bool decode(const json& value, eviction_intent& out) {
+    return read_member(value, "endpoint", out.endpoint) &&
+           read_member(value, "session", out.session) && read_member(value, "adapter", out.adapter);
+}
+
+bool decode(const json& value, eviction_done& out) {
+    return read_member(value, "endpoint", out.endpoint) &&
+           read_member(value, "session", out.session) && read_member(value, "adapter", out.adapter);
+}
+
+bool decode(const json& value, key_claim& out) {
+    return read_member(value, "key", out.key) && read_member(value, "digest", out.digest) &&
+           read_member(value, "session", out.session) && read_member(value, "attempt", out.attempt);
+}
+
+bool decode_body(const json& value, std::string& out) {
+    if (value.contains("body")) {
+        return read_member(value, "body", out);
+    }
+    std::string encoded;
+    if (!read_member(value, "body_base64", encoded)) {
+        return false;
+    }
+    auto decoded = from_base64(encoded);
+    if (!decoded) {
+        return false;
+    }
+    out = std::move(*decoded);
+    return true;
+}
+
+bool decode(const json& value, key_outcome& out) {
+    return read_member(value, "key", out.key) && read_member(value, "claim", out.claim) &&
+           read_member(value, "status", out.status) &&
+           read_member(value, "content_type", out.content_type) &&
+           read_member(value, "body_dropped", out.body_dropped) && decode_body(value, out.body);
+}
+
+bool decode(const json& value, key_abandon& out) {
+    return read_member(value, "key", out.key) && read_member(value, "claim", out.claim);
+}
+
+bool decode(const json& value, snapshot& out) {
+    const auto state = value.find("state");
+    if (state == value.end() || !state->is_object()) {
+        return false;
+    }
+    out.state = *state;
+    return read_member(value, "keep_from", out.keep_from);
+}
+
+template <class Item> support::result<record> decoded(const json& value) {
+    Item item;
+    if (!decode(value, item)) {
+        return support::fail(support::error_kind::malformed, "malformed log record");
+    }
+    return record{std::move(item)};
+}
+
+using decoder = support::result<record> (*)(const json&);
+
+const std::map<std::string, decoder, std::less<>>& decoders() {
+    static const std::map<std::string, decoder, std::less<>> table{
+        {"config_change", decoded<config_change>},
+        {"session_open", decoded<session_open>},
+        {"session_renew", decoded<session_renew>},
+        {"session_expire", decoded<session_expire>},
+        {"session_close", decoded<session_close>},
+        {"grant", decoded<grant>},
+        {"release", decoded<release>},
+        {"eviction_intent", decoded<eviction_intent>},
+        {"eviction_done", decoded<eviction_done>},
+        {"key_claim", decoded<key_claim>},
+        {"key_outcome", decoded<key_outcome>},
+        {"key_abandon", decoded<key_abandon>},
+        {"snapshot", decoded<snapshot>},
+    };
+    return table;
+}
+
+} // namespace
+
+support::json to_json(const record& item) {
+    return std::visit([](const auto& body) { return encode(body); }, item);
+}
+
+support::result<record> record_from_json(const support::json& value) {
+    std::string type;
+    if (!value.is_object() || !read_member(value, "type", type)) {
+        return support::fail(support::error_kind::malformed, "log record without type");
+    }
+    const auto found = decoders().find(type);
+    if (found == decoders().end()) {
+        return support::fail(support::error_kind::malformed, "unknown log record type");
+    }
+    return found->second(value);
+}
+
+} // namespace dragonflystair::ledger
