--- a/include/dragonflystair/config/deployment.h
+++ b/include/dragonflystair/config/deployment.h
@@ -37,7 +37,8 @@
     std::vector<operation> non_idempotent;
     std::string status_lookup; ///< Path with `{key}`; empty if there is none.
 
-    /// Whether a call of this method and path may not be repeated.
+    /// Whether a call of this method and path may not be repeated. The query, escapes, and empty
+    /// and dot segments of the path are left out of account.
     [[nodiscard]] bool is_non_idempotent(std::string_view method, std::string_view path) const;
 };
 
@@ -73,11 +74,14 @@
     support::findings findings;
 };
 
-/// Reads and validates the operators' text: unknown section or key, wrong unit, duplicate, unknown
-/// version, unknown reference, dependency cycle, service without endpoints (no data centre).
+/// Reads and validates the operators' text. All findings come in the order of lines: unknown
+/// section kind or key, missing key, wrong unit or type, duplicate section or key, unknown version,
+/// unknown reference, dependency cycle, model service without base model, service without endpoints
+/// (no data centre), broken UTF-8, a line that is not INI or longer than 60,000 bytes.
 deployment_result parse_deployment(std::string_view text, std::string_view file);
 
-/// The same from sections in force; findings carry line 0.
+/// The same from sections in force; findings carry the file `configuration` and line 0. No sections
+/// give an empty deployment without findings, as before the first publication.
 deployment_result from_sections(const section_map& sections);
 
 /// INI text of sections, in a stable order.
--- a/include/dragonflystair/config/settings.h
+++ b/include/dragonflystair/config/settings.h
@@ -37,6 +37,9 @@
     support::findings findings;
 };
 
+/// Whether a text has a section of node settings, so that it is not an operators' text.
+bool has_settings(std::string_view text);
+
 /// Reads settings from INI text; `file` names the place in findings.
 settings_result parse_settings(std::string_view text, std::string_view file);
 
--- /dev/null
+++ b/lib/cli/commands.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "dragonflystair/cli/command_line.h"
+
+#include "arguments.h"
+
+namespace dragonflystair::cli {
+
+command_result node_command(const arguments& given, const environment& outside);
+command_result check_command(const arguments& given);
+command_result publish_command(const arguments& given, const environment& outside);
+command_result status_command(const arguments& given, const environment& outside);
+command_result history_command(const arguments& given, const environment& outside);
+command_result resolve_command(const arguments& given, const environment& outside);
+
+} // namespace dragonflystair::cli
--- a/lib/config/section_reader.cpp
+++ b/lib/config/section_reader.cpp
@@ -1,5 +1,7 @@
 #include "section_reader.h"
 
+#include "dragonflystair/config/address.h"
+
 #include "values.h"
 
 #include <fmt/format.h>
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -1,5 +1,7 @@
 #include "dragonflystair/config/settings.h"
 
+#include "dragonflystair/config/address.h"
+
 #include "duplicate_sections.h"
 #include "ini_reader.h"
 #include "section_reader.h"
@@ -100,6 +102,14 @@
 
 } // namespace
 
+bool has_settings(std::string_view text) {
+    support::findings ignored;
+    const auto document = read_ini(text, {}, ignored);
+    return std::ranges::any_of(document.sections, [](const ini_section& section) {
+        return std::ranges::find(kinds, section.name, &section_kind::name) != kinds.end();
+    });
+}
+
 settings_result parse_settings(std::string_view text, std::string_view file) {
     settings_result result;
     const auto document = read_ini(text, file, result.findings);
--- a/lib/config/values.cpp
+++ b/lib/config/values.cpp
@@ -1,26 +1,17 @@
 #include "values.h"
 
+#include "parse_whole.h"
+
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
-#include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 
 namespace dragonflystair::config {
 namespace {
 
-template <class Number> std::optional<Number> parse_whole(std::string_view value) {
-    Number number{};
-    const auto [end, code] = std::from_chars(value.begin(), value.end(), number);
-    if (value.empty() || code != std::errc{} || end != value.end()) {
-        return std::nullopt;
-    }
-    return number;
-}
-
 std::optional<std::chrono::milliseconds> unit_of(std::string_view unit) {
     using namespace std::chrono_literals;
     if (unit == "ms") {
@@ -75,26 +66,4 @@
     return number && std::isfinite(*number) ? number : std::nullopt;
 }
 
-std::string address_fault(std::string_view value) {
-    const auto colon = value.rfind(':');
-    if (colon == std::string_view::npos) {
-        return "the port is missing";
-    }
-    const auto port = parse_whole<std::uint16_t>(value.substr(colon + 1));
-    if (!port || *port == 0) {
-        return "the port is not a number from 1 to 65535";
-    }
-    std::string host(value.substr(0, colon));
-    const bool bracketed = host.starts_with('[') && host.ends_with(']');
-    if (bracketed) {
-        host = host.substr(1, host.size() - 2);
-    }
-    boost::system::error_code code;
-    const auto address = boost::asio::ip::make_address(host, code);
-    if (code || address.is_v6() != bracketed) {
-        return "the host is not an IP number";
-    }
-    return {};
-}
-
 } // namespace dragonflystair::config
--- a/lib/config/values.h
+++ b/lib/config/values.h
@@ -25,7 +25,4 @@
 /// Decimal number without a unit.
 std::optional<double> parse_number(std::string_view value);
 
-/// Why a value is not `IP:PORT`, or an empty string. IPv6 addresses are written in brackets.
-std::string address_fault(std::string_view value);
-
 } // namespace dragonflystair::config
