Add outage promises, fence announcement and the scenario runner

Cause: a holder past its lease must serve resident adapters in a log outage and must not while another node may take over; an engine refuses an old fencing number only after it has seen a newer one. Ruled out: serving on without a condition, since a claimant that reaches the log may evict meanwhile. Before: no rule. Conclusion: the scenarios will cut and pause real processes.

--- a/include/dragonflystair/policy/endpoint_scheduler.h
+++ b/include/dragonflystair/policy/endpoint_scheduler.h
@@ -139,6 +139,10 @@
     /// An unresolved intent of an earlier session is resolved: the adapter may be used again.
     void allow_adapter(std::string_view adapter);
 
+    /// While false (lease lapsed and another node may take over), queued requests are not started;
+    /// they wait, or are refused when they cannot make their deadlines.
+    void allow_dispatch(bool allowed);
+
     /// While false (lease lapsed, log outage), neither loads nor unloads are ordered.
     void allow_orders(bool allowed);
 
--- a/lib/node/log_follower.cpp
+++ b/lib/node/log_follower.cpp
@@ -46,8 +46,10 @@
         co_await restart_from_first();
         co_return;
     }
-    set_unreachable(true, page.error().message);
+    // The waits for silent sessions are cleared before peers can be told that the log is out of
+    // reach, since they rely on that.
     hooks_.unreachable();
+    set_unreachable(true, page.error().message);
     co_await sleep_for(retry_pause);
 }
 
--- a/lib/node/member_table.cpp
+++ b/lib/node/member_table.cpp
@@ -6,7 +6,8 @@
 namespace dragonflystair::node {
 
 member_table::member_table(std::string incarnation, membership::lease_timing timing)
-    : incarnation_(std::move(incarnation)), timing_(timing), lease_(timing), watch_(timing) {}
+    : incarnation_(std::move(incarnation)), timing_(timing), lease_(timing), watch_(timing),
+      promises_(timing.lease) {}
 
 void member_table::apply(std::span<const ledger::stream_entry> entries, support::time_point now) {
     const std::lock_guard lock(mutex_);
@@ -57,6 +58,29 @@
     return held->fence;
 }
 
+bool member_table::may_serve(support::time_point now) const {
+    const std::lock_guard lock(mutex_);
+    if (!fold_.session_of(incarnation_)) {
+        return false;
+    }
+    if (lease_.holds(now)) {
+        return true;
+    }
+    std::vector<std::string> others;
+    for (const auto& [id, state] : fold_.sessions()) {
+        if (state.open.incarnation != incarnation_) {
+            others.push_back(state.open.incarnation);
+        }
+    }
+    return promises_.cover(others, now);
+}
+
+void member_table::on_promise(std::string_view peer, bool promises,
+                                    support::time_point echo) {
+    const std::lock_guard lock(mutex_);
+    promises_.on_heartbeat(peer, promises, echo);
+}
+
 std::optional<owner_info> member_table::owner_of(std::string_view endpoint) const {
     const std::lock_guard lock(mutex_);
     const auto held = fold_.holder_of(endpoint);
--- a/lib/node/member_table.h
+++ b/lib/node/member_table.h
@@ -3,6 +3,7 @@
 #include "dragonflystair/ledger/member_fold.h"
 #include "dragonflystair/membership/grant_planner.h"
 #include "dragonflystair/membership/lease_keeper.h"
+#include "dragonflystair/membership/outage_promises.h"
 #include "dragonflystair/membership/session_watch.h"
 
 #include <mutex>
@@ -48,6 +49,13 @@
     [[nodiscard]] std::optional<ledger::position> fence_if_held(std::string_view endpoint,
                                                                 support::time_point now) const;
 
+    /// True if requests may be sent to endpoints whose grant this node had when its lease ran out:
+    /// the lease holds, or the log is down for every other session too.
+    [[nodiscard]] bool may_serve(support::time_point now) const;
+
+    /// Whether a peer promises not to take over; see `outage_promises`.
+    void on_promise(std::string_view peer, bool promises, support::time_point echo);
+
     [[nodiscard]] std::optional<owner_info> owner_of(std::string_view endpoint) const;
     [[nodiscard]] std::vector<live_session> sessions() const;
     [[nodiscard]] bool session_lives(ledger::session_id session) const;
@@ -79,6 +87,7 @@
     membership::lease_keeper lease_;
     membership::session_watch watch_;
     membership::grant_planner planner_;
+    membership::outage_promises promises_;
 };
 
 } // namespace dragonflystair::node
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -76,7 +76,12 @@
                     return network.send(peer, frame);
                 },
                 [this](const support::json& frame) { network.broadcast(frame); },
+                [this] { return network.connected(); },
                 [this] { return accepts_callers(); },
+                [this] { return agent.promises_no_takeover(); },
+                [this](std::string_view peer, bool promises, support::time_point echo) {
+                    members.on_promise(peer, promises, echo);
+                },
                 [this](const std::string& stream) { return fold_state(stream); },
                 [this](const std::string& stream, const support::json& state) {
                     restore_fold(stream, state);
--- a/lib/node/owned_endpoint.cpp
+++ b/lib/node/owned_endpoint.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::chrono::milliseconds state_period{1'000};
 constexpr std::chrono::milliseconds state_timeout{1'000};
+/// Name of no adapter: services and adapters have no blanks in their names.
+constexpr std::string_view fence_probe = "fence probe";
 /// Failed polls after which the endpoint is no longer offered to peers.
 constexpr unsigned max_failed_polls = 3;
 /// A permit with less time left than this is given back, since the load might outlast it.
@@ -47,7 +49,26 @@
     }
 }
 
+net::awaitable<bool> owned_endpoint::announce_fence() {
+    // An engine that checks fencing refuses a former holder only once it has seen a larger number,
+    // so an order without effect goes first: the unload of an adapter that does not exist.
+    auto answer = co_await services_.engines.unload(setup_.address, std::string(fence_probe),
+                                                    setup_.fence, state_timeout);
+    const bool seen = answer.has_value() || answer.error().kind == support::error_kind::refused;
+    if (!seen) {
+        services_.context.counters.increment("fence_announcements_failed_total",
+                                             to_string(answer.error().kind));
+    }
+    co_return seen;
+}
+
 net::awaitable<bool> owned_endpoint::refresh() {
+    if (setup_.checks_fencing && !fence_announced_) {
+        fence_announced_ = co_await announce_fence();
+        if (!fence_announced_) {
+            co_return false;
+        }
+    }
     auto state = co_await services_.engines.state(setup_.address, state_timeout);
     if (state.has_value()) {
         on_state(state.value());
@@ -104,6 +125,7 @@
     if (!restarted) {
         return;
     }
+    fence_announced_ = false;
     support::log_change("engine_restarted", {{"endpoint", setup_.id}});
     services_.context.counters.increment("engine_restarts_total");
     if (!in_flight.empty()) {
@@ -241,6 +263,7 @@
 void owned_endpoint::pump() {
     const auto now = node_context::now();
     const bool may_order = services_.members.fence_if_held(setup_.id, now) == setup_.fence;
+    const bool may_serve = services_.members.may_serve(now);
     std::vector<policy::scheduler_action> actions;
     {
         const std::lock_guard lock(mutex_);
@@ -248,6 +271,7 @@
             return;
         }
         scheduler_.allow_orders(may_order && !retired_);
+        scheduler_.allow_dispatch(may_serve && !retired_);
         actions = scheduler_.poll(now);
     }
     for (const auto& action : actions) {
--- a/lib/node/owned_endpoint.h
+++ b/lib/node/owned_endpoint.h
@@ -88,6 +88,7 @@
     enum class read_result { done, broken, cancelled, rejected };
 
     net::awaitable<void> poll_loop();
+    net::awaitable<bool> announce_fence();
     net::awaitable<bool> refresh();
     void on_state(const net::engine_state& state);
     void resolve_intents_after_restart();
@@ -114,6 +115,7 @@
     std::map<std::string, held_permit> permits_;
     std::vector<std::string> unusable_; ///< Adapters with unresolved intents of earlier sessions.
     std::string start_id_;
+    std::atomic<bool> fence_announced_ = false;
     bool ready_ = false;
     bool retired_ = false;
     unsigned failed_polls_ = 0;
--- a/lib/node/peer_protocol.cpp
+++ b/lib/node/peer_protocol.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+std::int64_t to_ms(support::time_point when) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(when.time_since_epoch()).count();
+}
+
 std::string_view name_of(attempt_end_kind kind) {
     switch (kind) {
     case attempt_end_kind::completed:
@@ -56,7 +60,7 @@
 
 void peer_protocol::on_up(std::string_view peer) {
     support::log_change("peer_up", {{"peer", std::string(peer)}});
-    services_.send(peer, heartbeat());
+    services_.send(peer, heartbeat(peer));
 }
 
 void peer_protocol::on_down(std::string_view peer) {
@@ -108,7 +112,8 @@
     }
 }
 
-support::json peer_protocol::heartbeat() const {
+support::json peer_protocol::heartbeat(std::string_view peer) const {
+    const auto known = services_.peers.find(peer);
     const auto& settings = services_.context.settings;
     support::json endpoints = support::json::array();
     for (const auto& endpoint : services_.owners.all()) {
@@ -128,6 +133,9 @@
             {"data_centre", settings.data_centre},
             {"revision", services_.config.view()->revision},
             {"accepts_callers", services_.accepts_callers()},
+            {"stamp_ms", to_ms(node_context::now())},
+            {"echo_ms", known ? known->stamp_ms : 0},
+            {"promises_no_takeover", services_.promises_no_takeover()},
             {"endpoints", std::move(endpoints)},
             {"leaving", services_.directory.leaving()},
             {"quarantined", services_.crashes.quarantined(node_context::now())}};
@@ -145,7 +153,11 @@
     status.data_centre = frame.value("data_centre", "");
     status.revision = frame.value("revision", ledger::position{0});
     status.accepts_callers = frame.value("accepts_callers", false);
+    status.stamp_ms = frame.value("stamp_ms", std::int64_t{0});
     status.heard_at = now;
+    services_.on_promise(
+        peer, frame.value("promises_no_takeover", false),
+        support::time_point{std::chrono::milliseconds{frame.value("echo_ms", std::int64_t{0})}});
     services_.peers.on_heartbeat(std::move(status));
     for (const auto& item : frame.at("endpoints")) {
         policy::endpoint_load load;
--- a/lib/node/peer_protocol.h
+++ b/lib/node/peer_protocol.h
@@ -36,7 +36,12 @@
     permit_desk& permits;
     std::function<bool(std::string_view peer, const support::json& frame)> send;
     std::function<void(const support::json& frame)> broadcast;
+    std::function<std::vector<std::string>()> connected;
     std::function<bool()> accepts_callers;
+    std::function<bool()> promises_no_takeover;
+    /// A peer's promise not to take over, or its lack, with the echo of this node's stamp.
+    std::function<void(std::string_view peer, bool promises, support::time_point echo)>
+        on_promise;
     /// State of a stream's fold for a peer that cannot reach the log.
     std::function<support::json(const std::string& stream)> fold_state;
     std::function<void(const std::string& stream, const support::json& state)> restore_fold;
@@ -66,7 +71,7 @@
     void on_event(const support::json& frame);
     void on_end_call(const support::json& frame);
     void on_records_request(std::string_view peer, const support::json& frame);
-    [[nodiscard]] support::json heartbeat() const;
+    [[nodiscard]] support::json heartbeat(std::string_view peer) const;
 
     peer_services services_;
     std::mutex mutex_;
--- a/lib/node/peer_table.h
+++ b/lib/node/peer_table.h
@@ -3,6 +3,7 @@
 #include "dragonflystair/ledger/position.h"
 #include "dragonflystair/support/time.h"
 
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -19,6 +20,7 @@
     std::string data_centre;
     ledger::position revision = 0;
     bool accepts_callers = false;
+    std::int64_t stamp_ms = 0; ///< The peer's own clock, to be echoed to it.
     support::time_point heard_at;
 };
 
--- a/lib/node/session_agent.cpp
+++ b/lib/node/session_agent.cpp
@@ -97,11 +97,23 @@
     if (now - last_expiry_attempt_ < expiry_pause) {
         return;
     }
-    for (const auto& overdue : members_.overdue(now)) {
-        last_expiry_attempt_ = now;
-        support::log_change("session_expiring", {{"session", fmt::format("{}", overdue.session)}});
-        writer_.append(overdue);
+    // The count rises before the log's state is read, so that `promises_no_takeover` cannot miss a
+    // record that is about to be queued.
+    ++pending_expiries_;
+    if (!follower_.unreachable()) {
+        for (const auto& overdue : members_.overdue(now)) {
+            last_expiry_attempt_ = now;
+            support::log_change("session_expiring",
+                                {{"session", fmt::format("{}", overdue.session)}});
+            ++pending_expiries_;
+            writer_.append(overdue, [this](ledger::position) { --pending_expiries_; });
+        }
     }
+    --pending_expiries_;
+}
+
+bool session_agent::promises_no_takeover() const {
+    return follower_.unreachable() && pending_expiries_ == 0;
 }
 
 void session_agent::claim_endpoints() {
--- a/lib/node/session_agent.h
+++ b/lib/node/session_agent.h
@@ -5,6 +5,7 @@
 #include "member_table.h"
 #include "node_context.h"
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <span>
@@ -37,6 +38,10 @@
     /// Releases an endpoint and waits until that has been read back.
     net::awaitable<bool> release(membership::ownable endpoint);
 
+    /// True while this node cannot read the log and no record of it that ends a session may still
+    /// reach the log: a promise not to take over for a lease from now.
+    [[nodiscard]] bool promises_no_takeover() const;
+
 private:
     enum class phase { none, opening, open };
 
@@ -56,6 +61,7 @@
     std::atomic<phase> phase_ = phase::none;
     std::atomic<bool> closing_ = false;
     std::atomic<bool> renewal_queued_ = false;
+    std::atomic<int> pending_expiries_ = 0;
     support::time_point last_expiry_attempt_;
 };
 
--- a/lib/policy/endpoint_scheduler.cpp
+++ b/lib/policy/endpoint_scheduler.cpp
@@ -51,7 +51,9 @@
         impl_->orders_blocked_since = now;
     }
     impl_->refuse_hopeless(now, out);
-    impl_->dispatch(now, out);
+    if (impl_->dispatch_allowed) {
+        impl_->dispatch(now, out);
+    }
     impl_->plan_loads(now, out);
     return out;
 }
@@ -169,6 +171,10 @@
     impl_->slots.set_unusable(adapter, false);
 }
 
+void endpoint_scheduler::allow_dispatch(bool allowed) {
+    impl_->dispatch_allowed = allowed;
+}
+
 void endpoint_scheduler::allow_orders(bool allowed) {
     impl_->orders_allowed = allowed;
 }
--- a/lib/policy/endpoint_scheduler_impl.h
+++ b/lib/policy/endpoint_scheduler_impl.h
@@ -68,6 +68,7 @@
     support::duration load_time{limits.load_time};
     support::duration permit_wait{0};
     bool orders_allowed = true;
+    bool dispatch_allowed = true;
     bool leaving = false;
 
     // Queue (endpoint_queue.cpp).
--- /dev/null
+++ b/unittests/scenarios/child_process.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <span>
+#include <string>
+
+#include <sys/types.h>
+
+namespace dragonflystair::scenarios {
+
+/// A process that the scenario started. It is killed when the object is destroyed.
+class child_process {
+public:
+    /// Starts `arguments[0]`; standard error goes to `log_file`. Throws std::runtime_error.
+    child_process(std::span<const std::string> arguments, const std::string& log_file);
+    ~child_process();
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+
+    void signal(int number) const;
+
+    /// Waits for the end. Exit code, or 128 plus the signal that ended it.
+    int wait();
+
+private:
+    pid_t pid_ = 0;
+    bool ended_ = false;
+    int code_ = 0;
+};
+
+} // namespace dragonflystair::scenarios
--- /dev/null
+++ b/unittests/scenarios/tcp_relay.cpp
@@ -0,0 +1,151 @@
+#include "tcp_relay.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <set>
+#include <thread>
+#include <utility>
+
+namespace dragonflystair::scenarios {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+struct connection {
+    connection(tcp::socket from, const asio::any_io_executor& executor)
+        : near(std::move(from)), far(executor) {}
+    tcp::socket near;
+    tcp::socket far;
+    bool silent = false;
+
+    void close() {
+        boost::system::error_code ignored;
+        near.close(ignored);
+        far.close(ignored);
+    }
+};
+using connection_ptr = std::shared_ptr<connection>;
+
+tcp::endpoint parse(const std::string& address) {
+    const auto colon = address.rfind(':');
+    return {asio::ip::make_address(address.substr(0, colon)),
+            static_cast<unsigned short>(std::stoi(address.substr(colon + 1)))};
+}
+
+/// Copies one direction. Bytes that arrive after the connection was silenced are swallowed.
+asio::awaitable<void> pump(connection_ptr link, tcp::socket& from, tcp::socket& to) {
+    std::array<char, 16 * 1024> buffer{};
+    for (;;) {
+        const auto [fault, size] = co_await from.async_read_some(asio::buffer(buffer), as_result);
+        if (link->silent) {
+            if (fault) {
+                co_return;
+            }
+            continue;
+        }
+        if (fault) {
+            break;
+        }
+        const auto [unsent, written] =
+            co_await asio::async_write(to, asio::buffer(buffer, size), as_result);
+        if (unsent) {
+            break;
+        }
+    }
+    link->close();
+}
+
+} // namespace
+
+struct tcp_relay::impl {
+    explicit impl(const std::string& to)
+        : target(parse(to)), acceptor(io, {asio::ip::make_address("127.0.0.1"), 0}) {}
+
+    asio::awaitable<void> accept() {
+        for (;;) {
+            auto [fault, socket] = co_await acceptor.async_accept(as_result);
+            if (fault) {
+                co_return;
+            }
+            if (mode == relay_mode::cut) {
+                continue;
+            }
+            auto link = std::make_shared<connection>(std::move(socket), io.get_executor());
+            links.insert(link);
+            asio::co_spawn(
+                io, [this, link] { return serve(link); }, asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(connection_ptr link) {
+        const auto [fault] = co_await link->far.async_connect(target, as_result);
+        if (fault) {
+            link->close();
+            co_return;
+        }
+        asio::co_spawn(
+            io, [link] { return pump(link, link->far, link->near); }, asio::detached);
+        co_await pump(link, link->near, link->far);
+    }
+
+    void apply(relay_mode next) {
+        mode = next;
+        if (next == relay_mode::pass) {
+            return;
+        }
+        for (const auto& link : std::exchange(links, {})) {
+            if (next == relay_mode::cut) {
+                link->close();
+                continue;
+            }
+            link->silent = true;
+            silenced.insert(link);
+        }
+        if (next == relay_mode::silence_open) {
+            mode = relay_mode::pass;
+        }
+    }
+
+    asio::io_context io{1};
+    tcp::endpoint target;
+    tcp::acceptor acceptor;
+    relay_mode mode = relay_mode::pass;
+    std::set<connection_ptr> links;
+    std::set<connection_ptr> silenced;
+    std::thread thread;
+};
+
+tcp_relay::tcp_relay(std::string target) : impl_(std::make_unique<impl>(target)) {
+    asio::co_spawn(
+        impl_->io, [this] { return impl_->accept(); }, asio::detached);
+    impl_->thread = std::thread([this] { impl_->io.run(); });
+}
+
+tcp_relay::~tcp_relay() {
+    impl_->io.stop();
+    impl_->thread.join();
+}
+
+std::string tcp_relay::address() const {
+    return "127.0.0.1:" + std::to_string(impl_->acceptor.local_endpoint().port());
+}
+
+void tcp_relay::set_mode(relay_mode mode) {
+    asio::post(impl_->io, [this, mode] { impl_->apply(mode); });
+}
+
+} // namespace dragonflystair::scenarios
--- /dev/null
+++ b/unittests/scenarios/tcp_relay.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+namespace dragonflystair::scenarios {
+
+/// What a relay does with its connections.
+enum class relay_mode {
+    pass,
+    silence_open, ///< Connections open now carry nothing any more, for good; new ones work.
+    cut,          ///< Open connections are closed and new ones are closed at once.
+};
+
+/// Forwards TCP connections to a target, to cut or silence the path between two processes.
+class tcp_relay {
+public:
+    explicit tcp_relay(std::string target);
+    ~tcp_relay();
+    tcp_relay(const tcp_relay&) = delete;
+    tcp_relay& operator=(const tcp_relay&) = delete;
+
+    [[nodiscard]] std::string address() const;
+    void set_mode(relay_mode mode);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace dragonflystair::scenarios
