Add stand-ins for the platform and the endpoints

Cause: the scenarios and the components that talk to the log, store, VM list, engines and plain services need these without outside systems. Ruled out: one process per part, since a process may start no other one and one thread makes the order of events easier to follow.

--- /dev/null
+++ b/unittests/stand_ins/exchange.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "dragonflystair/support/json.h"
+
+#include "notifier.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace dragonflystair::stand_ins {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using support::json;
+
+/// One connection of a caller with the request under way, and the failures it can be put into.
+class exchange {
+public:
+    explicit exchange(asio::ip::tcp::socket socket) : stream_(std::move(socket)) {}
+
+    /// Reads the next request; false when the connection ends. A silent connection swallows
+    /// everything until the caller closes it.
+    awaitable<bool> read();
+
+    [[nodiscard]] bool is(http::verb method, std::string_view path) const;
+    [[nodiscard]] http::verb method() const { return request_.method(); }
+    [[nodiscard]] std::string path() const;
+    [[nodiscard]] std::string header(std::string_view name) const;
+    /// Number in a query parameter or header; throws std::runtime_error when it is not a number.
+    [[nodiscard]] std::uint64_t query_number(std::string_view name, std::uint64_t fallback) const;
+    [[nodiscard]] std::uint64_t header_number(std::string_view name, std::uint64_t fallback) const;
+    /// Body as JSON; throws json::exception.
+    [[nodiscard]] json body() const { return json::parse(request_.body()); }
+    [[nodiscard]] bool keep_alive() const { return request_.keep_alive() && !closed_; }
+
+    /// Adds a header to the next response.
+    void add_header(const std::string& name, std::string value) {
+        headers_[name] = std::move(value);
+    }
+    awaitable<void> respond(http::status status, json body);
+    /// Answers with an error message, and for 429 and 503 with Retry-After.
+    awaitable<void> refuse(http::status status, std::string message);
+    /// Begins a chunked response of server-sent events.
+    awaitable<void> begin_stream();
+    awaitable<void> write(std::string bytes);
+    awaitable<void> end_stream();
+
+    /// Closes the connection without an answer.
+    void drop();
+    /// Sends nothing more on this connection and leaves it open.
+    void silence() { silent_ = true; }
+    [[nodiscard]] bool closed() const { return closed_; }
+    /// True when the caller has closed the connection or it was dropped. A silent connection hides
+    /// the caller's end as a broken path does.
+    [[nodiscard]] bool caller_gone();
+
+private:
+    [[nodiscard]] bool mute() const { return closed_ || silent_; }
+    template <class Buffers> awaitable<void> send(Buffers buffers);
+
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    http::request<http::string_body> request_;
+    std::map<std::string, std::string> headers_;
+    bool closed_ = false;
+    bool silent_ = false;
+};
+
+} // namespace dragonflystair::stand_ins
