--- a/include/dragonflystair/membership/grant_planner.h
+++ b/include/dragonflystair/membership/grant_planner.h
@@ -25,7 +25,8 @@
     explicit grant_planner(std::chrono::milliseconds step = std::chrono::seconds{1})
         : step_(step) {}
 
-    /// Claims to append now for `own`; an endpoint is proposed again only after `step`.
+    /// Claims to append now for `own`; an endpoint is proposed again only after `step`. The session
+    /// that the last holder named to follow it comes before all others.
     std::vector<ledger::grant> plan(const ledger::member_fold& members,
                                     std::span<const ownable> endpoints, ledger::session_id own,
                                     support::time_point now);
@@ -36,6 +37,10 @@
                                                       const ownable& endpoint);
 
 private:
+    static std::vector<ledger::session_id> order(const ledger::member_fold& members,
+                                                 const ownable& endpoint);
+    bool due(const std::string& endpoint, std::size_t place, support::time_point now);
+
     std::chrono::milliseconds step_;
     std::map<std::string, support::time_point> free_since_;
     std::map<std::string, support::time_point> proposed_at_;
--- a/include/dragonflystair/membership/lease_keeper.h
+++ b/include/dragonflystair/membership/lease_keeper.h
@@ -3,6 +3,8 @@
 #include "dragonflystair/support/time.h"
 
 #include <chrono>
+#include <cstdint>
+#include <deque>
 #include <optional>
 
 namespace dragonflystair::membership {
@@ -20,14 +22,19 @@
 public:
     explicit lease_keeper(lease_timing timing) : timing_(timing) {}
 
-    /// True if a renewal should be sent now.
+    /// True if a renewal should be sent now: a renewal period after the last one was sent, whether
+    /// or not that one has been read back. False before the open record was sent.
     [[nodiscard]] bool renewal_due(support::time_point now) const;
 
-    /// The open record or a renewal is about to be sent.
+    /// The open record or a renewal is about to be queued for its append. Each must reach the log,
+    /// in the order of these calls.
     void on_sending(support::time_point now);
 
-    /// The session's open record or renewal that was sent last has been read back as accepted.
-    void on_read_back();
+    /// `renewals` of this session's records (`ledger::session_state::renewals`, the open record
+    /// included) have been read back as accepted. The lease counts from when the last of these was
+    /// sent. A count, because several renewals can be under way after a slow append, and counting
+    /// an early one from the time of a later one would let the lease outlive the claimant's wait.
+    void on_read_back(std::uint64_t renewals);
 
     /// The session has been expired or closed; the lease never holds again.
     void on_lost();
@@ -40,8 +47,9 @@
 
 private:
     lease_timing timing_;
-    std::optional<support::time_point> outstanding_since_;
+    std::deque<support::time_point> outstanding_; ///< When each record not read back was sent.
     std::optional<support::time_point> last_sent_;
+    std::uint64_t read_back_ = 0;
     std::optional<support::time_point> confirmed_since_;
     bool lost_ = false;
 };
--- a/include/dragonflystair/membership/session_watch.h
+++ b/include/dragonflystair/membership/session_watch.h
@@ -13,7 +13,8 @@
 public:
     explicit session_watch(lease_timing timing) : timing_(timing) {}
 
-    /// Notes the renewals that the fold shows. Call it after each batch of entries was applied.
+    /// Notes the renewals that the fold shows. Call it after each batch of entries was applied,
+    /// with a time taken after the batch was read.
     void observe(const ledger::member_fold& members, support::time_point now);
 
     /// Pauses all waiting periods, since renewals cannot be seen while the log is unreachable; they
