--- a/include/dragonflystair/membership/outage_promises.h
+++ b/include/dragonflystair/membership/outage_promises.h
@@ -24,7 +24,8 @@
     /// `validity` is the lease: the claimants' wait without their margin for clock drift.
     explicit outage_promises(std::chrono::milliseconds validity) : validity_(validity) {}
 
-    /// A peer's heartbeat: whether it promises not to take over, and the echo of this node's last stamp.
+    /// A peer's heartbeat: whether it promises not to take over, and the echo of this node's last
+    /// stamp.
     void on_heartbeat(std::string_view peer, bool promises, support::time_point echoed_stamp);
 
     /// True if each of `others` has promised for a time that has not passed.
--- a/lib/config/section_reader.cpp
+++ b/lib/config/section_reader.cpp
@@ -63,12 +63,12 @@
     return entry->value;
 }
 
-std::string section_reader::address(std::string_view key) {
+std::string section_reader::address(std::string_view key, address_use use) {
     const auto* entry = require(key);
     if (entry == nullptr) {
         return {};
     }
-    if (const auto fault = address_fault(entry->value); !fault.empty()) {
+    if (const auto fault = address_fault(entry->value, use); !fault.empty()) {
         report(entry->line, fmt::format("{} = '{}' is not IP:PORT: {}", key, entry->value, fault));
         return {};
     }
--- a/lib/node/member_table.cpp
+++ b/lib/node/member_table.cpp
@@ -75,8 +75,7 @@
     return promises_.cover(others, now);
 }
 
-void member_table::on_promise(std::string_view peer, bool promises,
-                                    support::time_point echo) {
+void member_table::on_promise(std::string_view peer, bool promises, support::time_point echo) {
     const std::lock_guard lock(mutex_);
     promises_.on_heartbeat(peer, promises, echo);
 }
@@ -148,8 +147,8 @@
     const std::lock_guard lock(mutex_);
     // A renewal that was read back after the session was expired is not valid, so it proves
     // nothing.
-    if (fold_.session_of(incarnation_)) {
-        lease_.on_read_back();
+    if (const auto own = fold_.session_of(incarnation_)) {
+        lease_.on_read_back(fold_.sessions().at(*own).renewals);
     }
 }
 
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -34,6 +34,9 @@
       context{std::move(values), support::random_id(), io.get_executor(), {}, {}, {}, false},
       http(context.executor), log(http, context.settings.log_address),
       vm_list(http, context.settings.vm_list_address), engines(http),
+      lifecycle([](std::string_view from, std::string_view to) {
+          support::log_change("lifecycle", {{"from", std::string(from)}, {"to", std::string(to)}});
+      }),
       members(context.incarnation, timing_of(context.settings)),
       config_writer(std::make_shared<log_writer>(context, log, "config")),
       member_writer(std::make_shared<log_writer>(context, log, "members")),
@@ -76,8 +79,7 @@
                     return network.send(peer, frame);
                 },
                 [this](const support::json& frame) { network.broadcast(frame); },
-                [this] { return network.connected(); },
-                [this] { return accepts_callers(); },
+                [this] { return network.connected(); }, [this] { return accepts_callers(); },
                 [this] { return agent.promises_no_takeover(); },
                 [this](std::string_view peer, bool promises, support::time_point echo) {
                     members.on_promise(peer, promises, echo);
@@ -266,12 +268,12 @@
     }
     const std::lock_guard lock(lifecycle_mutex);
     if (config_follower.caught_up() && member_follower.caught_up() && claim_follower.caught_up()) {
-        lifecycle.log_caught_up();
+        lifecycle.on_log_caught_up();
     }
     if (now - last_contact_ >= isolation_time) {
-        lifecycle.isolated();
+        lifecycle.on_isolated();
     } else {
-        lifecycle.reconnected();
+        lifecycle.on_reconnected();
     }
 }
 
@@ -310,7 +312,7 @@
 net::awaitable<void> node::impl::shut_down() {
     {
         const std::lock_guard lock(lifecycle_mutex);
-        lifecycle.stop_requested();
+        lifecycle.on_stop_requested();
     }
     protocol.send_heartbeat();
     const auto began = node_context::now();
@@ -333,7 +335,7 @@
     co_await agent.close();
     {
         const std::lock_guard lock(lifecycle_mutex);
-        lifecycle.drained();
+        lifecycle.on_drained();
     }
     context.stopping = true;
     caller_server.stop();
--- a/lib/node/peer_protocol.h
+++ b/lib/node/peer_protocol.h
@@ -40,8 +40,7 @@
     std::function<bool()> accepts_callers;
     std::function<bool()> promises_no_takeover;
     /// A peer's promise not to take over, or its lack, with the echo of this node's stamp.
-    std::function<void(std::string_view peer, bool promises, support::time_point echo)>
-        on_promise;
+    std::function<void(std::string_view peer, bool promises, support::time_point echo)> on_promise;
     /// State of a stream's fold for a peer that cannot reach the log.
     std::function<support::json(const std::string& stream)> fold_state;
     std::function<void(const std::string& stream, const support::json& state)> restore_fold;
--- a/lib/node/session_agent.cpp
+++ b/lib/node/session_agent.cpp
@@ -21,7 +21,8 @@
 } // namespace
 
 session_agent::session_agent(node_context& context, member_table& members, log_writer& writer,
-                             const log_follower& follower, ledger::session_open self, hooks callbacks)
+                             const log_follower& follower, ledger::session_open self,
+                             hooks callbacks)
     : context_(context), members_(members), writer_(writer), follower_(follower),
       self_(std::move(self)), hooks_(std::move(callbacks)) {}
 
--- a/unittests/scenarios/child_process.cpp
+++ b/unittests/scenarios/child_process.cpp
@@ -1,12 +1,12 @@
 #include "child_process.h"
 
-#include <csignal>
-#include <stdexcept>
-#include <vector>
+#include <sys/wait.h>
 
+#include <csignal>
 #include <fcntl.h>
 #include <spawn.h>
-#include <sys/wait.h>
+#include <stdexcept>
+#include <vector>
 
 extern char** environ;
 
--- a/unittests/scenarios/child_process.h
+++ b/unittests/scenarios/child_process.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include <sys/types.h>
+
 #include <span>
 #include <string>
 
-#include <sys/types.h>
-
 namespace dragonflystair::scenarios {
 
 /// A process that the scenario started. It is killed when the object is destroyed.
