Add policy tests; make permit numbers differ between holders

Cause: the policy's invariants had no tests. The first run of the random permit test showed that two holders numbered their permits alike, so that a late return to the former holder's number freed a new holder's permit. Ruled out: returning by endpoint and adapter, which names two permits the same when the adapter is loaded there again. Before: no tests; permit numbers start at 1 for each holder.

--- a/include/dragonflystair/policy/load_permits.h
+++ b/include/dragonflystair/policy/load_permits.h
@@ -34,7 +34,9 @@
 public:
     static constexpr std::chrono::milliseconds request_lifetime{3'000};
 
-    load_permits(store_limits limits, support::time_point start);
+    /// `grant` is the position of the holder's grant. It makes the permit numbers of two holders
+    /// differ, so that a permit of a former holder cannot be given back to this one.
+    load_permits(store_limits limits, support::time_point start, std::uint64_t grant = 0);
     ~load_permits();
     load_permits(const load_permits&) = delete;
     load_permits& operator=(const load_permits&) = delete;
--- a/lib/policy/endpoint_loads.cpp
+++ b/lib/policy/endpoint_loads.cpp
@@ -134,8 +134,7 @@
         out.emplace_back(drop_permit_action{adapter});
         return;
     }
-    // After a restart an unload order to the former run may still be unanswered.
-    if (slots.state(adapter) != slot_state::absent || unloads.contains(adapter)) {
+    if (slots.state(adapter) != slot_state::absent) {
         return;
     }
     if (slots.begin_load(adapter)) {
@@ -201,6 +200,7 @@
     std::ranges::sort(by_urgency);
     for (const auto& [negated, adapter] : by_urgency) {
         auto& record = loads.find(adapter)->second;
+        // After a restart an unload order to the former run may still be unanswered.
         const bool free_to_load =
             slots.state(adapter) == slot_state::absent && !unloads.contains(adapter);
         if (record.phase == load_phase::granted) {
--- a/lib/policy/load_permits.cpp
+++ b/lib/policy/load_permits.cpp
@@ -21,6 +21,10 @@
 /// Urgency that a waiting request gains each second, so that none waits for ever.
 constexpr double urgency_per_second = 1.0;
 
+/// Numbers of one holder; at six loads a second they last for two days, and a wrap into the numbers
+/// of a later grant needs that grant's permits to be outstanding at the same time.
+constexpr unsigned number_bits = 20;
+
 struct waiting_request {
     double urgency = 0;
     support::time_point since;
@@ -118,8 +122,9 @@
     }
 };
 
-load_permits::load_permits(store_limits limits, support::time_point start)
+load_permits::load_permits(store_limits limits, support::time_point start, std::uint64_t grant)
     : impl_(std::make_unique<impl>()) {
+    impl_->last_number = grant << number_bits;
     impl_->limits = limits;
     impl_->first_grant = start + limits.permit_lifetime;
 }
--- /dev/null
+++ b/unittests/policy/endpoint_admission_test.cpp
@@ -0,0 +1,100 @@
+#include "scheduler_driver.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace dragonflystair::policy;
+using namespace dragonflystair::policy::testing;
+
+/// Refusals before and in the queue.
+class endpoint_admission_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(endpoint_admission_test);
+    CPPUNIT_TEST(deadline_below_service_time_is_refused_at_submit);
+    CPPUNIT_TEST(deadline_behind_backlog_is_refused_with_its_length);
+    CPPUNIT_TEST(deadline_below_load_time_is_refused_for_cold_adapter);
+    CPPUNIT_TEST(slowdown_refuses_queued_request_before_its_deadline);
+    CPPUNIT_TEST(full_queue_refuses);
+    CPPUNIT_TEST(leaving_endpoint_refuses_queue_and_newcomers);
+    CPPUNIT_TEST(expected_wait_grows_with_queue);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override {
+        driver_.report({"a"});
+        driver_.measure("a", work_class::short_work, milliseconds{400});
+    }
+
+    void deadline_below_service_time_is_refused_at_submit() {
+        const auto why = submit("1", milliseconds{300});
+        CPPUNIT_ASSERT(why && refusal_reason::deadline_unreachable == why->reason);
+        CPPUNIT_ASSERT(!submit("2", milliseconds{500}));
+    }
+
+    /// Guards against requests that are admitted and then held until their deadline.
+    void deadline_behind_backlog_is_refused_with_its_length() {
+        for (int i = 0; i < 5; ++i) {
+            CPPUNIT_ASSERT(!submit(std::to_string(i), milliseconds{2'000}));
+            driver_.poll();
+        }
+        const auto why = submit("late", milliseconds{550});
+        CPPUNIT_ASSERT(why && refusal_reason::deadline_unreachable == why->reason);
+        CPPUNIT_ASSERT(why->retry_after >= milliseconds{100});
+    }
+
+    void deadline_below_load_time_is_refused_for_cold_adapter() {
+        const auto deadline = at(driver_.now + milliseconds{500});
+        CPPUNIT_ASSERT(driver_.submit(make_request("1", "b", work_class::short_work, deadline)));
+        CPPUNIT_ASSERT(!submit("2", milliseconds{500}));
+    }
+
+    void slowdown_refuses_queued_request_before_its_deadline() {
+        for (int i = 0; i < 3; ++i) {
+            submit(std::to_string(i), milliseconds{2'000});
+        }
+        driver_.poll();
+        driver_.now += milliseconds{1'300};
+        const auto refused = only<refuse_action>(driver_.poll());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, refused.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), refused[0].request);
+    }
+
+    void full_queue_refuses() {
+        for (int i = 0; i < 4; ++i) {
+            submit(std::to_string(i), milliseconds{60'000});
+        }
+        const auto why = submit("4", milliseconds{60'000});
+        CPPUNIT_ASSERT(why && refusal_reason::queue_full == why->reason);
+    }
+
+    void leaving_endpoint_refuses_queue_and_newcomers() {
+        submit("1", milliseconds{60'000});
+        driver_.scheduler.begin_leaving();
+        const auto refused = only<refuse_action>(driver_.poll());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, refused.size());
+        CPPUNIT_ASSERT(refusal_reason::endpoint_leaving == refused[0].why.reason);
+        CPPUNIT_ASSERT(submit("2", milliseconds{60'000}).has_value());
+    }
+
+    void expected_wait_grows_with_queue() {
+        CPPUNIT_ASSERT(milliseconds{0} == driver_.scheduler.load(at(driver_.now)).expected_wait);
+        for (int i = 0; i < 4; ++i) {
+            submit(std::to_string(i), milliseconds{60'000});
+        }
+        driver_.poll();
+        CPPUNIT_ASSERT(milliseconds{600} == driver_.scheduler.load(at(driver_.now)).expected_wait);
+    }
+
+private:
+    std::optional<refusal> submit(std::string id, milliseconds until_deadline) {
+        return driver_.submit(make_request(std::move(id), "a", work_class::short_work,
+                                           at(driver_.now + until_deadline)));
+    }
+
+    scheduler_driver driver_{scheduler_limits{.slots = 2, .batch_limit = 2, .queue_limit = 4}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_admission_test);
+
+} // namespace
--- /dev/null
+++ b/unittests/policy/endpoint_random_test.cpp
@@ -0,0 +1,309 @@
+#include "dragonflystair/policy/load_permits.h"
+
+#include "scheduler_driver.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::policy;
+using namespace dragonflystair::policy::testing;
+
+/// An answer that the engine owes.
+struct owed {
+    enum class kind { load, unload, finish } what;
+    std::string name;
+    support::time_point due;
+    bool former_run = false;
+};
+
+/// One endpoint, its engine and its permits under random events. The engine's own state is the
+/// truth that every order is checked against.
+class random_run {
+public:
+    explicit random_run(unsigned seed) : random_(seed) { permits_.poll(at(now_)); }
+
+    void play(int steps) {
+        for (int i = 0; i < steps; ++i) {
+            now_ += milliseconds{pick(20)};
+            step();
+            carry_out(scheduler_.poll(at(now_)));
+            check_batch();
+        }
+        drain();
+    }
+
+    [[nodiscard]] std::size_t loads() const { return loads_; }
+    [[nodiscard]] std::size_t finished() const { return finished_; }
+
+private:
+    std::uint64_t pick(std::uint64_t below) { return random_() % below; }
+    bool one_in(std::uint64_t count) { return pick(count) == 0; }
+    std::string any_adapter() { return std::to_string(std::min(pick(12), pick(12))); }
+
+    void step() {
+        answer_due();
+        grant();
+        if (one_in(3)) {
+            submit();
+        }
+        if (one_in(40)) {
+            cancel();
+        }
+        if (one_in(300)) {
+            orders_allowed_ = !orders_allowed_;
+            scheduler_.allow_orders(orders_allowed_);
+        }
+        if (one_in(50)) {
+            report();
+        }
+        if (one_in(1'000)) {
+            restart();
+        }
+        if (one_in(100)) {
+            scheduler_.prefetch(any_adapter(), 1, at(now_));
+        }
+    }
+
+    void submit() {
+        const auto id = "r" + std::to_string(++submitted_);
+        const auto work = one_in(6) ? work_class::long_work : work_class::short_work;
+        auto item =
+            make_request(id, any_adapter(), work, at(now_ + milliseconds{500 + pick(8'000)}));
+        item.isolated = one_in(60);
+        isolated_[id] = item.isolated;
+        long_[id] = work == work_class::long_work;
+        adapters_[id] = item.adapter;
+        if (!scheduler_.submit(std::move(item), at(now_))) {
+            open_.insert(id);
+        }
+    }
+
+    void cancel() {
+        if (open_.empty()) {
+            return;
+        }
+        auto place = open_.begin();
+        std::advance(place, static_cast<std::ptrdiff_t>(pick(open_.size())));
+        const auto id = *place;
+        if (scheduler_.cancel(id, at(now_))) {
+            CPPUNIT_ASSERT(running_.contains(id));
+            finish(id, finish_kind::cancelled);
+            return;
+        }
+        CPPUNIT_ASSERT(!running_.contains(id));
+        end(id);
+    }
+
+    /// Every request ends once.
+    void end(const std::string& id) { CPPUNIT_ASSERT_EQUAL(std::size_t{1}, open_.erase(id)); }
+
+    void finish(const std::string& id, finish_kind how) {
+        running_.erase(id);
+        scheduler_.on_finished(id, how, 10, at(now_));
+        ++finished_;
+        end(id);
+    }
+
+    void grant() {
+        for (const auto& permit : permits_.poll(at(now_))) {
+            permitted_[permit.adapter] = permit.number;
+            scheduler_.on_permit(permit.adapter, true, at(now_));
+        }
+    }
+
+    void give_back(const std::string& adapter, bool failed) {
+        const auto place = permitted_.find(adapter);
+        if (place != permitted_.end()) {
+            permits_.give_back(place->second, failed, at(now_));
+            permitted_.erase(place);
+        }
+    }
+
+    void answer_due() {
+        for (std::size_t i = 0; i < owed_.size();) {
+            if (owed_[i].due > at(now_)) {
+                ++i;
+                continue;
+            }
+            const auto item = owed_[i];
+            owed_.erase(owed_.begin() + static_cast<std::ptrdiff_t>(i));
+            answer(item);
+        }
+    }
+
+    void answer(const owed& item) {
+        if (item.what == owed::kind::finish) {
+            if (running_.contains(item.name)) {
+                finish(item.name, finish_kind::done);
+            }
+            return;
+        }
+        if (item.what == owed::kind::load) {
+            const bool success = !item.former_run && !one_in(10);
+            if (success) {
+                resident_.insert(item.name);
+            }
+            ordered_.erase(item.name);
+            give_back(item.name, !success);
+            scheduler_.on_load_done(item.name, success, at(now_));
+            return;
+        }
+        if (!item.former_run) {
+            resident_.erase(item.name);
+        }
+        ordered_.erase(item.name);
+        const auto told = one_in(5) ? std::nullopt : std::optional(true);
+        scheduler_.on_unload_done(item.name, told, at(now_));
+    }
+
+    void report() {
+        engine_report item;
+        item.start = std::to_string(run_);
+        item.resident.assign(resident_.begin(), resident_.end());
+        CPPUNIT_ASSERT(scheduler_.on_report(item, at(now_)).empty());
+    }
+
+    void restart() {
+        ++run_;
+        resident_.clear();
+        for (auto& item : owed_) {
+            item.former_run = true;
+        }
+        engine_report item;
+        item.start = std::to_string(run_);
+        for (const auto& id : scheduler_.on_report(item, at(now_))) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, running_.erase(id));
+            end(id);
+        }
+        CPPUNIT_ASSERT(running_.empty());
+    }
+
+    void carry_out(const std::vector<scheduler_action>& all) {
+        for (const auto& action : only<refuse_action>(all)) {
+            CPPUNIT_ASSERT(!running_.contains(action.request));
+            end(action.request);
+        }
+        for (const auto& action : only<dispatch_action>(all)) {
+            CPPUNIT_ASSERT(resident_.contains(adapters_[action.request]));
+            CPPUNIT_ASSERT(open_.contains(action.request));
+            CPPUNIT_ASSERT(running_.insert(action.request).second);
+            owe(owed::kind::finish, action.request, milliseconds{50 + pick(400)});
+        }
+        for (const auto& action : only<drop_permit_action>(all)) {
+            permits_.withdraw("e", action.adapter);
+            give_back(action.adapter, false);
+        }
+        for (const auto& action : only<want_permit_action>(all)) {
+            permits_.request("e", action.adapter, action.urgency, at(now_));
+        }
+        order(all);
+    }
+
+    void order(const std::vector<scheduler_action>& all) {
+        for (const auto& action : only<load_action>(all)) {
+            CPPUNIT_ASSERT(orders_allowed_);
+            CPPUNIT_ASSERT_MESSAGE("load without permit", permitted_.contains(action.adapter));
+            CPPUNIT_ASSERT_MESSAGE("second load", ordered_.insert(action.adapter).second);
+            CPPUNIT_ASSERT(resident_.size() + loading() < slots);
+            ++loads_;
+            owe(owed::kind::load, action.adapter, milliseconds{100 + pick(400)});
+        }
+        for (const auto& action : only<unload_action>(all)) {
+            CPPUNIT_ASSERT(orders_allowed_);
+            CPPUNIT_ASSERT(ordered_.insert(action.adapter).second);
+            for (const auto& id : running_) {
+                CPPUNIT_ASSERT_MESSAGE("pinned", adapters_[id] != action.adapter);
+            }
+            owe(owed::kind::unload, action.adapter, milliseconds{pick(100)});
+        }
+    }
+
+    [[nodiscard]] std::size_t loading() const {
+        return static_cast<std::size_t>(std::ranges::count_if(owed_, [](const auto& item) {
+            return item.what == owed::kind::load && !item.former_run;
+        }));
+    }
+
+    void owe(owed::kind what, const std::string& name, milliseconds after) {
+        owed_.push_back({what, name, at(now_ + after)});
+    }
+
+    void check_batch() {
+        const auto count = [&](auto& flags) {
+            return std::ranges::count_if(running_, [&](const auto& id) { return flags[id]; });
+        };
+        CPPUNIT_ASSERT(running_.size() <= batch);
+        CPPUNIT_ASSERT(count(long_) <= 2);
+        CPPUNIT_ASSERT(count(isolated_) == 0 || running_.size() == 1);
+    }
+
+    /// What is still open ends without new requests.
+    void drain() {
+        orders_allowed_ = true;
+        scheduler_.allow_orders(true);
+        for (int i = 0; i < 2'000 && !open_.empty(); ++i) {
+            now_ += milliseconds{20};
+            answer_due();
+            grant();
+            if (i % 50 == 0) {
+                report();
+            }
+            carry_out(scheduler_.poll(at(now_)));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, open_.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, scheduler_.queued() + scheduler_.running());
+    }
+
+    static constexpr std::size_t slots = 4;
+    static constexpr std::size_t batch = 6;
+
+    std::mt19937_64 random_;
+    milliseconds now_{0};
+    endpoint_scheduler scheduler_{scheduler_limits{.slots = slots, .batch_limit = batch}};
+    load_permits permits_{store_limits{}, at(milliseconds{-5'000})};
+    std::set<std::string> open_;
+    std::set<std::string> running_;
+    std::set<std::string> resident_;
+    std::set<std::string> ordered_; ///< Adapters with an unanswered order.
+    std::map<std::string, std::uint64_t> permitted_;
+    std::map<std::string, std::string> adapters_;
+    std::map<std::string, bool> isolated_;
+    std::map<std::string, bool> long_;
+    std::vector<owed> owed_;
+    std::size_t submitted_ = 0;
+    std::size_t finished_ = 0;
+    std::size_t loads_ = 0;
+    int run_ = 1;
+    bool orders_allowed_ = true;
+};
+
+class endpoint_random_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(endpoint_random_test);
+    CPPUNIT_TEST(random_events_keep_all_invariants);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against eviction of a pinned adapter, loads without permit, double loads, work
+    /// beside an isolated request, and requests with no end or two.
+    void random_events_keep_all_invariants() {
+        for (const unsigned seed : {1U, 2U, 3U, 4U, 5U, 6U, 7U, 8U}) {
+            random_run run(seed);
+            run.play(6'000);
+            CPPUNIT_ASSERT(run.finished() > 300);
+            CPPUNIT_ASSERT(run.loads() > 50);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_random_test);
+
+} // namespace
