Accept port 0 in a node's own addresses and match methods in any case

Cause: nodes in trials take their ports from the OS, and `post /stamps` could pass as repeatable at a service that ignores the method's case. Ruled out: accepting port 0 everywhere, since nothing listens there for a peer, the log, the VM list or the command line.

--- a/include/dragonflystair/config/address.h
+++ b/include/dragonflystair/config/address.h
@@ -5,8 +5,10 @@
 
 namespace dragonflystair::config {
 
-/// Why a value is not `IP:PORT`, or an empty string. IPv6 addresses are written in brackets, and
-/// port 0 is none.
-std::string address_fault(std::string_view value);
+/// Whether port 0 is right: as an address to listen on it takes a port from the OS.
+enum class port_zero { refused, allowed };
+
+/// Why a value is not `IP:PORT`, or an empty string. IPv6 addresses are written in brackets.
+std::string address_fault(std::string_view value, port_zero zero = port_zero::refused);
 
 } // namespace dragonflystair::config
--- a/include/dragonflystair/config/deployment.h
+++ b/include/dragonflystair/config/deployment.h
@@ -37,8 +37,8 @@
     std::vector<operation> non_idempotent;
     std::string status_lookup; ///< Path with `{key}`; empty if there is none.
 
-    /// Whether a call of this method and path may not be repeated. The query, escapes, and empty
-    /// and dot segments of the path are left out of account.
+    /// Whether a call of this method and path may not be repeated. The method's case, and the
+    /// query, escapes, empty segments and dot segments of the path are left out of account.
     [[nodiscard]] bool is_non_idempotent(std::string_view method, std::string_view path) const;
 };
 
--- a/include/dragonflystair/config/settings.h
+++ b/include/dragonflystair/config/settings.h
@@ -9,7 +9,8 @@
 
 namespace dragonflystair::config {
 
-/// Settings of one node, read from its INI file. Addresses are `IP:PORT`.
+/// Settings of one node, read from its INI file. Addresses are `IP:PORT`; port 0 in an address of
+/// the node itself takes a port from the OS.
 struct settings {
     std::string name;
     std::string data_centre;
--- a/lib/cli/remote_command.cpp
+++ b/lib/cli/remote_command.cpp
@@ -20,14 +20,15 @@
            std::ranges::all_of(token, [](char item) { return item > ' ' && item < 0x7F; });
 }
 
-/// Text of the failure; `unknown` is told apart since the request may have had its effect.
-std::string describe(const support::error& failure, const std::string& address) {
-    if (failure.kind == support::error_kind::unknown) {
-        return fmt::format("error: {} got the request but gave no whole answer, so it may have "
-                           "taken effect: {}\n",
-                           address, failure.message);
+/// Text of the failure; `unknown` is told apart since a publication may be in force all the same.
+std::string describe(const support::error& failure, const remote_request& request) {
+    if (failure.kind != support::error_kind::unknown) {
+        return fmt::format("error: {} cannot be reached: {}\n", request.address, failure.message);
     }
-    return fmt::format("error: {} cannot be reached: {}\n", address, failure.message);
+    const auto* effect =
+        request.method == "POST" ? ", so it may have taken effect; see history" : "";
+    return fmt::format("error: {} got the request but gave no whole answer{}: {}\n",
+                       request.address, effect, failure.message);
 }
 
 } // namespace
@@ -71,7 +72,7 @@
                          const answer_reader& read_answer) {
     const auto answer = outside.call(request);
     if (!answer) {
-        return {exit_code::unreachable, {}, describe(answer.error(), request.address)};
+        return {exit_code::unreachable, {}, describe(answer.error(), request)};
     }
     return read_answer(answer.value());
 }
--- a/lib/config/address.cpp
+++ b/lib/config/address.cpp
@@ -8,13 +8,13 @@
 
 namespace dragonflystair::config {
 
-std::string address_fault(std::string_view value) {
+std::string address_fault(std::string_view value, port_zero zero) {
     const auto colon = value.rfind(':');
     if (colon == std::string_view::npos) {
         return "the port is missing";
     }
     const auto port = parse_whole<std::uint16_t>(value.substr(colon + 1));
-    if (!port || *port == 0) {
+    if (!port || (*port == 0 && zero == port_zero::refused)) {
         return "the port is not a number from 1 to 65535";
     }
     std::string host(value.substr(0, colon));
--- a/lib/config/operation_match.cpp
+++ b/lib/config/operation_match.cpp
@@ -1,5 +1,7 @@
 #include "dragonflystair/config/deployment.h"
 
+#include <boost/algorithm/string/predicate.hpp>
+
 #include <algorithm>
 #include <charconv>
 
@@ -51,7 +53,8 @@
 bool service::is_non_idempotent(std::string_view method, std::string_view path) const {
     const auto requested = normalised(path);
     return std::ranges::any_of(non_idempotent, [&](const operation& item) {
-        return item.method == method && is_within(requested, normalised(item.path));
+        return boost::algorithm::iequals(item.method, method) &&
+               is_within(requested, normalised(item.path));
     });
 }
 
--- a/lib/config/section_reader.cpp
+++ b/lib/config/section_reader.cpp
@@ -1,7 +1,5 @@
 #include "section_reader.h"
 
-#include "dragonflystair/config/address.h"
-
 #include "values.h"
 
 #include <fmt/format.h>
@@ -63,12 +61,12 @@
     return entry->value;
 }
 
-std::string section_reader::address(std::string_view key) {
+std::string section_reader::address(std::string_view key, port_zero zero) {
     const auto* entry = require(key);
     if (entry == nullptr) {
         return {};
     }
-    if (const auto fault = address_fault(entry->value); !fault.empty()) {
+    if (const auto fault = address_fault(entry->value, zero); !fault.empty()) {
         report(entry->line, fmt::format("{} = '{}' is not IP:PORT: {}", key, entry->value, fault));
         return {};
     }
--- a/lib/config/section_reader.h
+++ b/lib/config/section_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflystair/config/address.h"
 #include "dragonflystair/support/finding.h"
 
 #include "ini_document.h"
@@ -31,7 +32,7 @@
     /// Required name; empty after a finding.
     std::string name(std::string_view key);
     /// Required `IP:PORT`; empty after a finding.
-    std::string address(std::string_view key);
+    std::string address(std::string_view key, port_zero zero = port_zero::refused);
     /// Names of an entry without repetition; reports bad, empty and repeated items.
     std::vector<std::string> names(const ini_entry& entry);
     /// The value, which must be one of `choices`, or an empty string if absent or wrong.
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -24,9 +24,9 @@
     void (*read)(section_reader& reader, settings& values);
 };
 
-/// An address that others are told, so it must name one host.
+/// An address that others are told, so it must name one host. Port 0 takes a port from the OS.
 std::string announced_address(section_reader& reader, std::string_view key) {
-    auto address = reader.address(key);
+    auto address = reader.address(key, port_zero::allowed);
     if (address.starts_with("0.0.0.0:") || address.starts_with("[::]:")) {
         reader.report(
             reader.find(key)->line,
@@ -41,7 +41,7 @@
     values.region = reader.name("region");
     values.caller_address = announced_address(reader, "caller_address");
     values.peer_address = announced_address(reader, "peer_address");
-    values.operator_address = reader.address("operator_address");
+    values.operator_address = reader.address("operator_address", port_zero::allowed);
     std::size_t threads = values.threads;
     reader.count("threads", max_threads, threads);
     values.threads = static_cast<unsigned>(threads);
--- a/unittests/config/deployment_test.cpp
+++ b/unittests/config/deployment_test.cpp
@@ -232,6 +232,7 @@
                                  "/%73tamps", "/./stamps", "/a/../stamps"}) {
             CPPUNIT_ASSERT_MESSAGE(path, item.is_non_idempotent("POST", path));
         }
+        CPPUNIT_ASSERT(item.is_non_idempotent("post", "/stamps"));
         CPPUNIT_ASSERT(!item.is_non_idempotent("GET", "/stamps"));
         CPPUNIT_ASSERT(!item.is_non_idempotent("POST", "/stampsx"));
         CPPUNIT_ASSERT(!item.is_non_idempotent("POST", "/lookups/stamps"));
