--- a/unittests/config/settings_test.cpp
+++ b/unittests/config/settings_test.cpp
@@ -43,7 +43,7 @@
     CPPUNIT_TEST_SUITE(settings_test);
     CPPUNIT_TEST(text_without_faults_gives_values);
     CPPUNIT_TEST(address_without_ip_or_port_is_found);
-    CPPUNIT_TEST(address_with_port_zero_is_only_for_listening);
+    CPPUNIT_TEST(port_zero_is_found_except_in_own_addresses);
     CPPUNIT_TEST(duration_without_unit_is_found);
     CPPUNIT_TEST(renewal_longer_than_lease_is_found);
     CPPUNIT_TEST(missing_and_unknown_sections_are_found);
@@ -74,10 +74,12 @@
         CPPUNIT_ASSERT(findings_after("127.0.0.3:8001", "x").starts_with("n.ini:10: error: 'x'"));
     }
 
-    /// Guards against a port from the OS being refused for listening, or accepted for connecting.
-    void address_with_port_zero_is_only_for_listening() {
+    /// Port 0 is for listening only: there is nothing to connect to at port 0 of another process.
+    void port_zero_is_found_except_in_own_addresses() {
         CPPUNIT_ASSERT_EQUAL(std::string(), findings_after("127.0.0.1:8000", "127.0.0.1:0"));
-        CPPUNIT_ASSERT(findings_after("127.0.0.3:8001", "127.0.0.3:0").starts_with("n.ini:10: "));
+        CPPUNIT_ASSERT_EQUAL(std::string(), findings_after("[::1]:8002", "[::1]:0"));
+        CPPUNIT_ASSERT(findings_after("127.0.0.3:8001", "127.0.0.3:0").starts_with("n.ini:10:"));
+        CPPUNIT_ASSERT(findings_after("127.0.0.1:9000", "127.0.0.1:0").starts_with("n.ini:12:"));
     }
 
     void duration_without_unit_is_found() {
