--- a/lib/node/peer_protocol.cpp
+++ b/lib/node/peer_protocol.cpp
@@ -142,7 +142,9 @@
 }
 
 void peer_protocol::send_heartbeat() {
-    services_.broadcast(heartbeat());
+    for (const auto& peer : services_.connected()) {
+        services_.send(peer, heartbeat(peer));
+    }
 }
 
 void peer_protocol::on_heartbeat(std::string_view peer, const support::json& frame) {
