--- a/include/dragonflystair/net/peer_network.h
+++ b/include/dragonflystair/net/peer_network.h
@@ -19,8 +19,9 @@
     std::string secret;                               ///< Shared by all nodes.
     std::chrono::milliseconds silence_timeout{3'000}; ///< A link without any frame is closed.
     std::chrono::milliseconds redial_period{500};
-    std::size_t max_frame_bytes = 8 * 1024 * 1024;
-    std::size_t max_queued_bytes = 32 * 1024 * 1024; ///< A link whose peer does not read is closed.
+    std::size_t max_frame_bytes = std::size_t{8} * 1024 * 1024;
+    std::size_t max_queued_bytes =
+        std::size_t{32} * 1024 * 1024; ///< A link whose peer does not read is closed.
 };
 
 /// Links to the other nodes: TCP, frames of a 4-byte big-endian length and a msgpack map. Both
