--- a/include/dragonflystair/calls/call_coordinator.h
+++ b/include/dragonflystair/calls/call_coordinator.h
@@ -3,6 +3,8 @@
 #include "dragonflystair/ledger/claim_fold.h"
 #include "dragonflystair/support/time.h"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,7 +19,9 @@
 /// The three truthful outcomes of a non-idempotent call.
 enum class call_outcome { completed, not_run, unknown };
 
-/// Final answer to a caller.
+/// Final answer to a caller. `not_run` speaks of this call only: nothing of it has left this
+/// process, or the endpoint refused it. A key that is in use for another digest is `unknown` with
+/// the reason `key_conflict`, since only a claim's writer may say `not_run`.
 struct call_answer {
     call_outcome outcome = call_outcome::unknown;
     std::string reason; ///< Refusal reason for counters and problem details; empty if completed.
@@ -32,13 +36,25 @@
 };
 
 /// Decides the course of the non-idempotent calls of one node. It never allows a second dispatch of
-/// a claim, and says `not_run` only while nothing of the request has left the process.
+/// a claim, and says `not_run` only while nothing of the request has left the process, or after the
+/// endpoint refused it. Not thread safe; use it under the lock of the `claims` table.
 class call_coordinator {
 public:
-    /// Hooks to the node; `append` queues a record for the stream `claims`.
+    /// Bodies of outcomes up to this size are kept in the log.
+    static constexpr std::size_t max_body_bytes = 16'384;
+
+    /// Idempotency keys are 1 to this many printable ASCII characters; others are refused.
+    static constexpr std::size_t max_key_bytes = 255;
+
+    /// How long after its deadline a call that ended `unknown` can still be completed by a lookup.
+    static constexpr std::chrono::seconds lookup_window{30};
+
+    /// Hooks to the node. `append` queues a record for the stream `claims`; records must reach the
+    /// stream in the order of these calls. The hooks must not call the coordinator.
     struct hooks {
         std::function<void(ledger::record)> append;
-        std::function<bool()> lease_holds;                     ///< The own session's lease holds.
+        /// The own session's lease holds and the log answers; new claims are refused otherwise.
+        std::function<bool()> lease_holds;
         std::function<bool(ledger::session_id)> session_lives; ///< Per the member fold.
     };
 
@@ -54,7 +70,8 @@
     void set_session(ledger::session_id own);
 
     /// A call arrives. `append_deadline` bounds the wait for the claim to be read back,
-    /// `deadline` the wait for another node's outcome.
+    /// `deadline` the wait for another node's outcome. A key that becomes free while the call waits
+    /// is claimed again, with the same time to be read back. `call` must not be in use.
     call_step begin(call_number call, std::string_view key, std::string_view digest,
                     const ledger::claim_fold& claims, support::time_point now,
                     support::time_point append_deadline, support::time_point deadline);
@@ -84,6 +101,10 @@
     /// Number of calls that have no final answer yet, for a graceful shutdown.
     [[nodiscard]] std::size_t open_calls() const;
 
+    /// Number of claims that were given up and not read back yet. A node that stops should wait a
+    /// little for these, since a claim that is not abandoned keeps its key from being run at all.
+    [[nodiscard]] std::size_t given_up_claims() const;
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
