--- /dev/null
+++ b/bench/policy/fakes.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "demand.h"
+
+namespace bench {
+
+/// Told by engines and owners.
+struct entry {
+    virtual ~entry() = default;
+    virtual void on_token(const call_ptr& item, duration gap) = 0;
+    virtual void on_end(const call_ptr& item) = 0;
+    virtual void on_refused(const call_ptr& item) = 0;
+};
+
+/// Weight store: over its rate a load is refused; beyond the limits of concurrency and transit the
+/// loads that start are proportionally slower.
+struct store_fake {
+    event_queue& clock;
+    const deployment& sizes;
+    double allowance = 0;
+    time_point refilled{};
+    std::size_t running = 0;
+
+    /// Calls back with success when the load has ended.
+    void load(std::function<void(bool)> done) {
+        const double rate = sizes.loads_per_second;
+        allowance = std::min(rate, allowance + seconds(clock.now - refilled) * rate);
+        refilled = clock.now;
+        if (allowance < 1) {
+            return clock.after(milliseconds{5}, [done = std::move(done)] { done(false); });
+        }
+        --allowance;
+        const auto crowd = double(++running);
+        const double slower = std::max(1.0, crowd / double(sizes.concurrent_loads)) *
+                              std::max(1.0, crowd / double(sizes.transit_limit));
+        clock.after(to_duration(0.25 * slower), [this, done = std::move(done)] {
+            --running;
+            done(true);
+        });
+    }
+};
+
+/// Engine with adapter slots and a continuous batch that advances by steps.
+struct engine_fake {
+    event_queue& clock;
+    store_fake& store;
+    entry& told;
+    std::map<std::string, time_point> resident{}; ///< With the time since when.
+    std::vector<call_ptr> running{};
+    std::multimap<std::string, time_point> loads{};
+    double slowness = 1, running_seconds = 0, busy_seconds = 0;
+    bool stepping = false;
+
+    void load(const std::string& adapter, std::function<void(bool)> done) {
+        store.load([this, adapter, done = std::move(done)](bool loaded) {
+            if (loaded) {
+                loads.emplace(adapter, clock.now);
+                resident[adapter] = clock.now;
+            }
+            done(loaded);
+        });
+    }
+
+    void refuse(const call_ptr& item) const {
+        item->stall += item->needed_load ? clock.now - item->submitted : duration{0};
+        told.on_refused(item);
+    }
+
+    void start(const call_ptr& item) {
+        item->started = item->last_token = clock.now;
+        if (item->needed_load) {
+            item->stall += resident.at(item->item.adapter) - item->submitted;
+        }
+        running.push_back(item);
+        if (!std::exchange(stepping, true)) {
+            step();
+        }
+    }
+
+    void step() {
+        stepping = !running.empty();
+        if (!stepping) {
+            return;
+        }
+        const double taken = seconds(step_time(running.size())) * slowness;
+        busy_seconds += taken;
+        running_seconds += taken * double(running.size());
+        // Requests that join during the step take part from the next one on.
+        clock.after(to_duration(taken), [this, batch = running] {
+            for (const auto& item : batch) {
+                told.on_token(item, clock.now - std::exchange(item->last_token, clock.now));
+                if (--item->tokens == 0) {
+                    std::erase(running, item);
+                    told.on_end(item);
+                }
+            }
+            step();
+        });
+    }
+};
+
+} // namespace bench
