Build problems and events outside of coroutines

Cause: g++ 12 destroys temporaries of braced lists in coroutines twice; the node aborted in free() right after the first publication. Ruled out: the folds and the JSON library, which run outside of coroutines. Before: the scenario engine_restart ended with 'munmap_chunk(): invalid pointer'. Conclusion: coroutines call named functions that return the value.

--- a/lib/node/answer_writer.cpp
+++ b/lib/node/answer_writer.cpp
@@ -6,6 +6,14 @@
 
 namespace dragonflystair::node {
 
+namespace {
+
+std::string event_text(const std::string& id, const std::string& event, const std::string& data) {
+    return stream::render({id, event, data});
+}
+
+} // namespace
+
 answer_writer::answer_writer(net::http_exchange& exchange, const model_request& request)
     : exchange_(exchange), request_(request) {}
 
@@ -25,7 +33,7 @@
     if (!started_) {
         co_await begin();
     }
-    const auto text = stream::render({fmt::format("{}", position), "", data});
+    const auto text = event_text(fmt::format("{}", position), "", data);
     co_return co_await exchange_.write(text);
 }
 
@@ -52,11 +60,16 @@
         if (!started_) {
             co_await begin();
         }
-        const auto text = stream::render({"", "", "[DONE]"});
+        const auto text = event_text("", "", "[DONE]");
         co_await exchange_.write(text);
         co_await exchange_.end_stream();
         co_return;
     }
+    auto response = whole_answer();
+    co_await exchange_.respond(std::move(response));
+}
+
+net::http_response answer_writer::whole_answer() const {
     support::json choice{{"index", 0},
                          {"finish_reason", finish_reason_.empty() ? "stop" : finish_reason_}};
     if (request_.chat) {
@@ -73,7 +86,7 @@
     net::http_response response;
     response.headers["Content-Type"] = "application/json";
     response.body = body.dump();
-    co_await exchange_.respond(std::move(response));
+    return response;
 }
 
 net::awaitable<void> answer_writer::refuse(const problem& item) {
@@ -81,7 +94,7 @@
         co_await exchange_.respond(problem_response(item));
         co_return;
     }
-    const auto text = stream::render({"", "error", problem_body(item)});
+    const auto text = event_text("", "error", problem_body(item));
     co_await exchange_.write(text);
     co_await exchange_.end_stream();
 }
--- a/lib/node/answer_writer.h
+++ b/lib/node/answer_writer.h
@@ -27,6 +27,7 @@
 
 private:
     net::awaitable<void> begin();
+    [[nodiscard]] net::http_response whole_answer() const;
     void collect(const std::string& data);
 
     net::http_exchange& exchange_;
--- a/lib/node/call_event.h
+++ b/lib/node/call_event.h
@@ -34,6 +34,11 @@
     std::chrono::milliseconds retry_after{0};
 };
 
+/// Ends with a reason. Coroutines use this, since g++ 12 destroys the temporaries of a braced list
+/// in a coroutine twice.
+attempt_end ended(attempt_end_kind kind, std::string reason,
+                  std::chrono::milliseconds retry_after = {});
+
 using call_event = std::variant<token_event, attempt_end>;
 
 /// Receives the events of one attempt in order; safe from any thread.
--- a/lib/node/caller_api.cpp
+++ b/lib/node/caller_api.cpp
@@ -13,9 +13,9 @@
     const auto& request = exchange.request();
     const auto path = net::path_of(request.target);
     if (!serves_()) {
-        co_await refuse(exchange,
-                        {503, "not_ready", "this node does not take callers now; resolve again",
-                         "not_run", std::chrono::seconds{1}});
+        co_await refuse(exchange, not_run(503, "not_ready",
+                                          "this node does not take callers now; resolve again",
+                                          std::chrono::seconds{1}));
         co_return;
     }
     if (path == "/v1/resolve" && request.method == "GET") {
@@ -29,11 +29,11 @@
     }
     const bool chat = path == "/v1/chat/completions";
     if (!chat && path != "/v1/completions") {
-        co_await refuse(exchange, {404, "unknown_path", "no such interface", "not_run", {}});
+        co_await refuse(exchange, not_run(404, "unknown_path", "no such interface"));
         co_return;
     }
     if (request.method != "POST") {
-        co_await refuse(exchange, {405, "wrong_method", "use POST", "not_run", {}});
+        co_await refuse(exchange, not_run(405, "wrong_method", "use POST"));
         co_return;
     }
     co_await models_.serve(exchange, chat);
--- a/lib/node/model_calls.cpp
+++ b/lib/node/model_calls.cpp
@@ -22,6 +22,7 @@
 
 problem problem_of(const attempt_end& end) {
     problem item;
+    item.outcome = end.kind == attempt_end_kind::refused ? "not_run" : "unknown";
     item.reason = end.reason;
     item.retry_after = end.retry_after.count() > 0 ? end.retry_after : std::chrono::seconds{1};
     item.detail = "the request was not completed";
@@ -60,7 +61,7 @@
         const auto suspicion =
             services_.crashes.state(call.request.fingerprint, node_context::now());
         if (suspicion == policy::suspicion::quarantined) {
-            co_await refuse(writer, {attempt_end_kind::refused, "quarantined", {}});
+            co_await refuse(writer, ended(attempt_end_kind::refused, "quarantined"));
             co_return;
         }
         auto route = route_for(call.request.service, call.request.model, call.excluded);
@@ -70,8 +71,8 @@
             route = route_for(call.request.service, call.request.model, call.excluded);
         }
         if (!route) {
-            co_await refuse(writer,
-                            {attempt_end_kind::refused, "no_endpoint", std::chrono::seconds{1}});
+            co_await refuse(
+                writer, ended(attempt_end_kind::refused, "no_endpoint", std::chrono::seconds{1}));
             co_return;
         }
         const auto end = co_await run_attempt(call, writer, check, exchange, *route);
@@ -122,11 +123,10 @@
 
     auto queue = std::make_shared<event_queue>(services_.context.executor);
     const call_sink sink = [queue](call_event event) { queue->push(std::move(event)); };
-    exchange.on_disconnect([queue] {
-        queue->push(attempt_end{attempt_end_kind::caller_gone, "caller_gone", {}});
-    });
+    exchange.on_disconnect(
+        [queue] { queue->push(ended(attempt_end_kind::caller_gone, "caller_gone")); });
     services_.directory.on_attempt_begin(endpoint);
-    auto end = attempt_end{attempt_end_kind::interrupted, "owner_unreachable", {}};
+    auto end = ended(attempt_end_kind::interrupted, "owner_unreachable");
     if (send_attempt(item, sink)) {
         end = co_await relay(call, writer, check, *queue, route);
         if (end.kind != attempt_end_kind::completed && end.kind != attempt_end_kind::refused) {
@@ -156,11 +156,11 @@
             continue;
         }
         if (verdict == stream::event_verdict::gap) {
-            co_return attempt_end{attempt_end_kind::interrupted, "stream_gap", {}};
+            co_return ended(attempt_end_kind::interrupted, "stream_gap");
         }
         if (verdict == stream::event_verdict::wrong_model) {
             services_.context.counters.increment("wrong_model_total");
-            co_return attempt_end{attempt_end_kind::interrupted, "wrong_model", {}};
+            co_return ended(attempt_end_kind::interrupted, "wrong_model");
         }
         if (!std::exchange(call.first_token_seen, true)) {
             const auto latency = node_context::now() - call.began;
@@ -174,7 +174,7 @@
         }
         const bool sent = co_await writer.write(token.position, token.data);
         if (!sent) {
-            co_return attempt_end{attempt_end_kind::caller_gone, "caller_gone", {}};
+            co_return ended(attempt_end_kind::caller_gone, "caller_gone");
         }
     }
 }
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -23,6 +23,13 @@
 /// Time without the log and without peers after which a node stops taking callers.
 constexpr std::chrono::milliseconds isolation_time{10'000};
 
+/// A text of 23,000 adapters has about 1.5 MB.
+net::http_server_limits operator_limits() {
+    net::http_server_limits limits;
+    limits.body_bytes = 16UL * 1024 * 1024;
+    return limits;
+}
+
 membership::lease_timing timing_of(const config::settings& settings) {
     return {settings.lease, settings.lease_margin, settings.renewal_period};
 }
@@ -110,7 +117,7 @@
           [this](net::http_exchange& exchange) { return callers.serve(exchange); },
           context.counters),
       operator_server(
-          context.executor, context.settings.operator_address, {},
+          context.executor, context.settings.operator_address, operator_limits(),
           [this](net::http_exchange& exchange) { return operators.serve(exchange); },
           context.counters),
       agent(context, members, *member_writer, member_follower, session_record(),
--- a/lib/node/operator_api.cpp
+++ b/lib/node/operator_api.cpp
@@ -38,6 +38,21 @@
            CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
+net::http_response findings_response(const support::findings& found) {
+    support::json items = support::json::array();
+    for (const auto& item : found) {
+        items.push_back({{"line", item.line}, {"message", item.message}});
+    }
+    return json_response({{"findings", std::move(items)}}, 400);
+}
+
+net::http_response
+in_force_response(ledger::position revision,
+                  const std::pair<std::vector<std::string>, std::vector<std::string>>& reached) {
+    return json_response(
+        {{"revision", revision}, {"in_force", reached.first}, {"missing", reached.second}});
+}
+
 std::string_view name_of(membership::endpoint_state state) {
     switch (state) {
     case membership::endpoint_state::live:
@@ -92,8 +107,7 @@
     }
     if (!authorized(request)) {
         services_.context.counters.increment("operator_refusals_total", "unauthorized");
-        co_return problem_response(
-            {401, "unauthorized", "a valid bearer token is needed", "not_run", {}});
+        co_return problem_response(not_run(401, "unauthorized", "a valid bearer token is needed"));
     }
     if (path == "/v1/status") {
         co_return status();
@@ -110,7 +124,7 @@
         auto response = co_await publish(request);
         co_return response;
     }
-    co_return problem_response({404, "unknown_path", "no such operator interface", "not_run", {}});
+    co_return problem_response(not_run(404, "unknown_path", "no such operator interface"));
 }
 
 net::http_response operator_api::metrics() const {
@@ -163,17 +177,12 @@
 net::awaitable<net::http_response> operator_api::publish(const net::http_request& request) {
     const auto base = revision_of(net::query_value(request.target, "base"));
     if (!base) {
-        co_return problem_response(
-            {400, "missing_base", "the query needs base=REVISION", "not_run", {}});
+        co_return problem_response(not_run(400, "missing_base", "the query needs base=REVISION"));
     }
     const auto parsed = config::parse_deployment(request.body, "text");
     if (!parsed.findings.empty()) {
-        support::json findings = support::json::array();
-        for (const auto& item : parsed.findings) {
-            findings.push_back({{"line", item.line}, {"message", item.message}});
-        }
         services_.context.counters.increment("operator_refusals_total", "findings");
-        co_return json_response({{"findings", findings}}, 400);
+        co_return findings_response(parsed.findings);
     }
     ledger::config_change change;
     change.base = *base;
@@ -183,25 +192,35 @@
         auto unchanged = co_await wait_until_in_force(services_.config.view()->revision);
         co_return unchanged;
     }
+    ledger::record item = std::move(change);
     const auto place =
-        co_await services_.config_writer.append_and_wait(std::move(change), publish_timeout);
+        co_await services_.config_writer.append_and_wait(std::move(item), publish_timeout);
     if (!place) {
         services_.context.counters.increment("operator_refusals_total", "log_unavailable");
-        co_return problem_response(
-            {503, "log_unavailable",
-             "the change was not read back in time and may still be accepted; see history",
-             "unknown", std::chrono::seconds{2}});
+        auto refusal = not_run(503, "log_unavailable",
+                            "the change was not read back in time; see history for its outcome",
+                            std::chrono::seconds{2});
+        refusal.outcome = "unknown";
+        co_return problem_response(refusal);
+    }
+    auto conflict = conflict_response(*place);
+    if (conflict) {
+        services_.context.counters.increment("operator_refusals_total", "conflict");
+        co_return std::move(*conflict);
     }
+    auto response = co_await wait_until_in_force(*place);
+    co_return response;
+}
+
+std::optional<net::http_response> operator_api::conflict_response(ledger::position place) const {
     for (const auto& decided : services_.config.history()) {
-        if (decided.at == *place && !decided.conflicts.empty()) {
-            services_.context.counters.increment("operator_refusals_total", "conflict");
-            co_return json_response(
+        if (decided.at == place && !decided.conflicts.empty()) {
+            return json_response(
                 {{"conflicts", decided.conflicts}, {"revision", services_.config.view()->revision}},
                 409);
         }
     }
-    auto response = co_await wait_until_in_force(*place);
-    co_return response;
+    return std::nullopt;
 }
 
 std::pair<std::vector<std::string>, std::vector<std::string>>
@@ -231,8 +250,7 @@
         co_await sleep_for(std::chrono::milliseconds{50});
         reached = data_centres_by_revision(revision);
     }
-    co_return json_response(
-        {{"revision", revision}, {"in_force", reached.first}, {"missing", reached.second}});
+    co_return in_force_response(revision, reached);
 }
 
 } // namespace dragonflystair::node
--- a/lib/node/operator_api.h
+++ b/lib/node/operator_api.h
@@ -10,6 +10,7 @@
 #include "peer_table.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -46,6 +47,8 @@
     [[nodiscard]] net::http_response status() const;
     [[nodiscard]] net::http_response history() const;
     net::awaitable<net::http_response> publish(const net::http_request& request);
+    /// The answer if the change at a position lost against another one.
+    [[nodiscard]] std::optional<net::http_response> conflict_response(ledger::position place) const;
     net::awaitable<net::http_response> wait_until_in_force(ledger::position revision);
     [[nodiscard]] std::pair<std::vector<std::string>, std::vector<std::string>>
     data_centres_by_revision(ledger::position revision) const;
--- a/lib/node/owned_endpoint.cpp
+++ b/lib/node/owned_endpoint.cpp
@@ -360,7 +360,7 @@
     if (!own) {
         co_return false;
     }
-    ledger::eviction_intent intent{setup_.id, *own, adapter};
+    ledger::record intent = ledger::eviction_intent{setup_.id, *own, adapter};
     const auto place = co_await services_.member_writer.append_and_wait(std::move(intent),
                                                                         std::chrono::seconds{2});
     if (!place) {
@@ -411,19 +411,23 @@
     finish(active, end);
 }
 
+net::engine_call owned_endpoint::engine_call_of(const active_attempt& active, bool priority) {
+    net::engine_call call{active.item.id, active.item.body, active.item.chat, active.next_position};
+    call.body["model"] = active.item.model;
+    call.body["stream"] = true;
+    call.body["priority"] = priority ? 0 : 1;
+    return call;
+}
+
 net::awaitable<attempt_end> owned_endpoint::stream_attempt(active_ptr active, bool priority) {
     constexpr int max_reconnects = 2;
     const auto timeout = services_.context.settings.progress_timeout;
     active->next_position = active->item.resume_from;
     for (int tries = 0; tries <= max_reconnects; ++tries) {
-        net::engine_call call{active->item.id, active->item.body, active->item.chat,
-                              active->next_position};
-        call.body["model"] = active->item.model;
-        call.body["stream"] = true;
-        call.body["priority"] = priority ? 0 : 1;
+        auto call = engine_call_of(*active, priority);
         auto opened = co_await services_.engines.complete(setup_.address, std::move(call), timeout);
         if (!opened.has_value() && opened.error().kind == support::error_kind::refused) {
-            co_return attempt_end{attempt_end_kind::interrupted, "engine_refused", {}};
+            co_return ended(attempt_end_kind::interrupted, "engine_refused");
         }
         if (opened.has_value()) {
             const std::shared_ptr<net::engine_stream> stream = std::move(opened.value());
@@ -432,23 +436,23 @@
                 co_return attempt_end{};
             }
             if (result == read_result::cancelled) {
-                co_return attempt_end{attempt_end_kind::caller_gone, "cancelled", {}};
+                co_return ended(attempt_end_kind::caller_gone, "cancelled");
             }
             if (result == read_result::rejected) {
-                co_return attempt_end{attempt_end_kind::interrupted, "engine_error", {}};
+                co_return ended(attempt_end_kind::interrupted, "engine_error");
             }
         }
         // A broken stream may mean that the engine has restarted, which its state shows.
         services_.context.counters.increment("stream_reconnects_total");
         const bool reachable = co_await refresh();
         if (active->crashed) {
-            co_return attempt_end{attempt_end_kind::crashed, "engine_restarted", {}};
+            co_return ended(attempt_end_kind::crashed, "engine_restarted");
         }
         if (!reachable) {
             break;
         }
     }
-    co_return attempt_end{attempt_end_kind::interrupted, "engine_silent", {}};
+    co_return ended(attempt_end_kind::interrupted, "engine_silent");
 }
 
 net::awaitable<owned_endpoint::read_result>
--- a/lib/node/owned_endpoint.h
+++ b/lib/node/owned_endpoint.h
@@ -100,6 +100,7 @@
     net::awaitable<bool> announce_eviction(std::string adapter);
     net::awaitable<std::optional<bool>> order_unload(std::string adapter);
     net::awaitable<void> run_attempt(active_ptr active, bool priority);
+    static net::engine_call engine_call_of(const active_attempt& active, bool priority);
     net::awaitable<attempt_end> stream_attempt(active_ptr active, bool priority);
     net::awaitable<read_result> read_events(active_ptr active,
                                             std::shared_ptr<net::engine_stream> stream);
--- a/lib/node/plain_calls.cpp
+++ b/lib/node/plain_calls.cpp
@@ -45,6 +45,41 @@
                        support::fingerprint(request.body + head));
 }
 
+net::http_response response_of(const ledger::key_outcome& outcome) {
+    net::http_response response;
+    response.status = outcome.status;
+    response.headers["X-Outcome"] = "completed";
+    if (outcome.body_dropped) {
+        response.headers["X-Body-Dropped"] = "true";
+    }
+    response.headers["Content-Type"] = outcome.content_type;
+    response.body = outcome.body;
+    return response;
+}
+
+calls::call_answer completed_answer(const net::http_response& found) {
+    ledger::key_outcome outcome;
+    outcome.status = found.status;
+    outcome.content_type = std::string(net::header(found.headers, "Content-Type"));
+    outcome.body = found.body;
+    return {calls::call_outcome::completed, {}, std::move(outcome)};
+}
+
+problem problem_of(const calls::call_answer& result) {
+    auto item = not_run(503, result.reason, "the call was not run", std::chrono::seconds{1});
+    if (result.outcome == calls::call_outcome::unknown) {
+        item.status = 504;
+        item.outcome = "unknown";
+        item.detail = "the call may have run; repeat it with the same key to learn its outcome";
+    }
+    if (result.reason == "key_conflict") {
+        item.status = 409;
+        item.retry_after = {};
+        item.detail = "the key was used for another request";
+    }
+    return item;
+}
+
 bool refused_before_running(const net::http_response& response) {
     return response.status == 503 && net::header(response.headers, "X-Not-Run") == "true";
 }
@@ -82,8 +117,7 @@
     const auto found = view->deployment.services.find(call.service_name);
     if (found == view->deployment.services.end() ||
         found->second.kind != config::service_kind::plain) {
-        co_await refuse(exchange,
-                        {404, "unknown_service", "no plain service of this name", "not_run", {}});
+        co_await refuse(exchange, not_run(404, "unknown_service", "no plain service of this name"));
         co_return;
     }
     call.service = found->second;
@@ -170,20 +204,18 @@
         }
         services_.context.counters.increment("retries_total", reason);
     }
-    const auto* outcome =
-        reason == "endpoint_unknown" || reason == "endpoint_malformed" ? "unknown" : "not_run";
-    co_await refuse(exchange,
-                    {503, reason, "no endpoint answered", outcome, std::chrono::seconds{1}});
+    auto item = not_run(503, reason, "no endpoint answered", std::chrono::seconds{1});
+    if (reason == "endpoint_unknown" || reason == "endpoint_malformed") {
+        item.outcome = "unknown";
+    }
+    co_await refuse(exchange, std::move(item));
 }
 
 net::awaitable<void> plain_calls::serve_claimed(net::http_exchange& exchange, plain_call call) {
     const std::string key(net::header(call.request.headers, "Idempotency-Key"));
     if (key.empty() || key.size() > 200) {
-        co_await refuse(exchange, {400,
-                                   "missing_idempotency_key",
-                                   "this call needs an Idempotency-Key of 1 to 200 bytes",
-                                   "not_run",
-                                   {}});
+        co_await refuse(exchange, not_run(400, "missing_idempotency_key",
+                                          "this call needs an Idempotency-Key of 1 to 200 bytes"));
         co_return;
     }
     const auto now = node_context::now();
@@ -302,43 +334,21 @@
 
 net::awaitable<void> plain_calls::answer(net::http_exchange& exchange, plain_call call,
                                          calls::call_answer result) {
-    if (result.outcome == calls::call_outcome::unknown) {
+    // With another digest the key names another request, whose result is not this one's.
+    if (result.outcome == calls::call_outcome::unknown && result.reason != "key_conflict") {
         const auto found = co_await look_up(call);
         if (found) {
-            result.outcome = calls::call_outcome::completed;
-            result.result =
-                ledger::key_outcome{{},
-                                    0,
-                                    found->status,
-                                    std::string(net::header(found->headers, "Content-Type")),
-                                    found->body,
-                                    false};
+            result = completed_answer(*found);
         }
     }
     if (result.outcome == calls::call_outcome::completed && result.result) {
         services_.context.counters.increment("claimed_calls_total", "completed");
-        net::http_response response;
-        response.status = result.result->status;
-        response.headers["X-Outcome"] = "completed";
-        if (result.result->body_dropped) {
-            response.headers["X-Body-Dropped"] = "true";
-        }
-        response.headers["Content-Type"] = result.result->content_type;
-        response.body = result.result->body;
+        auto response = response_of(*result.result);
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    const bool unknown = result.outcome == calls::call_outcome::unknown;
-    services_.context.counters.increment("claimed_calls_total", unknown ? "unknown" : "not_run");
-    problem item{unknown ? 504 : 503, result.reason, "", unknown ? "unknown" : "not_run",
-                 std::chrono::seconds{1}};
-    item.detail = unknown
-                      ? "the call may have run; repeat it with the same key to learn its outcome"
-                      : "the call was not run";
-    if (result.reason.find("conflict") != std::string::npos) {
-        item.status = 409;
-        item.retry_after = {};
-    }
+    auto item = problem_of(result);
+    services_.context.counters.increment("claimed_calls_total", item.outcome);
     co_await refuse(exchange, std::move(item));
 }
 
--- a/lib/node/problem.cpp
+++ b/lib/node/problem.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <utility>
+
 namespace dragonflystair::node {
 
 namespace {
@@ -18,6 +20,16 @@
 
 } // namespace
 
+problem not_run(int status, std::string reason, std::string detail,
+                std::chrono::milliseconds retry_after) {
+    problem item;
+    item.status = status;
+    item.reason = std::move(reason);
+    item.detail = std::move(detail);
+    item.retry_after = retry_after;
+    return item;
+}
+
 std::string problem_body(const problem& item) {
     const support::json body{{"type", fmt::format("urn:dragonflystair:problem:{}", item.reason)},
                              {"title", title_of(item.reason)},
--- a/lib/node/problem.h
+++ b/lib/node/problem.h
@@ -17,6 +17,11 @@
     std::chrono::milliseconds retry_after{0}; ///< No Retry-After header if 0.
 };
 
+/// A refusal of what was not run. Coroutines use this, since g++ 12 destroys the temporaries of a
+/// braced list in a coroutine twice.
+problem not_run(int status, std::string reason, std::string detail,
+                std::chrono::milliseconds retry_after = {});
+
 /// JSON body of the problem.
 std::string problem_body(const problem& item);
 
--- a/lib/node/resolver.cpp
+++ b/lib/node/resolver.cpp
@@ -43,7 +43,7 @@
     if (!full && !plain) {
         context_.counters.increment("refusals_total", "unknown_model");
         return problem_response(
-            {404, "unknown_model", "no such service, adapter or version", "not_run", {}});
+            not_run(404, "unknown_model", "no such service, adapter or version"));
     }
     auto nodes = usable_nodes();
     if (nodes.empty()) {
--- a/lib/node/session_agent.cpp
+++ b/lib/node/session_agent.cpp
@@ -129,7 +129,7 @@
     if (!own) {
         co_return true;
     }
-    ledger::release item{endpoint.name, *own, members_.successor_for(endpoint)};
+    ledger::record item = ledger::release{endpoint.name, *own, members_.successor_for(endpoint)};
     const auto place = co_await writer_.append_and_wait(std::move(item), close_timeout);
     co_return place.has_value();
 }
@@ -140,7 +140,8 @@
     if (!own) {
         co_return;
     }
-    const auto place = co_await writer_.append_and_wait(ledger::session_close{*own}, close_timeout);
+    ledger::record item = ledger::session_close{*own};
+    const auto place = co_await writer_.append_and_wait(std::move(item), close_timeout);
     support::log_change("session_closed", {{"read_back", place ? "yes" : "no"}});
 }
 
