Add HTTP client and server, platform clients and event streams

Cause: nodes need HTTP towards callers, the log, the VM list and engines. Ruled out: beast::tcp_stream, whose time limit closes the socket, so that a slow sender could not be told 408; half-closed callers, which look like callers that have gone. Before: interfaces only.

--- /dev/null
+++ b/lib/net/beast_message.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "dragonflystair/net/http_message.h"
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace dragonflystair::net {
+
+namespace http = boost::beast::http;
+
+/// Headers of a parsed message.
+http_headers headers_of(const http::fields& fields);
+
+/// False if a name or value holds a line break, which would add headers of its own.
+bool valid_headers(const http_headers& headers);
+
+/// Request to send to `address`, with Host and Content-Length.
+http::request<http::string_body> to_beast(http_request request, std::string_view address);
+
+/// Sets the headers of an outgoing message, except those that describe the framing.
+void copy_headers(const http_headers& headers, http::fields& fields);
+
+} // namespace dragonflystair::net
--- /dev/null
+++ b/lib/net/http_client.cpp
@@ -0,0 +1,181 @@
+#include "dragonflystair/net/http_client.h"
+
+#include "http_client_stream.h"
+#include "http_pool.h"
+#include "run_on.h"
+#include "socket_address.h"
+
+#include <boost/beast/http/read.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <utility>
+#include <variant>
+
+namespace dragonflystair::net {
+
+using support::error;
+using support::error_kind;
+
+namespace {
+
+/// As for the server's requests.
+constexpr std::uint32_t max_header_bytes = 16 * 1024;
+
+/// Above a log page of 1,000 appends of 16 KiB outcomes.
+constexpr std::uint64_t max_body_bytes = std::uint64_t{64} * 1024 * 1024;
+
+/// A request in the form that is sent, or the reason why it cannot be.
+struct prepared_request {
+    std::shared_ptr<const outgoing_request> message;
+    tcp::endpoint address;
+    std::string fault;
+};
+
+bool valid_target(std::string_view target) {
+    return target.starts_with('/') &&
+           std::ranges::all_of(target, [](char c) { return c > ' ' && c != '\x7f'; });
+}
+
+prepared_request prepare(const std::string& address, http_request request) {
+    const auto endpoint = parse_address(address);
+    if (!endpoint) {
+        return {{}, {}, "not an address of the form IP:PORT: " + address};
+    }
+    if (!valid_target(request.target) || request.method.empty() ||
+        !valid_headers(request.headers)) {
+        return {{}, {}, "request line or headers hold characters that cannot be sent"};
+    }
+    auto message = std::make_shared<const outgoing_request>(to_beast(std::move(request), address));
+    return {std::move(message), *endpoint, {}};
+}
+
+using exchange_end = std::variant<http_response, connection_fault>;
+
+/// Sends one request and reads the whole answer; runs on the connection's strand.
+awaitable<exchange_end> exchange(std::shared_ptr<http_connection> connection,
+                                 std::shared_ptr<const outgoing_request> request,
+                                 tcp::endpoint address, deadline::time_point until,
+                                 std::weak_ptr<http_pool> pool) {
+    connection->limit(until);
+    if (connection->kept && !connection->is_fresh()) {
+        co_return connection_fault{error{error_kind::unavailable, "kept connection closed", {}},
+                                   true};
+    }
+    auto fault = co_await connection->send(address, request);
+    if (fault) {
+        co_return std::move(*fault);
+    }
+    http::response_parser<http::string_body> parser;
+    parser.header_limit(max_header_bytes);
+    parser.body_limit(max_body_bytes);
+    parser.skip(request->method() == http::verb::head);
+    const auto [code, bytes] =
+        co_await http::async_read(connection->socket, connection->buffer, parser, no_throw);
+    if (code) {
+        co_return connection->read_fault(code, parser.got_some(), request->method());
+    }
+    connection->timer.disarm();
+    auto message = parser.release();
+    const auto owner = pool.lock();
+    if (owner && message.keep_alive() && !message.need_eof() && !connection->write_failed) {
+        owner->keep(to_string(address), connection);
+    }
+    http_response response;
+    response.status = static_cast<int>(message.result_int());
+    response.headers = headers_of(message);
+    response.body = std::move(message.body());
+    co_return response;
+}
+
+/// Connects, sends the request and reads the head of the answer; runs on the connection's strand.
+awaitable<std::optional<connection_fault>>
+open_on(std::shared_ptr<http_connection> connection,
+        std::shared_ptr<const outgoing_request> request, tcp::endpoint address,
+        deadline::time_point until, std::shared_ptr<http_client_stream::body_parser> parser) {
+    connection->limit(until);
+    auto fault = co_await connection->send(address, request);
+    if (fault) {
+        co_return fault;
+    }
+    parser->header_limit(max_header_bytes);
+    parser->body_limit(boost::none);
+    const auto [code, bytes] =
+        co_await http::async_read_header(connection->socket, connection->buffer, *parser, no_throw);
+    if (code) {
+        co_return connection->read_fault(code, parser->got_some(), request->method());
+    }
+    connection->timer.disarm();
+    co_return std::nullopt;
+}
+
+} // namespace
+
+struct http_client::impl {
+    explicit impl(executor used) : context(std::move(used)) {}
+
+    executor context;
+    std::shared_ptr<http_pool> pool = std::make_shared<http_pool>();
+};
+
+http_client::http_client(executor context) : impl_(std::make_shared<impl>(std::move(context))) {}
+
+http_client::~http_client() {
+    impl_->pool->close();
+}
+
+awaitable<async_result<http_response>> http_client::request(std::string address,
+                                                            http_request request,
+                                                            std::chrono::milliseconds timeout,
+                                                            bool reuse) {
+    const auto self = impl_;
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    const auto prepared = prepare(address, std::move(request));
+    if (!prepared.message) {
+        co_return error{error_kind::malformed, prepared.fault, {}};
+    }
+    const std::string key = to_string(prepared.address);
+    // Ends because each turn takes a kept connection away or opens a new one, and a new one's
+    // faults are never replaceable.
+    while (true) {
+        auto connection = reuse ? self->pool->take(key) : nullptr;
+        if (!connection) {
+            connection = std::make_shared<http_connection>(self->context);
+        }
+        const executor strand = connection->strand;
+        auto work = exchange(connection, prepared.message, prepared.address, until, self->pool);
+        connection.reset();
+        auto end = co_await run_on(strand, std::move(work));
+        if (auto* const response = std::get_if<http_response>(&end)) {
+            co_return std::move(*response);
+        }
+        auto& fault = std::get<connection_fault>(end);
+        if (!fault.replaceable) {
+            co_return std::move(fault.error);
+        }
+    }
+}
+
+awaitable<async_result<std::unique_ptr<http_body_stream>>>
+http_client::open_stream(std::string address, http_request request,
+                         std::chrono::milliseconds timeout) {
+    const auto self = impl_;
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    const auto prepared = prepare(address, std::move(request));
+    if (!prepared.message) {
+        co_return error{error_kind::malformed, prepared.fault, {}};
+    }
+    auto connection = std::make_shared<http_connection>(self->context);
+    auto parser = std::make_shared<http_client_stream::body_parser>();
+    auto work = open_on(connection, prepared.message, prepared.address, until, parser);
+    auto fault = co_await run_on(connection->strand, std::move(work));
+    if (fault) {
+        co_return std::move(fault->error);
+    }
+    std::unique_ptr<http_body_stream> stream =
+        std::make_unique<http_client_stream>(std::move(connection), std::move(parser));
+    co_return std::move(stream);
+}
+
+} // namespace dragonflystair::net
--- /dev/null
+++ b/lib/net/http_client_stream.cpp
@@ -0,0 +1,71 @@
+#include "http_client_stream.h"
+
+#include "run_on.h"
+
+#include <boost/beast/http/read.hpp>
+
+#include <cstddef>
+#include <utility>
+
+namespace dragonflystair::net {
+
+using support::error;
+using support::error_kind;
+
+namespace {
+
+/// Holds several events of tens of bytes each; a large piece takes several reads.
+constexpr std::size_t piece_bytes = std::size_t{8} * 1024;
+
+/// Reads the next piece; runs on the connection's strand.
+awaitable<async_result<std::optional<std::string>>>
+read_piece(std::shared_ptr<http_connection> connection,
+           std::shared_ptr<http_client_stream::body_parser> parser,
+           std::chrono::milliseconds timeout) {
+    std::string piece(piece_bytes, '\0');
+    connection->limit(std::chrono::steady_clock::now() + timeout);
+    while (!parser->is_done()) {
+        auto& body = parser->get().body();
+        body.data = piece.data();
+        body.size = piece.size();
+        const auto [code, bytes] = co_await http::async_read_some(
+            connection->socket, connection->buffer, *parser, no_throw);
+        const std::size_t got = piece.size() - body.size;
+        if (got > 0) {
+            connection->timer.disarm();
+            piece.resize(got);
+            co_return std::optional<std::string>(std::move(piece));
+        }
+        if (code && code != http::error::need_buffer) {
+            co_return connection->read_fault(code, true, http::verb::unknown).error;
+        }
+    }
+    connection->timer.disarm();
+    co_return std::optional<std::string>();
+}
+
+} // namespace
+
+http_client_stream::http_client_stream(std::shared_ptr<http_connection> connection,
+                                       std::shared_ptr<body_parser> parser)
+    : connection_(std::move(connection)), parser_(std::move(parser)) {
+    head_.status = static_cast<int>(parser_->get().result_int());
+    head_.headers = headers_of(parser_->get());
+}
+
+http_client_stream::~http_client_stream() {
+    connection_->close();
+}
+
+awaitable<async_result<std::optional<std::string>>>
+http_client_stream::read(std::chrono::milliseconds timeout) {
+    const executor strand = connection_->strand;
+    auto work = read_piece(connection_, parser_, timeout);
+    co_return co_await run_on(strand, std::move(work));
+}
+
+void http_client_stream::close() {
+    connection_->close();
+}
+
+} // namespace dragonflystair::net
--- /dev/null
+++ b/lib/net/problem.cpp
@@ -0,0 +1,41 @@
+#include "dragonflystair/net/problem.h"
+
+#include "dragonflystair/support/json.h"
+
+#include <boost/beast/http/status.hpp>
+
+#include <charconv>
+#include <cstdint>
+#include <string>
+
+namespace dragonflystair::net {
+
+http_response render(const problem& item) {
+    const auto title = boost::beast::http::obsolete_reason(
+        boost::beast::http::int_to_status(static_cast<unsigned>(item.status)));
+    const support::json body{{"type", "about:blank"}, {"title", std::string(title)},
+                             {"status", item.status}, {"detail", item.detail},
+                             {"reason", item.reason}, {"outcome", item.outcome}};
+    http_response response;
+    response.status = item.status;
+    response.headers["Content-Type"] = "application/problem+json";
+    if (item.retry_after.count() > 0) {
+        response.headers["Retry-After"] =
+            std::to_string(std::chrono::ceil<std::chrono::seconds>(item.retry_after).count());
+    }
+    // Details may quote a caller's bytes, which need not be UTF-8.
+    response.body = body.dump(-1, ' ', false, support::json::error_handler_t::replace);
+    return response;
+}
+
+std::chrono::milliseconds retry_after_of(const http_headers& headers) {
+    const auto text = header(headers, "Retry-After");
+    std::uint32_t seconds = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (fault != std::errc{} || end != text.data() + text.size()) {
+        return {};
+    }
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace dragonflystair::net
--- /dev/null
+++ b/lib/net/socket_address.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace dragonflystair::net {
+
+/// Endpoint of an `IP:PORT` (IPv6 as `[IP]:PORT`); nothing if the text is no such address.
+std::optional<boost::asio::ip::tcp::endpoint> parse_address(std::string_view text);
+
+/// As `parse_address`, but throws boost::system::system_error; for addresses to bind.
+boost::asio::ip::tcp::endpoint require_address(std::string_view text);
+
+std::string to_string(const boost::asio::ip::tcp::endpoint& address);
+
+} // namespace dragonflystair::net
--- /dev/null
+++ b/lib/stream/stream_check.cpp
@@ -0,0 +1,20 @@
+#include "dragonflystair/stream/stream_check.h"
+
+namespace dragonflystair::stream {
+
+event_verdict stream_check::check(std::uint64_t position, std::string_view model) {
+    // The model comes first: an event of another model must not be dropped as a mere repeat.
+    if (model != model_) {
+        return event_verdict::wrong_model;
+    }
+    if (position < expected_) {
+        return event_verdict::repeat;
+    }
+    if (position > expected_) {
+        return event_verdict::gap;
+    }
+    ++expected_;
+    return event_verdict::relay;
+}
+
+} // namespace dragonflystair::stream
--- /dev/null
+++ b/unittests/net/http_client_test.cpp
@@ -0,0 +1,261 @@
+#include "dragonflystair/net/http_client.h"
+
+#include "scripted_peer.h"
+#include "test_context.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace {
+
+using namespace dragonflystair::net;
+using dragonflystair::support::error_kind;
+using std::chrono::milliseconds;
+
+constexpr milliseconds ample{20'000};
+constexpr milliseconds brief{200};
+constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+void read_request(raw_connection& connection) {
+    connection.read_until("\r\n\r\n");
+}
+
+void serve_once(raw_connection& connection) {
+    read_request(connection);
+    connection.write(answer);
+}
+
+void serve_until_closed(raw_connection& connection) {
+    while (connection.read_until("\r\n\r\n").ends_with("\r\n\r\n")) {
+        connection.write(answer);
+    }
+}
+
+http_request post() {
+    http_request request;
+    request.method = "POST";
+    return request;
+}
+
+class http_client_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(http_client_test);
+    CPPUNIT_TEST(request_to_closed_port_is_unavailable);
+    CPPUNIT_TEST(request_with_bad_address_is_malformed);
+    CPPUNIT_TEST(header_with_line_break_is_malformed);
+    CPPUNIT_TEST(server_closes_before_reading_is_unknown);
+    CPPUNIT_TEST(server_closes_after_reading_is_unknown);
+    CPPUNIT_TEST(server_resets_after_reading_is_unknown);
+    CPPUNIT_TEST(server_closes_within_answer_is_unknown);
+    CPPUNIT_TEST(silent_server_is_unknown);
+    CPPUNIT_TEST(answer_that_is_not_http_is_malformed);
+    CPPUNIT_TEST(second_request_uses_the_kept_connection);
+    CPPUNIT_TEST(request_without_reuse_opens_a_new_connection);
+    CPPUNIT_TEST(kept_connection_closed_by_server_is_replaced);
+    CPPUNIT_TEST(get_unanswered_on_kept_connection_is_sent_again);
+    CPPUNIT_TEST(post_unanswered_on_kept_connection_is_unknown);
+    CPPUNIT_TEST(stream_gives_pieces_and_the_end);
+    CPPUNIT_TEST(stream_cut_off_is_unknown);
+    CPPUNIT_TEST(silent_stream_is_unknown);
+    CPPUNIT_TEST(closed_stream_ends_a_pending_read);
+    CPPUNIT_TEST_SUITE_END();
+
+    test_context context_;
+    std::unique_ptr<http_client> client_ = std::make_unique<http_client>(context_.get());
+
+    async_result<http_response> send(const std::string& address, http_request request = {},
+                                     milliseconds timeout = ample, bool reuse = true) {
+        return context_.run(client_->request(address, std::move(request), timeout, reuse));
+    }
+
+    void assert_error(error_kind kind, const async_result<http_response>& result) {
+        CPPUNIT_ASSERT(!result);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(result.error().message, std::string(to_string(kind)),
+                                     std::string(to_string(result.error().kind)));
+    }
+
+    /// Error kind of a new connection's request whose server runs `script`.
+    void assert_fails(error_kind kind, scripted_server::script script,
+                      milliseconds timeout = ample) {
+        scripted_server server({std::move(script)});
+        assert_error(kind, send(server.address(), post(), timeout));
+    }
+
+public:
+    void request_to_closed_port_is_unavailable() {
+        std::string address;
+        {
+            const scripted_server server({});
+            address = server.address();
+        }
+        assert_error(error_kind::unavailable, send(address));
+    }
+
+    void request_with_bad_address_is_malformed() {
+        assert_error(error_kind::malformed, send("localhost"));
+        assert_error(error_kind::malformed, send("127.0.0.1:99999"));
+    }
+
+    /// Guards against a value from outside that adds a header or a second request.
+    void header_with_line_break_is_malformed() {
+        http_request request;
+        request.headers["X-Test"] = "a\r\nX-Other: b";
+        assert_error(error_kind::malformed, send("127.0.0.1:1", std::move(request)));
+        http_request target;
+        target.target = "/ HTTP/1.1\r\n\r\nGET /";
+        assert_error(error_kind::malformed, send("127.0.0.1:1", std::move(target)));
+    }
+
+    /// Guards against `unavailable` for a request that the server may have read.
+    void server_closes_before_reading_is_unknown() {
+        assert_fails(error_kind::unknown, [](raw_connection& peer) { peer.close(); });
+    }
+
+    void server_closes_after_reading_is_unknown() {
+        assert_fails(error_kind::unknown, read_request);
+    }
+
+    void server_resets_after_reading_is_unknown() {
+        assert_fails(error_kind::unknown, [](raw_connection& peer) {
+            read_request(peer);
+            peer.reset();
+        });
+    }
+
+    void server_closes_within_answer_is_unknown() {
+        assert_fails(error_kind::unknown, [](raw_connection& peer) {
+            read_request(peer);
+            peer.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+        });
+    }
+
+    void silent_server_is_unknown() {
+        assert_fails(
+            error_kind::unknown,
+            [](raw_connection& peer) {
+                read_request(peer);
+                peer.read_all();
+            },
+            brief);
+    }
+
+    void answer_that_is_not_http_is_malformed() {
+        assert_fails(error_kind::malformed, [](raw_connection& peer) {
+            read_request(peer);
+            peer.write("SSH-2.0-server\r\n\r\n");
+            peer.read_all();
+        });
+    }
+
+    void second_request_uses_the_kept_connection() {
+        scripted_server server({serve_until_closed, serve_until_closed});
+        CPPUNIT_ASSERT(send(server.address()));
+        CPPUNIT_ASSERT(send(server.address(), post()));
+        CPPUNIT_ASSERT_EQUAL(1, server.accepted());
+        client_.reset();
+    }
+
+    /// Guards non-idempotent calls against a connection on which `unavailable` is never certain.
+    void request_without_reuse_opens_a_new_connection() {
+        scripted_server server({serve_once, serve_once});
+        CPPUNIT_ASSERT(send(server.address()));
+        CPPUNIT_ASSERT(send(server.address(), post(), ample, false));
+        CPPUNIT_ASSERT_EQUAL(2, server.accepted());
+    }
+
+    /// Guards against an error for a close that is part of HTTP's normal course.
+    void kept_connection_closed_by_server_is_replaced() {
+        scripted_server server({serve_once, serve_once});
+        CPPUNIT_ASSERT(send(server.address()));
+        CPPUNIT_ASSERT(send(server.address(), post()));
+        CPPUNIT_ASSERT_EQUAL(2, server.accepted());
+    }
+
+    void get_unanswered_on_kept_connection_is_sent_again() {
+        scripted_server server({[](raw_connection& peer) {
+                                    serve_once(peer);
+                                    read_request(peer);
+                                },
+                                serve_once});
+        CPPUNIT_ASSERT(send(server.address()));
+        CPPUNIT_ASSERT(send(server.address()));
+    }
+
+    /// Guards against a second run of a request that the server may have read.
+    void post_unanswered_on_kept_connection_is_unknown() {
+        scripted_server server({[](raw_connection& peer) {
+                                    serve_once(peer);
+                                    read_request(peer);
+                                },
+                                serve_once});
+        CPPUNIT_ASSERT(send(server.address()));
+        assert_error(error_kind::unknown, send(server.address(), post()));
+        CPPUNIT_ASSERT_EQUAL(1, server.accepted());
+    }
+
+    /// Runs a script after the head of a chunked answer and returns the opened stream.
+    std::unique_ptr<http_body_stream> open(const scripted_server& server) {
+        auto stream = context_.run(client_->open_stream(server.address(), {}, ample));
+        CPPUNIT_ASSERT(stream);
+        return std::move(stream.value());
+    }
+
+    static scripted_server::script chunked(std::string chunks, bool wait_for_close) {
+        return [chunks = std::move(chunks), wait_for_close](raw_connection& peer) {
+            read_request(peer);
+            peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+            if (wait_for_close) {
+                peer.read_all();
+            }
+        };
+    }
+
+    void stream_gives_pieces_and_the_end() {
+        const scripted_server server({chunked("3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", false)});
+        const auto stream = open(server);
+        std::string text;
+        while (true) {
+            const auto piece = context_.run(stream->read(ample));
+            CPPUNIT_ASSERT(piece);
+            if (!piece.value()) {
+                break;
+            }
+            text += *piece.value();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("abcde"), text);
+    }
+
+    /// Guards against a cut answer that is taken for a whole one.
+    void stream_cut_off_is_unknown() {
+        const scripted_server server({chunked("3\r\nabc\r\n", false)});
+        const auto stream = open(server);
+        CPPUNIT_ASSERT_EQUAL(std::string("abc"), *context_.run(stream->read(ample)).value());
+        const auto end = context_.run(stream->read(ample));
+        CPPUNIT_ASSERT(!end);
+        CPPUNIT_ASSERT(end.error().kind == error_kind::unknown);
+    }
+
+    void silent_stream_is_unknown() {
+        const scripted_server server({chunked("3\r\nabc\r\n", true)});
+        const auto stream = open(server);
+        CPPUNIT_ASSERT(context_.run(stream->read(ample)));
+        const auto end = context_.run(stream->read(brief));
+        CPPUNIT_ASSERT(!end);
+        CPPUNIT_ASSERT(end.error().kind == error_kind::unknown);
+    }
+
+    void closed_stream_ends_a_pending_read() {
+        const scripted_server server({chunked("", true)});
+        const auto stream = open(server);
+        std::thread closer([&] { stream->close(); });
+        const auto end = context_.run(stream->read(ample));
+        closer.join();
+        CPPUNIT_ASSERT(!end);
+        CPPUNIT_ASSERT(end.error().kind == error_kind::unknown);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
+
+} // namespace
--- /dev/null
+++ b/unittests/net/http_server_test.cpp
@@ -0,0 +1,316 @@
+#include "dragonflystair/net/http_client.h"
+#include "dragonflystair/net/http_server.h"
+
+#include "scripted_peer.h"
+#include "test_context.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <future>
+#include <stdexcept>
+#include <string>
+
+namespace {
+
+using namespace dragonflystair::net;
+using dragonflystair::support::counters;
+using std::chrono::milliseconds;
+
+awaitable<void> pause(milliseconds time) {
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, time);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+/// Answers according to the path.
+awaitable<void> handle(http_exchange& exchange) {
+    const auto path = path_of(exchange.request().target);
+    if (path == "/throws") {
+        throw std::runtime_error("test");
+    }
+    if (path == "/silent") {
+        co_return;
+    }
+    if (path == "/stream" || path == "/cut" || path == "/endless") {
+        http_response head;
+        head.headers["Content-Type"] = "text/event-stream";
+        co_await exchange.begin_stream(std::move(head));
+        std::string piece = path == "/endless" ? std::string(100'000, 'x') : "one";
+        while (co_await exchange.write(piece) && path == "/endless") {
+        }
+        if (path == "/stream") {
+            co_await exchange.write("two");
+            co_await exchange.end_stream();
+        }
+        co_return;
+    }
+    http_response response;
+    response.body = exchange.request().method + " " + exchange.request().body;
+    co_await exchange.respond(std::move(response));
+}
+
+class http_server_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(http_server_test);
+    CPPUNIT_TEST(request_gets_the_handlers_answer);
+    CPPUNIT_TEST(connection_carries_several_requests);
+    CPPUNIT_TEST(requests_sent_ahead_are_answered_in_order);
+    CPPUNIT_TEST(expect_continue_is_answered_before_the_body);
+    CPPUNIT_TEST(body_over_limit_is_refused);
+    CPPUNIT_TEST(chunked_body_over_limit_is_refused);
+    CPPUNIT_TEST(header_over_limit_is_refused);
+    CPPUNIT_TEST(text_that_is_not_http_is_refused);
+    CPPUNIT_TEST(slow_sender_is_refused);
+    CPPUNIT_TEST(handler_that_throws_gives_500_and_server_goes_on);
+    CPPUNIT_TEST(handler_without_answer_gives_500);
+    CPPUNIT_TEST(stream_is_sent_in_chunks);
+    CPPUNIT_TEST(stream_without_end_is_cut_off);
+    CPPUNIT_TEST(stream_to_http_1_0_ends_with_the_connection);
+    CPPUNIT_TEST(head_request_gets_no_body);
+    CPPUNIT_TEST(caller_that_leaves_runs_the_disconnect_hook);
+    CPPUNIT_TEST(caller_that_does_not_read_ends_the_stream);
+    CPPUNIT_TEST(shutdown_lets_the_exchange_finish);
+    CPPUNIT_TEST(shutdown_closes_idle_connections);
+    CPPUNIT_TEST(stop_runs_the_disconnect_hook);
+    CPPUNIT_TEST_SUITE_END();
+
+    test_context context_;
+    counters counters_;
+
+    std::unique_ptr<http_server> start(http_handler handler = handle,
+                                       http_server_limits limits = {}) {
+        auto server = std::make_unique<http_server>(context_.get(), "127.0.0.1:0", limits,
+                                                    std::move(handler), counters_);
+        server->start();
+        return server;
+    }
+
+    /// Everything that the server sends after `text` until it closes.
+    static std::string talk(const http_server& server, std::string_view text) {
+        auto connection = raw_connection::to(server.address());
+        connection.write(text);
+        return connection.read_all();
+    }
+
+    static void assert_contains(std::string_view part, const std::string& text) {
+        CPPUNIT_ASSERT_MESSAGE(text, text.find(part) != std::string::npos);
+    }
+
+    void assert_refused(const std::string& text, std::string_view status, std::string_view reason) {
+        CPPUNIT_ASSERT_MESSAGE(text, text.starts_with("HTTP/1.1 " + std::string(status)));
+        assert_contains("application/problem+json", text);
+        assert_contains("\"reason\":\"" + std::string(reason) + "\"", text);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, counters_.value("refusals_total", reason));
+    }
+
+public:
+    void tearDown() override { context_.stop(); }
+
+    void request_gets_the_handlers_answer() {
+        const auto server = start();
+        const auto text = talk(*server, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                                        "Connection: close\r\n\r\nabc");
+        CPPUNIT_ASSERT(text.starts_with("HTTP/1.1 200 OK\r\n"));
+        CPPUNIT_ASSERT(text.ends_with("\r\n\r\nPOST abc"));
+    }
+
+    void connection_carries_several_requests() {
+        const auto server = start();
+        auto connection = raw_connection::to(server->address());
+        for (int i = 0; i < 3; ++i) {
+            connection.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+            CPPUNIT_ASSERT(connection.read_until("GET ").starts_with("HTTP/1.1 200 OK"));
+        }
+    }
+
+    void requests_sent_ahead_are_answered_in_order() {
+        const auto server = start();
+        auto connection = raw_connection::to(server->address());
+        connection.write("GET / HTTP/1.1\r\nHost: a\r\n\r\nPUT / HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(connection.read_until("GET ").ends_with("GET "));
+        CPPUNIT_ASSERT(connection.read_until("PUT ").ends_with("PUT "));
+    }
+
+    void expect_continue_is_answered_before_the_body() {
+        const auto server = start();
+        auto connection = raw_connection::to(server->address());
+        connection.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                         "Expect: 100-continue\r\n\r\n");
+        assert_contains("100 Continue", connection.read_until("\r\n\r\n"));
+        connection.write("abc");
+        assert_contains("200 OK", connection.read_until("POST abc"));
+    }
+
+    /// The refusal must come before the body was sent, and must not be lost to a reset.
+    void body_over_limit_is_refused() {
+        const auto server = start();
+        assert_refused(talk(*server, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1048577\r\n"
+                                     "\r\n" +
+                                         std::string(500'000, 'x')),
+                       "413", "body_too_large");
+    }
+
+    void chunked_body_over_limit_is_refused() {
+        http_server_limits limits;
+        limits.body_bytes = 10;
+        const auto server = start(handle, limits);
+        assert_refused(talk(*server, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+                                     "\r\n8\r\n12345678\r\n8\r\n12345678\r\n"),
+                       "413", "body_too_large");
+    }
+
+    void header_over_limit_is_refused() {
+        const auto server = start();
+        assert_refused(talk(*server, "GET / HTTP/1.1\r\nHost: a\r\nX-Long: " +
+                                         std::string(std::size_t{17} * 1024, 'x')),
+                       "431", "header_too_large");
+    }
+
+    void text_that_is_not_http_is_refused() {
+        const auto server = start();
+        assert_refused(talk(*server, "hello\r\n\r\n"), "400", "malformed_http");
+    }
+
+    /// Guards against callers that hold connections by sending a byte now and then.
+    void slow_sender_is_refused() {
+        http_server_limits limits;
+        limits.request_timeout = milliseconds(100);
+        const auto server = start(handle, limits);
+        assert_refused(talk(*server, "GET / HTTP/1.1\r\nHost:"), "408", "slow_request");
+    }
+
+    void handler_that_throws_gives_500_and_server_goes_on() {
+        const auto server = start();
+        auto connection = raw_connection::to(server->address());
+        connection.write("GET /throws HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert_contains("500 Internal Server Error", connection.read_until("}"));
+        connection.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert_contains("200 OK", connection.read_until("GET "));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, counters_.value("refusals_total", "internal_error"));
+    }
+
+    void handler_without_answer_gives_500() {
+        const auto server = start();
+        assert_refused(
+            talk(*server, "GET /silent HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"), "500",
+            "internal_error");
+    }
+
+    void stream_is_sent_in_chunks() {
+        const auto server = start();
+        auto connection = raw_connection::to(server->address());
+        connection.write("GET /stream HTTP/1.1\r\nHost: a\r\n\r\n");
+        const auto text = connection.read_until("\r\n0\r\n\r\n");
+        assert_contains("Transfer-Encoding: chunked\r\n", text);
+        assert_contains("\r\n\r\n3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n", text);
+    }
+
+    /// Guards against a broken answer that looks whole to the caller.
+    void stream_without_end_is_cut_off() {
+        const auto server = start();
+        const auto text = talk(*server, "GET /cut HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(text.ends_with("\r\n\r\n3\r\none\r\n"));
+    }
+
+    void stream_to_http_1_0_ends_with_the_connection() {
+        const auto server = start();
+        const auto text = talk(*server, "GET /stream HTTP/1.0\r\n\r\n");
+        CPPUNIT_ASSERT(text.ends_with("\r\n\r\nonetwo"));
+    }
+
+    void head_request_gets_no_body() {
+        const auto server = start();
+        const auto text = talk(*server, "HEAD / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        assert_contains("Content-Length: 5\r\n", text);
+        CPPUNIT_ASSERT(text.ends_with("\r\n\r\n"));
+    }
+
+    /// A caller that leaves during a long answer must be noticed without a write.
+    void caller_that_leaves_runs_the_disconnect_hook() {
+        std::promise<void> gone;
+        std::promise<void> handling;
+        const auto server = start([&](http_exchange& exchange) -> awaitable<void> {
+            exchange.on_disconnect([&] { gone.set_value(); });
+            handling.set_value();
+            while (!exchange.disconnected()) {
+                co_await pause(milliseconds(1));
+            }
+        });
+        auto connection = raw_connection::to(server->address());
+        connection.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        handling.get_future().wait();
+        connection.close();
+        gone.get_future().wait();
+    }
+
+    void caller_that_does_not_read_ends_the_stream() {
+        std::promise<bool> ended;
+        http_server_limits limits;
+        limits.write_timeout = milliseconds(100);
+        const auto server = start(
+            [&](http_exchange& exchange) -> awaitable<void> {
+                co_await handle(exchange);
+                ended.set_value(exchange.disconnected());
+            },
+            limits);
+        auto connection = raw_connection::to(server->address());
+        connection.write("GET /endless HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(ended.get_future().get());
+    }
+
+    /// Guards against a planned stop that cuts off a request in flight.
+    void shutdown_lets_the_exchange_finish() {
+        std::promise<void> handling;
+        std::promise<void> go_on;
+        auto released = go_on.get_future().share();
+        const auto server = start([&](http_exchange& exchange) -> awaitable<void> {
+            handling.set_value();
+            while (released.wait_for(milliseconds(0)) != std::future_status::ready) {
+                co_await pause(milliseconds(1));
+            }
+            co_await handle(exchange);
+        });
+        auto connection = raw_connection::to(server->address());
+        connection.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        handling.get_future().wait();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server->open_exchanges());
+        server->begin_shutdown();
+        go_on.set_value();
+        const auto text = connection.read_all();
+        assert_contains("200 OK", text);
+        assert_contains("Connection: close", text);
+        CPPUNIT_ASSERT(text.ends_with("GET "));
+    }
+
+    void shutdown_closes_idle_connections() {
+        const auto server = start();
+        auto connection = raw_connection::to(server->address());
+        connection.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        connection.read_until("GET ");
+        server->begin_shutdown();
+        CPPUNIT_ASSERT_EQUAL(std::string(), connection.read_all());
+    }
+
+    /// Guards against handlers that wait for ever for a caller whose connection the stop closed.
+    void stop_runs_the_disconnect_hook() {
+        std::promise<void> gone;
+        std::promise<void> handling;
+        const auto server = start([&](http_exchange& exchange) -> awaitable<void> {
+            exchange.on_disconnect([&] { gone.set_value(); });
+            handling.set_value();
+            while (!exchange.disconnected()) {
+                co_await pause(milliseconds(1));
+            }
+        });
+        auto connection = raw_connection::to(server->address());
+        connection.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        handling.get_future().wait();
+        server->stop();
+        gone.get_future().wait();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_server_test);
+
+} // namespace
--- /dev/null
+++ b/unittests/net/scripted_peer.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace dragonflystair::net {
+
+using tcp = boost::asio::ip::tcp;
+
+/// A blocking connection that a test drives byte by byte.
+class raw_connection {
+public:
+    explicit raw_connection(tcp::socket socket) : socket_(std::move(socket)) {}
+
+    static raw_connection to(std::string_view address) {
+        static boost::asio::io_context context;
+        const auto colon = address.rfind(':');
+        tcp::socket socket(context);
+        socket.connect(
+            {boost::asio::ip::make_address(address.substr(0, colon)),
+             static_cast<std::uint16_t>(std::stoi(std::string(address.substr(colon + 1))))});
+        return raw_connection(std::move(socket));
+    }
+
+    void write(std::string_view bytes) {
+        boost::system::error_code ignored;
+        boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
+    }
+
+    /// Reads until the text ends with `end` or the connection closes.
+    std::string read_until(std::string_view end) {
+        std::string text;
+        while (!text.ends_with(end)) {
+            char byte = 0;
+            boost::system::error_code code;
+            boost::asio::read(socket_, boost::asio::buffer(&byte, 1), code);
+            if (code) {
+                return text;
+            }
+            text += byte;
+        }
+        return text;
+    }
+
+    std::string read_all() { return read_until(std::string_view("\0never\0", 7)); }
+
+    /// Reads an exact number of bytes; fewer if the connection closes.
+    std::string read_exactly(std::size_t count) {
+        std::string text(count, '\0');
+        boost::system::error_code code;
+        text.resize(boost::asio::read(socket_, boost::asio::buffer(text), code));
+        return text;
+    }
+
+    /// Closes with a reset instead of an orderly end.
+    void reset() {
+        socket_.set_option(boost::asio::socket_base::linger(true, 0));
+        socket_.close();
+    }
+    void close() { socket_.close(); }
+
+private:
+    tcp::socket socket_;
+};
+
+/// Server that runs one script per accepted connection, one after another, in its own thread.
+class scripted_server {
+public:
+    using script = std::function<void(raw_connection&)>;
+
+    explicit scripted_server(std::vector<script> scripts)
+        : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+          address_("127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())),
+          thread_([this, scripts = std::move(scripts)] {
+              for (const auto& item : scripts) {
+                  boost::system::error_code code;
+                  tcp::socket socket(context_);
+                  acceptor_.accept(socket, code);
+                  if (code) {
+                      return;
+                  }
+                  ++accepted_;
+                  raw_connection connection(std::move(socket));
+                  item(connection);
+              }
+          }) {}
+    ~scripted_server() { join(); }
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+
+    [[nodiscard]] const std::string& address() const { return address_; }
+
+    /// Waits for the scripts; a server that still accepts is unblocked.
+    void join() {
+        if (!thread_.joinable()) {
+            return;
+        }
+        ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+        thread_.join();
+    }
+    [[nodiscard]] int accepted() const { return accepted_; }
+
+private:
+    boost::asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::string address_;
+    std::atomic<int> accepted_{0};
+    std::thread thread_;
+};
+
+} // namespace dragonflystair::net
