Add peer links with mutual proof and one link per pair

Cause: nodes forward calls and heartbeats to each other over TCP. Ruled out: switching from one of two links to the other, which reorders frames; closing the second link after use, which loses frames. Before: interface only.

--- /dev/null
+++ b/lib/net/peer_link.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "dragonflystair/net/awaitable.h"
+#include "dragonflystair/net/peer_network.h"
+
+#include "deadline.h"
+#include "peer_frame.h"
+#include "peer_proof.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonflystair::net {
+
+using tcp = boost::asio::ip::tcp;
+using frame_bytes = std::shared_ptr<const std::string>;
+
+/// One TCP connection to a peer: frames, the queue of outgoing ones, keep-alive and silence. The
+/// handshake and what frames mean are outside. All members are used on the link's strand, except
+/// those that are marked as safe from any thread.
+class peer_link : public std::enable_shared_from_this<peer_link> {
+public:
+    peer_link(tcp::socket socket, link_side side, std::shared_ptr<const peer_settings> settings,
+              support::counters& counters);
+
+    [[nodiscard]] const executor& strand() const { return strand_; }
+    [[nodiscard]] link_side side() const { return side_; }
+
+    awaitable<bool> connect(tcp::endpoint address);
+
+    /// Starts the time limit for the connection, or for the whole handshake.
+    void begin_connect();
+    void begin_handshake();
+    /// Ends the handshake's limits of time and frame size and starts to send keep-alive frames and
+    /// to watch for silence.
+    void begin_frames();
+
+    /// The next frame other than keep-alive; nothing once the link is closed.
+    awaitable<std::optional<support::json>> read_frame();
+
+    /// Queues a frame; false if the link is closed. Closes it when too much is queued. Safe from
+    /// any thread.
+    bool enqueue(frame_bytes bytes);
+
+    /// Counts the reason under `peer_refusals_total` and closes.
+    void refuse(std::string_view reason);
+
+    /// Both are safe from any thread. Frames that are still queued are lost.
+    void close();
+    [[nodiscard]] bool closed() const;
+
+private:
+    using clock = std::chrono::steady_clock;
+
+    void write_next();
+    void written(const boost::system::error_code& code);
+    void check_silence();
+    void close_now();
+
+    executor strand_;
+    tcp::socket socket_;
+    link_side side_;
+    std::shared_ptr<const peer_settings> settings_;
+    support::counters& counters_;
+    deadline timer_;
+    frame_reader reader_;
+    std::array<char, std::size_t{16} * 1024> input_{};
+    clock::time_point last_received_{};
+    clock::time_point last_sent_{};
+    std::vector<frame_bytes> in_flight_;
+
+    mutable std::mutex mutex_; ///< Protects the members below.
+    bool closed_ = false;
+    bool writing_ = false;
+    std::deque<frame_bytes> queue_;
+    std::size_t queued_bytes_ = 0;
+};
+
+} // namespace dragonflystair::net
--- /dev/null
+++ b/lib/net/peer_network.cpp
@@ -0,0 +1,344 @@
+#include "dragonflystair/net/peer_network.h"
+
+#include "peer_handshake.h"
+#include "peer_table.h"
+#include "run_on.h"
+#include "socket_address.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace dragonflystair::net {
+
+using support::json;
+
+namespace {
+
+/// Pause after a failed accept, such as when no file descriptor is free.
+constexpr std::chrono::milliseconds accept_pause{50};
+
+/// How often a new link looks whether the hooks of its predecessor have ended.
+constexpr std::chrono::milliseconds replace_pause{5};
+
+/// 0.5 to 1.5 times the period, so that nodes that lost each other at once do not dial at once.
+std::chrono::milliseconds with_jitter(std::chrono::milliseconds period) {
+    static thread_local std::minstd_rand random{std::random_device{}()};
+    std::uniform_real_distribution<double> factor(0.5, 1.5);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(period * factor(random));
+}
+
+/// One address that this node stays connected to.
+struct dialler {
+    dialler(const executor& context, tcp::endpoint target)
+        : address(std::move(target)), strand(boost::asio::make_strand(context)), wait(strand) {}
+
+    tcp::endpoint address;
+    executor strand;
+    boost::asio::steady_timer wait; ///< Used on the strand only.
+    std::atomic<bool> cancelled{false};
+};
+
+void cancel(const std::shared_ptr<dialler>& item) {
+    item->cancelled = true;
+    boost::asio::dispatch(item->strand, [item] { item->wait.cancel(); });
+}
+
+} // namespace
+
+struct peer_network::impl : std::enable_shared_from_this<impl> {
+    impl(executor used, std::string_view address, peer_settings chosen, hooks called,
+         support::counters& counted)
+        : context(std::move(used)), strand(boost::asio::make_strand(context)),
+          acceptor(strand, require_address(address)), bound(to_string(acceptor.local_endpoint())),
+          settings(std::make_shared<const peer_settings>(std::move(chosen))), on(std::move(called)),
+          counters(counted) {}
+
+    awaitable<void> accept_loop();
+    awaitable<void> dial_loop(std::shared_ptr<dialler> item);
+    std::shared_ptr<peer_link> make_link(tcp::socket socket, link_side side);
+    awaitable<handshake_end> run_dialled(std::shared_ptr<peer_link> link, tcp::endpoint address);
+    awaitable<handshake_end> run_link(std::shared_ptr<peer_link> link);
+    awaitable<bool> agree(std::shared_ptr<peer_link> link, const handshake_end& met);
+    awaitable<bool> admit(std::shared_ptr<peer_link> link, std::string peer);
+    awaitable<bool> wait_for_admission(std::shared_ptr<peer_link> link, std::string peer);
+    awaitable<void> serve(std::shared_ptr<peer_link> link, std::string peer);
+    template <class Hook, class... Arguments>
+    void call(const Hook& hook, const Arguments&... arguments);
+    void dial(const std::vector<std::string>& addresses);
+    void stop();
+
+    executor context;
+    executor strand;
+    tcp::acceptor acceptor; ///< Used on the strand after the start.
+    std::string bound;
+    std::shared_ptr<const peer_settings> settings;
+    hooks on;
+    support::counters& counters;
+    peer_table table;
+    std::atomic<bool> stopped{false};
+    std::mutex mutex; ///< Protects the members below.
+    std::map<std::string, std::shared_ptr<dialler>> diallers;
+    std::vector<std::weak_ptr<peer_link>> open_links;
+};
+
+awaitable<void> peer_network::impl::accept_loop() {
+    const auto self = shared_from_this();
+    boost::asio::steady_timer pause(strand);
+    while (acceptor.is_open()) {
+        const executor next = boost::asio::make_strand(context);
+        auto [code, socket] = co_await acceptor.async_accept(next, no_throw);
+        if (!code) {
+            auto link = make_link(std::move(socket), link_side::acceptor);
+            boost::asio::co_spawn(
+                link->strand(), [self, link] { return self->run_link(link); },
+                [](const std::exception_ptr&, const handshake_end&) {});
+            continue;
+        }
+        if (!acceptor.is_open()) {
+            co_return;
+        }
+        counters.increment("accept_errors_total");
+        pause.expires_after(accept_pause);
+        co_await pause.async_wait(no_throw);
+    }
+}
+
+/// Keeps a link to one address, unless the peer behind it has one to this node.
+awaitable<void> peer_network::impl::dial_loop(std::shared_ptr<dialler> item) {
+    const auto self = shared_from_this();
+    std::string peer;
+    while (!item->cancelled && !stopped) {
+        if (peer.empty() || !table.contains(peer)) {
+            tcp::socket socket(boost::asio::make_strand(context));
+            auto link = make_link(std::move(socket), link_side::dialler);
+            auto work = run_dialled(link, item->address);
+            const auto end = co_await run_on(link->strand(), std::move(work));
+            if (end.end == handshake_end::kind::self) {
+                co_return;
+            }
+            peer = end.peer.incarnation;
+        }
+        if (item->cancelled || stopped) {
+            co_return;
+        }
+        item->wait.expires_after(with_jitter(settings->redial_period));
+        co_await item->wait.async_wait(no_throw);
+    }
+}
+
+/// Makes a link that `stop` closes.
+std::shared_ptr<peer_link> peer_network::impl::make_link(tcp::socket socket, link_side side) {
+    auto link = std::make_shared<peer_link>(std::move(socket), side, settings, counters);
+    const std::lock_guard lock(mutex);
+    std::erase_if(open_links, [](const auto& other) { return other.expired(); });
+    open_links.push_back(link);
+    if (stopped) {
+        link->close();
+    }
+    return link;
+}
+
+awaitable<handshake_end> peer_network::impl::run_dialled(std::shared_ptr<peer_link> link,
+                                                         tcp::endpoint address) {
+    link->begin_connect();
+    const bool connected = co_await link->connect(address);
+    if (!connected) {
+        link->close();
+        co_return handshake_end{};
+    }
+    co_return co_await run_link(link);
+}
+
+/// Runs a connected link to its end; returns what the handshake found.
+awaitable<handshake_end> peer_network::impl::run_link(std::shared_ptr<peer_link> link) {
+    const auto self = shared_from_this();
+    link->begin_handshake();
+    auto met = co_await shake_hands(link, settings);
+    if (met.end == handshake_end::kind::proven) {
+        const bool agreed = co_await agree(link, met);
+        if (agreed) {
+            co_await serve(link, met.peer.incarnation);
+        }
+    }
+    link->close();
+    co_return met;
+}
+
+/// Decides, or learns from the peer, whether this link is taken into use. Not a coroutine itself.
+awaitable<bool> peer_network::impl::agree(std::shared_ptr<peer_link> link,
+                                          const handshake_end& met) {
+    if (met.own.before(met.peer)) {
+        return admit(std::move(link), met.peer.incarnation);
+    }
+    return wait_for_admission(std::move(link), met.peer.incarnation);
+}
+
+awaitable<bool> peer_network::impl::admit(std::shared_ptr<peer_link> link, std::string peer) {
+    static const auto admitted = plain_frame("admit");
+    static const auto duplicate = plain_frame("duplicate");
+    if (!stopped && table.add(peer, link, admitted)) {
+        link->begin_frames();
+        co_return true;
+    }
+    link->enqueue(duplicate);
+    // The peer closes once it has read the frame; closing here could discard it.
+    co_await link->read_frame();
+    co_return false;
+}
+
+awaitable<bool> peer_network::impl::wait_for_admission(std::shared_ptr<peer_link> link,
+                                                       std::string peer) {
+    const auto frame = co_await link->read_frame();
+    if (!frame || (*frame)["type"] == "duplicate") {
+        co_return false;
+    }
+    if ((*frame)["type"] != "admit") {
+        link->refuse("unexpected_frame");
+        co_return false;
+    }
+    link->begin_frames();
+    // The peer admits a second link only when it has lost the first, so a first one that is still
+    // known here is closed. Its hooks must end before the new link's begin.
+    boost::asio::steady_timer pause(link->strand());
+    while (!table.add(peer, link, nullptr)) {
+        const auto former = table.find(peer);
+        if (former) {
+            former->close();
+        }
+        pause.expires_after(replace_pause);
+        co_await pause.async_wait(no_throw);
+        if (link->closed()) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+awaitable<void> peer_network::impl::serve(std::shared_ptr<peer_link> link, std::string peer) {
+    call(on.on_up, peer);
+    while (true) {
+        const auto frame = co_await link->read_frame();
+        if (!frame) {
+            break;
+        }
+        call(on.on_frame, peer, *frame);
+    }
+    link->close();
+    call(on.on_down, peer);
+    table.remove(peer, link);
+}
+
+template <class Hook, class... Arguments>
+void peer_network::impl::call(const Hook& hook, const Arguments&... arguments) {
+    if (!hook || stopped) {
+        return;
+    }
+    try {
+        hook(arguments...);
+    } catch (...) {
+        counters.increment("peer_hook_errors_total");
+    }
+}
+
+void peer_network::impl::dial(const std::vector<std::string>& addresses) {
+    const std::lock_guard lock(mutex);
+    for (auto item = diallers.begin(); item != diallers.end();) {
+        if (std::ranges::find(addresses, item->first) != addresses.end()) {
+            ++item;
+            continue;
+        }
+        cancel(item->second);
+        item = diallers.erase(item);
+    }
+    for (const auto& address : addresses) {
+        const auto target = parse_address(address);
+        if (!target || stopped || diallers.contains(address)) {
+            continue;
+        }
+        auto item = std::make_shared<dialler>(context, *target);
+        diallers.emplace(address, item);
+        boost::asio::co_spawn(
+            item->strand, [self = shared_from_this(), item] { return self->dial_loop(item); },
+            boost::asio::detached);
+    }
+}
+
+void peer_network::impl::stop() {
+    stopped = true;
+    boost::asio::dispatch(strand, [self = shared_from_this()] {
+        boost::system::error_code ignored;
+        self->acceptor.close(ignored);
+    });
+    const std::lock_guard lock(mutex);
+    for (const auto& [address, item] : diallers) {
+        cancel(item);
+    }
+    diallers.clear();
+    for (const auto& item : open_links) {
+        if (const auto link = item.lock()) {
+            link->close();
+        }
+    }
+}
+
+peer_network::peer_network(executor context, std::string_view address, peer_settings settings,
+                           hooks callbacks, support::counters& counters)
+    : impl_(std::make_shared<impl>(std::move(context), address, std::move(settings),
+                                   std::move(callbacks), counters)) {}
+
+peer_network::~peer_network() {
+    stop();
+}
+
+std::string peer_network::address() const {
+    return impl_->bound;
+}
+
+void peer_network::start() {
+    boost::asio::co_spawn(
+        impl_->strand, [self = impl_] { return self->accept_loop(); }, boost::asio::detached);
+}
+
+void peer_network::stop() {
+    impl_->stop();
+}
+
+void peer_network::dial(const std::vector<std::string>& addresses) {
+    impl_->dial(addresses);
+}
+
+bool peer_network::send(std::string_view peer, const json& frame) {
+    const auto link = impl_->table.find(peer);
+    if (!link) {
+        return false;
+    }
+    auto bytes = std::make_shared<const std::string>(encode_frame(frame));
+    if (bytes->size() > impl_->settings->max_frame_bytes) {
+        impl_->counters.increment("peer_frames_too_large_total");
+        return false;
+    }
+    return link->enqueue(std::move(bytes));
+}
+
+void peer_network::broadcast(const json& frame) {
+    const auto bytes = std::make_shared<const std::string>(encode_frame(frame));
+    if (bytes->size() > impl_->settings->max_frame_bytes) {
+        impl_->counters.increment("peer_frames_too_large_total");
+        return;
+    }
+    for (const auto& link : impl_->table.links()) {
+        link->enqueue(bytes);
+    }
+}
+
+std::vector<std::string> peer_network::connected() const {
+    return impl_->table.peers();
+}
+
+} // namespace dragonflystair::net
--- /dev/null
+++ b/unittests/net/peer_network_test.cpp
@@ -0,0 +1,395 @@
+#include "dragonflystair/net/peer_network.h"
+
+#include "scripted_peer.h"
+#include "test_context.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <future>
+#include <mutex>
+#include <string>
+
+namespace {
+
+using namespace dragonflystair::net;
+using dragonflystair::support::counters;
+using dragonflystair::support::json;
+using std::chrono::milliseconds;
+
+/// One node's network with what its hooks saw.
+class recorder {
+public:
+    recorder(test_context& context, peer_settings settings)
+        : network_(context.get(), "127.0.0.1:0", std::move(settings), make_hooks(), counters_) {
+        network_.start();
+    }
+
+    peer_network& network() { return network_; }
+    counters& counted() { return counters_; }
+
+    /// Waits until `done` holds; it sees the events under the lock.
+    void wait(const std::function<bool()>& done) {
+        std::unique_lock lock(mutex_);
+        changed_.wait(lock, done);
+    }
+    void wait_for_event(const std::string& event) {
+        wait([&] { return std::ranges::find(events, event) != events.end(); });
+    }
+    /// Waits for a counter, which no hook announces.
+    void wait_for_count(std::string_view family, std::string_view reason) const {
+        while (counters_.value(family, reason) == 0) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+    }
+    std::vector<std::string> all() {
+        const std::lock_guard lock(mutex_);
+        return events;
+    }
+
+    std::vector<std::string> events; ///< `up PEER`, `down PEER`, `PEER N` for a frame's number.
+
+private:
+    void add(std::string event) {
+        const std::lock_guard lock(mutex_);
+        events.push_back(std::move(event));
+        changed_.notify_all();
+    }
+    peer_network::hooks make_hooks() {
+        return {[this](std::string_view peer, const json& frame) {
+                    add(std::string(peer) + " " + frame["n"].dump());
+                },
+                [this](std::string_view peer) { add("up " + std::string(peer)); },
+                [this](std::string_view peer) { add("down " + std::string(peer)); }};
+    }
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    counters counters_;
+    peer_network network_;
+};
+
+peer_settings settings(const std::string& name) {
+    peer_settings out;
+    out.name = name;
+    out.incarnation = name + "-1";
+    out.secret = "secret";
+    out.redial_period = milliseconds(20);
+    return out;
+}
+
+json numbered(int n) {
+    return {{"type", "test"}, {"n", n}};
+}
+
+std::string framed(const json& frame) {
+    std::string body;
+    json::to_msgpack(frame, body);
+    std::string out{'\0', '\0', static_cast<char>(body.size() >> 8U),
+                    static_cast<char>(body.size() & 0xffU)};
+    return out + body;
+}
+
+class peer_network_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(peer_network_test);
+    CPPUNIT_TEST(dialled_peer_is_up_on_both_sides);
+    CPPUNIT_TEST(frames_arrive_in_order);
+    CPPUNIT_TEST(nodes_that_dial_each_other_keep_one_link);
+    CPPUNIT_TEST(frames_sent_while_both_dial_arrive_once_in_order);
+    CPPUNIT_TEST(wrong_secret_is_refused);
+    CPPUNIT_TEST(acceptor_with_wrong_proof_is_refused);
+    CPPUNIT_TEST(reflected_proof_is_refused);
+    CPPUNIT_TEST(frame_before_proof_is_refused);
+    CPPUNIT_TEST(silent_handshake_is_refused);
+    CPPUNIT_TEST(oversized_frame_before_proof_is_refused);
+    CPPUNIT_TEST(oversized_frame_is_refused);
+    CPPUNIT_TEST(silent_peer_is_closed);
+    CPPUNIT_TEST(idle_link_stays_up);
+    CPPUNIT_TEST(peer_that_does_not_read_is_closed);
+    CPPUNIT_TEST(lost_link_is_dialled_again);
+    CPPUNIT_TEST(node_that_dials_itself_stops);
+    CPPUNIT_TEST(address_that_is_no_longer_named_is_not_dialled);
+    CPPUNIT_TEST_SUITE_END();
+
+    test_context context_;
+
+public:
+    void tearDown() override { context_.stop(); }
+
+    void dialled_peer_is_up_on_both_sides() {
+        recorder a(context_, settings("a"));
+        recorder b(context_, settings("b"));
+        b.network().dial({a.network().address()});
+        a.wait_for_event("up b-1");
+        b.wait_for_event("up a-1");
+        CPPUNIT_ASSERT(a.network().connected() == std::vector<std::string>{"b-1"});
+        CPPUNIT_ASSERT(!a.network().send("c-1", numbered(0)));
+        context_.stop();
+    }
+
+    void frames_arrive_in_order() {
+        recorder a(context_, settings("a"));
+        recorder b(context_, settings("b"));
+        a.network().dial({b.network().address()});
+        a.wait_for_event("up b-1");
+        std::vector<std::string> expected{"up a-1"};
+        for (int i = 0; i < 1000; ++i) {
+            CPPUNIT_ASSERT(a.network().send("b-1", numbered(i)));
+            expected.push_back("a-1 " + std::to_string(i));
+        }
+        b.wait([&] { return b.events.size() == expected.size(); });
+        CPPUNIT_ASSERT(expected == b.all());
+        context_.stop();
+    }
+
+    void nodes_that_dial_each_other_keep_one_link() {
+        recorder a(context_, settings("a"));
+        recorder b(context_, settings("b"));
+        a.network().dial({b.network().address()});
+        b.network().dial({a.network().address()});
+        a.wait_for_event("up b-1");
+        b.wait_for_event("up a-1");
+        for (int i = 0; i < 100; ++i) {
+            CPPUNIT_ASSERT(a.network().send("b-1", numbered(i)));
+            CPPUNIT_ASSERT(b.network().send("a-1", numbered(i)));
+        }
+        a.wait_for_event("b-1 99");
+        b.wait_for_event("a-1 99");
+        context_.stop();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{101}, a.events.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{101}, b.events.size());
+    }
+
+    /// Guards against frames that are lost or overtaken when the nodes choose one of two links.
+    void frames_sent_while_both_dial_arrive_once_in_order() {
+        recorder a(context_, settings("a"));
+        recorder b(context_, settings("b"));
+        a.network().dial({b.network().address()});
+        b.network().dial({a.network().address()});
+        std::vector<std::string> expected{"up b-1"};
+        for (int i = 0; i < 200;) {
+            if (b.network().send("a-1", numbered(i))) {
+                expected.push_back("b-1 " + std::to_string(i));
+                ++i;
+            }
+        }
+        a.wait_for_event("b-1 199");
+        CPPUNIT_ASSERT(expected == a.all());
+        context_.stop();
+    }
+
+    void wrong_secret_is_refused() {
+        recorder a(context_, settings("a"));
+        auto other = settings("b");
+        other.secret = "other";
+        recorder b(context_, other);
+        b.network().dial({a.network().address()});
+        a.wait_for_count("peer_refusals_total", "bad_proof");
+        b.wait_for_count("peer_refusals_total", "handshake_closed");
+        CPPUNIT_ASSERT(a.network().connected().empty());
+        CPPUNIT_ASSERT(a.all().empty());
+        context_.stop();
+    }
+
+    /// The dialler must check the proof too: its frames would otherwise go to anyone who answers.
+    void acceptor_with_wrong_proof_is_refused() {
+        scripted_server server({[](raw_connection& peer) {
+            peer.write(
+                framed({{"type", "hello"}, {"name", "b"}, {"incarnation", "b-1"}, {"nonce", "n"}}));
+            peer.write(framed({{"type", "proof"}, {"proof", std::string(64, '0')}}));
+            peer.read_all();
+        }});
+        recorder a(context_, settings("a"));
+        a.network().dial({server.address()});
+        a.wait_for_count("peer_refusals_total", "bad_proof");
+        context_.stop();
+    }
+
+    /// Guards against a stranger that sends the node's own proof back to it.
+    void reflected_proof_is_refused() {
+        scripted_server server({[](raw_connection& peer) {
+            const auto read = [&] {
+                const auto prefix = peer.read_exactly(4);
+                return prefix + peer.read_exactly(static_cast<unsigned char>(prefix[2]) * 256U +
+                                                  static_cast<unsigned char>(prefix[3]));
+            };
+            auto hello = json::from_msgpack(read().substr(4));
+            hello["incarnation"] = "b-1";
+            peer.write(framed(hello));
+            peer.write(read());
+            peer.read_all();
+        }});
+        recorder a(context_, settings("a"));
+        a.network().dial({server.address()});
+        a.wait_for_count("peer_refusals_total", "bad_proof");
+        context_.stop();
+    }
+
+    void frame_before_proof_is_refused() {
+        recorder a(context_, settings("a"));
+        auto stranger = raw_connection::to(a.network().address());
+        stranger.write(
+            framed({{"type", "hello"}, {"name", "b"}, {"incarnation", "b-1"}, {"nonce", "n"}}));
+        stranger.write(framed(numbered(1)));
+        stranger.read_all();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             a.counted().value("peer_refusals_total", "unexpected_frame"));
+        CPPUNIT_ASSERT(a.all().empty());
+        context_.stop();
+    }
+
+    void silent_handshake_is_refused() {
+        recorder a(context_, settings("a"));
+        auto stranger = raw_connection::to(a.network().address());
+        stranger.read_all();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             a.counted().value("peer_refusals_total", "handshake_timeout"));
+        context_.stop();
+    }
+
+    /// Guards against memory taken for the length that a stranger claims.
+    void oversized_frame_before_proof_is_refused() {
+        recorder a(context_, settings("a"));
+        auto stranger = raw_connection::to(a.network().address());
+        stranger.write(std::string_view("\x7f\xff\xff\xff", 4));
+        stranger.read_all();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             a.counted().value("peer_refusals_total", "oversized_frame"));
+        context_.stop();
+    }
+
+    void oversized_frame_is_refused() {
+        auto small = settings("a");
+        small.max_frame_bytes = 1000;
+        recorder a(context_, small);
+        recorder b(context_, settings("b"));
+        b.network().dial({a.network().address()});
+        b.wait_for_event("up a-1");
+        a.wait_for_event("up b-1");
+        CPPUNIT_ASSERT(!a.network().send("b-1", {{"type", "test"}, {"n", std::string(2000, 'x')}}));
+        b.network().send("a-1", {{"type", "test"}, {"n", std::string(2000, 'x')}});
+        a.wait_for_event("down b-1");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             a.counted().value("peer_refusals_total", "oversized_frame"));
+        context_.stop();
+    }
+
+    /// A peer whose process is stopped keeps its connections; only silence shows it.
+    void silent_peer_is_closed() {
+        auto impatient = settings("a");
+        impatient.silence_timeout = milliseconds(100);
+        auto quiet = settings("b");
+        quiet.silence_timeout = milliseconds(1'000'000);
+        recorder a(context_, impatient);
+        recorder b(context_, quiet);
+        b.network().dial({a.network().address()});
+        a.wait_for_event("down b-1");
+        CPPUNIT_ASSERT(a.counted().value("peer_links_closed_total", "silent") > 0);
+        context_.stop();
+    }
+
+    /// Guards against a link that closes because nobody has anything to say.
+    void idle_link_stays_up() {
+        auto quick = settings("a");
+        quick.silence_timeout = milliseconds(600);
+        auto other = settings("b");
+        other.silence_timeout = milliseconds(600);
+        recorder a(context_, quick);
+        recorder b(context_, other);
+        b.network().dial({a.network().address()});
+        a.wait_for_event("up b-1");
+        std::this_thread::sleep_for(milliseconds(1'500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, a.all().size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                             a.counted().value("peer_links_closed_total", "silent"));
+        context_.stop();
+    }
+
+    /// Guards against memory that grows with what a peer does not read.
+    void peer_that_does_not_read_is_closed() {
+        auto bounded = settings("a");
+        bounded.max_queued_bytes = 1'000'000;
+        recorder a(context_, bounded);
+        std::promise<void> stalled;
+        std::promise<void> release;
+        counters counted;
+        peer_network b(context_.get(), "127.0.0.1:0", settings("b"),
+                       {[&](std::string_view, const json&) {
+                            stalled.set_value();
+                            release.get_future().wait();
+                        },
+                        {},
+                        {}},
+                       counted);
+        b.start();
+        b.dial({a.network().address()});
+        a.wait_for_event("up b-1");
+        const json large{{"type", "test"}, {"n", std::string(100'000, 'x')}};
+        a.network().send("b-1", large);
+        stalled.get_future().wait();
+        while (a.network().send("b-1", large)) {
+        }
+        a.wait_for_event("down b-1");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             a.counted().value("peer_links_closed_total", "queue_full"));
+        b.stop();
+        release.set_value();
+        context_.stop();
+    }
+
+    void lost_link_is_dialled_again() {
+        recorder a(context_, settings("a"));
+        std::string address;
+        {
+            recorder b(context_, settings("b"));
+            address = b.network().address();
+            a.network().dial({address});
+            b.wait_for_event("up a-1");
+        }
+        a.wait_for_event("down b-1");
+        counters counted;
+        std::promise<void> up;
+        peer_network again(context_.get(), address, settings("c"),
+                           {{}, [&](std::string_view) { up.set_value(); }, {}}, counted);
+        again.start();
+        up.get_future().wait();
+        context_.stop();
+    }
+
+    void node_that_dials_itself_stops() {
+        recorder a(context_, settings("a"));
+        recorder b(context_, settings("b"));
+        a.network().dial({a.network().address(), b.network().address()});
+        a.wait_for_event("up b-1");
+        std::this_thread::sleep_for(milliseconds(100));
+        CPPUNIT_ASSERT(a.network().connected() == std::vector<std::string>{"b-1"});
+        context_.stop();
+    }
+
+    void address_that_is_no_longer_named_is_not_dialled() {
+        recorder a(context_, settings("a"));
+        std::string address;
+        {
+            const scripted_server nobody({});
+            address = nobody.address();
+        }
+        recorder b(context_, settings("b"));
+        a.network().dial({address});
+        a.network().dial({b.network().address()});
+        a.wait_for_event("up b-1");
+        counters counted;
+        std::atomic<bool> up{false};
+        peer_network late(context_.get(), address, settings("c"),
+                          {{}, [&](std::string_view) { up = true; }, {}}, counted);
+        late.start();
+        std::this_thread::sleep_for(milliseconds(100));
+        CPPUNIT_ASSERT(!up);
+        context_.stop();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(peer_network_test);
+
+} // namespace
