--- a/lib/policy/router.cpp
+++ b/lib/policy/router.cpp
@@ -24,8 +24,9 @@
     const double batch = static_cast<double>(std::max<std::size_t>(candidate.batch_limit, 1));
     const double in_batch =
         static_cast<double>(candidate.running + candidate.queued + candidate.own_in_flight) / batch;
-    // One millisecond breaks ties between endpoints without a wait by how full their batch is.
-    const milliseconds busy{in_batch};
+    // A batch that is nearly full may be full when the request arrives. 50 ms for a full one is as
+    // good as 100 ms for short work's p99 in the bench and sends less work to other regions.
+    const milliseconds busy{in_batch * in_batch * 50};
     const auto wait = milliseconds(candidate.expected_wait) + busy;
     const auto link = candidate.same_region ? milliseconds{0} : limits.cross_region_penalty;
     return wait / std::max(candidate.health, 0.01) + link;
@@ -55,15 +56,27 @@
                   {among[second], cost_of(*among[second], limits)});
 }
 
-scored best_resident(const pool& usable, const router_limits& limits, std::mt19937_64& random) {
+struct residents {
     pool near;
     pool far;
+};
+
+residents residents_of(const pool& usable) {
+    residents found;
     for (const auto* candidate : usable) {
         if (candidate->resident) {
-            (candidate->same_region ? near : far).push_back(candidate);
+            (candidate->same_region ? found.near : found.far).push_back(candidate);
         }
     }
-    return better(better_of_two(near, limits, random), better_of_two(far, limits, random));
+    return found;
+}
+
+scored best_of_all(const pool& among, const router_limits& limits) {
+    scored best;
+    for (const auto* candidate : among) {
+        best = better(best, {candidate, cost_of(*candidate, limits)});
+    }
+    return best;
 }
 
 /// The first in rendezvous order for the adapter, so that all entry nodes choose the same endpoint
@@ -107,7 +120,9 @@
     if (usable.empty()) {
         usable = usable_of(candidates, excluded, true);
     }
-    const auto resident = best_resident(usable, limits_, random);
+    const auto holders = residents_of(usable);
+    auto resident = better(better_of_two(holders.near, limits_, random),
+                           better_of_two(holders.far, limits_, random));
     const auto load = load_target(adapter, usable, limits_);
     if (resident.candidate == nullptr && load.candidate == nullptr) {
         return std::nullopt;
@@ -115,9 +130,12 @@
     if (resident.candidate == nullptr) {
         return route{load.candidate->endpoint, true};
     }
-    const bool spills =
-        load.candidate != nullptr && resident.cost > load.cost + milliseconds(limits_.spill_margin);
-    if (spills) {
+    const auto worth_a_load = load.cost + milliseconds(limits_.spill_margin);
+    if (load.candidate != nullptr && resident.cost > worth_a_load) {
+        // The two that were compared may be the busy ones; a load is worth it only if all are.
+        resident = better(best_of_all(holders.near, limits_), best_of_all(holders.far, limits_));
+    }
+    if (load.candidate != nullptr && resident.cost > worth_a_load) {
         return route{load.candidate->endpoint, true};
     }
     return route{resident.candidate->endpoint, false};
