Start diallers without the network's mutex

Cause: co_spawn runs a dialler at once when dial is called on a thread of the context, and the dialler took the mutex that dial held; the node's slow loop stopped. Ruled out: the lock order of the tables (stack trace shows one thread).

--- a/lib/net/peer_network.cpp
+++ b/lib/net/peer_network.cpp
@@ -71,6 +71,9 @@
     template <class Hook, class... Arguments>
     void call(const Hook& hook, const Arguments&... arguments);
     void dial(const std::vector<std::string>& addresses);
+    /// Forgets diallers to other addresses and returns the new ones, not started yet.
+    std::vector<std::shared_ptr<dialler>>
+    update_diallers(const std::vector<std::string>& addresses);
     void stop();
 
     executor context;
@@ -247,6 +250,17 @@
 }
 
 void peer_network::impl::dial(const std::vector<std::string>& addresses) {
+    // A dialler may run at once on this thread and needs the mutex, so it starts without it.
+    for (const auto& item : update_diallers(addresses)) {
+        boost::asio::co_spawn(
+            item->strand, [self = shared_from_this(), item] { return self->dial_loop(item); },
+            boost::asio::detached);
+    }
+}
+
+std::vector<std::shared_ptr<dialler>>
+peer_network::impl::update_diallers(const std::vector<std::string>& addresses) {
+    std::vector<std::shared_ptr<dialler>> added;
     const std::lock_guard lock(mutex);
     for (auto item = diallers.begin(); item != diallers.end();) {
         if (std::ranges::find(addresses, item->first) != addresses.end()) {
@@ -263,10 +277,9 @@
         }
         auto item = std::make_shared<dialler>(context, *target);
         diallers.emplace(address, item);
-        boost::asio::co_spawn(
-            item->strand, [self = shared_from_this(), item] { return self->dial_loop(item); },
-            boost::asio::detached);
+        added.push_back(item);
     }
+    return added;
 }
 
 void peer_network::impl::stop() {
