Wait for a new owner instead of giving up attempts, fix scenario checks

Cause: a killed owner's links close at once, so six attempts were used up 50 ms apart, long before the lease ends; cold requests were refused after 3 s while a new holder of the store's permits waits 5 s. Ruled out: the resume logic, which went on at the right position once an owner was there. Before: owner_killed ended its stream with owner_unreachable, owner_frozen refused with store_unavailable.

--- a/lib/node/model_calls.cpp
+++ b/lib/node/model_calls.cpp
@@ -13,11 +13,14 @@
 
 constexpr double retry_share = 0.1;
 constexpr double retry_burst = 50;
-/// Pause before an attempt that follows a refusal for a passing cause, such as a change of owner.
+/// Pauses before the next attempt: at another endpoint, and while owners change.
 constexpr std::chrono::milliseconds retry_pause{50};
+constexpr std::chrono::milliseconds takeover_pause{200};
 
+/// Causes that pass with a change of owner and tell nothing of the endpoint or the request.
 bool passing(std::string_view reason) {
-    return reason == "not_owner" || reason == "endpoint_leaving" || reason == "draining";
+    return reason == "not_owner" || reason == "endpoint_leaving" || reason == "draining" ||
+           reason == "owner_unreachable" || reason == "peer_link_down" || reason == "no_endpoint";
 }
 
 problem problem_of(const attempt_end& end) {
@@ -53,7 +56,7 @@
 }
 
 net::awaitable<void> model_calls::run(net::http_exchange& exchange, model_request request) {
-    call_state call{std::move(request), {}, 0, false, node_context::now()};
+    call_state call{std::move(request), {}, 0, false, node_context::now(), {}};
     answer_writer writer(exchange, call.request);
     stream::stream_check check(call.request.model, call.request.first_position);
     services_.context.counters.increment("model_requests_total");
@@ -70,12 +73,10 @@
             call.excluded.clear();
             route = route_for(call.request.service, call.request.model, call.excluded);
         }
-        if (!route) {
-            co_await refuse(
-                writer, ended(attempt_end_kind::refused, "no_endpoint", std::chrono::seconds{1}));
-            co_return;
+        auto end = ended(attempt_end_kind::refused, "no_endpoint", std::chrono::seconds{1});
+        if (route) {
+            end = co_await run_attempt(call, writer, check, exchange, *route);
         }
-        const auto end = co_await run_attempt(call, writer, check, exchange, *route);
         if (end.kind == attempt_end_kind::completed) {
             services_.context.counters.increment("model_answers_total");
             {
@@ -94,10 +95,10 @@
             co_return;
         }
         services_.context.counters.increment("retries_total", end.reason);
-        if (!passing(end.reason)) {
+        if (route) {
             call.excluded.push_back(route->endpoint);
         }
-        co_await sleep_for(retry_pause);
+        co_await sleep_for(passing(end.reason) ? takeover_pause : retry_pause);
     }
 }
 
@@ -162,6 +163,7 @@
             services_.context.counters.increment("wrong_model_total");
             co_return ended(attempt_end_kind::interrupted, "wrong_model");
         }
+        call.owner_missing_since.reset();
         if (!std::exchange(call.first_token_seen, true)) {
             const auto latency = node_context::now() - call.began;
             services_.context.first_token_latency.record(latency);
@@ -238,14 +240,16 @@
 }
 
 bool model_calls::may_retry(call_state& call, const attempt_end& end) {
-    if (call.attempts >= max_attempts || node_context::now() >= call.request.deadline ||
-        end.reason == "wrong_model") {
+    const auto now = node_context::now();
+    if (now >= call.request.deadline || end.reason == "wrong_model") {
         return false;
     }
+    if (passing(end.reason)) {
+        return may_wait_for_owner(call, now);
+    }
     const bool broken =
         end.kind == attempt_end_kind::interrupted || end.kind == attempt_end_kind::crashed;
-    const bool elsewhere = end.reason == "load_failed" || passing(end.reason);
-    if (!broken && !elsewhere) {
+    if (call.attempts >= max_attempts || (!broken && end.reason != "load_failed")) {
         return false;
     }
     const std::lock_guard lock(mutex_);
@@ -256,6 +260,18 @@
     return false;
 }
 
+bool model_calls::may_wait_for_owner(call_state& call, support::time_point now) {
+    if (!call.owner_missing_since) {
+        call.owner_missing_since = now;
+    }
+    // An answer that has begun waits for a whole takeover; a request that has not is refused
+    // sooner, so that its caller can be told when to come back.
+    const auto& settings = services_.context.settings;
+    const auto takeover = settings.lease + settings.lease_margin + std::chrono::seconds{5};
+    const auto patience = call.first_token_seen ? takeover : new_request_patience;
+    return now - *call.owner_missing_since < patience;
+}
+
 net::awaitable<void> model_calls::refuse(answer_writer& writer, const attempt_end& end) {
     services_.context.counters.increment("refusals_total", end.reason);
     co_await writer.refuse(problem_of(end));
--- a/lib/node/model_calls.h
+++ b/lib/node/model_calls.h
@@ -19,6 +19,7 @@
 
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -43,6 +44,8 @@
 public:
     /// Attempts of one request, the first included; a crash suspect gets one attempt alone.
     static constexpr int max_attempts = 6;
+    /// Wait of a request without a first token for an endpoint to get an owner.
+    static constexpr std::chrono::milliseconds new_request_patience{3'000};
 
     explicit model_calls(model_call_services services);
 
@@ -60,6 +63,7 @@
         int attempts = 0;
         bool first_token_seen = false;
         support::time_point began;
+        std::optional<support::time_point> owner_missing_since;
     };
 
     net::awaitable<void> run(net::http_exchange& exchange, model_request request);
@@ -72,6 +76,7 @@
                                       const policy::route& route);
     bool send_attempt(const attempt& item, const call_sink& sink);
     void cancel(const attempt& item);
+    [[nodiscard]] bool may_wait_for_owner(call_state& call, support::time_point now);
     [[nodiscard]] bool may_retry(call_state& call, const attempt_end& end);
     net::awaitable<void> refuse(answer_writer& writer, const attempt_end& end);
 
--- a/lib/node/operator_api.cpp
+++ b/lib/node/operator_api.cpp
@@ -198,8 +198,8 @@
     if (!place) {
         services_.context.counters.increment("operator_refusals_total", "log_unavailable");
         auto refusal = not_run(503, "log_unavailable",
-                            "the change was not read back in time; see history for its outcome",
-                            std::chrono::seconds{2});
+                               "the change was not read back in time; see history for its outcome",
+                               std::chrono::seconds{2});
         refusal.outcome = "unknown";
         co_return problem_response(refusal);
     }
--- a/lib/node/owned_endpoint.cpp
+++ b/lib/node/owned_endpoint.cpp
@@ -24,10 +24,19 @@
 /// A permit with less time left than this is given back, since the load might outlast it.
 constexpr std::chrono::milliseconds shortest_load{500};
 
+policy::scheduler_limits limits_of(const endpoint_setup& setup) {
+    policy::scheduler_limits limits;
+    limits.load_time = setup.load_time;
+    // A new holder of the store's permits issues none for a permit's lifetime, which must not be
+    // taken for a store that is down.
+    limits.permit_patience = policy::store_limits{}.permit_lifetime + std::chrono::seconds{3};
+    return limits;
+}
+
 } // namespace
 
 owned_endpoint::owned_endpoint(owner_services services, endpoint_setup setup)
-    : services_(services), setup_(std::move(setup)), scheduler_(policy::scheduler_limits{}) {}
+    : services_(services), setup_(std::move(setup)), scheduler_(limits_of(setup_)) {}
 
 void owned_endpoint::start() {
     boost::asio::co_spawn(
@@ -415,7 +424,7 @@
     net::engine_call call{active.item.id, active.item.body, active.item.chat, active.next_position};
     call.body["model"] = active.item.model;
     call.body["stream"] = true;
-    call.body["priority"] = priority ? 0 : 1;
+    call.body["priority"] = priority ? 1 : 0;
     return call;
 }
 
--- a/unittests/scenarios/http_call.cpp
+++ b/unittests/scenarios/http_call.cpp
@@ -45,6 +45,11 @@
                     std::chrono::milliseconds timeout) {
     boost::asio::io_context io;
     net::http_client client(io.get_executor());
+    {
+        // Status 0 stands for a call without an answer.
+        const std::lock_guard lock(mutex_);
+        response_.status = 0;
+    }
     const auto exchange = [&]() -> net::awaitable<std::string> {
         auto opened = co_await client.open_stream(address, request, timeout);
         if (!opened.has_value()) {
--- a/unittests/scenarios/prelude.lua
+++ b/unittests/scenarios/prelude.lua
@@ -84,7 +84,9 @@
 
 -- `options`: name, data_centre, region, timing (extra lines), peers (list of addresses), log,
 -- vm_list (addresses, the platform's by default).
+local started_nodes = 0
 function start_node(platform, options)
+  started_nodes = started_nodes + 1
   local settings = string.format([[
 [node]
 name = %s
@@ -111,7 +113,7 @@
 ]], options.name, options.data_centre, options.region or options.data_centre,
     table.concat(options.peers or {}, ", "), options.log or platform.log,
     options.vm_list or platform.vms, token, options.timing or "")
-  local node = {name = options.name, log = options.name .. ".log"}
+  local node = {name = options.name, log = options.name .. "-" .. started_nodes .. ".log"}
   node.process = spawn(node.log, node_binary, "node", "--settings",
                        write_file(options.name .. ".ini", settings))
   local started = eventually(options.name .. " to start", function()
@@ -177,7 +179,8 @@
     table.concat(data_centres, ", ") .. "\nchecks_fencing = " ..
     (options.fencing == false and "no" or "yes") .. "\nclass = short\n"
   for number = 1, options.adapters or 3 do
-    text = text .. string.format("[adapter assistant/a%d]\nversions = 1, 2\ncurrent = 1\n", number)
+    text = text .. string.format("[adapter assistant/a%d]\nversions = %s\ncurrent = 1\n", number,
+                                 options.versions or "1, 2")
   end
   text = text .. "[service register]\nkind = plain\ndata_centres = " ..
     table.concat(options.register_data_centres or data_centres, ", ") ..
--- a/unittests/scenarios/racing_operators.lua
+++ b/unittests/scenarios/racing_operators.lua
@@ -8,9 +8,9 @@
 for round = 1, 10 do
   local base = status(nodes[1]).revision
   local texts = {}
-  for index, data_centre in ipairs{"multan", "peshawar"} do
-    texts[index] = deployment_text{data_centres = {data_centre, "lahore"}, all_data_centres = all,
-                                   adapters = 3 + round}
+  for index = 1, 2 do
+    -- Both change the same sections, each to a value that was never there before.
+    texts[index] = deployment_text{all_data_centres = all, versions = "1, 2, " .. round * 10 + index}
   end
   local headers = {Authorization = "Bearer " .. token}
   local handles = {}
--- a/unittests/stand_ins/exchange.h
+++ b/unittests/stand_ins/exchange.h
@@ -39,9 +39,7 @@
     /// Body as JSON; throws json::exception.
     [[nodiscard]] json body() const { return json::parse(request_.body()); }
     /// A silent connection stays open even if its request asked to close it.
-    [[nodiscard]] bool keep_alive() const {
-        return !closed_ && (silent_ || request_.keep_alive());
-    }
+    [[nodiscard]] bool keep_alive() const { return !closed_ && (silent_ || request_.keep_alive()); }
 
     /// Adds a header to the next response.
     void add_header(const std::string& name, std::string value) {
