Shorten the stand-ins and close gaps in their failures

Ruled out: gcc 12 rejects initializer lists inside co_await expressions, so answers are returned as values and refusals thrown; INIReader cannot list sections, so the C interface of inih is used.

--- a/unittests/stand_ins/exchange.cpp
+++ b/unittests/stand_ins/exchange.cpp
@@ -102,15 +102,6 @@
     closed_ = closed_ || fault;
 }
 
-awaitable<void> exchange::refuse(http::status status, std::string message) {
-    if (status == http::status::too_many_requests || status == http::status::service_unavailable) {
-        add_header("Retry-After", "1");
-    }
-    json body;
-    body["error"] = std::move(message);
-    return respond(status, std::move(body));
-}
-
 awaitable<void> exchange::begin_stream() {
     if (mute()) {
         co_return;
--- a/unittests/stand_ins/exchange.h
+++ b/unittests/stand_ins/exchange.h
@@ -38,15 +38,14 @@
     [[nodiscard]] std::uint64_t header_number(std::string_view name, std::uint64_t fallback) const;
     /// Body as JSON; throws json::exception.
     [[nodiscard]] json body() const { return json::parse(request_.body()); }
-    [[nodiscard]] bool keep_alive() const { return request_.keep_alive() && !closed_; }
+    /// A silent connection stays open even if its request asked to close it.
+    [[nodiscard]] bool keep_alive() const { return !closed_ && (silent_ || request_.keep_alive()); }
 
     /// Adds a header to the next response.
     void add_header(const std::string& name, std::string value) {
         headers_[name] = std::move(value);
     }
     awaitable<void> respond(http::status status, json body);
-    /// Answers with an error message, and for 429 and 503 with Retry-After.
-    awaitable<void> refuse(http::status status, std::string message);
     /// Begins a chunked response of server-sent events.
     awaitable<void> begin_stream();
     awaitable<void> write(std::string bytes);
@@ -56,7 +55,6 @@
     void drop();
     /// Sends nothing more on this connection and leaves it open.
     void silence() { silent_ = true; }
-    [[nodiscard]] bool closed() const { return closed_; }
     /// True when the caller has closed the connection or it was dropped. A silent connection hides
     /// the caller's end as a broken path does.
     [[nodiscard]] bool caller_gone();
--- a/unittests/stand_ins/log_part.cpp
+++ b/unittests/stand_ins/log_part.cpp
@@ -1,7 +1,8 @@
-#include "log_part.h"
+#include "make_part.h"
+#include "rate_window.h"
 
 #include <algorithm>
-#include <string_view>
+#include <deque>
 
 namespace dragonflystair::stand_ins {
 
@@ -12,107 +13,123 @@
 constexpr std::uint64_t longest_wait_ms = 60'000;
 constexpr std::uint64_t largest_page = 1'000;
 
-} // namespace
-
-log_part::log_part(asio::any_io_executor context, section& settings)
-    : part(std::move(context), settings), appends_(settings.number("appends_per_second", 500)),
-      retention_(settings.number("retention", 100'000)) {
-    on_control("lose_answers", lose_answers_);
-    on_control("outage", [this](const json& value) {
-        outage_ = value.get<bool>();
-        for (auto& [name, target] : streams_) {
-            target.appended.notify_all();
-        }
-    });
-}
-
-awaitable<void> log_part::handle(exchange& call) {
-    const auto path = call.path();
-    const auto slash = path.rfind('/');
-    if (!path.starts_with(prefix) || slash < prefix.size()) {
-        co_await call.refuse(http::status::not_found, "no such path");
-        co_return;
-    }
-    auto& target = stream_named(path.substr(prefix.size(), slash - prefix.size()));
-    const auto action = path.substr(slash + 1);
-    if (outage_) {
-        count("refused_outage");
-        co_await call.refuse(http::status::service_unavailable, "outage");
-    } else if (call.method() == http::verb::post && action == "append") {
-        co_await append(call, target);
-    } else if (call.method() == http::verb::get && action == "records") {
-        co_await read(call, target);
-    } else {
-        co_await call.refuse(http::status::not_found, "no such path");
+/// The log service. Offsets start at 0 and rise by one per append. Repeated appends are kept as
+/// they come: dropping copies is the readers' task.
+class log_part : public part {
+public:
+    log_part(const asio::any_io_executor& context, section& settings)
+        : part(context, settings), appends_(settings.number("appends_per_second", 500)),
+          retention_(settings.number("retention", 100'000)) {
+        on_control("lose_answers", lose_answers_);
+        on_control("outage", [this](const json& value) {
+            outage_ = value.get<bool>();
+            for (auto& [name, target] : streams_) {
+                target.appended.notify_all();
+            }
+        });
     }
-}
 
-log_part::stream& log_part::stream_named(const std::string& name) {
-    return streams_.try_emplace(name, context()).first->second;
-}
+private:
+    struct stream {
+        explicit stream(const asio::any_io_executor& context) : appended(context) {}
+        std::uint64_t first = 0;
+        std::deque<json> records;
+        notifier appended;
+        [[nodiscard]] std::uint64_t next() const { return first + records.size(); }
+    };
 
-awaitable<void> log_part::append(exchange& call, stream& target) {
-    const auto body = call.body();
-    if (!body.at("payload").is_array()) {
-        throw std::runtime_error("payload is not an array");
-    }
-    if (!appends_.allow(steady::now())) {
-        count("refused_rate");
-        co_await call.refuse(http::status::too_many_requests, "over the append rate");
-        co_return;
-    }
-    const auto offset = target.next();
-    target.records.push_back({{"offset", offset},
-                              {"writer", body.at("writer").get<std::string>()},
-                              {"sequence", body.at("sequence").get<std::uint64_t>()},
-                              {"payload", body.at("payload")}});
-    if (target.records.size() > retention_) {
-        target.records.pop_front();
-        ++target.first;
-    }
-    count("appends");
-    target.appended.notify_all();
-    if (take_one(lose_answers_)) {
-        call.drop();
-        co_return;
+    awaitable<json> handle(exchange& call) override {
+        const auto path = call.path();
+        const auto slash = path.rfind('/');
+        if (!path.starts_with(prefix) || slash < prefix.size()) {
+            refuse(http::status::not_found, "no such path");
+        }
+        check_outage();
+        const auto name = path.substr(prefix.size(), slash - prefix.size());
+        auto& target = streams_.try_emplace(name, context()).first->second;
+        if (call.is(http::verb::post, path.substr(0, slash) + "/append")) {
+            co_return append(call, target);
+        }
+        if (call.is(http::verb::get, path.substr(0, slash) + "/records")) {
+            co_return co_await read(call, target);
+        }
+        refuse(http::status::not_found, "no such path");
     }
-    const json answer{{"offset", offset}};
-    co_await call.respond(http::status::ok, answer);
-}
 
-awaitable<void> log_part::read(exchange& call, stream& source) {
-    const auto from = call.query_number("from", 0);
-    const auto limit = std::min(call.query_number("limit", largest_page), largest_page);
-    const auto wait_ms = std::min(call.query_number("wait_ms", 0), longest_wait_ms);
-    const auto deadline = steady::now() + std::chrono::milliseconds{wait_ms};
-    while (!outage_ && from >= source.next() && steady::now() < deadline) {
-        co_await source.appended.wait_until(deadline);
-    }
-    if (outage_) {
-        co_await call.refuse(http::status::service_unavailable, "outage");
-        co_return;
+    [[nodiscard]] json report() const override {
+        auto facts = part::report();
+        for (const auto& [name, item] : streams_) {
+            facts["streams"][name] = {{"first", item.first}, {"next", item.next()}};
+        }
+        return facts;
     }
-    if (from < source.first) {
-        const json oldest{{"first", source.first}};
-        co_await call.respond(http::status::gone, oldest);
-        co_return;
+
+    json append(exchange& call, stream& target) {
+        auto body = call.body();
+        if (!body.at("payload").is_array()) {
+            throw std::runtime_error("payload is not an array");
+        }
+        if (!appends_.allow(steady::now())) {
+            refuse(http::status::too_many_requests, "over the append rate");
+        }
+        const auto offset = target.next();
+        target.records.push_back({{"offset", offset},
+                                  {"writer", body.at("writer").get<std::string>()},
+                                  {"sequence", body.at("sequence").get<std::uint64_t>()},
+                                  {"payload", std::move(body["payload"])}});
+        if (target.records.size() > retention_) {
+            target.records.pop_front();
+            ++target.first;
+        }
+        count("appends");
+        target.appended.notify_all();
+        if (take_one(lose_answers_)) {
+            call.drop();
+        }
+        return {{"offset", offset}};
     }
-    auto records = json::array();
-    for (auto offset = from; offset < source.next() && records.size() < limit; ++offset) {
-        records.push_back(source.records[offset - source.first]);
+
+    awaitable<json> read(exchange& call, stream& source) {
+        const auto from = call.query_number("from", 0);
+        const auto limit = std::min(call.query_number("limit", largest_page), largest_page);
+        const auto wait_ms = std::min(call.query_number("wait_ms", 0), longest_wait_ms);
+        const auto deadline = steady::now() + std::chrono::milliseconds{wait_ms};
+        while (!outage_ && from >= source.next() && steady::now() < deadline) {
+            co_await source.appended.wait_until(deadline);
+        }
+        check_outage();
+        json page{{"first", source.first}};
+        if (from < source.first) {
+            co_await call.respond(http::status::gone, page);
+            co_return nullptr;
+        }
+        page["records"] = json::array();
+        auto next = from;
+        for (; next < source.next() && next - from < limit; ++next) {
+            page["records"].push_back(source.records[next - source.first]);
+        }
+        page["next"] = next;
+        count("reads");
+        co_return page;
     }
-    const auto next = from + records.size();
-    count("reads");
-    const json page{{"first", source.first}, {"next", next}, {"records", std::move(records)}};
-    co_await call.respond(http::status::ok, page);
-}
 
-json log_part::report() const {
-    auto facts = part::report();
-    for (const auto& [name, item] : streams_) {
-        facts["streams"][name] = {{"first", item.first}, {"next", item.next()}};
+    void check_outage() {
+        if (outage_) {
+            refuse(http::status::service_unavailable, "outage");
+        }
     }
-    return facts;
+
+    rate_window appends_;
+    std::uint64_t retention_;
+    bool outage_ = false;
+    std::uint64_t lose_answers_ = 0;
+    std::map<std::string, stream> streams_;
+};
+
+} // namespace
+
+std::shared_ptr<part> make_log(const asio::any_io_executor& context, section& settings) {
+    return std::make_shared<log_part>(context, settings);
 }
 
 } // namespace dragonflystair::stand_ins
--- a/unittests/stand_ins/main.cpp
+++ b/unittests/stand_ins/main.cpp
@@ -1,8 +1,4 @@
-#include "engine_part.h"
-#include "log_part.h"
-#include "plain_part.h"
-#include "store_part.h"
-#include "vm_list_part.h"
+#include "make_part.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -12,7 +8,6 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
-#include <stdexcept>
 
 namespace dragonflystair::stand_ins {
 
@@ -29,49 +24,30 @@
   --ports-file FILE  Written once all parts listen: NAME=IP:PORT, one a line.
 )";
 
-std::shared_ptr<part> make_part(const asio::any_io_executor& context, section& settings) {
-    const auto& kind = settings.kind();
-    if (kind == "log") {
-        return std::make_shared<log_part>(context, settings);
-    }
-    if (kind == "store") {
-        return std::make_shared<store_part>(context, settings);
-    }
-    if (kind == "vms") {
-        return std::make_shared<vm_list_part>(context, settings);
-    }
-    if (kind == "engine") {
-        return std::make_shared<engine_part>(context, settings);
-    }
-    if (kind == "plain") {
-        return std::make_shared<plain_part>(context, settings);
-    }
-    throw std::runtime_error(fmt::format("[{}] is no kind of part", kind));
-}
+using maker = std::shared_ptr<part> (*)(const asio::any_io_executor&, section&);
 
-using parts = std::map<std::string, std::shared_ptr<part>>;
+const std::map<std::string, maker>& makers() {
+    static const std::map<std::string, maker> all{{"log", make_log},
+                                                  {"store", make_store},
+                                                  {"vms", make_vm_list},
+                                                  {"engine", make_engine},
+                                                  {"plain", make_plain}};
+    return all;
+}
 
-/// Tells the engines where the store is and the VM list which endpoints there are.
-void connect(const parts& started, std::vector<section>& settings) {
-    const auto store = started.find("store");
-    const auto vms = started.find("vms");
-    const auto list =
-        vms == started.end() ? nullptr : std::dynamic_pointer_cast<vm_list_part>(vms->second);
-    for (auto& entry : settings) {
-        if (entry.kind() != "engine" && entry.kind() != "plain") {
-            continue;
-        }
-        const auto& endpoint = started.at(entry.name());
-        const auto data_centre = entry.text("data_centre", "");
-        const auto service = entry.text("service", "");
-        if (list) {
-            list->list(entry.name(), endpoint->address(), data_centre, service);
+parts make_parts(const asio::any_io_executor& context, const std::string& settings_file) {
+    parts made;
+    for (auto& entry : read_settings(settings_file)) {
+        const auto make = makers().find(entry.kind());
+        if (make == makers().end()) {
+            throw std::runtime_error(fmt::format("[{}] is no kind of part", entry.heading()));
         }
-        if (const auto engine = std::dynamic_pointer_cast<engine_part>(endpoint);
-            engine && store != started.end()) {
-            engine->use_store(store->second->address());
+        if (!made.emplace(entry.name(), make->second(context, entry)).second) {
+            throw std::runtime_error(fmt::format("two parts are named '{}'", entry.name()));
         }
+        entry.check_all_used();
     }
+    return made;
 }
 
 /// Writes the file under another name first, so that no reader sees a part of it.
@@ -87,29 +63,19 @@
     }
 }
 
-int run(const std::string& settings_file, const std::string& ports_file) {
+void run(const std::string& settings_file, const std::string& ports_file) {
     asio::io_context context(1);
-    auto settings = read_settings(settings_file);
-    parts started;
-    for (auto& entry : settings) {
-        if (!started.emplace(entry.name(), make_part(context.get_executor(), entry)).second) {
-            throw std::runtime_error(fmt::format("two parts are named '{}'", entry.name()));
-        }
-    }
-    connect(started, settings);
-    for (auto& entry : settings) {
-        entry.check_all_used();
-    }
+    asio::signal_set stops(context, SIGINT, SIGTERM);
+    stops.async_wait([&context](const boost::system::error_code&, int) { context.stop(); });
+    const auto started = make_parts(context.get_executor(), settings_file);
     for (const auto& [name, item] : started) {
+        item->connect(started);
         item->start();
     }
     if (!ports_file.empty()) {
         write_ports(ports_file, started);
     }
-    asio::signal_set stops(context, SIGINT, SIGTERM);
-    stops.async_wait([&context](const boost::system::error_code&, int) { context.stop(); });
     context.run();
-    return 0;
 }
 
 } // namespace
@@ -117,14 +83,14 @@
 } // namespace dragonflystair::stand_ins
 
 int main(int argc, char** argv) {
-    const auto options =
-        docopt::docopt(dragonflystair::stand_ins::usage, {argv + 1, argv + argc}, true);
+    using namespace dragonflystair::stand_ins;
+    const auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true);
     const auto& ports_file = options.at("--ports-file");
     try {
-        return dragonflystair::stand_ins::run(options.at("--settings").asString(),
-                                              ports_file ? ports_file.asString() : "");
+        run(options.at("--settings").asString(), ports_file ? ports_file.asString() : "");
     } catch (const std::exception& error) {
         fmt::print(stderr, "error: {}\n", error.what());
         return 1;
     }
+    return 0;
 }
--- a/unittests/stand_ins/part.cpp
+++ b/unittests/stand_ins/part.cpp
@@ -4,24 +4,24 @@
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
-#include <stdexcept>
 
 namespace dragonflystair::stand_ins {
 
 asio::ip::tcp::endpoint endpoint_of(const std::string& address) {
-    const auto colon = std::min(address.rfind(':'), address.size());
-    const auto digits = address.substr(std::min(colon + 1, address.size()));
+    const auto digits = address.substr(address.find(':') + 1);
     std::uint16_t port = 0;
     const auto [stop, fault] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    if (fault != std::errc{} || stop != digits.data() + digits.size()) {
+    if (digits == address || fault != std::errc{} || stop != digits.data() + digits.size()) {
         throw std::runtime_error(fmt::format("'{}' is not of the form IP:PORT", address));
     }
-    return {asio::ip::make_address(address.substr(0, colon)), port};
+    return {asio::ip::make_address(address.substr(0, address.find(':'))), port};
 }
 
 part::part(asio::any_io_executor context, section& settings)
     : context_(std::move(context)), name_(settings.name()),
+      data_centre_(settings.text("data_centre", "")), service_(settings.text("service", "")),
       acceptor_(context_, endpoint_of(settings.text("address", "127.0.0.1:0"))) {}
 
 std::string part::address() const {
@@ -29,6 +29,14 @@
     return fmt::format("{}:{}", bound.address().to_string(), bound.port());
 }
 
+json part::listing() const {
+    return {{"id", name_},
+            {"address", address()},
+            {"data_centre", data_centre_},
+            {"service", service_},
+            {"state", "live"}};
+}
+
 void part::start() {
     asio::co_spawn(
         context_, [self = shared_from_this()] { return self->accept(); }, asio::detached);
@@ -38,14 +46,19 @@
     changes_[std::move(key)] = std::move(change);
 }
 
+void part::refuse(http::status status, const std::string& reason) {
+    count("refused: " + reason);
+    throw refusal(status, reason);
+}
+
 std::set<exchange*> part::other_connections() const {
     auto others = connections_;
     others.erase(controlling_);
     return others;
 }
 
-awaitable<void> part::sleep(std::chrono::nanoseconds time) {
-    asio::steady_timer timer(context_, time);
+awaitable<void> part::sleep(std::chrono::milliseconds time, double factor) const {
+    asio::steady_timer timer(context_, scaled(time, factor));
     co_await timer.async_wait(returned);
 }
 
@@ -79,22 +92,31 @@
 }
 
 awaitable<void> part::answer(exchange& call) {
-    std::string fault;
+    auto status = http::status::ok;
+    json body;
     try {
         if (call.is(http::verb::post, "/control")) {
-            co_await control(call);
-            co_return;
+            body = control(call);
+        } else {
+            body = co_await handle(call);
         }
-        co_await handle(call);
+    } catch (const refusal& refused) {
+        status = refused.status;
+        body["error"] = refused.what();
     } catch (const std::exception& error) {
-        fault = error.what();
+        status = http::status::bad_request;
+        body["error"] = error.what();
+    }
+    controlling_ = nullptr;
+    if (status == http::status::too_many_requests || status == http::status::service_unavailable) {
+        call.add_header("Retry-After", "1");
     }
-    if (!fault.empty()) {
-        co_await call.refuse(http::status::bad_request, fault);
+    if (!body.is_null()) {
+        co_await call.respond(status, std::move(body));
     }
 }
 
-awaitable<void> part::control(exchange& call) {
+json part::control(exchange& call) {
     const auto body = call.body();
     for (const auto& [key, value] : body.items()) {
         if (!changes_.contains(key)) {
@@ -105,8 +127,7 @@
     for (const auto& [key, value] : body.items()) {
         changes_.at(key)(value);
     }
-    controlling_ = nullptr;
-    co_await call.respond(http::status::ok, report());
+    return report();
 }
 
 } // namespace dragonflystair::stand_ins
--- a/unittests/stand_ins/part.h
+++ b/unittests/stand_ins/part.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "exchange.h"
+#include "refusal.h"
 #include "section.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -14,6 +15,11 @@
 
 namespace dragonflystair::stand_ins {
 
+class part;
+
+/// All parts by name.
+using parts = std::map<std::string, std::shared_ptr<part>>;
+
 /// Reads `IP:PORT`. Throws std::runtime_error.
 asio::ip::tcp::endpoint endpoint_of(const std::string& address);
 
@@ -27,38 +33,47 @@
     part(const part&) = delete;
     part& operator=(const part&) = delete;
 
-    [[nodiscard]] const std::string& name() const { return name_; }
     /// Address with the port in use.
     [[nodiscard]] std::string address() const;
+    /// Entry in the VM list; its service is empty for what is not an endpoint.
+    [[nodiscard]] json listing() const;
+    /// Tells the part what the others are.
+    virtual void connect(const parts& /*all*/) {}
     void start();
 
 protected:
-    virtual awaitable<void> handle(exchange& call) = 0;
+    /// Returns the body of a 200, or null after a stream of its own. Throws refusal, or any other
+    /// std::exception for a malformed request, which becomes 400.
+    virtual awaitable<json> handle(exchange& call) = 0;
     /// Counters and other facts that tests check.
     [[nodiscard]] virtual json report() const { return counted_; }
 
     /// Registers what a key of `POST /control` does.
     void on_control(std::string key, std::function<void(const json&)> change);
-    /// Registers a key that sets a variable. `{"slow":2}` then means twice as slow.
+    /// Registers a key that sets a variable.
     template <class Value> void on_control(std::string key, Value& variable) {
         on_control(std::move(key),
                    [&variable](const json& value) { variable = value.get<Value>(); });
     }
 
     void count(const std::string& counter) { ++counted_[counter]; }
+    /// Counts and throws a refusal.
+    [[noreturn]] void refuse(http::status status, const std::string& reason);
     [[nodiscard]] asio::any_io_executor context() const { return context_; }
     /// All connections but the one that carries the control request under way.
     [[nodiscard]] std::set<exchange*> other_connections() const;
-    awaitable<void> sleep(std::chrono::nanoseconds time);
+    awaitable<void> sleep(std::chrono::milliseconds time, double factor = 1) const;
 
 private:
     awaitable<void> accept();
     awaitable<void> serve(asio::ip::tcp::socket socket);
     awaitable<void> answer(exchange& call);
-    awaitable<void> control(exchange& call);
+    json control(exchange& call);
 
     asio::any_io_executor context_;
     std::string name_;
+    std::string data_centre_;
+    std::string service_;
     asio::ip::tcp::acceptor acceptor_;
     std::map<std::string, std::function<void(const json&)>> changes_;
     std::map<std::string, std::uint64_t> counted_;
@@ -69,11 +84,12 @@
 /// True when `remaining` was above zero, and takes one from it. For failures given as a number of
 /// times.
 inline bool take_one(std::uint64_t& remaining) {
-    if (remaining == 0) {
-        return false;
-    }
-    --remaining;
-    return true;
+    return remaining != 0 && remaining-- != 0;
+}
+
+/// `time` made longer by `factor`.
+inline steady::duration scaled(std::chrono::milliseconds time, double factor) {
+    return std::chrono::duration_cast<steady::duration>(time * factor);
 }
 
 } // namespace dragonflystair::stand_ins
--- a/unittests/stand_ins/plain_part.cpp
+++ b/unittests/stand_ins/plain_part.cpp
@@ -1,67 +1,87 @@
-#include "plain_part.h"
+#include "make_part.h"
 
 #include <algorithm>
+#include <sstream>
+#include <unordered_set>
 
 namespace dragonflystair::stand_ins {
 
-plain_part::plain_part(asio::any_io_executor context, section& settings)
-    : part(std::move(context), settings),
-      run_time_(settings.duration("run_time", std::chrono::milliseconds{20})),
-      status_prefixes_(
-          settings.list("status_prefixes", "/stamps, /permits, /checkouts, /returns")) {
-    on_control("slow", slow_);
-    on_control("refuse", refuse_);
-    on_control("silent_after_run", silent_after_run_);
-    on_control("drop_after_run", drop_after_run_);
-}
+namespace {
 
-awaitable<void> plain_part::handle(exchange& call) {
-    if (call.is(http::verb::get, "/executions")) {
-        co_await call.respond(http::status::ok, executions_);
-    } else if (is_status_lookup(call)) {
-        co_await look_up(call);
-    } else if (take_one(refuse_)) {
-        count("refused");
-        call.add_header("X-Not-Run", "true");
-        co_await call.refuse(http::status::service_unavailable, "refused");
-    } else {
-        co_await run(call);
+/// A plain service. It runs every request it gets, so a repeated one shows in `GET /executions`.
+/// `GET PREFIX/KEY` under a status prefix gives the stored result of a key and runs nothing.
+class plain_part : public part {
+public:
+    plain_part(const asio::any_io_executor& context, section& settings)
+        : part(context, settings),
+          run_time_(settings.duration("run_time", std::chrono::milliseconds{20})) {
+        auto prefixes = settings.text("status_prefixes", "/stamps, /permits, /checkouts, /returns");
+        std::ranges::replace(prefixes, ',', ' ');
+        std::istringstream words(prefixes);
+        for (std::string prefix; words >> prefix;) {
+            status_prefixes_.insert(prefix);
+        }
+        on_control("slow", slow_);
+        on_control("refuse", refuse_);
+        on_control("silent_after_run", silent_after_run_);
+        on_control("drop_after_run", drop_after_run_);
     }
-}
 
-bool plain_part::is_status_lookup(const exchange& call) const {
-    const auto path = call.path();
-    const auto parent = path.substr(0, path.rfind('/'));
-    return call.method() == http::verb::get &&
-           std::ranges::find(status_prefixes_, parent) != status_prefixes_.end();
-}
-
-awaitable<void> plain_part::look_up(exchange& call) {
-    const auto path = call.path();
-    const auto found = results_.find(path.substr(path.rfind('/') + 1));
-    if (found == results_.end()) {
-        co_await call.refuse(http::status::not_found, "no such key");
-        co_return;
+private:
+    awaitable<json> handle(exchange& call) override {
+        if (call.is(http::verb::get, "/executions")) {
+            co_return json(executions_);
+        }
+        const auto path = call.path();
+        const auto slash = path.rfind('/');
+        if (call.method() == http::verb::get && status_prefixes_.contains(path.substr(0, slash))) {
+            const auto found = results_.find(path.substr(slash + 1));
+            if (found == results_.end()) {
+                refuse(http::status::not_found, "no such key");
+            }
+            co_return found->second;
+        }
+        if (take_one(refuse_)) {
+            call.add_header("X-Not-Run", "true");
+            refuse(http::status::service_unavailable, "not run");
+        }
+        co_return co_await run(call);
     }
-    co_await call.respond(http::status::ok, found->second);
-}
 
-awaitable<void> plain_part::run(exchange& call) {
-    co_await sleep(std::chrono::duration_cast<std::chrono::nanoseconds>(run_time_ * slow_));
-    const auto key = call.header("Idempotency-Key");
-    json result{{"service", name()}, {"path", call.path()}, {"serial", ++serial_}};
-    if (!key.empty()) {
-        result["key"] = key;
-        ++executions_[key];
-        results_[key] = result;
+    awaitable<json> run(exchange& call) {
+        co_await sleep(run_time_, slow_);
+        const auto key = call.header("Idempotency-Key");
+        json result{
+            {"service", listing().at("service")}, {"path", call.path()}, {"serial", ++serial_}};
+        if (!key.empty()) {
+            result["key"] = key;
+            ++executions_[key];
+            results_[key] = result;
+        }
+        count("runs");
+        if (take_one(drop_after_run_)) {
+            call.drop();
+        } else if (take_one(silent_after_run_)) {
+            call.silence();
+        }
+        co_return result;
     }
-    count("runs");
-    if (take_one(drop_after_run_)) {
-        call.drop();
-    } else if (take_one(silent_after_run_)) {
-        call.silence();
-    }
-    co_await call.respond(http::status::ok, result);
+
+    std::chrono::milliseconds run_time_;
+    std::unordered_set<std::string> status_prefixes_;
+    double slow_ = 1;
+    std::uint64_t refuse_ = 0;
+    std::uint64_t silent_after_run_ = 0;
+    std::uint64_t drop_after_run_ = 0;
+    std::uint64_t serial_ = 0;
+    std::map<std::string, std::uint64_t> executions_;
+    std::map<std::string, json> results_;
+};
+
+} // namespace
+
+std::shared_ptr<part> make_plain(const asio::any_io_executor& context, section& settings) {
+    return std::make_shared<plain_part>(context, settings);
 }
 
 } // namespace dragonflystair::stand_ins
--- a/unittests/stand_ins/section.cpp
+++ b/unittests/stand_ins/section.cpp
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <charconv>
 #include <ini.h>
 #include <stdexcept>
@@ -11,100 +10,70 @@
 
 namespace {
 
-std::string trimmed(std::string_view value) {
-    const auto begin = value.find_first_not_of(" \t");
-    if (begin == std::string_view::npos) {
-        return {};
-    }
-    return std::string(value.substr(begin, value.find_last_not_of(" \t") - begin + 1));
-}
-
-int add_value(void* user, const char* title, const char* key, const char* value) {
+int add_value(void* user, const char* heading, const char* key, const char* value) {
     auto& sections = *static_cast<std::vector<section>*>(user);
-    const std::string_view heading(title);
-    const auto blank = std::min(heading.find(' '), heading.size());
-    const section wanted(std::string(heading.substr(0, blank)), trimmed(heading.substr(blank)));
-    auto found = std::ranges::find_if(sections, [&](const section& known) {
-        return known.kind() == wanted.kind() && known.name() == wanted.name();
-    });
-    if (found == sections.end()) {
-        found = sections.insert(found, wanted);
+    if (sections.empty() || sections.back().heading() != heading) {
+        sections.emplace_back(heading);
     }
-    found->set(key, value);
+    sections.back().set(key, value);
     return 1;
 }
 
 } // namespace
 
-std::string section::text(const std::string& key, std::string_view fallback) {
-    used_.insert(key);
-    const auto found = values_.find(key);
-    return found == values_.end() ? std::string(fallback) : found->second;
-}
+section::section(std::string_view heading)
+    : heading_(heading), kind_(heading.substr(0, heading.find(' '))),
+      name_(heading.substr(heading.find(' ') + 1)) {}
 
-std::uint64_t section::number(const std::string& key, std::uint64_t fallback) {
-    const auto value = text(key, std::to_string(fallback));
-    std::uint64_t parsed = 0;
-    const auto* end = value.data() + value.size();
-    const auto [stop, fault] = std::from_chars(value.data(), end, parsed);
-    if (fault != std::errc{} || stop != end) {
-        fail(key, "a whole number");
-    }
-    return parsed;
+std::string section::text(const std::string& key, std::string fallback) {
+    auto taken = values_.extract(key);
+    return taken ? std::move(taken.mapped()) : std::move(fallback);
 }
 
-bool section::yes_or_no(const std::string& key, bool fallback) {
-    const auto value = text(key, fallback ? "yes" : "no");
-    if (value != "yes" && value != "no") {
-        fail(key, "yes or no");
-    }
-    return value == "yes";
+std::uint64_t section::number(const std::string& key, std::uint64_t fallback) {
+    return quantity(key, text(key, std::to_string(fallback)), {{"", 1}});
 }
 
 std::chrono::milliseconds section::duration(const std::string& key,
                                             std::chrono::milliseconds fallback) {
     const auto value = text(key, fmt::format("{}ms", fallback.count()));
-    std::uint64_t amount = 0;
-    const auto* end = value.data() + value.size();
-    const auto [stop, fault] = std::from_chars(value.data(), end, amount);
-    const std::string_view unit(stop, end);
-    if (fault != std::errc{} || (unit != "ms" && unit != "s")) {
-        fail(key, "a duration such as 250ms or 2s");
-    }
-    return std::chrono::milliseconds{unit == "s" ? amount * 1000 : amount};
+    return std::chrono::milliseconds{quantity(key, value, {{"ms", 1}, {"s", 1'000}})};
 }
 
-std::vector<std::string> section::list(const std::string& key, std::string_view fallback) {
-    const auto value = text(key, fallback);
-    std::vector<std::string> items;
-    for (std::size_t begin = 0; begin < value.size();) {
-        const auto comma = std::min(value.find(',', begin), value.size());
-        items.push_back(trimmed(std::string_view(value).substr(begin, comma - begin)));
-        begin = comma + 1;
+bool section::yes_or_no(const std::string& key, bool fallback) {
+    const auto value = text(key, fallback ? "yes" : "no");
+    if (value != "yes" && value != "no") {
+        throw std::runtime_error(fmt::format("[{}] {} must be yes or no", heading_, key));
     }
-    return items;
+    return value == "yes";
 }
 
 void section::check_all_used() const {
-    for (const auto& [key, value] : values_) {
-        if (!used_.contains(key)) {
-            throw std::runtime_error(fmt::format("[{}] has an unknown key '{}'", name(), key));
-        }
+    if (!values_.empty()) {
+        throw std::runtime_error(
+            fmt::format("[{}] has an unknown key '{}'", heading_, values_.begin()->first));
     }
 }
 
-void section::fail(const std::string& key, std::string_view expected) const {
-    throw std::runtime_error(fmt::format("[{}] {} must be {}", name(), key, expected));
+std::uint64_t section::quantity(const std::string& key, const std::string& value,
+                                const std::map<std::string_view, std::uint64_t>& units) const {
+    std::uint64_t amount = 0;
+    const auto* end = value.data() + value.size();
+    const auto [stop, fault] = std::from_chars(value.data(), end, amount);
+    const auto unit = units.find(std::string_view(stop, end));
+    if (fault != std::errc{} || unit == units.end()) {
+        throw std::runtime_error(fmt::format("[{}] {} = {} is no whole number with {}", heading_,
+                                             key, value,
+                                             units.size() > 1 ? "unit ms or s" : "no unit"));
+    }
+    return amount * unit->second;
 }
 
 std::vector<section> read_settings(const std::string& file) {
     std::vector<section> sections;
     const int line = ini_parse(file.c_str(), add_value, &sections);
-    if (line < 0) {
-        throw std::runtime_error(fmt::format("{}: cannot be read", file));
-    }
-    if (line > 0) {
-        throw std::runtime_error(fmt::format("{}:{}: error: syntax error", file, line));
+    if (line != 0) {
+        throw std::runtime_error(fmt::format("{}:{}: error: cannot be read", file, line));
     }
     return sections;
 }
--- a/unittests/stand_ins/store_part.cpp
+++ b/unittests/stand_ins/store_part.cpp
@@ -1,7 +1,7 @@
-#include "store_part.h"
+#include "make_part.h"
+#include "rate_window.h"
 
 #include <algorithm>
-#include <string_view>
 
 namespace dragonflystair::stand_ins {
 
@@ -9,69 +9,83 @@
 
 constexpr std::string_view prefix = "/v1/adapters/";
 
-} // namespace
-
-store_part::store_part(asio::any_io_executor context, section& settings)
-    : part(context, settings), loads_(settings.number("loads_per_second", 6)),
-      concurrent_loads_(settings.number("concurrent_loads", 3)),
-      transit_limit_(settings.number("transit_limit", 24)),
-      base_load_time_(settings.duration("load_time", std::chrono::milliseconds{250})),
-      changed_(std::move(context)) {
-    on_control("slow", slow_);
-    on_control("down", [this](const json& value) {
-        down_ = value.get<bool>();
-        changed_.notify_all();
-    });
-}
-
-awaitable<void> store_part::handle(exchange& call) {
-    if (call.method() != http::verb::get || !call.path().starts_with(prefix)) {
-        co_await call.refuse(http::status::not_found, "no such path");
-        co_return;
+/// The weight store. At most `concurrent_loads` transfer at a time and the others wait; all of them
+/// are in transit. A transfer takes the load time, times the number in transit over the transit
+/// limit when that is above one.
+class store_part : public part {
+public:
+    store_part(const asio::any_io_executor& context, section& settings)
+        : part(context, settings), loads_(settings.number("loads_per_second", 6)),
+          concurrent_loads_(settings.number("concurrent_loads", 3)),
+          transit_limit_(settings.number("transit_limit", 24)),
+          load_time_(settings.duration("load_time", std::chrono::milliseconds{250})),
+          changed_(context) {
+        on_control("slow", slow_);
+        on_control("down", [this](const json& value) {
+            down_ = value.get<bool>();
+            changed_.notify_all();
+        });
     }
-    if (!down_ && !loads_.allow(steady::now())) {
-        count("refused_rate");
-        co_await call.refuse(http::status::too_many_requests, "over the load rate");
-        co_return;
+
+private:
+    awaitable<json> handle(exchange& call) override {
+        if (call.method() != http::verb::get || !call.path().starts_with(prefix)) {
+            refuse(http::status::not_found, "no such path");
+        }
+        if (!down_ && !loads_.allow(steady::now())) {
+            refuse(http::status::too_many_requests, "over the load rate");
+        }
+        most_in_transit_ = std::max(most_in_transit_, ++in_transit_);
+        co_await transfer();
+        --in_transit_;
+        if (down_) {
+            refuse(http::status::service_unavailable, "outage");
+        }
+        const auto name = call.path().substr(prefix.size());
+        count("loads");
+        ++loads_by_adapter_[name];
+        co_return json{{"name", name}};
     }
-    most_in_transit_ = std::max(most_in_transit_, ++in_transit_);
-    co_await transfer(call);
-    --in_transit_;
-}
 
-awaitable<void> store_part::transfer(exchange& call) {
-    while (!down_ && transferring_ >= concurrent_loads_) {
-        co_await changed_.wait();
+    [[nodiscard]] json report() const override {
+        auto facts = part::report();
+        facts["in_transit"] = in_transit_;
+        facts["most_in_transit"] = most_in_transit_;
+        facts["loads_by_adapter"] = loads_by_adapter_;
+        return facts;
     }
-    if (!down_) {
+
+    awaitable<void> transfer() {
+        while (!down_ && transferring_ >= concurrent_loads_) {
+            co_await changed_.wait();
+        }
         ++transferring_;
-        co_await changed_.wait_until(steady::now() + load_time());
+        const auto crowding = std::max(1.0, double(in_transit_) / double(transit_limit_));
+        const auto end = steady::now() + scaled(load_time_, slow_ * crowding);
+        while (!down_ && steady::now() < end) {
+            co_await changed_.wait_until(end);
+        }
         --transferring_;
         changed_.notify_all();
     }
-    if (down_) {
-        count("refused_down");
-        co_await call.refuse(http::status::service_unavailable, "outage");
-        co_return;
-    }
-    const auto name = call.path().substr(prefix.size());
-    count("loads");
-    ++loads_by_adapter_[name];
-    const json answer{{"name", name}};
-    co_await call.respond(http::status::ok, answer);
-}
 
-std::chrono::nanoseconds store_part::load_time() const {
-    const auto crowding = std::max(1.0, double(in_transit_) / double(transit_limit_));
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(base_load_time_ * slow_ * crowding);
-}
+    rate_window loads_;
+    std::uint64_t concurrent_loads_;
+    std::uint64_t transit_limit_;
+    std::chrono::milliseconds load_time_;
+    bool down_ = false;
+    double slow_ = 1;
+    std::uint64_t in_transit_ = 0;
+    std::uint64_t most_in_transit_ = 0;
+    std::uint64_t transferring_ = 0;
+    notifier changed_;
+    std::map<std::string, std::uint64_t> loads_by_adapter_;
+};
+
+} // namespace
 
-json store_part::report() const {
-    auto facts = part::report();
-    facts["in_transit"] = in_transit_;
-    facts["most_in_transit"] = most_in_transit_;
-    facts["loads_by_adapter"] = loads_by_adapter_;
-    return facts;
+std::shared_ptr<part> make_store(const asio::any_io_executor& context, section& settings) {
+    return std::make_shared<store_part>(context, settings);
 }
 
 } // namespace dragonflystair::stand_ins
--- a/unittests/stand_ins/vm_list_part.cpp
+++ b/unittests/stand_ins/vm_list_part.cpp
@@ -1,73 +1,75 @@
-#include "vm_list_part.h"
+#include "make_part.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <fmt/format.h>
-
-#include <stdexcept>
 
 namespace dragonflystair::stand_ins {
 
-vm_list_part::vm_list_part(asio::any_io_executor context, section& settings)
-    : part(std::move(context), settings),
-      lag_(settings.duration("lag", std::chrono::milliseconds{2'000})) {
-    on_control("leaving", [this](const json& value) {
-        const auto id = value.get<std::string>();
-        if (!vms_.contains(id)) {
-            throw std::runtime_error(fmt::format("no VM '{}'", id));
-        }
-        apply_later([this, id] {
-            if (const auto found = vms_.find(id); found != vms_.end()) {
-                found->second["state"] = "leaving";
+namespace {
+
+/// The platform's list of VMs: at first all parts with a service. A change shows after the lag.
+class vm_list_part : public part {
+public:
+    vm_list_part(const asio::any_io_executor& context, section& settings)
+        : part(context, settings),
+          lag_(settings.duration("lag", std::chrono::milliseconds{2'000})) {
+        on_control("leaving", [this](const json& id) {
+            json changed = vms_.at(id.get<std::string>());
+            changed["state"] = "leaving";
+            apply_later([this, changed] { vms_[changed.at("id")] = changed; });
+        });
+        on_control("remove", [this](const json& id) {
+            apply_later([this, gone = id.get<std::string>()] { vms_.erase(gone); });
+        });
+        on_control("add", [this](const json& value) {
+            json added{{"state", "live"}};
+            added.update(value);
+            for (const auto* key : {"id", "address", "data_centre", "service"}) {
+                static_cast<void>(added.at(key));
             }
+            apply_later([this, added] { vms_[added.at("id")] = added; });
         });
-    });
-    on_control("remove", [this](const json& value) {
-        apply_later([this, id = value.get<std::string>()] { vms_.erase(id); });
-    });
-    on_control("add", [this](const json& value) {
-        json added = value;
-        added.emplace("state", "live");
-        for (const auto* key : {"id", "address", "data_centre", "service"}) {
-            if (!added.contains(key)) {
-                throw std::runtime_error(fmt::format("a VM needs '{}'", key));
+    }
+
+    void connect(const parts& all) override {
+        for (const auto& [name, item] : all) {
+            if (const auto vm = item->listing(); !vm.at("service").get<std::string>().empty()) {
+                vms_[name] = vm;
             }
         }
-        apply_later([this, added] { vms_[added.at("id").get<std::string>()] = added; });
-    });
-}
+    }
 
-void vm_list_part::list(const std::string& id, const std::string& address,
-                        const std::string& data_centre, const std::string& service) {
-    vms_[id] = {{"id", id},
-                {"address", address},
-                {"data_centre", data_centre},
-                {"service", service},
-                {"state", "live"}};
-}
+private:
+    awaitable<json> handle(exchange& call) override {
+        if (!call.is(http::verb::get, "/v1/vms")) {
+            refuse(http::status::not_found, "no such path");
+        }
+        json listed{{"vms", json::array()}};
+        for (const auto& [id, vm] : vms_) {
+            listed["vms"].push_back(vm);
+        }
+        co_return listed;
+    }
 
-awaitable<void> vm_list_part::handle(exchange& call) {
-    if (!call.is(http::verb::get, "/v1/vms")) {
-        co_await call.refuse(http::status::not_found, "no such path");
-        co_return;
+    void apply_later(std::function<void()> change) {
+        asio::co_spawn(context(), apply_after_lag(shared_from_this(), std::move(change)),
+                       asio::detached);
     }
-    auto listed = json::array();
-    for (const auto& [id, vm] : vms_) {
-        listed.push_back(vm);
+
+    /// Holds `self` so that the list outlives the wait.
+    awaitable<void> apply_after_lag(std::shared_ptr<part> /*self*/, std::function<void()> change) {
+        co_await sleep(lag_);
+        change();
     }
-    const json answer{{"vms", listed}};
-    co_await call.respond(http::status::ok, answer);
-}
 
-void vm_list_part::apply_later(std::function<void()> change) {
-    asio::co_spawn(context(), apply_after_lag(shared_from_this(), std::move(change)),
-                   asio::detached);
-}
+    std::chrono::milliseconds lag_;
+    std::map<std::string, json> vms_;
+};
+
+} // namespace
 
-awaitable<void> vm_list_part::apply_after_lag(std::shared_ptr<part> /*self*/,
-                                              std::function<void()> change) {
-    co_await sleep(lag_);
-    change();
+std::shared_ptr<part> make_vm_list(const asio::any_io_executor& context, section& settings) {
+    return std::make_shared<vm_list_part>(context, settings);
 }
 
 } // namespace dragonflystair::stand_ins
