--- a/include/dragonflystair/ledger/fold_base.h
+++ b/include/dragonflystair/ledger/fold_base.h
@@ -25,7 +25,8 @@
     /// Offset of the next entry to hand to `apply`.
     [[nodiscard]] std::uint64_t next_offset() const { return next_offset_; }
 
-    /// True while entries are missing, so that the state is behind `next_offset`.
+    /// True while entries are missing, so that the state is behind `next_offset`. The node must not
+    /// decide on such a state.
     [[nodiscard]] bool waits_for_snapshot() const { return !held_back_.empty(); }
 
     /// State for a snapshot record or for a peer, and its inverse. `restore` ignores a state that
--- a/lib/ledger/fold_base.cpp
+++ b/lib/ledger/fold_base.cpp
@@ -91,9 +91,9 @@
         }
         const auto& state = std::get<snapshot>(*item).state;
         const auto next = state.find("next_offset");
-        const bool covers_gap = next != state.end() && next->is_number_unsigned() &&
-                                *next >= held_back_.front().offset && *next <= entry.offset;
-        if (covers_gap && load(state)) {
+        const bool possible =
+            next != state.end() && next->is_number_unsigned() && *next <= entry.offset;
+        if (possible && load(state)) {
             apply_held_back();
             return;
         }
--- a/unittests/ledger/fold_test.cpp
+++ b/unittests/ledger/fold_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(outcome_or_abandon_of_losing_claim_changes_nothing);
     CPPUNIT_TEST(outcome_after_outcome_changes_nothing);
     CPPUNIT_TEST(key_older_than_window_is_forgotten_at_snapshot);
+    CPPUNIT_TEST(snapshot_that_claims_later_offset_is_ignored);
     CPPUNIT_TEST(change_of_referred_section_conflicts);
     CPPUNIT_TEST(removal_of_newly_referred_section_conflicts);
     CPPUNIT_TEST(change_with_base_after_itself_changes_nothing);
@@ -259,6 +260,24 @@
         CPPUNIT_ASSERT(fold.find("old") == nullptr && fold.find("kept") != nullptr);
     }
 
+    /// Guards against skipping records because of a snapshot that its writer cannot have taken.
+    void snapshot_that_claims_later_offset_is_ignored() {
+        simulated_log log;
+        auto state = claim_fold{}.state();
+        state["next_offset"] = 9;
+        log.append(snapshot{state, 0});
+        log.append(snapshot{state, 0});
+        const auto claim = log.append(key_claim{"k", "d", 4096, 1});
+        claim_fold late;
+        late.apply(log.entries()[1]);
+        late.apply(log.entries()[2]);
+        CPPUNIT_ASSERT(late.waits_for_snapshot() && late.size() == 0);
+        late.restore(json::array());
+        late.restore({{"next_offset", 1}, {"writers", 3}, {"body", 3}});
+        CPPUNIT_ASSERT(late.waits_for_snapshot() && late.size() == 0);
+        CPPUNIT_ASSERT_EQUAL(claim, log.read<claim_fold>().find("k")->claim);
+    }
+
     /// Guards against an adapter that is published for a service that was removed meanwhile.
     void change_of_referred_section_conflicts() {
         simulated_log log;
