--- a/include/dragonflystair/ledger/member_fold.h
+++ b/include/dragonflystair/ledger/member_fold.h
@@ -44,6 +44,12 @@
     [[nodiscard]] const std::map<session_id, session_state>& sessions() const { return sessions_; }
     [[nodiscard]] bool live(session_id session) const { return sessions_.contains(session); }
 
+    /// True unless the session is known to have ended. Another stream can name a session before
+    /// this fold has read its open record.
+    [[nodiscard]] bool may_live(session_id session) const {
+        return live(session) || session >= make_position(next_offset(), 0);
+    }
+
     /// Session of a node's incarnation, if it is live.
     [[nodiscard]] std::optional<session_id> session_of(std::string_view incarnation) const;
 
--- a/unittests/ledger/fold_test.cpp
+++ b/unittests/ledger/fold_test.cpp
@@ -175,7 +175,9 @@
         const auto session = log.append(open_of("n"));
         log.append(session_close{session});
         log.append(session_renew{{session}});
-        CPPUNIT_ASSERT(log.read<member_fold>().sessions().empty());
+        const auto fold = log.read<member_fold>();
+        CPPUNIT_ASSERT(fold.sessions().empty() && !fold.may_live(session));
+        CPPUNIT_ASSERT(fold.may_live(make_position(log.next(), 0)));
     }
 
     void open_of_same_incarnation_ends_session_before() {
