Leave one request out of an adapter's short-term rate

An adapter that was asked for once had a short-term rate of 0.5 requests a second, which is above all but some fifteen adapters, so it outlasted steadily used ones. The new test fails without the change.

--- a/bench/policy/cluster.h
+++ b/bench/policy/cluster.h
@@ -181,7 +181,7 @@
             sum["busy"] += engine->busy_seconds * double(batch_limit);
             sum["running"] += engine->running_seconds;
             for (const auto& [adapter, at] : engine->loads) {
-                sum["adapter loads"] += at >= begin_;
+                sum["adapter loads"] += at >= begin_ && at < end_;
                 if (adapter == cold_adapter) {
                     cold.push_back(seconds(at - begin_));
                 }
--- a/include/dragonflystair/policy/popularity.h
+++ b/include/dragonflystair/policy/popularity.h
@@ -17,7 +17,7 @@
 
     void on_request(std::string_view adapter, support::time_point now);
 
-    /// Requests a second; the larger of the two rates.
+    /// Requests a second; the larger of the two rates, where the short one leaves out one request.
     [[nodiscard]] double rate(std::string_view adapter, support::time_point now) const;
 
     /// Drops adapters whose rate has decayed to almost nothing.
--- a/lib/policy/popularity.cpp
+++ b/lib/policy/popularity.cpp
@@ -36,7 +36,10 @@
     }
     const auto& known = place->second;
     const auto elapsed = now - known.updated;
-    return std::max(known.short_rate * decay(elapsed, short_constant),
+    // One request is no trend: at its full short rate, an adapter that was asked for once would
+    // outlast all but the fifteen or so most popular ones for seconds.
+    constexpr double one_request = 1.0 / static_cast<double>(short_constant.count());
+    return std::max(known.short_rate * decay(elapsed, short_constant) - one_request,
                     known.long_rate * decay(elapsed, long_constant));
 }
 
--- a/unittests/policy/signals_test.cpp
+++ b/unittests/policy/signals_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(budget_after_burst_allows_a_tenth);
     CPPUNIT_TEST(popularity_of_new_crowd_exceeds_old_favourite);
     CPPUNIT_TEST(popularity_after_pause_keeps_long_rate);
+    CPPUNIT_TEST(popularity_of_single_request_stays_below_steady_demand);
     CPPUNIT_TEST(health_of_slow_endpoint_drops_within_five_samples);
     CPPUNIT_TEST(health_when_all_are_slow_stays);
     CPPUNIT_TEST(health_without_samples_recovers);
@@ -68,6 +69,17 @@
                        demand.rate("once", later + seconds{5}));
     }
 
+    /// Guards against eviction of a steadily used adapter for one that was asked for once.
+    void popularity_of_single_request_stays_below_steady_demand() {
+        popularity demand;
+        for (int second = 0; second < 60; second += 10) {
+            demand.on_request("steady", start + seconds{second});
+        }
+        const auto now = start + seconds{60};
+        demand.on_request("once", now);
+        CPPUNIT_ASSERT(demand.rate("steady", now) > demand.rate("once", now));
+    }
+
     void health_of_slow_endpoint_drops_within_five_samples() {
         auto health = healthy_peers();
         for (int i = 0; i < 5; ++i) {
