Fix a dangling owner in the policy bench

Cause: for our own policy the bench made a baseline owner first and replaced it, while its periodic event kept a pointer to it. Ruled out: nothing; found by reading.

--- a/bench/policy/cluster.h
+++ b/bench/policy/cluster.h
@@ -25,10 +25,11 @@
             for (std::size_t rank = i; rank < endpoints * slots; rank += endpoints) {
                 engine.resident[std::to_string(rank)] = clock_.now;
             }
-            owners_.emplace_back(new fifo_owner(engine));
-            if (how == strategy::ours) {
-                owners_.back().reset(new scheduler_owner(engine, name_of(i), holder_));
+            if (how != strategy::ours) {
+                owners_.emplace_back(new fifo_owner(engine));
+                continue;
             }
+            owners_.emplace_back(new scheduler_owner(engine, name_of(i), holder_));
         }
         clock_.every(milliseconds{5}, [this] { grant(); });
         clock_.every(milliseconds{100}, [this] { publish(); });
@@ -133,9 +134,9 @@
         item->ended = clock_.now + link(*item) + sizes_.caller_delay;
     }
 
-    void on_token(const call_ptr& item, duration gap) override {
+    void on_token(const call_ptr& item, double step_seconds) override {
         --item->tokens;
-        const double relative = seconds(gap) / seconds(step_time(batch_limit));
+        const double relative = step_seconds / seconds(step_time(batch_limit));
         nodes_[item->node].health.on_sample(name_of(item->endpoint), relative, clock_.now);
     }
 
--- a/bench/policy/demand.h
+++ b/bench/policy/demand.h
@@ -86,7 +86,7 @@
 /// A call on its way, with what is measured about it.
 struct call {
     policy::request item;
-    time_point sent, submitted, stalled_until, started, ended, last_token;
+    time_point sent, submitted, stalled_until, started, ended;
     std::size_t tokens = 0, node = 0, endpoint = 0;
     bool served = false;
     std::vector<std::string> tried;
--- a/bench/policy/fakes.h
+++ b/bench/policy/fakes.h
@@ -7,7 +7,7 @@
 /// Told by engines and owners.
 struct entry {
     virtual ~entry() = default;
-    virtual void on_token(const call_ptr& item, duration gap) = 0;
+    virtual void on_token(const call_ptr& item, double step_seconds) = 0;
     virtual void on_end(const call_ptr& item) = 0;
     virtual void on_refused(const call_ptr& item) = 0;
 };
@@ -62,7 +62,7 @@
     }
 
     void start(const call_ptr& item) {
-        item->started = item->last_token = clock.now;
+        item->started = clock.now;
         item->stalled_until = resident.at(item->item.adapter);
         running.push_back(item);
         if (!std::exchange(stepping, true)) {
@@ -75,9 +75,9 @@
         busy_seconds += taken;
         running_seconds += taken * double(running.size());
         // Requests that join during the step take part from the next one on.
-        clock.after(to_duration(taken), [this, batch = running] {
+        clock.after(to_duration(taken), [this, taken, batch = running] {
             for (const auto& item : batch) {
-                told.on_token(item, clock.now - std::exchange(item->last_token, clock.now));
+                told.on_token(item, taken);
             }
             std::erase_if(running, [](const auto& item) { return item->tokens == 0; });
             for (const auto& item : batch) {
