Let estimates without new samples shrink

Cause: an endpoint whose measured service time was above every deadline refused all work at submit, so no request ran that could have shown the end of the slowdown; the same held for slow permits and slow loads and all cold adapters. Found by reading. Ruled out: admitting probes by a counter, which needs a second state for what the age of the estimate already says. Conclusion: refusals by estimate end by themselves.

--- a/lib/policy/endpoint_admission.cpp
+++ b/lib/policy/endpoint_admission.cpp
@@ -1,6 +1,7 @@
 #include "endpoint_scheduler_impl.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace dragonflystair::policy {
@@ -29,6 +30,12 @@
     return std::chrono::duration_cast<support::duration>(time * factor);
 }
 
+/// Weight of a measurement about the store by its age.
+double measured_weight(support::time_point measured, support::time_point now) {
+    constexpr std::chrono::duration<double> half_life{5};
+    return std::exp2(-std::max(0.0, (now - measured) / half_life - 1));
+}
+
 milliseconds retry_after(support::duration wait) {
     return std::clamp(std::chrono::ceil<milliseconds>(wait), shortest_retry_after,
                       longest_retry_after);
@@ -47,7 +54,7 @@
             ++count;
         }
     }
-    const auto measured = service.service(work_class::short_work, 0);
+    const auto measured = service.service(work_class::short_work, 0, now);
     if (count == 0 || measured.count() == 0) {
         return measured;
     }
@@ -79,15 +86,21 @@
         return behind_short;
     }
     const auto turns = static_cast<std::int64_t>(before - long_limit() + 1);
-    return behind_short + service.service(work_class::long_work, 0) * turns /
+    return behind_short + service.service(work_class::long_work, 0, now) * turns /
                               static_cast<std::int64_t>(long_limit());
 }
 
 /// Until a permit that is wanted now: the last ones took `permit_wait`, and those that are wanted
-/// already come one by one.
-support::duration endpoint_scheduler::impl::expected_permit_wait() const {
+/// already come one by one. As with service times, what was measured loses weight with its age, so
+/// that a store that was slow is tried again.
+support::duration endpoint_scheduler::impl::expected_permit_wait(support::time_point now) const {
     const auto before = static_cast<std::int64_t>(loads_in(load_phase::wanted));
-    return std::max(permit_wait, permit_interval * (before + 1));
+    const auto measured = std::max(permit_wait, permit_interval * (before + 1));
+    return scaled(measured, measured_weight(last_permit, now));
+}
+
+support::duration endpoint_scheduler::impl::expected_load_time(support::time_point now) const {
+    return limits.load_time + scaled(load_time - limits.load_time, measured_weight(last_load, now));
 }
 
 support::duration endpoint_scheduler::impl::load_wait(std::string_view adapter,
@@ -97,7 +110,7 @@
     }
     const auto known = loads.find(adapter);
     if (known == loads.end()) {
-        return expected_permit_wait() + load_time;
+        return expected_permit_wait(now) + expected_load_time(now);
     }
     const auto& record = known->second;
     const auto rest = [&](support::time_point since, support::duration whole) {
@@ -105,16 +118,16 @@
     };
     switch (record.phase) {
     case load_phase::ordered:
-        return rest(record.ordered_at, load_time);
+        return rest(record.ordered_at, expected_load_time(now));
     case load_phase::granted:
-        return load_time;
+        return expected_load_time(now);
     case load_phase::wanted:
-        return rest(record.wanted_since, expected_permit_wait()) + load_time;
+        return rest(record.wanted_since, expected_permit_wait(now)) + expected_load_time(now);
     case load_phase::idle:
         break;
     }
     const auto retry = std::max(support::duration{0}, record.not_before - now);
-    return retry + expected_permit_wait() + load_time;
+    return retry + expected_permit_wait(now) + expected_load_time(now);
 }
 
 /// Whether loads are given up for now, which concerns all who wait for one.
@@ -142,8 +155,9 @@
     const bool under_way = known != loads.end() && (known->second.phase == load_phase::granted ||
                                                     known->second.phase == load_phase::ordered);
     if (starved && !under_way) {
-        return refusal{refusal_reason::store_unavailable,
-                       retry_after(std::max<support::duration>(permit_wait, usual_retry_after))};
+        return refusal{
+            refusal_reason::store_unavailable,
+            retry_after(std::max<support::duration>(expected_permit_wait(now), usual_retry_after))};
     }
     return std::nullopt;
 }
@@ -171,7 +185,7 @@
     const auto wait = std::max(place_wait, load_wait(item.adapter, now));
     const auto end =
         now + scaled(wait, admission_margin.wait) +
-        service.service_with_spread(which, item.expected_tokens, admission_margin.spreads);
+        service.service_with_spread(which, item.expected_tokens, admission_margin.spreads, now);
     if (end > item.deadline) {
         return refusal{refusal_reason::deadline_unreachable,
                        retry_after(std::max(wait, end - item.deadline))};
@@ -190,7 +204,7 @@
         const auto wait = std::max(place_wait, load_wait(entry.item.adapter, now));
         const auto end = now + scaled(wait, queue_margin.wait) +
                          service.service_with_spread(entry.lane, entry.item.expected_tokens,
-                                                     queue_margin.spreads);
+                                                     queue_margin.spreads, now);
         if (end <= entry.item.deadline) {
             ++ahead;
             continue;
--- a/lib/policy/endpoint_scheduler.cpp
+++ b/lib/policy/endpoint_scheduler.cpp
@@ -101,6 +101,7 @@
         record.on_failure(impl_->limits.load_retry, now);
         return;
     }
+    impl_->last_load = now;
     impl_->load_time += (now - record.ordered_at - impl_->load_time) / sample_divisor;
     impl_->loads.erase(place);
 }
@@ -133,7 +134,7 @@
     impl_->running.erase(place);
     impl_->slots.unpin(item.adapter);
     if (how == finish_kind::done) {
-        impl_->service.on_finished(item.lane, item.adapter, now - item.started, tokens);
+        impl_->service.on_finished(item.lane, item.adapter, now - item.started, tokens, now);
     }
 }
 
--- a/lib/policy/endpoint_scheduler_impl.h
+++ b/lib/policy/endpoint_scheduler_impl.h
@@ -69,6 +69,7 @@
     support::duration permit_wait{0};
     support::duration permit_interval{0}; ///< Between permits while more are wanted.
     support::time_point last_permit;
+    support::time_point last_load;
     bool orders_allowed = true;
     bool leaving = false;
 
@@ -88,7 +89,8 @@
     [[nodiscard]] support::duration short_service(support::time_point now) const;
     [[nodiscard]] support::duration short_wait(std::size_t ahead, support::time_point now) const;
     [[nodiscard]] support::duration long_wait(std::size_t ahead, support::time_point now) const;
-    [[nodiscard]] support::duration expected_permit_wait() const;
+    [[nodiscard]] support::duration expected_permit_wait(support::time_point now) const;
+    [[nodiscard]] support::duration expected_load_time(support::time_point now) const;
     [[nodiscard]] support::duration load_wait(std::string_view adapter,
                                               support::time_point now) const;
     void refuse_hopeless(support::time_point now, actions& out);
--- a/unittests/policy/endpoint_admission_test.cpp
+++ b/unittests/policy/endpoint_admission_test.cpp
@@ -15,6 +15,9 @@
     CPPUNIT_TEST(deadline_behind_backlog_is_refused_with_its_length);
     CPPUNIT_TEST(deadline_below_load_time_is_refused_for_cold_adapter);
     CPPUNIT_TEST(slowdown_refuses_queued_request_before_its_deadline);
+    CPPUNIT_TEST(service_time_above_every_deadline_is_tried_again);
+    CPPUNIT_TEST(slow_permits_are_tried_again);
+    CPPUNIT_TEST(slow_loads_are_tried_again);
     CPPUNIT_TEST(full_queue_refuses);
     CPPUNIT_TEST(leaving_endpoint_refuses_queue_and_newcomers);
     CPPUNIT_TEST(expected_wait_grows_with_queue);
@@ -60,6 +63,31 @@
         CPPUNIT_ASSERT_EQUAL(std::string("2"), refused[0].request);
     }
 
+    /// Guards against an endpoint that refuses all work for good after a slowdown, since no request
+    /// runs that could show the slowdown's end.
+    void service_time_above_every_deadline_is_tried_again() {
+        driver_.measure("a", work_class::short_work, milliseconds{20'000});
+        CPPUNIT_ASSERT(submit("1", milliseconds{2'000}).has_value());
+        driver_.now += milliseconds{20'000};
+        CPPUNIT_ASSERT(!submit("2", milliseconds{2'000}));
+    }
+
+    /// Guards against refusal of every cold adapter for good after a slow store.
+    void slow_permits_are_tried_again() {
+        load_cold("b", milliseconds{2'900}, milliseconds{0});
+        load_cold("c", milliseconds{2'900}, milliseconds{0});
+        CPPUNIT_ASSERT(submit_cold("1").has_value());
+        driver_.now += milliseconds{20'000};
+        CPPUNIT_ASSERT(!submit_cold("2"));
+    }
+
+    void slow_loads_are_tried_again() {
+        load_cold("b", milliseconds{0}, milliseconds{10'000});
+        CPPUNIT_ASSERT(submit_cold("1").has_value());
+        driver_.now += milliseconds{30'000};
+        CPPUNIT_ASSERT(!submit_cold("2"));
+    }
+
     void full_queue_refuses() {
         for (int i = 0; i < 4; ++i) {
             submit(std::to_string(i), milliseconds{60'000});
@@ -87,6 +115,24 @@
     }
 
 private:
+    void load_cold(const std::string& adapter, milliseconds permit_after, milliseconds taken) {
+        driver_.scheduler.prefetch(adapter, 1, at(driver_.now));
+        driver_.poll();
+        driver_.now += permit_after;
+        driver_.permit(adapter);
+        for (const auto& action : only<unload_action>(driver_.poll())) {
+            driver_.scheduler.on_unload_done(action.adapter, true, at(driver_.now));
+            driver_.poll();
+        }
+        driver_.now += taken;
+        driver_.loaded(adapter);
+    }
+
+    std::optional<refusal> submit_cold(const std::string& id) {
+        return driver_.submit(make_request(id, "cold", work_class::short_work,
+                                           at(driver_.now + milliseconds{1'500})));
+    }
+
     std::optional<refusal> submit(std::string id, milliseconds until_deadline) {
         return driver_.submit(make_request(std::move(id), "a", work_class::short_work,
                                            at(driver_.now + until_deadline)));
