Bound JSON depth, skip interim answers, refuse invalid ones

Cause: a body of nested brackets overflowed a thread's stack in the JSON library's recursive copy (test run ended by a segmentation fault); 103 was taken for the answer; a handler's invalid status left the caller without an answer, and a body with 204 did the same. Ruled out: a depth limit by the parser's callback, which drops values instead of failing.

--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -51,6 +51,11 @@
     return {std::move(message), *endpoint, {}};
 }
 
+/// Whether another answer follows. Nobody asks for 101, which would end HTTP on the connection.
+bool is_interim(unsigned status) {
+    return status >= 100 && status < 200 && status != 101;
+}
+
 using exchange_end = std::variant<http_response, connection_fault>;
 
 /// Sends one request and reads the whole answer; runs on the connection's strand.
@@ -67,17 +72,20 @@
     if (fault) {
         co_return std::move(*fault);
     }
-    http::response_parser<http::string_body> parser;
-    parser.header_limit(max_header_bytes);
-    parser.body_limit(max_body_bytes);
-    parser.skip(request->method() == http::verb::head);
-    const auto [code, bytes] =
-        co_await http::async_read(connection->socket, connection->buffer, parser, no_throw);
-    if (code) {
-        co_return connection->read_fault(code, parser.got_some(), request->method());
-    }
+    std::optional<http::response_parser<http::string_body>> parser;
+    do {
+        parser.emplace();
+        parser->header_limit(max_header_bytes);
+        parser->body_limit(max_body_bytes);
+        parser->skip(request->method() == http::verb::head);
+        const auto [code, bytes] =
+            co_await http::async_read(connection->socket, connection->buffer, *parser, no_throw);
+        if (code) {
+            co_return connection->read_fault(code, parser->got_some(), request->method());
+        }
+    } while (is_interim(parser->get().result_int()));
     connection->timer.disarm();
-    auto message = parser.release();
+    auto message = parser->release();
     const auto owner = pool.lock();
     if (owner && message.keep_alive() && !message.need_eof() && !connection->write_failed) {
         owner->keep(to_string(address), connection);
@@ -93,19 +101,23 @@
 awaitable<std::optional<connection_fault>>
 open_on(std::shared_ptr<http_connection> connection,
         std::shared_ptr<const outgoing_request> request, tcp::endpoint address,
-        deadline::time_point until, std::shared_ptr<http_client_stream::body_parser> parser) {
+        deadline::time_point until,
+        std::shared_ptr<std::optional<http_client_stream::body_parser>> parser) {
     connection->limit(until);
     auto fault = co_await connection->send(address, request);
     if (fault) {
         co_return fault;
     }
-    parser->header_limit(max_header_bytes);
-    parser->body_limit(boost::none);
-    const auto [code, bytes] =
-        co_await http::async_read_header(connection->socket, connection->buffer, *parser, no_throw);
-    if (code) {
-        co_return connection->read_fault(code, parser->got_some(), request->method());
-    }
+    do {
+        parser->emplace();
+        (*parser)->header_limit(max_header_bytes);
+        (*parser)->body_limit(boost::none);
+        const auto [code, bytes] = co_await http::async_read_header(
+            connection->socket, connection->buffer, **parser, no_throw);
+        if (code) {
+            co_return connection->read_fault(code, (*parser)->got_some(), request->method());
+        }
+    } while (is_interim((*parser)->get().result_int()));
     connection->timer.disarm();
     co_return std::nullopt;
 }
@@ -167,14 +179,14 @@
         co_return error{error_kind::malformed, prepared.fault, {}};
     }
     auto connection = std::make_shared<http_connection>(self->context);
-    auto parser = std::make_shared<http_client_stream::body_parser>();
+    auto parser = std::make_shared<std::optional<http_client_stream::body_parser>>();
     auto work = open_on(connection, prepared.message, prepared.address, until, parser);
     auto fault = co_await run_on(connection->strand, std::move(work));
     if (fault) {
         co_return std::move(fault->error);
     }
-    std::unique_ptr<http_body_stream> stream =
-        std::make_unique<http_client_stream>(std::move(connection), std::move(parser));
+    std::unique_ptr<http_body_stream> stream = std::make_unique<http_client_stream>(
+        std::move(connection), std::shared_ptr<http_client_stream::body_parser>(parser, &**parser));
     co_return std::move(stream);
 }
 
--- a/lib/net/http_session_exchange.cpp
+++ b/lib/net/http_session_exchange.cpp
@@ -20,6 +20,15 @@
     return message;
 }
 
+/// Whether the answer can be sent as the handler made it.
+bool is_valid(const http_response& response) {
+    return response.status >= 200 && response.status <= 999 && valid_headers(response.headers);
+}
+
+bool has_no_content(int status) {
+    return status == 204 || status == 304;
+}
+
 } // namespace
 
 http_session_exchange::http_session_exchange(http_session& session, http_request request)
@@ -65,11 +74,13 @@
         co_return false;
     }
     phase_ = phase::answered;
-    const bool valid = valid_headers(response.headers);
-    if (!valid) {
+    broken_ = true; // Until the answer has been written.
+    if (!is_valid(response)) {
         failed_ = true;
-        response =
-            render(problem{500, "internal_error", "the answer's headers are not valid", "unknown"});
+        response = render(problem{500, "internal_error", "the answer was not valid", "unknown"});
+    }
+    if (has_no_content(response.status)) {
+        response.body.clear();
     }
     const bool close = session_.wants_close();
     auto message = head_of<http::string_body>(response, close, session_.is_version_1_0());
@@ -84,11 +95,12 @@
 }
 
 awaitable<bool> http_session_exchange::begin_on_strand(http_response head) {
-    if (phase_ != phase::waiting || !valid_headers(head.headers)) {
+    if (phase_ != phase::waiting || !is_valid(head)) {
         failed_ = true;
         co_return false;
     }
     phase_ = phase::streaming;
+    broken_ = true; // Until the head has been written.
     // HTTP/1.0 has no chunks, so the end of the connection ends the stream.
     chunked_ = !session_.is_version_1_0();
     const bool close = session_.wants_close() || !chunked_;
--- a/lib/net/json_members.cpp
+++ b/lib/net/json_members.cpp
@@ -94,16 +94,4 @@
     return found == object_.end() ? nullptr : &*found;
 }
 
-std::optional<std::string> encoded(const json& value) {
-    try {
-        return value.dump();
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
-}
-
-json decoded(std::string_view text) {
-    return json::parse(text, nullptr, false);
-}
-
 } // namespace dragonflystair::net
--- a/lib/net/json_members.h
+++ b/lib/net/json_members.h
@@ -4,7 +4,6 @@
 #include "dragonflystair/support/json.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,10 +38,4 @@
     std::string fault_;
 };
 
-/// Text of a value; nothing if a string in it is not UTF-8.
-std::optional<std::string> encoded(const support::json& value);
-
-/// Value of a text; a discarded value if it is not JSON.
-support::json decoded(std::string_view text);
-
 } // namespace dragonflystair::net
--- a/lib/net/peer_frame.cpp
+++ b/lib/net/peer_frame.cpp
@@ -5,6 +5,7 @@
 #include <cassert>
 #include <cstdint>
 #include <limits>
+#include <utility>
 
 namespace dragonflystair::net {
 
@@ -14,6 +15,9 @@
 
 constexpr std::size_t prefix_bytes = 4;
 
+/// A link that has carried a large frame gives its memory back.
+constexpr std::size_t max_kept_bytes = std::size_t{64} * 1024;
+
 } // namespace
 
 std::string encode_frame(const json& frame) {
@@ -29,8 +33,7 @@
 frame_reader::verdict frame_reader::next(json& out) {
     const std::string_view rest = std::string_view(buffer_).substr(start_);
     if (rest.size() < prefix_bytes) {
-        buffer_.erase(0, start_);
-        start_ = 0;
+        drop_taken();
         return verdict::incomplete;
     }
     const std::size_t size =
@@ -39,8 +42,7 @@
         return verdict::oversized;
     }
     if (rest.size() - prefix_bytes < size) {
-        buffer_.erase(0, start_);
-        start_ = 0;
+        drop_taken();
         return verdict::incomplete;
     }
     const auto content = rest.substr(prefix_bytes, size);
@@ -53,4 +55,11 @@
     return type != out.end() && type->is_string() ? verdict::frame : verdict::malformed;
 }
 
+void frame_reader::drop_taken() {
+    buffer_.erase(0, std::exchange(start_, 0));
+    if (buffer_.capacity() > max_kept_bytes && buffer_.size() < prefix_bytes) {
+        buffer_.shrink_to_fit();
+    }
+}
+
 } // namespace dragonflystair::net
--- a/lib/net/peer_frame.h
+++ b/lib/net/peer_frame.h
@@ -28,6 +28,8 @@
     verdict next(support::json& out);
 
 private:
+    void drop_taken();
+
     std::size_t max_bytes_;
     std::string buffer_;
     std::size_t start_ = 0; ///< Bytes of the buffer that were taken already.
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -20,8 +20,9 @@
 /// Several round trips between regions (20 ms one way), with room for a busy node.
 constexpr std::chrono::milliseconds handshake_time{2'000};
 
-/// A hello with its names takes some hundred bytes; a stranger may make us hold no more than this.
-constexpr std::size_t max_handshake_frame_bytes = 4096;
+/// A hello with its names takes some hundred bytes. The limit bounds what a stranger can make this
+/// node hold, and how deeply it can make msgpack nest, which the JSON library reads recursively.
+constexpr std::size_t max_handshake_frame_bytes = 1024;
 
 /// Frames that one write may gather.
 constexpr std::size_t max_gathered = 64;
@@ -41,6 +42,10 @@
       reader_(max_handshake_frame_bytes) {}
 
 awaitable<bool> peer_link::connect(tcp::endpoint address) {
+    if (closed()) {
+        // Connecting would open the socket again.
+        co_return false;
+    }
     const auto [code] = co_await socket_.async_connect(address, no_throw);
     co_return !code;
 }
--- a/lib/net/vm_list_client.cpp
+++ b/lib/net/vm_list_client.cpp
@@ -1,5 +1,6 @@
 #include "dragonflystair/net/vm_list_client.h"
 
+#include "dragonflystair/net/json_text.h"
 #include "dragonflystair/net/problem.h"
 
 #include "json_members.h"
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -44,6 +44,8 @@
     CPPUNIT_TEST(request_to_closed_port_is_unavailable);
     CPPUNIT_TEST(request_with_bad_address_is_malformed);
     CPPUNIT_TEST(header_with_line_break_is_malformed);
+    CPPUNIT_TEST(connect_that_times_out_is_unavailable);
+    CPPUNIT_TEST(interim_answer_is_skipped);
     CPPUNIT_TEST(server_closes_before_reading_is_unknown);
     CPPUNIT_TEST(server_closes_after_reading_is_unknown);
     CPPUNIT_TEST(server_resets_after_reading_is_unknown);
@@ -107,6 +109,35 @@
         assert_error(error_kind::malformed, send("127.0.0.1:1", std::move(target)));
     }
 
+    /// A full accept queue makes the kernel ignore further connections.
+    void connect_that_times_out_is_unavailable() {
+        boost::asio::io_context context;
+        tcp::acceptor acceptor(context);
+        acceptor.open(tcp::v4());
+        acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+        acceptor.listen(0);
+        std::vector<tcp::socket> waiting;
+        for (int i = 0; i < 4; ++i) {
+            waiting.emplace_back(context).async_connect(acceptor.local_endpoint(),
+                                                        [](boost::system::error_code) {});
+        }
+        context.poll();
+        const auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        assert_error(error_kind::unavailable, send(address, post(), brief));
+    }
+
+    /// Guards against an interim answer (1xx) that is taken for the answer itself.
+    void interim_answer_is_skipped() {
+        scripted_server server({[](raw_connection& peer) {
+            read_request(peer);
+            peer.write("HTTP/1.1 103 Early Hints\r\n\r\n");
+            peer.write(answer);
+        }});
+        const auto response = send(server.address());
+        CPPUNIT_ASSERT(response);
+        CPPUNIT_ASSERT_EQUAL(200, response.value().status);
+    }
+
     /// Guards against `unavailable` for a request that the server may have read.
     void server_closes_before_reading_is_unknown() {
         assert_fails(error_kind::unknown, [](raw_connection& peer) { peer.close(); });
--- a/unittests/net/http_server_test.cpp
+++ b/unittests/net/http_server_test.cpp
@@ -33,6 +33,13 @@
     if (path == "/silent") {
         co_return;
     }
+    if (path == "/bad_status" || path == "/empty") {
+        http_response response;
+        response.status = path == "/empty" ? 204 : 1000;
+        response.body = "ignored";
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     if (path == "/stream" || path == "/cut" || path == "/endless") {
         http_response head;
         head.headers["Content-Type"] = "text/event-stream";
@@ -64,6 +71,8 @@
     CPPUNIT_TEST(slow_sender_is_refused);
     CPPUNIT_TEST(handler_that_throws_gives_500_and_server_goes_on);
     CPPUNIT_TEST(handler_without_answer_gives_500);
+    CPPUNIT_TEST(answer_with_invalid_status_gives_500);
+    CPPUNIT_TEST(answer_without_content_is_sent_without_body);
     CPPUNIT_TEST(stream_is_sent_in_chunks);
     CPPUNIT_TEST(stream_without_end_is_cut_off);
     CPPUNIT_TEST(stream_to_http_1_0_ends_with_the_connection);
@@ -197,6 +206,22 @@
             "internal_error");
     }
 
+    /// Guards against a caller that waits for an answer that could not be rendered.
+    void answer_with_invalid_status_gives_500() {
+        const auto server = start();
+        assert_refused(
+            talk(*server, "GET /bad_status HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"),
+            "500", "internal_error");
+    }
+
+    void answer_without_content_is_sent_without_body() {
+        const auto server = start();
+        const auto text =
+            talk(*server, "GET /empty HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(text, text.starts_with("HTTP/1.1 204 No Content\r\n"));
+        CPPUNIT_ASSERT(text.ends_with("\r\n\r\n"));
+    }
+
     void stream_is_sent_in_chunks() {
         const auto server = start();
         auto connection = raw_connection::to(server->address());
--- a/unittests/net/peer_network_test.cpp
+++ b/unittests/net/peer_network_test.cpp
@@ -104,6 +104,7 @@
     CPPUNIT_TEST(frame_before_proof_is_refused);
     CPPUNIT_TEST(silent_handshake_is_refused);
     CPPUNIT_TEST(oversized_frame_before_proof_is_refused);
+    CPPUNIT_TEST(nested_frame_before_proof_is_refused);
     CPPUNIT_TEST(oversized_frame_is_refused);
     CPPUNIT_TEST(silent_peer_is_closed);
     CPPUNIT_TEST(idle_link_stays_up);
@@ -260,6 +261,17 @@
         context_.stop();
     }
 
+    /// Guards against a stack overflow by a stranger's nested frame.
+    void nested_frame_before_proof_is_refused() {
+        recorder a(context_, settings("a"));
+        auto stranger = raw_connection::to(a.network().address());
+        stranger.write(std::string("\0\0\4\0", 4) + std::string(1024, '\x91'));
+        stranger.read_all();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             a.counted().value("peer_refusals_total", "malformed_frame"));
+        context_.stop();
+    }
+
     void oversized_frame_is_refused() {
         auto small = settings("a");
         small.max_frame_bytes = 1000;
