Ask the other nodes before a caller is told not_run

Cause: a key repeated at a node that cannot read the log was answered not_run although it had run through another node; the answer was true of that attempt only. Ruled out: answering unknown in every log outage, which would end the truthful refusals; a tombstone on the log, which needs the log.

--- a/lib/node/claim_table.cpp
+++ b/lib/node/claim_table.cpp
@@ -47,11 +47,28 @@
     return fold_.next_offset();
 }
 
+bool claim_table::complete() const {
+    const std::lock_guard lock(mutex_);
+    return !fold_.waits_for_snapshot();
+}
+
 support::json claim_table::state() const {
     const std::lock_guard lock(mutex_);
     return fold_.state();
 }
 
+bool claim_table::may_have_run(std::string_view key) const {
+    const std::lock_guard lock(mutex_);
+    const auto* state = fold_.find(key);
+    const bool claimed = state != nullptr && state->status != ledger::key_status::not_run;
+    return claimed || coordinator_.may_still_run(key);
+}
+
+std::size_t claim_table::given_up_claims() const {
+    const std::lock_guard lock(mutex_);
+    return coordinator_.given_up_claims();
+}
+
 std::size_t claim_table::open_calls() const {
     const std::lock_guard lock(mutex_);
     return coordinator_.open_calls();
--- a/lib/node/claim_table.h
+++ b/lib/node/claim_table.h
@@ -27,7 +27,13 @@
     void set_session(ledger::session_id own);
 
     [[nodiscard]] std::uint64_t next_offset() const;
+    /// False while the fold waits for a snapshot that covers entries it has missed.
+    [[nodiscard]] bool complete() const;
     [[nodiscard]] support::json state() const;
+    /// True if the key's call has run, may be running, or may still be dispatched by this node.
+    [[nodiscard]] bool may_have_run(std::string_view key) const;
+
+    [[nodiscard]] std::size_t given_up_claims() const;
     [[nodiscard]] std::size_t open_calls() const;
     [[nodiscard]] std::size_t keys() const;
 
--- a/lib/node/config_table.cpp
+++ b/lib/node/config_table.cpp
@@ -28,6 +28,11 @@
     return fold_.next_offset();
 }
 
+bool config_table::complete() const {
+    const std::lock_guard lock(mutex_);
+    return !fold_.waits_for_snapshot();
+}
+
 support::json config_table::state() const {
     const std::lock_guard lock(mutex_);
     return fold_.state();
--- a/lib/node/config_table.h
+++ b/lib/node/config_table.h
@@ -20,6 +20,8 @@
     void restore(const support::json& state);
 
     [[nodiscard]] std::uint64_t next_offset() const;
+    /// False while the fold waits for a snapshot that covers entries it has missed.
+    [[nodiscard]] bool complete() const;
     [[nodiscard]] support::json state() const;
     [[nodiscard]] std::shared_ptr<const config_view> view() const;
     [[nodiscard]] std::vector<ledger::change_outcome> history() const;
--- a/lib/node/log_follower.cpp
+++ b/lib/node/log_follower.cpp
@@ -37,7 +37,7 @@
     if (page.has_value()) {
         set_unreachable(false, {});
         apply_in_order(page.value().entries);
-        if (hooks_.next_offset() >= page.value().next) {
+        if (hooks_.next_offset() >= page.value().next && hooks_.complete()) {
             caught_up_ = true;
         }
         co_return;
--- a/lib/node/log_follower.h
+++ b/lib/node/log_follower.h
@@ -22,6 +22,7 @@
     struct hooks {
         std::function<void(std::span<const ledger::stream_entry>)> apply;
         std::function<std::uint64_t()> next_offset;
+        std::function<bool()> complete;    ///< No entry before `next_offset` is missing.
         std::function<void()> unreachable; ///< Called each time that a read fails.
     };
 
--- a/lib/node/member_table.cpp
+++ b/lib/node/member_table.cpp
@@ -32,6 +32,11 @@
     return fold_.next_offset();
 }
 
+bool member_table::complete() const {
+    const std::lock_guard lock(mutex_);
+    return !fold_.waits_for_snapshot();
+}
+
 support::json member_table::state() const {
     const std::lock_guard lock(mutex_);
     return fold_.state();
@@ -100,7 +105,7 @@
 
 bool member_table::session_lives(ledger::session_id session) const {
     const std::lock_guard lock(mutex_);
-    return fold_.live(session);
+    return fold_.may_live(session);
 }
 
 std::vector<std::string> member_table::held_by_self() const {
--- a/lib/node/member_table.h
+++ b/lib/node/member_table.h
@@ -37,6 +37,8 @@
     void on_log_unreachable();
 
     [[nodiscard]] std::uint64_t next_offset() const;
+    /// False while the fold waits for a snapshot that covers entries it has missed.
+    [[nodiscard]] bool complete() const;
     [[nodiscard]] support::json state() const;
 
     /// Own session, if it is live in the fold.
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -53,7 +53,8 @@
                    return network.send(peer, frame);
                },
                [this] { return store_limits(); },
-               [this](const std::string& endpoint, const std::string& adapter, held_permit permit) {
+               [this](const std::string& endpoint, const std::string& adapter,
+                      const held_permit& permit) {
                    if (const auto owned = owners.find(endpoint)) {
                        owned->on_permit(adapter, permit);
                        return;
@@ -62,16 +63,23 @@
                }}),
       owners({context, members, *member_writer, engines, permits, crashes}, config, directory),
       claims({[this](ledger::record item) { claim_writer->append(std::move(item)); },
-              [this] { return members.lease_holds(node_context::now()); },
+              [this] {
+                  return members.lease_holds(node_context::now()) && !claim_follower.unreachable();
+              },
               [this](ledger::session_id session) { return members.session_lives(session); }},
              [this](claim_table::call_number call, const calls::call_step& step) {
                  plain.on_step(call, step);
              }),
+      inquiry(context, members,
+              {[this](std::string_view peer, const support::json& frame) {
+                   return network.send(peer, frame);
+               },
+               [this](std::string_view key) { return claims.may_have_run(key); }}),
       models({context, config, members, directory, owners, remote_attempts, crashes,
               [this](std::string_view peer, const support::json& frame) {
                   return network.send(peer, frame);
               }}),
-      plain({context, config, directory, claims, *claim_writer, http}),
+      plain({context, config, directory, claims, inquiry, http}),
       resolve(context, config, members, peers, models, [this] { return accepts_callers(); }),
       callers(context, resolve, models, plain, [this] { return serves_callers(); }),
       operators({context, config, members, directory, peers, *config_writer,
@@ -82,6 +90,7 @@
                  },
                  [this] { update_gauges(); }}),
       protocol({context, config, directory, owners, remote_attempts, crashes, peers, permits,
+                inquiry,
                 [this](std::string_view peer, const support::json& frame) {
                     return network.send(peer, frame);
                 },
@@ -143,6 +152,7 @@
         }
     };
     hooks.next_offset = [&table] { return table.next_offset(); };
+    hooks.complete = [&table] { return table.complete(); };
     hooks.unreachable = [this] { members.on_log_unreachable(); };
     return hooks;
 }
@@ -266,7 +276,7 @@
         last_contact_ = now;
     }
     for (auto* follower : {&config_follower, &member_follower, &claim_follower}) {
-        if (follower->unreachable()) {
+        if (follower->unreachable() || !follower->caught_up()) {
             protocol.request_records(follower->stream(),
                                      follower == &config_follower   ? config.next_offset()
                                      : follower == &member_follower ? members.next_offset()
@@ -291,7 +301,7 @@
             addresses.push_back(session.open.peer_address);
         }
     }
-    network.dial(std::move(addresses));
+    network.dial(addresses);
 }
 
 void node::impl::wait_for_signal() {
@@ -336,7 +346,8 @@
     }
     was_cut_off = !idle();
     const auto flush_end = node_context::now() + std::chrono::seconds{3};
-    while (!claim_writer->idle() && node_context::now() < flush_end) {
+    while ((!claim_writer->idle() || claims.given_up_claims() > 0) &&
+           node_context::now() < flush_end) {
         co_await sleep_for(std::chrono::milliseconds{20});
     }
     co_await agent.close();
--- a/lib/node/node_impl.h
+++ b/lib/node/node_impl.h
@@ -14,6 +14,7 @@
 #include "config_table.h"
 #include "crash_table.h"
 #include "endpoint_directory.h"
+#include "key_inquiry.h"
 #include "log_follower.h"
 #include "log_writer.h"
 #include "member_table.h"
@@ -68,6 +69,7 @@
     permit_desk permits;
     owner_table owners;
     claim_table claims;
+    key_inquiry inquiry;
     model_calls models;
     plain_calls plain;
     resolver resolve;
--- a/lib/node/owned_endpoint.cpp
+++ b/lib/node/owned_endpoint.cpp
@@ -151,7 +151,7 @@
     }
 }
 
-void owned_endpoint::submit(attempt item, call_sink sink) {
+void owned_endpoint::submit(attempt item, const call_sink& sink) {
     const auto now = node_context::now();
     std::optional<policy::refusal> refused;
     {
@@ -203,7 +203,9 @@
     boost::asio::co_spawn(
         services_.context.executor,
         [self = shared_from_this(), id]() -> net::awaitable<void> {
-            co_await self->services_.engines.cancel(self->setup_.address, id, state_timeout);
+            // Best effort: an engine that does not hear of it ends the request by itself.
+            [[maybe_unused]] const auto answer =
+                co_await self->services_.engines.cancel(self->setup_.address, id, state_timeout);
         },
         boost::asio::detached);
 }
--- a/lib/node/owned_endpoint.h
+++ b/lib/node/owned_endpoint.h
@@ -52,7 +52,7 @@
     void start();
 
     /// Takes a request, or ends it at once through its sink.
-    void submit(attempt item, call_sink sink);
+    void submit(attempt item, const call_sink& sink);
     void cancel(const std::string& id);
 
     void on_permit(const std::string& adapter, const held_permit& permit);
--- a/lib/node/owner_table.cpp
+++ b/lib/node/owner_table.cpp
@@ -102,6 +102,7 @@
 std::vector<std::shared_ptr<owned_endpoint>> owner_table::all() const {
     const std::lock_guard lock(mutex_);
     std::vector<std::shared_ptr<owned_endpoint>> result;
+    result.reserve(owned_.size());
     for (const auto& [id, endpoint] : owned_) {
         result.push_back(endpoint);
     }
--- a/lib/node/peer_protocol.cpp
+++ b/lib/node/peer_protocol.cpp
@@ -105,6 +105,8 @@
         on_records_request(peer, frame);
     } else if (type == "records") {
         services_.restore_fold(frame.at("stream").get<std::string>(), frame.at("state"));
+    } else if (type.starts_with("key_")) {
+        services_.inquiry.on_frame(peer, frame);
     } else if (type.starts_with("permit")) {
         services_.permits.on_frame(peer, frame);
     } else {
--- a/lib/node/peer_protocol.h
+++ b/lib/node/peer_protocol.h
@@ -6,6 +6,7 @@
 #include "config_table.h"
 #include "crash_table.h"
 #include "endpoint_directory.h"
+#include "key_inquiry.h"
 #include "log_follower.h"
 #include "node_context.h"
 #include "owner_table.h"
@@ -34,6 +35,7 @@
     crash_table& crashes;
     peer_table& peers;
     permit_desk& permits;
+    key_inquiry& inquiry;
     std::function<bool(std::string_view peer, const support::json& frame)> send;
     std::function<void(const support::json& frame)> broadcast;
     std::function<std::vector<std::string>()> connected;
--- a/lib/node/peer_table.cpp
+++ b/lib/node/peer_table.cpp
@@ -30,6 +30,7 @@
 std::vector<peer_status> peer_table::all() const {
     const std::lock_guard lock(mutex_);
     std::vector<peer_status> result;
+    result.reserve(peers_.size());
     for (const auto& [incarnation, status] : peers_) {
         result.push_back(status);
     }
--- a/lib/node/permit_desk.h
+++ b/lib/node/permit_desk.h
@@ -35,7 +35,8 @@
         std::function<bool(std::string_view peer, const support::json& frame)> send;
         std::function<policy::store_limits()> limits;
         /// A permit for one of this node's own endpoints; called without locks.
-        std::function<void(const std::string& endpoint, const std::string& adapter, held_permit)>
+        std::function<void(const std::string& endpoint, const std::string& adapter,
+                           const held_permit& permit)>
             on_permit;
     };
 
--- a/lib/node/plain_calls.cpp
+++ b/lib/node/plain_calls.cpp
@@ -211,6 +211,12 @@
     co_await refuse(exchange, std::move(item));
 }
 
+std::string plain_calls::full_key(const plain_call& call) {
+    // Keys of different services must not meet.
+    const auto key = net::header(call.request.headers, "Idempotency-Key");
+    return call.service_name + "/" + std::string(key);
+}
+
 net::awaitable<void> plain_calls::serve_claimed(net::http_exchange& exchange, plain_call call) {
     const std::string key(net::header(call.request.headers, "Idempotency-Key"));
     if (key.empty() || key.size() > 200) {
@@ -334,6 +340,14 @@
 
 net::awaitable<void> plain_calls::answer(net::http_exchange& exchange, plain_call call,
                                          calls::call_answer result) {
+    // An own claim that won shows that nobody ran the key before; otherwise the others are asked.
+    if (result.outcome == calls::call_outcome::not_run && result.reason != "endpoint_refused") {
+        const auto key = full_key(call);
+        if (!co_await services_.inquiry.nobody_ran(key)) {
+            services_.context.counters.increment("not_run_withheld_total", result.reason);
+            result.outcome = calls::call_outcome::unknown;
+        }
+    }
     // With another digest the key names another request, whose result is not this one's.
     if (result.outcome == calls::call_outcome::unknown && result.reason != "key_conflict") {
         const auto found = co_await look_up(call);
--- a/lib/node/plain_calls.h
+++ b/lib/node/plain_calls.h
@@ -7,7 +7,7 @@
 #include "claim_table.h"
 #include "config_table.h"
 #include "endpoint_directory.h"
-#include "log_writer.h"
+#include "key_inquiry.h"
 #include "node_context.h"
 #include "problem.h"
 
@@ -27,7 +27,7 @@
     const config_table& config;
     endpoint_directory& directory;
     claim_table& claims;
-    const log_writer& claim_writer;
+    key_inquiry& inquiry;
     net::http_client& http;
 };
 
@@ -38,8 +38,6 @@
     /// Wait for a claim to be read back from the log.
     static constexpr std::chrono::milliseconds claim_timeout{2'000};
     static constexpr int max_attempts = 3;
-    /// Longer bodies are not kept on the log.
-    static constexpr std::size_t max_kept_body_bytes = 16 * 1024;
 
     explicit plain_calls(plain_call_services services);
 
@@ -69,6 +67,7 @@
     net::awaitable<void> refuse(net::http_exchange& exchange, problem item);
     [[nodiscard]] std::optional<endpoint_row> choose(const std::string& service,
                                                      const std::set<std::string>& excluded);
+    [[nodiscard]] static std::string full_key(const plain_call& call);
     [[nodiscard]] static std::chrono::milliseconds time_left(const plain_call& call);
 
     plain_call_services services_;
--- a/unittests/scenarios/child_process.cpp
+++ b/unittests/scenarios/child_process.cpp
@@ -8,8 +8,6 @@
 #include <stdexcept>
 #include <vector>
 
-extern char** environ;
-
 namespace dragonflystair::scenarios {
 
 child_process::child_process(std::span<const std::string> arguments, const std::string& log_file) {
--- a/unittests/scenarios/tcp_relay.cpp
+++ b/unittests/scenarios/tcp_relay.cpp
@@ -48,7 +48,7 @@
 
 /// Copies one direction. Bytes that arrive after the connection was silenced are swallowed.
 asio::awaitable<void> pump(connection_ptr link, tcp::socket& from, tcp::socket& to) {
-    std::array<char, 16 * 1024> buffer{};
+    std::array<char, 16'384> buffer{};
     for (;;) {
         const auto [fault, size] = co_await from.async_read_some(asio::buffer(buffer), as_result);
         if (link->silent) {
@@ -129,7 +129,7 @@
     std::thread thread;
 };
 
-tcp_relay::tcp_relay(std::string target) : impl_(std::make_unique<impl>(target)) {
+tcp_relay::tcp_relay(const std::string& target) : impl_(std::make_unique<impl>(target)) {
     asio::co_spawn(
         impl_->io, [this] { return impl_->accept(); }, asio::detached);
     impl_->thread = std::thread([this] { impl_->io.run(); });
--- a/unittests/scenarios/tcp_relay.h
+++ b/unittests/scenarios/tcp_relay.h
@@ -15,7 +15,7 @@
 /// Forwards TCP connections to a target, to cut or silence the path between two processes.
 class tcp_relay {
 public:
-    explicit tcp_relay(std::string target);
+    explicit tcp_relay(const std::string& target);
     ~tcp_relay();
     tcp_relay(const tcp_relay&) = delete;
     tcp_relay& operator=(const tcp_relay&) = delete;
