Count the time in the batch in a route's cost; refuse a known id

Cause: an idle endpoint cost nothing, however slow it was, so a slow one got a request each time it had none. Two requests with one id left an entry in the lane that no id led to; found by reading. Conclusion: what is left of two slow endpoints is mostly the work that runs there when they slow down, which takes hedges.

--- a/include/dragonflystair/policy/request.h
+++ b/include/dragonflystair/policy/request.h
@@ -33,6 +33,7 @@
     quarantined,
     draining,
     not_owner,
+    duplicate, ///< A request with this id is queued or runs already.
 };
 
 /// Name of a reason in counters and problem details.
--- a/lib/policy/endpoint_admission.cpp
+++ b/lib/policy/endpoint_admission.cpp
@@ -167,6 +167,9 @@
     if (leaving) {
         return refusal{refusal_reason::endpoint_leaving, shortest_retry_after};
     }
+    if (queued_by_id.contains(item.id) || running.contains(item.id)) {
+        return refusal{refusal_reason::duplicate, usual_retry_after};
+    }
     const auto backlog = short_wait(short_lane.size(), now);
     if (queued_by_id.size() >= limits.queue_limit) {
         return refusal{refusal_reason::queue_full, retry_after(backlog)};
--- a/lib/policy/request.cpp
+++ b/lib/policy/request.cpp
@@ -22,6 +22,8 @@
         return "draining";
     case refusal_reason::not_owner:
         return "not_owner";
+    case refusal_reason::duplicate:
+        return "duplicate";
     }
     return "unknown";
 }
--- a/lib/policy/router.cpp
+++ b/lib/policy/router.cpp
@@ -14,6 +14,10 @@
 /// Below this weight an endpoint is too slow to be chosen for a load.
 constexpr double healthy_enough = 0.3;
 
+/// Time in the batch as the cost sees it. Without it an idle endpoint would cost nothing, however
+/// slow it is. 100 ms is less than any service time, and more changes nothing in the bench.
+constexpr milliseconds in_the_batch{100};
+
 struct scored {
     const route_candidate* candidate = nullptr;
     milliseconds cost{0};
@@ -27,7 +31,7 @@
     // A batch that is nearly full may be full when the request arrives. 50 ms for a full one is as
     // good as 100 ms for short work's p99 in the bench and sends less work to other regions.
     const milliseconds busy{in_batch * in_batch * 50};
-    const auto wait = milliseconds(candidate.expected_wait) + busy;
+    const auto wait = milliseconds(candidate.expected_wait) + busy + in_the_batch;
     const auto link = candidate.same_region ? milliseconds{0} : limits.cross_region_penalty;
     return wait / std::max(candidate.health, 0.01) + link;
 }
--- a/unittests/policy/endpoint_admission_test.cpp
+++ b/unittests/policy/endpoint_admission_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(slow_loads_are_tried_again);
     CPPUNIT_TEST(full_queue_refuses);
     CPPUNIT_TEST(leaving_endpoint_refuses_queue_and_newcomers);
+    CPPUNIT_TEST(known_id_is_refused);
     CPPUNIT_TEST(expected_wait_grows_with_queue);
     CPPUNIT_TEST_SUITE_END();
 
@@ -105,6 +106,16 @@
         CPPUNIT_ASSERT(submit("2", milliseconds{60'000}).has_value());
     }
 
+    /// Guards against two ends for one id.
+    void known_id_is_refused() {
+        submit("1", milliseconds{60'000});
+        CPPUNIT_ASSERT(refusal_reason::duplicate == submit("1", milliseconds{60'000})->reason);
+        driver_.poll();
+        CPPUNIT_ASSERT(refusal_reason::duplicate == submit("1", milliseconds{60'000})->reason);
+        driver_.finish("1");
+        CPPUNIT_ASSERT(!submit("1", milliseconds{60'000}));
+    }
+
     void expected_wait_grows_with_queue() {
         CPPUNIT_ASSERT(milliseconds{0} == driver_.scheduler.load(at(driver_.now)).expected_wait);
         for (int i = 0; i < 4; ++i) {
--- a/unittests/policy/router_test.cpp
+++ b/unittests/policy/router_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(long_resident_wait_spills_to_a_load);
     CPPUNIT_TEST(wait_below_load_time_and_margin_stays);
     CPPUNIT_TEST(slow_endpoint_loses_against_longer_queue);
+    CPPUNIT_TEST(slow_idle_endpoint_loses_against_busy_one);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -103,6 +104,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string("busy"), choose({slow, busy})->endpoint);
     }
 
+    /// Guards against an endpoint that gets work each time it has nothing to do, because it is
+    /// slow.
+    void slow_idle_endpoint_loses_against_busy_one() {
+        auto slow = candidate("slow", true);
+        slow.health = 0.02;
+        auto busy = candidate("busy", true);
+        busy.running = busy.batch_limit;
+        busy.expected_wait = milliseconds{200};
+        CPPUNIT_ASSERT_EQUAL(std::string("busy"), choose({slow, busy})->endpoint);
+    }
+
 private:
     std::optional<route> choose(const std::vector<route_candidate>& all) {
         return router_.choose("service/adapter@1", all, {}, random_);
