--- a/lib/node/endpoint_directory.cpp
+++ b/lib/node/endpoint_directory.cpp
@@ -8,6 +8,13 @@
                                      support::time_point now) {
     const std::lock_guard lock(mutex_);
     view_.update_list(vms, now);
+    // Plain services have no owner that reports on them. Being listed counts as a heartbeat; calls
+    // that fail lower the weight instead.
+    for (const auto& vm : vms) {
+        if (plain_services_.contains(vm.service)) {
+            view_.on_heartbeat(vm.id, now);
+        }
+    }
 }
 
 void endpoint_directory::update_text(const config::deployment& text) {
@@ -16,6 +23,12 @@
         data_centres[name] = {item.data_centres.begin(), item.data_centres.end()};
     }
     const std::lock_guard lock(mutex_);
+    plain_services_.clear();
+    for (const auto& [name, item] : text.services) {
+        if (item.kind == config::service_kind::plain) {
+            plain_services_.insert(name);
+        }
+    }
     view_.update_text(std::move(data_centres), text.region_by_data_centre);
 }
 
--- a/lib/node/endpoint_directory.h
+++ b/lib/node/endpoint_directory.h
@@ -69,6 +69,7 @@
     mutable std::mutex mutex_;
     membership::endpoint_view view_;
     policy::endpoint_health health_;
+    std::set<std::string, std::less<>> plain_services_;
     std::map<std::string, report, std::less<>> reports_;
     std::map<std::string, std::size_t, std::less<>> in_flight_;
 };
--- a/lib/node/model_calls.cpp
+++ b/lib/node/model_calls.cpp
@@ -23,6 +23,11 @@
            reason == "owner_unreachable" || reason == "peer_link_down" || reason == "no_endpoint";
 }
 
+/// Refusals that say something about one endpoint's backlog only.
+bool backlog(std::string_view reason) {
+    return reason == "deadline_unreachable" || reason == "queue_full";
+}
+
 problem problem_of(const attempt_end& end) {
     problem item;
     item.outcome = end.kind == attempt_end_kind::refused ? "not_run" : "unknown";
@@ -56,7 +61,9 @@
 }
 
 net::awaitable<void> model_calls::run(net::http_exchange& exchange, model_request request) {
-    call_state call{std::move(request), {}, 0, false, node_context::now(), {}};
+    call_state call;
+    call.request = std::move(request);
+    call.began = node_context::now();
     answer_writer writer(exchange, call.request);
     stream::stream_check check(call.request.model, call.request.first_position);
     services_.context.counters.increment("model_requests_total");
@@ -121,6 +128,7 @@
     item.resume_from = check.expected();
     item.deadline = request.deadline;
     ++call.attempts;
+    call.tokens_since_sample = 0;
 
     auto queue = std::make_shared<event_queue>(services_.context.executor);
     const call_sink sink = [queue](call_event event) { queue->push(std::move(event)); };
@@ -167,13 +175,8 @@
         if (!std::exchange(call.first_token_seen, true)) {
             const auto latency = node_context::now() - call.began;
             services_.context.first_token_latency.record(latency);
-            // The time of a load says nothing about the speed of the endpoint.
-            if (!route.needs_load && call.attempts == 1) {
-                services_.directory.on_latency(route.endpoint,
-                                               std::chrono::duration<double>(latency).count(),
-                                               node_context::now());
-            }
         }
+        note_progress(call, route);
         const bool sent = co_await writer.write(token.position, token.data);
         if (!sent) {
             co_return ended(attempt_end_kind::caller_gone, "caller_gone");
@@ -181,6 +184,23 @@
     }
 }
 
+void model_calls::note_progress(call_state& call, const policy::route& route) {
+    // The gap between two tokens tells an endpoint's speed; the time to the first token would count
+    // its queue and loads too. The queue of this call may hand over several tokens at once, so the
+    // gap is averaged over some of them.
+    const auto now = node_context::now();
+    if (call.tokens_since_sample++ == 0) {
+        call.sample_began = now;
+        return;
+    }
+    if (call.tokens_since_sample <= tokens_per_sample) {
+        return;
+    }
+    const std::chrono::duration<double> elapsed = now - call.sample_began;
+    services_.directory.on_latency(route.endpoint, elapsed.count() / tokens_per_sample, now);
+    call.tokens_since_sample = 0;
+}
+
 bool model_calls::send_attempt(const attempt& item, const call_sink& sink) {
     const auto owner = services_.members.owner_of(item.endpoint);
     if (!owner) {
@@ -247,6 +267,10 @@
     if (passing(end.reason)) {
         return may_wait_for_owner(call, now);
     }
+    if (backlog(end.reason)) {
+        // Nothing has run, so one other endpoint is asked; more would only spread an overload.
+        return !std::exchange(call.asked_elsewhere, true);
+    }
     const bool broken =
         end.kind == attempt_end_kind::interrupted || end.kind == attempt_end_kind::crashed;
     if (call.attempts >= max_attempts || (!broken && end.reason != "load_failed")) {
--- a/lib/node/model_calls.h
+++ b/lib/node/model_calls.h
@@ -44,6 +44,8 @@
 public:
     /// Attempts of one request, the first included; a crash suspect gets one attempt alone.
     static constexpr int max_attempts = 6;
+    /// Tokens over which one sample of an endpoint's speed is averaged.
+    static constexpr int tokens_per_sample = 8;
     /// Wait of a request without a first token for an endpoint to get an owner.
     static constexpr std::chrono::milliseconds new_request_patience{3'000};
 
@@ -64,6 +66,9 @@
         bool first_token_seen = false;
         support::time_point began;
         std::optional<support::time_point> owner_missing_since;
+        bool asked_elsewhere = false; ///< After a refusal for an endpoint's backlog.
+        int tokens_since_sample = 0;
+        support::time_point sample_began;
     };
 
     net::awaitable<void> run(net::http_exchange& exchange, model_request request);
@@ -74,6 +79,7 @@
     net::awaitable<attempt_end> relay(call_state& call, answer_writer& writer,
                                       stream::stream_check& check, event_queue& queue,
                                       const policy::route& route);
+    void note_progress(call_state& call, const policy::route& route);
     bool send_attempt(const attempt& item, const call_sink& sink);
     void cancel(const attempt& item);
     [[nodiscard]] bool may_wait_for_owner(call_state& call, support::time_point now);
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -232,7 +232,9 @@
             directory.update_text(view->deployment);
             protocol.send_heartbeat();
         }
-        owners.tick();
+        if (owners.tick()) {
+            protocol.send_heartbeat();
+        }
         permits.tick();
         claims.tick(node_context::now());
         co_await sleep_for(fast_period);
--- a/lib/node/owned_endpoint.cpp
+++ b/lib/node/owned_endpoint.cpp
@@ -526,6 +526,11 @@
     return scheduler_.load(node_context::now());
 }
 
+bool owned_endpoint::report_due(const policy::endpoint_load& load) {
+    const std::lock_guard lock(mutex_);
+    return reporter_.due(load, node_context::now());
+}
+
 bool owned_endpoint::ready() const {
     const std::lock_guard lock(mutex_);
     return ready_ && !retired_ && failed_polls_ < max_failed_polls;
--- a/lib/node/owned_endpoint.h
+++ b/lib/node/owned_endpoint.h
@@ -2,6 +2,7 @@
 
 #include "dragonflystair/net/engine_client.h"
 #include "dragonflystair/policy/endpoint_scheduler.h"
+#include "dragonflystair/policy/load_reporter.h"
 
 #include "attempt.h"
 #include "call_event.h"
@@ -68,6 +69,8 @@
 
     [[nodiscard]] const endpoint_setup& setup() const { return setup_; }
     [[nodiscard]] policy::endpoint_load load() const;
+    /// Whether peers should be told the load now; the caller then tells them.
+    bool report_due(const policy::endpoint_load& load);
     /// True once the engine has reported since the grant and while it answers.
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::size_t running() const;
@@ -112,6 +115,7 @@
     endpoint_setup setup_;
     mutable std::mutex mutex_; ///< Fourth in the lock order.
     policy::endpoint_scheduler scheduler_;
+    policy::load_reporter reporter_;
     std::map<std::string, active_ptr, std::less<>> attempts_;
     std::map<std::string, held_permit> permits_;
     std::vector<std::string> unusable_; ///< Adapters with unresolved intents of earlier sessions.
--- a/lib/node/owner_table.cpp
+++ b/lib/node/owner_table.cpp
@@ -14,7 +14,8 @@
                          endpoint_directory& directory)
     : services_(services), config_(config), directory_(directory) {}
 
-void owner_table::tick() {
+bool owner_table::tick() {
+    bool report_due = false;
     const auto now = node_context::now();
     const auto held = services_.members.held_by_self();
     retire_lost(held);
@@ -32,12 +33,15 @@
         }
         endpoint->pump();
         if (endpoint->ready()) {
+            auto load = endpoint->load();
+            report_due = endpoint->report_due(load) || report_due;
             directory_.on_report(endpoint->setup().id, services_.context.incarnation,
-                                 endpoint->load(), now);
+                                 std::move(load), now);
         }
     }
     const std::lock_guard lock(mutex_);
     std::erase_if(retired_, [](const auto& endpoint) { return endpoint->running() == 0; });
+    return report_due;
 }
 
 void owner_table::take_over(const std::string& endpoint, ledger::position fence) {
--- a/lib/node/owner_table.h
+++ b/lib/node/owner_table.h
@@ -19,8 +19,9 @@
 public:
     owner_table(owner_services services, const config_table& config, endpoint_directory& directory);
 
-    /// Creates, retires and marks as leaving what the tables say; then reports loads.
-    void tick();
+    /// Creates, retires and marks as leaving what the tables say. True if a load has changed so
+    /// much that peers should be told now.
+    bool tick();
 
     [[nodiscard]] std::shared_ptr<owned_endpoint> find(std::string_view endpoint) const;
     [[nodiscard]] std::vector<std::shared_ptr<owned_endpoint>> all() const;
--- a/lib/node/permit_desk.cpp
+++ b/lib/node/permit_desk.cpp
@@ -164,7 +164,7 @@
         if (!fence) {
             permits_.reset();
         } else if (!permits_ || permits_fence_ != *fence) {
-            permits_.emplace(limits, now);
+            permits_.emplace(limits, now, *fence);
             permits_fence_ = *fence;
             support::log_change("load_permits_taken_over");
         }
