Tell peers which requests were in flight at a crash

Cause: a caller that repeats a crashing request at another node crashed a second endpoint with all its other requests, since suspicion was local. Ruled out: repeating suspects in each heartbeat, which would mark a cleared bystander again. Conclusion: a fingerprint crashes at most two endpoints while peers are connected.

--- a/include/dragonflystair/policy/crash_suspects.h
+++ b/include/dragonflystair/policy/crash_suspects.h
@@ -23,6 +23,10 @@
     void on_crash(std::span<const std::uint64_t> in_flight, support::time_point now);
     void on_finished(std::uint64_t fingerprint);
 
+    /// A request was in flight at a crash that a peer saw, so that a caller who repeats it here
+    /// does not crash a second endpoint with all its other requests.
+    void on_peer_suspect(std::uint64_t fingerprint, support::time_point now);
+
     /// A peer has quarantined the fingerprint.
     void on_peer_quarantine(std::uint64_t fingerprint, support::time_point now);
 
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -61,7 +61,11 @@
                    }
                    permits.give_back(permit, false);
                }}),
-      owners({context, members, *member_writer, engines, permits, crashes}, config, directory),
+      owners({context, members, *member_writer, engines, permits, crashes,
+              [this](std::span<const std::uint64_t> fingerprints) {
+                  protocol.send_suspects(fingerprints);
+              }},
+             config, directory),
       claims({[this](ledger::record item) { claim_writer->append(std::move(item)); },
               [this] {
                   return members.lease_holds(node_context::now()) && !claim_follower.unreachable();
--- a/lib/node/owned_endpoint.cpp
+++ b/lib/node/owned_endpoint.cpp
@@ -36,7 +36,7 @@
 } // namespace
 
 owned_endpoint::owned_endpoint(owner_services services, endpoint_setup setup)
-    : services_(services), setup_(std::move(setup)), scheduler_(limits_of(setup_)) {}
+    : services_(std::move(services)), setup_(std::move(setup)), scheduler_(limits_of(setup_)) {}
 
 void owned_endpoint::start() {
     boost::asio::co_spawn(
@@ -139,6 +139,7 @@
     services_.context.counters.increment("engine_restarts_total");
     if (!in_flight.empty()) {
         services_.crashes.on_crash(in_flight, now);
+        services_.announce_suspects(in_flight);
     }
     resolve_intents_after_restart();
 }
--- a/lib/node/owned_endpoint.h
+++ b/lib/node/owned_endpoint.h
@@ -14,10 +14,12 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +44,8 @@
     net::engine_client& engines;
     permit_desk& permits;
     crash_table& crashes;
+    /// Tells all peers the fingerprints that were in flight at a crash.
+    std::function<void(std::span<const std::uint64_t>)> announce_suspects;
 };
 
 /// One model endpoint that this node owns: carries out the scheduler's actions against the engine.
--- a/lib/node/owner_table.cpp
+++ b/lib/node/owner_table.cpp
@@ -12,7 +12,7 @@
 
 owner_table::owner_table(owner_services services, const config_table& config,
                          endpoint_directory& directory)
-    : services_(services), config_(config), directory_(directory) {}
+    : services_(std::move(services)), config_(config), directory_(directory) {}
 
 bool owner_table::tick() {
     bool report_due = false;
--- a/lib/node/peer_protocol.cpp
+++ b/lib/node/peer_protocol.cpp
@@ -101,6 +101,8 @@
         on_end_call(frame);
     } else if (type == "cancel_call") {
         services_.owners.cancel(frame.at("id").get<std::string>());
+    } else if (type == "suspects") {
+        on_suspects(frame);
     } else if (type == "records_request") {
         on_records_request(peer, frame);
     } else if (type == "records") {
@@ -241,6 +243,17 @@
     }
 }
 
+void peer_protocol::send_suspects(std::span<const std::uint64_t> fingerprints) {
+    services_.broadcast({{"type", "suspects"},
+                         {"fingerprints", std::vector(fingerprints.begin(), fingerprints.end())}});
+}
+
+void peer_protocol::on_suspects(const support::json& frame) {
+    for (const auto& fingerprint : frame.at("fingerprints")) {
+        services_.crashes.on_peer_suspect(fingerprint.get<std::uint64_t>(), node_context::now());
+    }
+}
+
 void peer_protocol::request_records(const std::string& stream, std::uint64_t next_offset) {
     services_.broadcast({{"type", "records_request"}, {"stream", stream}, {"next", next_offset}});
 }
--- a/lib/node/peer_protocol.h
+++ b/lib/node/peer_protocol.h
@@ -13,12 +13,13 @@
 #include "peer_table.h"
 #include "permit_desk.h"
 
-#include <deque>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -62,6 +63,9 @@
     /// Sends this node's heartbeat to all peers.
     void send_heartbeat();
 
+    /// Tells all peers which requests were in flight at a crash.
+    void send_suspects(std::span<const std::uint64_t> fingerprints);
+
     /// Asks a peer for the state of a stream that the log does not give.
     void request_records(const std::string& stream, std::uint64_t next_offset);
 
@@ -71,6 +75,7 @@
     void on_open_call(std::string_view peer, const support::json& frame);
     void on_event(const support::json& frame);
     void on_end_call(const support::json& frame);
+    void on_suspects(const support::json& frame);
     void on_records_request(std::string_view peer, const support::json& frame);
     [[nodiscard]] support::json heartbeat(std::string_view peer) const;
 
