--- a/lib/node/log_follower.cpp
+++ b/lib/node/log_follower.cpp
@@ -36,6 +36,7 @@
                                    caught_up_ ? poll_wait : std::chrono::milliseconds{0});
     if (page.has_value()) {
         set_unreachable(false, {});
+        first_kept_ = page.value().first;
         apply_in_order(page.value().entries);
         if (hooks_.next_offset() >= page.value().next && hooks_.complete()) {
             caught_up_ = true;
--- a/lib/node/log_follower.h
+++ b/lib/node/log_follower.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <span>
@@ -41,6 +42,8 @@
     [[nodiscard]] bool caught_up() const { return caught_up_; }
     /// True while the last read failed.
     [[nodiscard]] bool unreachable() const { return unreachable_; }
+    /// Oldest offset that the log keeps, as far as this node has heard.
+    [[nodiscard]] std::uint64_t first_kept() const { return first_kept_; }
     void mark_caught_up() { caught_up_ = true; }
 
     [[nodiscard]] const std::string& stream() const { return stream_; }
@@ -57,6 +60,7 @@
     std::string stream_;
     hooks hooks_;
     std::mutex apply_mutex_; ///< Keeps the log's and the peers' entries in order.
+    std::atomic<std::uint64_t> first_kept_ = 0;
     std::atomic<bool> caught_up_ = false;
     std::atomic<bool> unreachable_ = false;
 };
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -252,9 +252,9 @@
         protocol.send_heartbeat();
         owners.warm_replacements();
         const auto now = node_context::now();
-        config_snapshots.tick(members, config.next_offset(), now);
-        member_snapshots.tick(members, members.next_offset(), now);
-        claim_snapshots.tick(members, claims.next_offset(), now);
+        config_snapshots.tick(members, config_follower.first_kept(), config.next_offset(), now);
+        member_snapshots.tick(members, member_follower.first_kept(), members.next_offset(), now);
+        claim_snapshots.tick(members, claim_follower.first_kept(), claims.next_offset(), now);
         co_await sleep_for(peer_protocol::heartbeat_period);
     }
 }
--- a/lib/node/snapshot_keeper.cpp
+++ b/lib/node/snapshot_keeper.cpp
@@ -34,13 +34,13 @@
     }
 }
 
-void snapshot_keeper::tick(const member_table& members, std::uint64_t next_offset,
+void snapshot_keeper::tick(const member_table& members, std::uint64_t first, std::uint64_t next,
                            support::time_point now) {
+    const auto half = first + (next - first) / 2;
     {
         const std::lock_guard lock(mutex_);
-        const auto appends = next_offset > last_offset_ ? next_offset - last_offset_ : 0;
-        const bool due = appends >= appends_between_snapshots ||
-                         (appends > 1 && now - last_time_ >= time_between_snapshots);
+        const bool old = first > 0 && last_offset_.value_or(0) < half;
+        const bool due = next > 0 && (old || now - last_time_ >= longest_period);
         const auto sessions = members.sessions();
         const auto own = members.own_session();
         if (pending_ || !due || !own || sessions.front().id != *own) {
@@ -48,7 +48,9 @@
         }
         pending_ = true;
     }
-    const auto keep_from = next_offset > key_window_appends ? next_offset - key_window_appends : 0;
+    // What has not changed in the newer half of the kept records is forgotten by all readers, above
+    // all idempotency keys, whose window this is.
+    const auto keep_from = first > 0 ? half : 0;
     writer_.append(ledger::snapshot{state_(), keep_from}, [this](ledger::position) {
         const std::lock_guard lock(mutex_);
         pending_ = false;
