Let leaving endpoints serve for 3 s what no other endpoint holds

Cause: new work ended at the first word of leaving, so all adapters of a building went cold at once in a move. Ruled out: waiting for all loads, which the store's rate could stretch for minutes past 'a few seconds'. Before: loads at the new place began when the old one was closed to work.

--- a/lib/node/endpoint_directory.cpp
+++ b/lib/node/endpoint_directory.cpp
@@ -4,6 +4,10 @@
 
 namespace dragonflystair::node {
 
+bool endpoint_row::in_leaving_grace() const {
+    return status.state == membership::endpoint_state::leaving && leaving_for < leaving_grace;
+}
+
 void endpoint_directory::update_list(std::span<const membership::listed_vm> vms,
                                      support::time_point now) {
     const std::lock_guard lock(mutex_);
@@ -15,9 +19,10 @@
             view_.on_heartbeat(vm.id, now);
         }
     }
+    note_leaving(now);
 }
 
-void endpoint_directory::update_text(const config::deployment& text) {
+void endpoint_directory::update_text(const config::deployment& text, support::time_point now) {
     std::map<std::string, std::set<std::string>> data_centres;
     for (const auto& [name, item] : text.services) {
         data_centres[name] = {item.data_centres.begin(), item.data_centres.end()};
@@ -30,6 +35,7 @@
         }
     }
     view_.update_text(std::move(data_centres), text.region_by_data_centre);
+    note_leaving(now);
 }
 
 void endpoint_directory::on_report(const std::string& endpoint, const std::string& reporter,
@@ -39,9 +45,11 @@
     reports_[endpoint] = {reporter, std::move(load), now, 0};
 }
 
-void endpoint_directory::on_peer_says_leaving(const std::string& endpoint) {
+void endpoint_directory::on_peer_says_leaving(const std::string& endpoint,
+                                              support::time_point now) {
     const std::lock_guard lock(mutex_);
     view_.on_peer_says_leaving(endpoint);
+    note_leaving(now);
 }
 
 void endpoint_directory::on_attempt_begin(const std::string& endpoint) {
@@ -74,6 +82,18 @@
     health_.on_failure(endpoint, now);
 }
 
+void endpoint_directory::note_leaving(support::time_point now) {
+    std::map<std::string, support::time_point, std::less<>> still;
+    for (const auto& status : view_.all(now)) {
+        if (status.state != membership::endpoint_state::leaving) {
+            continue;
+        }
+        const auto known = leaving_since_.find(status.vm.id);
+        still[status.vm.id] = known == leaving_since_.end() ? now : known->second;
+    }
+    leaving_since_ = std::move(still);
+}
+
 endpoint_row endpoint_directory::row_of(membership::endpoint_status status,
                                         support::time_point now) const {
     endpoint_row row;
@@ -87,6 +107,9 @@
     } else if (const auto count = in_flight_.find(id); count != in_flight_.end()) {
         row.own_in_flight = count->second;
     }
+    if (const auto since = leaving_since_.find(id); since != leaving_since_.end()) {
+        row.leaving_for = now - since->second;
+    }
     row.status = std::move(status);
     return row;
 }
--- a/lib/node/endpoint_directory.h
+++ b/lib/node/endpoint_directory.h
@@ -25,8 +25,17 @@
     std::optional<policy::endpoint_load> load;
     std::size_t own_in_flight = 0;
     double health = 1.0;
+    /// How long this node has known that the endpoint is leaving; 0 while it is not.
+    support::duration leaving_for{0};
+
+    /// True while a leaving endpoint may still get work for adapters that no other endpoint holds.
+    [[nodiscard]] bool in_leaving_grace() const;
 };
 
+/// Time in which a leaving endpoint's adapters are loaded elsewhere before its new work ends. All
+/// its adapters would go cold at once otherwise.
+inline constexpr std::chrono::milliseconds leaving_grace{3'000};
+
 /// Shared table of endpoints, from the VM list, the text, peers' reports and own calls.
 class endpoint_directory {
 public:
@@ -34,10 +43,10 @@
     static constexpr std::chrono::milliseconds report_lifetime{5'000};
 
     void update_list(std::span<const membership::listed_vm> vms, support::time_point now);
-    void update_text(const config::deployment& text);
+    void update_text(const config::deployment& text, support::time_point now);
     void on_report(const std::string& endpoint, const std::string& reporter,
                    policy::endpoint_load load, support::time_point now);
-    void on_peer_says_leaving(const std::string& endpoint);
+    void on_peer_says_leaving(const std::string& endpoint, support::time_point now);
 
     void on_attempt_begin(const std::string& endpoint);
     void on_attempt_end(const std::string& endpoint);
@@ -63,6 +72,7 @@
         support::time_point at;
         std::size_t sent_since = 0;
     };
+    void note_leaving(support::time_point now);
     [[nodiscard]] endpoint_row row_of(membership::endpoint_status status,
                                       support::time_point now) const;
 
@@ -72,6 +82,7 @@
     std::set<std::string, std::less<>> plain_services_;
     std::map<std::string, report, std::less<>> reports_;
     std::map<std::string, std::size_t, std::less<>> in_flight_;
+    std::map<std::string, support::time_point, std::less<>> leaving_since_;
 };
 
 } // namespace dragonflystair::node
--- a/lib/node/model_calls.cpp
+++ b/lib/node/model_calls.cpp
@@ -228,34 +228,51 @@
     }
 }
 
+policy::route_candidate model_calls::candidate_of(const endpoint_row& row,
+                                                  const std::string& model) const {
+    policy::route_candidate candidate;
+    candidate.endpoint = row.status.vm.id;
+    candidate.same_region = row.status.region == services_.context.settings.region;
+    candidate.suspected = row.status.state == membership::endpoint_state::suspected || !row.load;
+    candidate.own_in_flight = row.own_in_flight;
+    candidate.health = row.health;
+    if (row.load) {
+        const auto& resident = row.load->resident;
+        candidate.resident = std::ranges::find(resident, model) != resident.end();
+        candidate.running = row.load->running;
+        candidate.queued = row.load->queued;
+        candidate.batch_limit = row.load->batch_limit;
+        candidate.expected_wait = row.load->expected_wait;
+    }
+    return candidate;
+}
+
 std::optional<policy::route> model_calls::route_for(const std::string& service,
                                                     const std::string& model,
                                                     std::span<const std::string> excluded) {
     std::vector<policy::route_candidate> candidates;
+    std::vector<policy::route_candidate> leaving;
     for (const auto& row : services_.directory.of_service(service, node_context::now())) {
         const auto state = row.status.state;
-        if (state == membership::endpoint_state::leaving ||
-            state == membership::endpoint_state::gone ||
+        if (state == membership::endpoint_state::gone ||
             !services_.members.owner_of(row.status.vm.id)) {
             continue;
         }
-        policy::route_candidate candidate;
-        candidate.endpoint = row.status.vm.id;
-        candidate.same_region = row.status.region == services_.context.settings.region;
-        candidate.suspected = state == membership::endpoint_state::suspected || !row.load;
-        candidate.own_in_flight = row.own_in_flight;
-        candidate.health = row.health;
-        if (row.load) {
-            candidate.resident =
-                std::ranges::find(row.load->resident, model) != row.load->resident.end();
-            candidate.running = row.load->running;
-            candidate.queued = row.load->queued;
-            candidate.batch_limit = row.load->batch_limit;
-            candidate.expected_wait = row.load->expected_wait;
+        auto candidate = candidate_of(row, model);
+        if (state != membership::endpoint_state::leaving) {
+            candidates.push_back(std::move(candidate));
+        } else if (row.in_leaving_grace() && candidate.resident) {
+            leaving.push_back(std::move(candidate));
         }
-        candidates.push_back(std::move(candidate));
     }
+    const bool held_elsewhere =
+        std::ranges::any_of(candidates, [](const auto& candidate) { return candidate.resident; });
     const std::lock_guard lock(mutex_);
+    if (!held_elsewhere && !leaving.empty()) {
+        if (const auto route = router_.choose(model, leaving, excluded, random_)) {
+            return route;
+        }
+    }
     return router_.choose(model, candidates, excluded, random_);
 }
 
--- a/lib/node/model_calls.h
+++ b/lib/node/model_calls.h
@@ -79,6 +79,8 @@
     net::awaitable<attempt_end> relay(call_state& call, answer_writer& writer,
                                       stream::stream_check& check, event_queue& queue,
                                       const policy::route& route);
+    [[nodiscard]] policy::route_candidate candidate_of(const endpoint_row& row,
+                                                       const std::string& model) const;
     void note_progress(call_state& call, const policy::route& route);
     bool send_attempt(const attempt& item, const call_sink& sink);
     void cancel(const attempt& item);
--- a/lib/node/owner_table.cpp
+++ b/lib/node/owner_table.cpp
@@ -27,8 +27,10 @@
     }
     for (const auto& endpoint : all()) {
         const auto row = directory_.find(endpoint->setup().id, now);
-        if (!row || row->status.state == membership::endpoint_state::leaving ||
-            row->status.state == membership::endpoint_state::gone) {
+        // Entry nodes may know of the leaving a little later than this node.
+        constexpr auto last_work = leaving_grace + std::chrono::seconds{1};
+        if (!row || row->status.state == membership::endpoint_state::gone ||
+            row->leaving_for >= last_work) {
             endpoint->begin_leaving();
         }
         endpoint->pump();
