Measure endpoints against their service's median, end sessions in turn

Cause: token gaps in seconds were fed to a weight that expects multiples of the usual step, so an endpoint without samples looked far slower than its peers; at 360 nodes each node would end the same silent sessions and ask all peers for whole states. Ruled out: a fixed expected step, which differs by engine and service. Conclusion: weights are relative to a running median per service.

--- a/lib/node/endpoint_directory.cpp
+++ b/lib/node/endpoint_directory.cpp
@@ -71,10 +71,23 @@
     }
 }
 
-void endpoint_directory::on_latency(const std::string& endpoint, double relative,
+double endpoint_directory::relative_to_median(const std::string& service, double seconds) {
+    // The estimate moves by a fixed share towards each sample, so it settles where as many samples
+    // are above as below: at the median, which a few slow endpoints cannot move.
+    constexpr double step = 0.02;
+    auto& median = median_seconds_.try_emplace(service, seconds).first->second;
+    median *= seconds > median ? 1 + step : 1 - step;
+    return seconds / median;
+}
+
+void endpoint_directory::on_latency(const std::string& endpoint, support::duration step,
                                     support::time_point now) {
     const std::lock_guard lock(mutex_);
-    health_.on_sample(endpoint, relative, now);
+    const auto status = view_.find(endpoint, now);
+    const double seconds = std::chrono::duration<double>(step).count();
+    if (status && seconds > 0) {
+        health_.on_sample(endpoint, relative_to_median(status->vm.service, seconds), now);
+    }
 }
 
 void endpoint_directory::on_failure(const std::string& endpoint, support::time_point now) {
@@ -151,15 +164,15 @@
 std::vector<membership::ownable> endpoint_directory::ownables(const config::deployment& text,
                                                               support::time_point now) const {
     std::vector<membership::ownable> result;
-    for (const auto& row : all(now)) {
-        const auto service = text.services.find(row.status.vm.service);
+    const std::lock_guard lock(mutex_);
+    for (const auto& status : view_.all(now)) {
+        const auto service = text.services.find(status.vm.service);
         if (service == text.services.end() || service->second.kind != config::service_kind::model) {
             continue;
         }
-        if (row.status.state == membership::endpoint_state::gone) {
-            continue;
+        if (status.state != membership::endpoint_state::gone) {
+            result.push_back({status.vm.id, status.region, status.vm.data_centre});
         }
-        result.push_back({row.status.vm.id, row.status.region, row.status.vm.data_centre});
     }
     return result;
 }
--- a/lib/node/endpoint_directory.h
+++ b/lib/node/endpoint_directory.h
@@ -50,7 +50,9 @@
 
     void on_attempt_begin(const std::string& endpoint);
     void on_attempt_end(const std::string& endpoint);
-    void on_latency(const std::string& endpoint, double relative, support::time_point now);
+    /// Time of one step of an endpoint: a token, or a whole plain call. It counts in relation to
+    /// the median of the endpoint's service.
+    void on_latency(const std::string& endpoint, support::duration step, support::time_point now);
     void on_failure(const std::string& endpoint, support::time_point now);
 
     [[nodiscard]] std::vector<endpoint_row> of_service(std::string_view service,
@@ -73,12 +75,14 @@
         std::size_t sent_since = 0;
     };
     void note_leaving(support::time_point now);
+    double relative_to_median(const std::string& service, double seconds);
     [[nodiscard]] endpoint_row row_of(membership::endpoint_status status,
                                       support::time_point now) const;
 
     mutable std::mutex mutex_;
     membership::endpoint_view view_;
     policy::endpoint_health health_;
+    std::map<std::string, double> median_seconds_; ///< Of the latency samples of each service.
     std::set<std::string, std::less<>> plain_services_;
     std::map<std::string, report, std::less<>> reports_;
     std::map<std::string, std::size_t, std::less<>> in_flight_;
--- a/lib/node/member_table.cpp
+++ b/lib/node/member_table.cpp
@@ -1,6 +1,10 @@
 #include "member_table.h"
 
+#include "dragonflystair/support/hash.h"
+
+#include <algorithm>
 #include <set>
+#include <string>
 #include <utility>
 
 namespace dragonflystair::node {
@@ -164,7 +168,24 @@
 
 std::vector<ledger::session_expire> member_table::overdue(support::time_point now) const {
     const std::lock_guard lock(mutex_);
-    return watch_.overdue(now);
+    const auto all = watch_.overdue(now);
+    std::vector<std::string> writers;
+    for (const auto& [id, state] : fold_.sessions()) {
+        const auto is_it = [&](const auto& item) { return item.session == id; };
+        if (std::ranges::none_of(all, is_it)) {
+            writers.push_back(state.open.incarnation);
+        }
+    }
+    std::vector<ledger::session_expire> own_turn;
+    for (const auto& item : all) {
+        const auto order = support::rendezvous_order(std::to_string(item.session), writers);
+        const auto place = std::ranges::find(order, incarnation_) - order.begin();
+        const auto late = watch_.overdue(now - place * expiry_step);
+        if (std::ranges::find(late, item) != late.end()) {
+            own_turn.push_back(item);
+        }
+    }
+    return own_turn;
 }
 
 std::vector<ledger::grant> member_table::plan_grants(std::span<const membership::ownable> endpoints,
--- a/lib/node/member_table.h
+++ b/lib/node/member_table.h
@@ -6,6 +6,7 @@
 #include "dragonflystair/membership/outage_promises.h"
 #include "dragonflystair/membership/session_watch.h"
 
+#include <chrono>
 #include <mutex>
 #include <optional>
 #include <span>
@@ -30,6 +31,8 @@
 /// Shared table of sessions and grants, with this node's own lease.
 class member_table {
 public:
+    static constexpr std::chrono::milliseconds expiry_step{500};
+
     member_table(std::string incarnation, membership::lease_timing timing);
 
     void apply(std::span<const ledger::stream_entry> entries, support::time_point now);
@@ -77,6 +80,9 @@
     void begin_new_lease();
 
     // The claimant's side.
+
+    /// Sessions that this node should end now. One session writes the record, each further one
+    /// waits `expiry_step` longer; without that order each node of a deployment would write it.
     [[nodiscard]] std::vector<ledger::session_expire> overdue(support::time_point now) const;
     [[nodiscard]] std::vector<ledger::grant>
     plan_grants(std::span<const membership::ownable> endpoints, support::time_point now);
--- a/lib/node/model_calls.cpp
+++ b/lib/node/model_calls.cpp
@@ -196,8 +196,8 @@
     if (call.tokens_since_sample <= tokens_per_sample) {
         return;
     }
-    const std::chrono::duration<double> elapsed = now - call.sample_began;
-    services_.directory.on_latency(route.endpoint, elapsed.count() / tokens_per_sample, now);
+    services_.directory.on_latency(route.endpoint, (now - call.sample_began) / tokens_per_sample,
+                                   now);
     call.tokens_since_sample = 0;
 }
 
--- a/lib/node/peer_protocol.cpp
+++ b/lib/node/peer_protocol.cpp
@@ -255,7 +255,12 @@
 }
 
 void peer_protocol::request_records(const std::string& stream, std::uint64_t next_offset) {
-    services_.broadcast({{"type", "records_request"}, {"stream", stream}, {"next", next_offset}});
+    const auto peers = services_.connected();
+    if (peers.empty()) {
+        return;
+    }
+    const auto& peer = peers[next_asked_++ % peers.size()];
+    services_.send(peer, {{"type", "records_request"}, {"stream", stream}, {"next", next_offset}});
 }
 
 void peer_protocol::on_records_request(std::string_view peer, const support::json& frame) {
--- a/lib/node/peer_protocol.h
+++ b/lib/node/peer_protocol.h
@@ -13,6 +13,7 @@
 #include "peer_table.h"
 #include "permit_desk.h"
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -66,7 +67,7 @@
     /// Tells all peers which requests were in flight at a crash.
     void send_suspects(std::span<const std::uint64_t> fingerprints);
 
-    /// Asks a peer for the state of a stream that the log does not give.
+    /// Asks one peer, another one each time, for the state of a stream that the log does not give.
     void request_records(const std::string& stream, std::uint64_t next_offset);
 
 private:
@@ -80,6 +81,7 @@
     [[nodiscard]] support::json heartbeat(std::string_view peer) const;
 
     peer_services services_;
+    std::atomic<std::size_t> next_asked_ = 0;
     std::mutex mutex_;
     /// Attempts that peers have opened here, so that they are cancelled when the link goes down.
     std::multimap<std::string, std::string, std::less<>> opened_by_;
--- a/lib/node/plain_calls.cpp
+++ b/lib/node/plain_calls.cpp
@@ -181,8 +181,8 @@
             co_await services_.http.request(row->status.vm.address, call.request, time_left(call));
         services_.directory.on_attempt_end(id);
         if (answer.has_value()) {
-            const std::chrono::duration<double> latency = node_context::now() - sent_at;
-            services_.directory.on_latency(id, latency.count(), node_context::now());
+            const auto answered_at = node_context::now();
+            services_.directory.on_latency(id, answered_at - sent_at, answered_at);
             {
                 const std::lock_guard lock(mutex_);
                 budget_.on_success();
