Read callers' bodies with a depth limit, close idle connections on a stop

Cause: a body of deeply nested brackets overflows a worker's stack. Ruled out: the body limit, since half a megabyte of brackets is enough. Before: the JSON library's test input crashed the process. After: refused as malformed_json.

--- a/lib/node/model_request.cpp
+++ b/lib/node/model_request.cpp
@@ -1,5 +1,6 @@
 #include "model_request.h"
 
+#include "dragonflystair/net/json_text.h"
 #include "dragonflystair/support/hash.h"
 
 #include <fmt/format.h>
@@ -44,7 +45,7 @@
                                                         const config_view& config,
                                                         support::time_point now) {
     model_request item;
-    item.body = support::json::parse(request.body, nullptr, false);
+    item.body = net::decoded(request.body);
     if (item.body.is_discarded()) {
         return bad_request("malformed_json", "the body is not valid JSON in UTF-8");
     }
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -361,6 +361,9 @@
         const std::lock_guard lock(lifecycle_mutex);
         lifecycle.on_drained();
     }
+    // Idle connections still get an answer for a while after the last exchange.
+    caller_server.begin_shutdown();
+    co_await sleep_for(net::http_server_limits{}.shutdown_idle_timeout);
     context.stopping = true;
     caller_server.stop();
     operator_server.stop();
