Keep the median of latencies instead of finding it for each endpoint

Cause: each row of an endpoint list asked for its weight, and each weight sorted out the median of all endpoints again: quadratic in endpoints. Ruled out: a cache that weight() fills, which needs a mutable member. Conclusion: the list is linear; copies of the rows remain.

--- a/include/dragonflystair/policy/endpoint_health.h
+++ b/include/dragonflystair/policy/endpoint_health.h
@@ -26,8 +26,10 @@
         double slowness = 1;
         support::time_point updated;
     };
-    [[nodiscard]] double median_slowness() const;
+    void update_median();
+
     std::map<std::string, record, std::less<>> records_;
+    double median_slowness_ = 1; ///< Kept, since each weight of a candidate list needs it.
 };
 
 } // namespace dragonflystair::policy
--- a/lib/policy/endpoint_health.cpp
+++ b/lib/policy/endpoint_health.cpp
@@ -33,6 +33,7 @@
     known.slowness +=
         sample_weight * (std::min(relative_latency, failure_latency) - known.slowness);
     known.updated = now;
+    update_median();
 }
 
 void endpoint_health::on_failure(std::string_view endpoint, support::time_point now) {
@@ -47,7 +48,7 @@
     const auto& known = place->second;
     const double age = std::exp(-std::chrono::duration<double>(now - known.updated) / recovery);
     const double slowness = 1 + (known.slowness - 1) * age;
-    const double relative = slowness / (median_slowness() * tolerance);
+    const double relative = slowness / (median_slowness_ * tolerance);
     return std::clamp(1 / (relative * relative), lowest_weight, 1.0);
 }
 
@@ -55,19 +56,24 @@
     const auto place = records_.find(endpoint);
     if (place != records_.end()) {
         records_.erase(place);
+        update_median();
     }
 }
 
-double endpoint_health::median_slowness() const {
+void endpoint_health::update_median() {
     std::vector<double> values;
     values.reserve(records_.size());
     for (const auto& [name, known] : records_) {
         values.push_back(known.slowness);
     }
+    // With one or two endpoints the median is the slow one itself.
+    if (values.size() < 3) {
+        median_slowness_ = 1;
+        return;
+    }
     const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
     std::ranges::nth_element(values, middle);
-    // With one or two endpoints the median is the slow one itself.
-    return values.size() < 3 ? 1 : std::max(*middle, 0.1);
+    median_slowness_ = std::max(*middle, 0.1);
 }
 
 } // namespace dragonflystair::policy
