List the endpoints to own without their reports

Cause: the session agent asks ten times a second, and each time the loads with their adapter names were copied and weighed for all endpoints. Ruled out: asking less often, which delays takeovers. The check for gone endpoints went, since the view leaves them out of its list.

--- a/lib/node/endpoint_directory.cpp
+++ b/lib/node/endpoint_directory.cpp
@@ -150,16 +150,19 @@
 
 std::vector<membership::ownable> endpoint_directory::ownables(const config::deployment& text,
                                                               support::time_point now) const {
+    std::vector<membership::endpoint_status> statuses;
+    {
+        const std::lock_guard lock(mutex_);
+        statuses = view_.all(now);
+    }
     std::vector<membership::ownable> result;
-    for (const auto& row : all(now)) {
-        const auto service = text.services.find(row.status.vm.service);
+    for (auto& status : statuses) {
+        const auto service = text.services.find(status.vm.service);
         if (service == text.services.end() || service->second.kind != config::service_kind::model) {
             continue;
         }
-        if (row.status.state == membership::endpoint_state::gone) {
-            continue;
-        }
-        result.push_back({row.status.vm.id, row.status.region, row.status.vm.data_centre});
+        result.push_back(
+            {std::move(status.vm.id), std::move(status.region), std::move(status.vm.data_centre)});
     }
     return result;
 }
