Answer a call found by status lookup with its result

Cause: after a lost answer, `dispatch` passed the result of the status lookup to the coordinator, which takes it only for calls reported as unanswered. The step had no answer, and the code read the empty optional. Callers got `not_run` with an empty reason for stamps that had run.

Ruled out: the endpoints and the claims, since each key ran once.

A dispatched call whose step has no answer is now `unknown`.

--- a/lib/node/plain_calls.cpp
+++ b/lib/node/plain_calls.cpp
@@ -84,6 +84,13 @@
     return response.status == 503 && net::header(response.headers, "X-Not-Run") == "true";
 }
 
+/// The answer in a step of a dispatched call. A step without one is answered with `unknown`, since
+/// the endpoint may have run the call.
+calls::call_answer answer_after_dispatch(const calls::call_step& step) {
+    return step.answer.value_or(
+        calls::call_answer{calls::call_outcome::unknown, "no_answer", std::nullopt});
+}
+
 } // namespace
 
 /// Carries the steps of one claimed call from the thread that reads the log to its coroutine.
@@ -289,18 +296,20 @@
                                              net::header(response.headers, "Content-Type"),
                                              response.body);
             });
-            co_return *step.answer;
+            co_return answer_after_dispatch(step);
         }
         if (!answer.has_value() && answer.error().kind != support::error_kind::unavailable) {
             services_.directory.on_failure(id, node_context::now());
             const auto found = co_await look_up(call);
             const auto step = services_.claims.on_event([&](auto& coordinator) {
+                // The coordinator takes a lookup's result only for a call without an answer.
+                auto unanswered = coordinator.on_no_answer(number);
                 return found ? coordinator.on_lookup_found(
                                    number, found->status,
                                    net::header(found->headers, "Content-Type"), found->body)
-                             : coordinator.on_no_answer(number);
+                             : std::move(unanswered);
             });
-            co_return *step.answer;
+            co_return answer_after_dispatch(step);
         }
         // Nothing has run, so another endpoint may be asked under the same claim.
         services_.directory.on_failure(id, node_context::now());
@@ -309,7 +318,7 @@
     }
     const auto step = services_.claims.on_event(
         [&](auto& coordinator) { return coordinator.on_refused(number); });
-    co_return *step.answer;
+    co_return answer_after_dispatch(step);
 }
 
 net::awaitable<std::optional<net::http_response>> plain_calls::look_up(plain_call call) {
