Isolate a crashing request at every owner

Cause: only the owner of the crashed engine kept the suspicion. The entry node sent the next attempt to another owner's engine without isolation, so each owner began anew and bystanders were hit again.

Ruled out: the quarantine rule itself, which its unit tests cover.

Before: scenario crashing_request fails with "at most 2 crashes, got 4". The entry node keeps the suspicion of its own request, an owner that gets an isolated attempt takes it over, and the entry node quarantines a request that crashed an engine while isolated.

Peers learn of a quarantine with the next heartbeat (1 s). The gauge `requests_quarantined` shows when a node knows.

--- a/include/dragonflystair/policy/crash_suspects.h
+++ b/include/dragonflystair/policy/crash_suspects.h
@@ -23,6 +23,9 @@
     void on_crash(std::span<const std::uint64_t> in_flight, support::time_point now);
     void on_finished(std::uint64_t fingerprint);
 
+    /// The request was in flight at a crash that another node has seen.
+    void on_suspicion(std::uint64_t fingerprint, support::time_point now);
+
     /// A peer has quarantined the fingerprint.
     void on_peer_quarantine(std::uint64_t fingerprint, support::time_point now);
 
--- a/lib/node/model_calls.cpp
+++ b/lib/node/model_calls.cpp
@@ -134,6 +134,9 @@
             cancel(item);
         }
     }
+    if (end.kind == attempt_end_kind::crashed) {
+        on_crashed(item);
+    }
     services_.remote_attempts.remove(item.id);
     services_.directory.on_attempt_end(endpoint);
     if (end.kind == attempt_end_kind::interrupted || end.kind == attempt_end_kind::crashed) {
@@ -142,6 +145,16 @@
     co_return end;
 }
 
+void model_calls::on_crashed(const attempt& item) {
+    // The owner of the endpoint knows of the crash, but the next attempt may go to another owner.
+    const auto now = node_context::now();
+    if (item.isolated) {
+        services_.crashes.on_peer_quarantine(item.fingerprint, now);
+        return;
+    }
+    services_.crashes.on_suspicion(item.fingerprint, now);
+}
+
 net::awaitable<attempt_end> model_calls::relay(call_state& call, answer_writer& writer,
                                                stream::stream_check& check, event_queue& queue,
                                                const policy::route& route) {
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -221,6 +221,8 @@
     counters.set_gauge("exchanges_open", static_cast<double>(caller_server.open_exchanges()));
     counters.set_gauge("idempotency_keys", static_cast<double>(claims.keys()));
     counters.set_gauge("load_permits_outstanding", static_cast<double>(permits.outstanding()));
+    counters.set_gauge("requests_quarantined",
+                       static_cast<double>(crashes.quarantined(node_context::now()).size()));
     counters.set_gauge("peers_connected", static_cast<double>(network.connected().size()));
 }
 
--- a/lib/node/owned_endpoint.cpp
+++ b/lib/node/owned_endpoint.cpp
@@ -153,6 +153,10 @@
 
 void owned_endpoint::submit(attempt item, const call_sink& sink) {
     const auto now = node_context::now();
+    if (item.isolated) {
+        // The first crash may have been at an endpoint of another owner.
+        services_.crashes.on_suspicion(item.fingerprint, now);
+    }
     std::optional<policy::refusal> refused;
     {
         const std::lock_guard lock(mutex_);
--- a/lib/policy/crash_suspects.cpp
+++ b/lib/policy/crash_suspects.cpp
@@ -21,6 +21,12 @@
     }
 }
 
+void crash_suspects::on_suspicion(std::uint64_t fingerprint, support::time_point now) {
+    if (state(fingerprint, now) == suspicion::clear) {
+        records_[fingerprint] = {suspicion::suspect, now};
+    }
+}
+
 void crash_suspects::on_peer_quarantine(std::uint64_t fingerprint, support::time_point now) {
     if (state(fingerprint, now) != suspicion::quarantined) {
         records_[fingerprint] = {suspicion::quarantined, now};
--- a/unittests/policy/signals_test.cpp
+++ b/unittests/policy/signals_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(crash_makes_all_in_flight_suspects);
     CPPUNIT_TEST(crash_alone_after_suspicion_quarantines);
     CPPUNIT_TEST(crash_alone_for_the_first_time_only_suspects);
+    CPPUNIT_TEST(crash_alone_after_suspicion_elsewhere_quarantines);
     CPPUNIT_TEST(suspect_that_finishes_is_clear);
     CPPUNIT_TEST(quarantine_survives_finish_and_ends_in_time);
     CPPUNIT_TEST_SUITE_END();
@@ -124,6 +125,17 @@
         CPPUNIT_ASSERT(suspects.state(2, start) == suspicion::suspect);
     }
 
+    /// Guards against one more crash per owner: the first crash was seen by another node.
+    void crash_alone_after_suspicion_elsewhere_quarantines() {
+        crash_suspects suspects;
+        suspects.on_suspicion(1, start);
+        CPPUNIT_ASSERT(suspects.state(1, start) == suspicion::suspect);
+        suspects.on_crash(fingerprints{1}, start);
+        CPPUNIT_ASSERT(suspects.state(1, start) == suspicion::quarantined);
+        suspects.on_suspicion(1, start);
+        CPPUNIT_ASSERT(suspects.state(1, start) == suspicion::quarantined);
+    }
+
     /// Guards against quarantine of a request that was alone at a crash by chance.
     void crash_alone_for_the_first_time_only_suspects() {
         crash_suspects suspects;
