--- a/include/dragonflystair/policy/crash_suspects.h
+++ b/include/dragonflystair/policy/crash_suspects.h
@@ -25,7 +25,7 @@
 
     /// A request was in flight at a crash that a peer saw, so that a caller who repeats it here
     /// does not crash a second endpoint with all its other requests.
-    void on_peer_suspect(std::uint64_t fingerprint, support::time_point now);
+    void on_suspicion(std::uint64_t fingerprint, support::time_point now);
 
     /// A peer has quarantined the fingerprint.
     void on_peer_quarantine(std::uint64_t fingerprint, support::time_point now);
--- a/lib/node/crash_table.h
+++ b/lib/node/crash_table.h
@@ -20,9 +20,9 @@
         const std::lock_guard lock(mutex_);
         suspects_.on_finished(fingerprint);
     }
-    void on_peer_suspect(std::uint64_t fingerprint, support::time_point now) {
+    void on_suspicion(std::uint64_t fingerprint, support::time_point now) {
         const std::lock_guard lock(mutex_);
-        suspects_.on_peer_suspect(fingerprint, now);
+        suspects_.on_suspicion(fingerprint, now);
     }
     void on_peer_quarantine(std::uint64_t fingerprint, support::time_point now) {
         const std::lock_guard lock(mutex_);
--- a/lib/policy/crash_suspects.cpp
+++ b/lib/policy/crash_suspects.cpp
@@ -21,7 +21,7 @@
     }
 }
 
-void crash_suspects::on_peer_suspect(std::uint64_t fingerprint, support::time_point now) {
+void crash_suspects::on_suspicion(std::uint64_t fingerprint, support::time_point now) {
     if (state(fingerprint, now) == suspicion::clear) {
         records_[fingerprint] = {suspicion::suspect, now};
     }
