--- a/bench/capacity/decisions.cpp
+++ b/bench/capacity/decisions.cpp
@@ -51,7 +51,7 @@
         }
         directory.on_report(endpoint_name(index), hex_id(index % 360), std::move(load), start);
         if (index < with_latency) {
-            directory.on_latency(endpoint_name(index), 1.0, start);
+            directory.on_latency(endpoint_name(index), std::chrono::milliseconds{20}, start);
         }
     }
 }
