--- a/unittests/scenarios/main.cpp
+++ b/unittests/scenarios/main.cpp
@@ -3,6 +3,12 @@
 #include "lua_json.h"
 #include "tcp_relay.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -28,6 +34,8 @@
     std::map<lua_Integer, std::unique_ptr<child_process>> processes;
     std::map<lua_Integer, std::unique_ptr<http_call>> calls;
     std::map<lua_Integer, std::unique_ptr<tcp_relay>> relays;
+    boost::asio::io_context context;
+    std::map<lua_Integer, std::unique_ptr<boost::asio::ip::tcp::socket>> sockets;
 };
 
 world& the_world() {
@@ -109,6 +117,30 @@
     return 0;
 }
 
+/// send_raw(address, bytes) -> handle of a connection that stays open
+int send_raw(lua_State* lua) {
+    const auto address = text_at(lua, 1);
+    const auto colon = address.find(':');
+    auto& all = the_world();
+    auto socket = std::make_unique<boost::asio::ip::tcp::socket>(all.context);
+    socket->connect({boost::asio::ip::make_address(address.substr(0, colon)),
+                     static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+    boost::asio::write(*socket, boost::asio::buffer(text_at(lua, 2)));
+    all.sockets[all.next_handle] = std::move(socket);
+    lua_pushinteger(lua, all.next_handle++);
+    return 1;
+}
+
+/// read_raw(handle) -> all bytes until the other side closes
+int read_raw(lua_State* lua) {
+    std::string text;
+    boost::system::error_code end;
+    boost::asio::read(*the_world().sockets.at(luaL_checkinteger(lua, 1)),
+                      boost::asio::dynamic_buffer(text), end);
+    lua_pushlstring(lua, text.data(), text.size());
+    return 1;
+}
+
 /// relay(target) -> handle, address
 int relay(lua_State* lua) {
     auto& all = the_world();
@@ -186,6 +218,8 @@
     lua_register(lua, "http", guarded<http>);
     lua_register(lua, "http_state", guarded<http_state>);
     lua_register(lua, "http_wait", guarded<http_wait>);
+    lua_register(lua, "send_raw", guarded<send_raw>);
+    lua_register(lua, "read_raw", guarded<read_raw>);
     lua_register(lua, "relay", guarded<relay>);
     lua_register(lua, "relay_mode", guarded<set_relay_mode>);
     lua_register(lua, "sleep_ms", guarded<sleep_ms>);
