--- a/include/dragonflystair/policy/crash_suspects.h
+++ b/include/dragonflystair/policy/crash_suspects.h
@@ -23,7 +23,8 @@
     void on_crash(std::span<const std::uint64_t> in_flight, support::time_point now);
     void on_finished(std::uint64_t fingerprint);
 
-    /// The request was in flight at a crash that another node has seen.
+    /// A request was in flight at a crash that a peer saw, so that a caller who repeats it here
+    /// does not crash a second endpoint with all its other requests.
     void on_suspicion(std::uint64_t fingerprint, support::time_point now);
 
     /// A peer has quarantined the fingerprint.
--- a/lib/node/endpoint_directory.cpp
+++ b/lib/node/endpoint_directory.cpp
@@ -4,19 +4,38 @@
 
 namespace dragonflystair::node {
 
+bool endpoint_row::in_leaving_grace() const {
+    return status.state == membership::endpoint_state::leaving && leaving_for < leaving_grace;
+}
+
 void endpoint_directory::update_list(std::span<const membership::listed_vm> vms,
                                      support::time_point now) {
     const std::lock_guard lock(mutex_);
     view_.update_list(vms, now);
+    // Plain services have no owner that reports on them. Being listed counts as a heartbeat; calls
+    // that fail lower the weight instead.
+    for (const auto& vm : vms) {
+        if (plain_services_.contains(vm.service)) {
+            view_.on_heartbeat(vm.id, now);
+        }
+    }
+    note_leaving(now);
 }
 
-void endpoint_directory::update_text(const config::deployment& text) {
+void endpoint_directory::update_text(const config::deployment& text, support::time_point now) {
     std::map<std::string, std::set<std::string>> data_centres;
     for (const auto& [name, item] : text.services) {
         data_centres[name] = {item.data_centres.begin(), item.data_centres.end()};
     }
     const std::lock_guard lock(mutex_);
+    plain_services_.clear();
+    for (const auto& [name, item] : text.services) {
+        if (item.kind == config::service_kind::plain) {
+            plain_services_.insert(name);
+        }
+    }
     view_.update_text(std::move(data_centres), text.region_by_data_centre);
+    note_leaving(now);
 }
 
 void endpoint_directory::on_report(const std::string& endpoint, const std::string& reporter,
@@ -26,9 +45,11 @@
     reports_[endpoint] = {reporter, std::move(load), now, 0};
 }
 
-void endpoint_directory::on_peer_says_leaving(const std::string& endpoint) {
+void endpoint_directory::on_peer_says_leaving(const std::string& endpoint,
+                                              support::time_point now) {
     const std::lock_guard lock(mutex_);
     view_.on_peer_says_leaving(endpoint);
+    note_leaving(now);
 }
 
 void endpoint_directory::on_attempt_begin(const std::string& endpoint) {
@@ -50,10 +71,23 @@
     }
 }
 
-void endpoint_directory::on_latency(const std::string& endpoint, double relative,
+double endpoint_directory::relative_to_median(const std::string& service, double seconds) {
+    // The estimate moves by a fixed share towards each sample, so it settles where as many samples
+    // are above as below: at the median, which a few slow endpoints cannot move.
+    constexpr double step = 0.02;
+    auto& median = median_seconds_.try_emplace(service, seconds).first->second;
+    median *= seconds > median ? 1 + step : 1 - step;
+    return seconds / median;
+}
+
+void endpoint_directory::on_latency(const std::string& endpoint, support::duration step,
                                     support::time_point now) {
     const std::lock_guard lock(mutex_);
-    health_.on_sample(endpoint, relative, now);
+    const auto status = view_.find(endpoint, now);
+    const double seconds = std::chrono::duration<double>(step).count();
+    if (status && seconds > 0) {
+        health_.on_sample(endpoint, relative_to_median(status->vm.service, seconds), now);
+    }
 }
 
 void endpoint_directory::on_failure(const std::string& endpoint, support::time_point now) {
@@ -61,6 +95,18 @@
     health_.on_failure(endpoint, now);
 }
 
+void endpoint_directory::note_leaving(support::time_point now) {
+    std::map<std::string, support::time_point, std::less<>> still;
+    for (const auto& status : view_.all(now)) {
+        if (status.state != membership::endpoint_state::leaving) {
+            continue;
+        }
+        const auto known = leaving_since_.find(status.vm.id);
+        still[status.vm.id] = known == leaving_since_.end() ? now : known->second;
+    }
+    leaving_since_ = std::move(still);
+}
+
 endpoint_row endpoint_directory::row_of(membership::endpoint_status status,
                                         support::time_point now) const {
     endpoint_row row;
@@ -74,6 +120,9 @@
     } else if (const auto count = in_flight_.find(id); count != in_flight_.end()) {
         row.own_in_flight = count->second;
     }
+    if (const auto since = leaving_since_.find(id); since != leaving_since_.end()) {
+        row.leaving_for = now - since->second;
+    }
     row.status = std::move(status);
     return row;
 }
@@ -114,16 +163,19 @@
 
 std::vector<membership::ownable> endpoint_directory::ownables(const config::deployment& text,
                                                               support::time_point now) const {
+    std::vector<membership::endpoint_status> statuses;
+    {
+        const std::lock_guard lock(mutex_);
+        statuses = view_.all(now);
+    }
     std::vector<membership::ownable> result;
-    for (const auto& row : all(now)) {
-        const auto service = text.services.find(row.status.vm.service);
+    for (auto& status : statuses) {
+        const auto service = text.services.find(status.vm.service);
         if (service == text.services.end() || service->second.kind != config::service_kind::model) {
             continue;
         }
-        if (row.status.state == membership::endpoint_state::gone) {
-            continue;
-        }
-        result.push_back({row.status.vm.id, row.status.region, row.status.vm.data_centre});
+        result.push_back(
+            {std::move(status.vm.id), std::move(status.region), std::move(status.vm.data_centre)});
     }
     return result;
 }
--- a/lib/node/model_calls.cpp
+++ b/lib/node/model_calls.cpp
@@ -23,6 +23,11 @@
            reason == "owner_unreachable" || reason == "peer_link_down" || reason == "no_endpoint";
 }
 
+/// Refusals that say something about one endpoint's backlog only.
+bool backlog(std::string_view reason) {
+    return reason == "deadline_unreachable" || reason == "queue_full";
+}
+
 problem problem_of(const attempt_end& end) {
     problem item;
     item.outcome = end.kind == attempt_end_kind::refused ? "not_run" : "unknown";
@@ -56,7 +61,9 @@
 }
 
 net::awaitable<void> model_calls::run(net::http_exchange& exchange, model_request request) {
-    call_state call{std::move(request), {}, 0, false, node_context::now(), {}};
+    call_state call;
+    call.request = std::move(request);
+    call.began = node_context::now();
     answer_writer writer(exchange, call.request);
     stream::stream_check check(call.request.model, call.request.first_position);
     services_.context.counters.increment("model_requests_total");
@@ -121,6 +128,7 @@
     item.resume_from = check.expected();
     item.deadline = request.deadline;
     ++call.attempts;
+    call.tokens_since_sample = 0;
 
     auto queue = std::make_shared<event_queue>(services_.context.executor);
     const call_sink sink = [queue](call_event event) { queue->push(std::move(event)); };
@@ -180,13 +188,8 @@
         if (!std::exchange(call.first_token_seen, true)) {
             const auto latency = node_context::now() - call.began;
             services_.context.first_token_latency.record(latency);
-            // The time of a load says nothing about the speed of the endpoint.
-            if (!route.needs_load && call.attempts == 1) {
-                services_.directory.on_latency(route.endpoint,
-                                               std::chrono::duration<double>(latency).count(),
-                                               node_context::now());
-            }
         }
+        note_progress(call, route);
         const bool sent = co_await writer.write(token.position, token.data);
         if (!sent) {
             co_return ended(attempt_end_kind::caller_gone, "caller_gone");
@@ -194,6 +197,23 @@
     }
 }
 
+void model_calls::note_progress(call_state& call, const policy::route& route) {
+    // The gap between two tokens tells an endpoint's speed; the time to the first token would count
+    // its queue and loads too. The queue of this call may hand over several tokens at once, so the
+    // gap is averaged over some of them.
+    const auto now = node_context::now();
+    if (call.tokens_since_sample++ == 0) {
+        call.sample_began = now;
+        return;
+    }
+    if (call.tokens_since_sample <= tokens_per_sample) {
+        return;
+    }
+    services_.directory.on_latency(route.endpoint, (now - call.sample_began) / tokens_per_sample,
+                                   now);
+    call.tokens_since_sample = 0;
+}
+
 bool model_calls::send_attempt(const attempt& item, const call_sink& sink) {
     const auto owner = services_.members.owner_of(item.endpoint);
     if (!owner) {
@@ -221,34 +241,51 @@
     }
 }
 
+policy::route_candidate model_calls::candidate_of(const endpoint_row& row,
+                                                  const std::string& model) const {
+    policy::route_candidate candidate;
+    candidate.endpoint = row.status.vm.id;
+    candidate.same_region = row.status.region == services_.context.settings.region;
+    candidate.suspected = row.status.state == membership::endpoint_state::suspected || !row.load;
+    candidate.own_in_flight = row.own_in_flight;
+    candidate.health = row.health;
+    if (row.load) {
+        const auto& resident = row.load->resident;
+        candidate.resident = std::ranges::find(resident, model) != resident.end();
+        candidate.running = row.load->running;
+        candidate.queued = row.load->queued;
+        candidate.batch_limit = row.load->batch_limit;
+        candidate.expected_wait = row.load->expected_wait;
+    }
+    return candidate;
+}
+
 std::optional<policy::route> model_calls::route_for(const std::string& service,
                                                     const std::string& model,
                                                     std::span<const std::string> excluded) {
     std::vector<policy::route_candidate> candidates;
+    std::vector<policy::route_candidate> leaving;
     for (const auto& row : services_.directory.of_service(service, node_context::now())) {
         const auto state = row.status.state;
-        if (state == membership::endpoint_state::leaving ||
-            state == membership::endpoint_state::gone ||
+        if (state == membership::endpoint_state::gone ||
             !services_.members.owner_of(row.status.vm.id)) {
             continue;
         }
-        policy::route_candidate candidate;
-        candidate.endpoint = row.status.vm.id;
-        candidate.same_region = row.status.region == services_.context.settings.region;
-        candidate.suspected = state == membership::endpoint_state::suspected || !row.load;
-        candidate.own_in_flight = row.own_in_flight;
-        candidate.health = row.health;
-        if (row.load) {
-            candidate.resident =
-                std::ranges::find(row.load->resident, model) != row.load->resident.end();
-            candidate.running = row.load->running;
-            candidate.queued = row.load->queued;
-            candidate.batch_limit = row.load->batch_limit;
-            candidate.expected_wait = row.load->expected_wait;
+        auto candidate = candidate_of(row, model);
+        if (state != membership::endpoint_state::leaving) {
+            candidates.push_back(std::move(candidate));
+        } else if (row.in_leaving_grace() && candidate.resident) {
+            leaving.push_back(std::move(candidate));
         }
-        candidates.push_back(std::move(candidate));
     }
+    const bool held_elsewhere =
+        std::ranges::any_of(candidates, [](const auto& candidate) { return candidate.resident; });
     const std::lock_guard lock(mutex_);
+    if (!held_elsewhere && !leaving.empty()) {
+        if (const auto route = router_.choose(model, leaving, excluded, random_)) {
+            return route;
+        }
+    }
     return router_.choose(model, candidates, excluded, random_);
 }
 
@@ -260,6 +297,10 @@
     if (passing(end.reason)) {
         return may_wait_for_owner(call, now);
     }
+    if (backlog(end.reason)) {
+        // Nothing has run, so one other endpoint is asked; more would only spread an overload.
+        return !std::exchange(call.asked_elsewhere, true);
+    }
     const bool broken =
         end.kind == attempt_end_kind::interrupted || end.kind == attempt_end_kind::crashed;
     if (call.attempts >= max_attempts || (!broken && end.reason != "load_failed")) {
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -61,7 +61,11 @@
                    }
                    permits.give_back(permit, false);
                }}),
-      owners({context, members, *member_writer, engines, permits, crashes}, config, directory),
+      owners({context, members, *member_writer, engines, permits, crashes,
+              [this](std::span<const std::uint64_t> fingerprints) {
+                  protocol.send_suspects(fingerprints);
+              }},
+             config, directory),
       claims({[this](ledger::record item) { claim_writer->append(std::move(item)); },
               [this] {
                   return members.lease_holds(node_context::now()) && !claim_follower.unreachable();
@@ -231,10 +235,12 @@
         const auto view = config.view();
         if (view->revision != text_revision_) {
             text_revision_ = view->revision;
-            directory.update_text(view->deployment);
+            directory.update_text(view->deployment, node_context::now());
+            protocol.send_heartbeat();
+        }
+        if (owners.tick()) {
             protocol.send_heartbeat();
         }
-        owners.tick();
         permits.tick();
         claims.tick(node_context::now());
         co_await sleep_for(fast_period);
@@ -248,9 +254,9 @@
         protocol.send_heartbeat();
         owners.warm_replacements();
         const auto now = node_context::now();
-        config_snapshots.tick(members, config.next_offset(), now);
-        member_snapshots.tick(members, members.next_offset(), now);
-        claim_snapshots.tick(members, claims.next_offset(), now);
+        config_snapshots.tick(members, config_follower.first_kept(), config.next_offset(), now);
+        member_snapshots.tick(members, member_follower.first_kept(), members.next_offset(), now);
+        claim_snapshots.tick(members, claim_follower.first_kept(), claims.next_offset(), now);
         co_await sleep_for(peer_protocol::heartbeat_period);
     }
 }
@@ -357,6 +363,9 @@
         const std::lock_guard lock(lifecycle_mutex);
         lifecycle.on_drained();
     }
+    // Idle connections still get an answer for a while after the last exchange.
+    caller_server.begin_shutdown();
+    co_await sleep_for(net::http_server_limits{}.shutdown_idle_timeout);
     context.stopping = true;
     caller_server.stop();
     operator_server.stop();
--- a/lib/node/owned_endpoint.h
+++ b/lib/node/owned_endpoint.h
@@ -2,6 +2,7 @@
 
 #include "dragonflystair/net/engine_client.h"
 #include "dragonflystair/policy/endpoint_scheduler.h"
+#include "dragonflystair/policy/load_reporter.h"
 
 #include "attempt.h"
 #include "call_event.h"
@@ -13,10 +14,12 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +44,8 @@
     net::engine_client& engines;
     permit_desk& permits;
     crash_table& crashes;
+    /// Tells all peers the fingerprints that were in flight at a crash.
+    std::function<void(std::span<const std::uint64_t>)> announce_suspects;
 };
 
 /// One model endpoint that this node owns: carries out the scheduler's actions against the engine.
@@ -68,6 +73,8 @@
 
     [[nodiscard]] const endpoint_setup& setup() const { return setup_; }
     [[nodiscard]] policy::endpoint_load load() const;
+    /// Whether peers should be told the load now; the caller then tells them.
+    bool report_due(const policy::endpoint_load& load);
     /// True once the engine has reported since the grant and while it answers.
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::size_t running() const;
@@ -112,6 +119,7 @@
     endpoint_setup setup_;
     mutable std::mutex mutex_; ///< Fourth in the lock order.
     policy::endpoint_scheduler scheduler_;
+    policy::load_reporter reporter_;
     std::map<std::string, active_ptr, std::less<>> attempts_;
     std::map<std::string, held_permit> permits_;
     std::vector<std::string> unusable_; ///< Adapters with unresolved intents of earlier sessions.
--- a/lib/node/owner_table.cpp
+++ b/lib/node/owner_table.cpp
@@ -12,9 +12,10 @@
 
 owner_table::owner_table(owner_services services, const config_table& config,
                          endpoint_directory& directory)
-    : services_(services), config_(config), directory_(directory) {}
+    : services_(std::move(services)), config_(config), directory_(directory) {}
 
-void owner_table::tick() {
+bool owner_table::tick() {
+    bool report_due = false;
     const auto now = node_context::now();
     const auto held = services_.members.held_by_self();
     retire_lost(held);
@@ -26,18 +27,23 @@
     }
     for (const auto& endpoint : all()) {
         const auto row = directory_.find(endpoint->setup().id, now);
-        if (!row || row->status.state == membership::endpoint_state::leaving ||
-            row->status.state == membership::endpoint_state::gone) {
+        // Entry nodes may know of the leaving a little later than this node.
+        constexpr auto last_work = leaving_grace + std::chrono::seconds{1};
+        if (!row || row->status.state == membership::endpoint_state::gone ||
+            row->leaving_for >= last_work) {
             endpoint->begin_leaving();
         }
         endpoint->pump();
         if (endpoint->ready()) {
+            auto load = endpoint->load();
+            report_due = endpoint->report_due(load) || report_due;
             directory_.on_report(endpoint->setup().id, services_.context.incarnation,
-                                 endpoint->load(), now);
+                                 std::move(load), now);
         }
     }
     const std::lock_guard lock(mutex_);
     std::erase_if(retired_, [](const auto& endpoint) { return endpoint->running() == 0; });
+    return report_due;
 }
 
 void owner_table::take_over(const std::string& endpoint, ledger::position fence) {
--- a/lib/node/peer_protocol.cpp
+++ b/lib/node/peer_protocol.cpp
@@ -101,6 +101,8 @@
         on_end_call(frame);
     } else if (type == "cancel_call") {
         services_.owners.cancel(frame.at("id").get<std::string>());
+    } else if (type == "suspects") {
+        on_suspects(frame);
     } else if (type == "records_request") {
         on_records_request(peer, frame);
     } else if (type == "records") {
@@ -175,7 +177,7 @@
                                       std::move(load), now);
     }
     for (const auto& id : frame.at("leaving")) {
-        services_.directory.on_peer_says_leaving(id.get<std::string>());
+        services_.directory.on_peer_says_leaving(id.get<std::string>(), now);
     }
     for (const auto& fingerprint : frame.at("quarantined")) {
         services_.crashes.on_peer_quarantine(fingerprint.get<std::uint64_t>(), now);
@@ -241,8 +243,24 @@
     }
 }
 
+void peer_protocol::send_suspects(std::span<const std::uint64_t> fingerprints) {
+    services_.broadcast({{"type", "suspects"},
+                         {"fingerprints", std::vector(fingerprints.begin(), fingerprints.end())}});
+}
+
+void peer_protocol::on_suspects(const support::json& frame) {
+    for (const auto& fingerprint : frame.at("fingerprints")) {
+        services_.crashes.on_suspicion(fingerprint.get<std::uint64_t>(), node_context::now());
+    }
+}
+
 void peer_protocol::request_records(const std::string& stream, std::uint64_t next_offset) {
-    services_.broadcast({{"type", "records_request"}, {"stream", stream}, {"next", next_offset}});
+    const auto peers = services_.connected();
+    if (peers.empty()) {
+        return;
+    }
+    const auto& peer = peers[next_asked_++ % peers.size()];
+    services_.send(peer, {{"type", "records_request"}, {"stream", stream}, {"next", next_offset}});
 }
 
 void peer_protocol::on_records_request(std::string_view peer, const support::json& frame) {
