--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 using namespace bench;
-using values = std::map<std::string, double>;
 
 constexpr std::array<unsigned, 5> seeds{11, 22, 33, 44, 55};
 constexpr std::array strategies{strategy::random_lru, strategy::least_loaded_lru, strategy::ours};
@@ -24,7 +23,8 @@
     std::string relative_to = {};
 };
 
-const std::string none, p99 = "latency p99, s", good = "served in deadline, share";
+const std::string none, p99 = "latency p99, s", good = "served in deadline, share",
+                        hedged = "hedges, share";
 const std::vector<table_part> parts{
     {"busy, short only", {.long_per_second = 0}, {"wait p99, s", p99}},
     {"busy",
@@ -37,14 +37,14 @@
     {"half, short only", {.base = 0.5, .crest = 0.5, .long_per_second = 0}, {"wait p99, s", p99}},
     {"half",
      {.base = 0.5, .crest = 0.5},
-     {"adapter loads", "other region, share", "wait p99, s", p99},
+     {"adapter loads", "other region, share", hedged, "wait p99, s", p99},
      "half, short only"},
-    {"one slow", {.base = 0.5, .crest = 0.5, .slow_endpoints = 1}, {good, p99}, "half"},
-    {"two slow", {.base = 0.5, .crest = 0.5, .slow_endpoints = 2}, {good, p99}, "half"},
+    {"one slow", {.base = 0.5, .crest = 0.5, .slow_endpoints = 1}, {good, hedged, p99}, "half"},
+    {"two slow", {.base = 0.5, .crest = 0.5, .slow_endpoints = 2}, {good, hedged, p99}, "half"},
     {"crest",
      {.base = 0.5, .crest = 1.5, .long_per_second = 0},
      {"served in deadline / capacity, after 5 s", good, "refused within 100 ms, share",
-      "late or refused late, share"}},
+      "late or refused late, share", hedged}},
     {"cold",
      {.base = 0.5, .crest = 0.5, .cold_share = 0.3},
      {"second copy of the cold adapter after, s", "loads of the cold adapter", good}}};
@@ -83,12 +83,9 @@
                     cluster(sizes, part.course, strategies[how], seeds[seed]).run();
             }
             auto lines = part.shown;
-            lines.push_back(p99);
+            lines.resize(lines.size() + (part.relative_to.empty() ? 0 : 1), p99);
             for (const auto& value : lines) {
-                const bool ratio = &value == &lines.back();
-                if (ratio && part.relative_to.empty()) {
-                    continue;
-                }
+                const bool ratio = &value - lines.data() == std::ssize(part.shown);
                 const auto& base = ratio ? part.relative_to : none;
                 fmt::print(
                     "| {} | {} | {} | {} | {} |\n", part.name,
--- a/bench/policy/cluster.h
+++ b/bench/policy/cluster.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflystair/policy/endpoint_health.h"
+#include "dragonflystair/policy/hedger.h"
 #include "dragonflystair/policy/load_reporter.h"
 #include "dragonflystair/policy/router.h"
 
@@ -31,11 +32,14 @@
             }
             owners_.emplace_back(new scheduler_owner(engine, name_of(i), holder_));
         }
+        clock_.every(milliseconds{20}, [this] { hedge(); });
         clock_.every(milliseconds{5}, [this] { grant(); });
         clock_.every(milliseconds{100}, [this] { publish(); });
         for (const auto& item : calls_) {
-            clock_.after(item->sent - clock_.now + sizes.caller_delay,
-                         [this, item] { route(item); });
+            clock_.after(item->sent - clock_.now + sizes.caller_delay, [this, item] {
+                nodes_[item->node].hedger.on_request();
+                route(item);
+            });
         }
     }
 
@@ -54,6 +58,7 @@
         std::vector<policy::endpoint_load> reports{endpoints};
         std::vector<std::size_t> sent = std::vector<std::size_t>(endpoints); ///< Since the report.
         policy::endpoint_health health;
+        policy::hedger hedger{policy::hedge_limits{}};
     };
     static std::string name_of(std::size_t endpoint) { return "e" + std::to_string(endpoint); }
     static std::size_t number_of(const std::string& name) { return std::stoul(name.substr(1)); }
@@ -66,15 +71,14 @@
     void publish() {
         for (std::size_t i = 0; i < endpoints; ++i) {
             const auto seen = owners_[i]->load();
-            if (!reporters_[i].due(seen, clock_.now)) {
-                continue;
+            if (reporters_[i].due(seen, clock_.now)) {
+                clock_.after(milliseconds{20}, [this, i, seen] {
+                    for (auto& node : nodes_) {
+                        node.reports[i] = seen;
+                        node.sent[i] = 0;
+                    }
+                });
             }
-            clock_.after(milliseconds{20}, [this, i, seen] {
-                for (auto& node : nodes_) {
-                    node.reports[i] = seen;
-                    node.sent[i] = 0;
-                }
-            });
         }
     }
 
@@ -86,23 +90,21 @@
         }
     }
 
-    std::string choose(const call& item) {
+    std::vector<policy::route_candidate> candidates(const call& item) const {
         const auto& node = nodes_[item.node];
-        std::vector<policy::route_candidate> all(endpoints);
+        std::vector<policy::route_candidate> all;
         for (std::size_t i = 0; i < endpoints; ++i) {
             const auto& seen = node.reports[i];
-            const bool here = std::ranges::count(seen.resident, item.item.adapter) > 0;
-            all[i] = {name_of(i),
-                      here,
-                      item.node % regions == i % regions,
-                      false,
-                      node.sent[i],
-                      seen.running,
-                      seen.queued,
-                      batch_limit,
-                      seen.expected_wait,
-                      node.health.weight(name_of(i), clock_.now)};
+            all.emplace_back(name_of(i), std::ranges::count(seen.resident, item.item.adapter) > 0,
+                             item.node % regions == i % regions, false, node.sent[i], seen.running,
+                             seen.queued, batch_limit, seen.expected_wait,
+                             node.health.weight(name_of(i), clock_.now));
         }
+        return all;
+    }
+
+    std::string choose(const call& item) {
+        auto all = candidates(item);
         if (how_ == strategy::ours) {
             return router_.choose(item.item.adapter, all, item.tried, random_).value().endpoint;
         }
@@ -113,9 +115,10 @@
         return std::ranges::min_element(all, {}, busy)->endpoint;
     }
 
-    void route(const call_ptr& item) {
-        item->tried.push_back(choose(*item));
+    void route(const call_ptr& item, const std::optional<std::string>& target = {}) {
+        item->tried.push_back(target ? *target : choose(*item));
         item->endpoint = number_of(item->tried.back());
+        item->progress = clock_.now;
         ++nodes_[item->node].sent[item->endpoint];
         clock_.after(link(*item), [this, item] {
             const bool here = engines_[item->endpoint]->resident.contains(item->item.adapter);
@@ -125,25 +128,62 @@
         });
     }
 
+    /// Sends a second copy of calls without progress. The baselines have no hedges.
+    void hedge() {
+        for (const auto& item : calls_) {
+            const policy::hedge_subject seen(
+                item->item.adapter, item->item.work, how_ == strategy::ours, false,
+                policy::suspicion::clear, item->hedged, item->tokens < item->length, item->progress,
+                item->tried);
+            auto& hedger = nodes_[item->node].hedger;
+            const bool due = !item->done && hedger.due(seen, clock_.now);
+            const auto all = due ? candidates(*item) : std::vector<policy::route_candidate>{};
+            if (const auto to = hedger.decide(seen, all, clock_.now, random_)) {
+                item->hedged = true;
+                const auto twin = std::make_shared<call>(*item);
+                twin->is_hedge = true;
+                twin->tokens = twin->length;
+                twin->twin = item;
+                item->twin = twin;
+                route(twin, to);
+            }
+        }
+    }
+
     void on_refused(const call_ptr& item) override {
+        if (item->hedged) {
+            return; // The other copy goes on or has ended.
+        }
         item->stalled_until = std::min(item->stalled_until, clock_.now);
         // A refusal says that nothing has run, so one other endpoint may be tried.
         if (how_ == strategy::ours && item->tried.size() < 2) {
             return clock_.after(link(*item), [this, item] { route(item); });
         }
+        item->done = true;
         item->ended = clock_.now + link(*item) + sizes_.caller_delay;
     }
 
     void on_token(const call_ptr& item, double step_seconds) override {
-        --item->tokens;
+        auto& node = nodes_[item->node];
+        node.hedger.on_progress(item->tokens == item->length, clock_.now - item->progress);
+        item->progress = clock_.now;
+        item->tokens = item->done ? 0 : item->tokens - 1; // A cancel takes effect after a step.
         const double relative = step_seconds / seconds(step_time(batch_limit));
-        nodes_[item->node].health.on_sample(name_of(item->endpoint), relative, clock_.now);
+        node.health.on_sample(name_of(item->endpoint), relative, clock_.now);
     }
 
     void on_end(const call_ptr& item) override {
-        item->served = true;
-        item->ended = clock_.now + link(*item) + sizes_.caller_delay;
         owners_[item->endpoint]->finished(item);
+        if (item->done) {
+            return;
+        }
+        const auto twin = item->twin.lock();
+        (twin ? twin : item)->done = item->done = true;
+        auto& result = item->is_hedge ? *twin : *item;
+        result.served = true;
+        result.started = item->started;
+        result.stalled_until = std::min(result.stalled_until, item->stalled_until);
+        result.ended = clock_.now + link(*item) + sizes_.caller_delay;
     }
 
     values measure() const {
@@ -162,6 +202,7 @@
             // The first seconds of a crest fill batches and queues.
             sum["settled"] += good && item->ended > begin_ + settling && item->ended <= end_;
             sum["served in deadline, share"] += good;
+            sum["hedges, share"] += item->hedged;
             const bool at_once = !item->served && taken <= milliseconds{100};
             sum["refused within 100 ms, share"] += at_once;
             sum["late or refused late, share"] += !good && !at_once;
--- a/bench/policy/demand.h
+++ b/bench/policy/demand.h
@@ -86,9 +86,10 @@
 /// A call on its way, with what is measured about it.
 struct call {
     policy::request item;
-    time_point sent, submitted, stalled_until, started, ended;
-    std::size_t tokens = 0, node = 0, endpoint = 0;
-    bool served = false;
+    time_point sent, submitted, stalled_until, started, ended, progress = time_point::max();
+    std::size_t tokens = 0, length = 0, node = 0, endpoint = 0;
+    bool served = false, done = false, hedged = false, is_hedge = false;
+    std::weak_ptr<call> twin; ///< The other one of a hedge and the call that it was made for.
     std::vector<std::string> tried;
 };
 using call_ptr = std::shared_ptr<call>;
@@ -115,7 +116,7 @@
             made.item.deadline = at + std::chrono::seconds{is_long ? 120 : 5};
             made.sent = at;
             made.ended = made.item.deadline;
-            made.tokens = is_long ? long_tokens : tokens(random);
+            made.tokens = made.length = is_long ? long_tokens : tokens(random);
             made.node = random() % nodes;
             at += to_duration(gap(random) / (at < begin ? before : within));
         }
--- a/bench/policy/owners.h
+++ b/bench/policy/owners.h
@@ -52,7 +52,8 @@
         pump();
     }
     void finished(const call_ptr& item) override {
-        scheduler.on_finished(item->item.id, policy::finish_kind::done, 0, clock.now);
+        const auto how = item->done ? policy::finish_kind::cancelled : policy::finish_kind::done;
+        scheduler.on_finished(item->item.id, how, 0, clock.now);
         pump();
     }
     [[nodiscard]] policy::endpoint_load load() const override { return scheduler.load(clock.now); }
--- a/lib/policy/endpoint_health.cpp
+++ b/lib/policy/endpoint_health.cpp
@@ -14,8 +14,9 @@
 /// A failed call counts as one that took this many times as long as expected.
 constexpr double failure_latency = 10;
 /// Without samples the slowness decays with this time constant, so that the endpoint is tried
-/// again.
-constexpr std::chrono::duration<double> recovery{5.0};
+/// again. With 5 s each entry node sent work to a slow endpoint again every few seconds, and these
+/// requests were most of the tail while two endpoints were slow.
+constexpr std::chrono::duration<double> recovery{10.0};
 /// Up to this factor over the peers' median is noise of batching, not slowness.
 constexpr double tolerance = 1.5;
 /// Keeps some traffic as probes.
