Ask at most one other endpoint after a failed load

Cause: a waiter whose load failed was sent to up to six endpoints, each of which tried the load three times with doubling waits. Ruled out: the permits, which were issued (126 failed loads in 58 s). Before: store_down: 8 of 24 waiters held for more than 60 s. After: passes; crashing_request, paused_holder_ignores_fencing and bad_callers pass too.

--- a/lib/node/model_calls.cpp
+++ b/lib/node/model_calls.cpp
@@ -23,9 +23,9 @@
            reason == "owner_unreachable" || reason == "peer_link_down" || reason == "no_endpoint";
 }
 
-/// Refusals that say something about one endpoint's backlog only.
-bool backlog(std::string_view reason) {
-    return reason == "deadline_unreachable" || reason == "queue_full";
+/// Refusals that say something about one endpoint only, so that another one may do better.
+bool of_one_endpoint(std::string_view reason) {
+    return reason == "deadline_unreachable" || reason == "queue_full" || reason == "load_failed";
 }
 
 problem problem_of(const attempt_end& end) {
@@ -297,13 +297,16 @@
     if (passing(end.reason)) {
         return may_wait_for_owner(call, now);
     }
-    if (backlog(end.reason)) {
-        // Nothing has run, so one other endpoint is asked; more would only spread an overload.
-        return !std::exchange(call.asked_elsewhere, true);
+    if (of_one_endpoint(end.reason)) {
+        // Nothing has run, so one other endpoint is asked; more would only spread an overload. A
+        // request that has waited for long is refused, since loads fail everywhere when the store
+        // is down.
+        return now - call.began < new_request_patience &&
+               !std::exchange(call.asked_elsewhere, true);
     }
     const bool broken =
         end.kind == attempt_end_kind::interrupted || end.kind == attempt_end_kind::crashed;
-    if (call.attempts >= max_attempts || (!broken && end.reason != "load_failed")) {
+    if (call.attempts >= max_attempts || !broken) {
         return false;
     }
     const std::lock_guard lock(mutex_);
