Take back leaving when a later text names the data centre again

Cause: the scheduler's leaving flag was set for good; an owner that had held the new building's engines before the text named them refused all their work. Ruled out: late releases of the stopping node (its log shows all releases within a second).

--- a/include/dragonflystair/policy/endpoint_scheduler.h
+++ b/include/dragonflystair/policy/endpoint_scheduler.h
@@ -149,6 +149,9 @@
     /// Stops admitting; what is queued is refused with `endpoint_leaving`, what runs finishes.
     void begin_leaving();
 
+    /// Admits again: the text names the endpoint's data centre again.
+    void end_leaving();
+
     /// Asks for an adapter to be loaded although nothing waits for it here (warming, replicas).
     void prefetch(std::string_view adapter, double urgency, support::time_point now);
 
--- a/lib/node/owned_endpoint.cpp
+++ b/lib/node/owned_endpoint.cpp
@@ -256,12 +256,18 @@
     pump();
 }
 
-void owned_endpoint::begin_leaving() {
-    {
-        const std::lock_guard lock(mutex_);
+void owned_endpoint::set_leaving(bool leaving) {
+    const std::lock_guard lock(mutex_);
+    if (retired_ || std::exchange(leaving_, leaving) == leaving) {
+        return;
+    }
+    if (leaving) {
         scheduler_.begin_leaving();
+    } else {
+        scheduler_.end_leaving();
     }
-    pump();
+    support::log_change(leaving ? "endpoint_leaving" : "endpoint_staying",
+                        {{"endpoint", setup_.id}});
 }
 
 void owned_endpoint::retire() {
--- a/lib/node/owned_endpoint.h
+++ b/lib/node/owned_endpoint.h
@@ -65,8 +65,8 @@
     /// Loads an adapter ahead of need.
     void prefetch(const std::string& adapter, double urgency);
 
-    /// Refuses new work and what is queued; what runs goes on.
-    void begin_leaving();
+    /// While leaving, refuses new work and what is queued; what runs goes on.
+    void set_leaving(bool leaving);
 
     /// Carries out what is due.
     void pump();
@@ -127,6 +127,7 @@
     std::atomic<bool> fence_announced_ = false;
     bool ready_ = false;
     bool retired_ = false;
+    bool leaving_ = false;
     unsigned failed_polls_ = 0;
 };
 
--- a/lib/node/owner_table.cpp
+++ b/lib/node/owner_table.cpp
@@ -29,10 +29,8 @@
         const auto row = directory_.find(endpoint->setup().id, now);
         // Entry nodes may know of the leaving a little later than this node.
         constexpr auto last_work = leaving_grace + std::chrono::seconds{1};
-        if (!row || row->status.state == membership::endpoint_state::gone ||
-            row->leaving_for >= last_work) {
-            endpoint->begin_leaving();
-        }
+        endpoint->set_leaving(!row || row->status.state == membership::endpoint_state::gone ||
+                              row->leaving_for >= last_work);
         endpoint->pump();
         if (endpoint->ready()) {
             auto load = endpoint->load();
--- a/lib/policy/endpoint_scheduler.cpp
+++ b/lib/policy/endpoint_scheduler.cpp
@@ -187,6 +187,10 @@
     impl_->leaving = true;
 }
 
+void endpoint_scheduler::end_leaving() {
+    impl_->leaving = false;
+}
+
 void endpoint_scheduler::prefetch(std::string_view adapter, double urgency,
                                   support::time_point now) {
     if (impl_->leaving || impl_->slots.state(adapter) != slot_state::absent ||
