Let an endpoint serve once the text names its data centre

Cause: while the text named only the old data centre, the owner marked the listed engines of the new one as leaving, and the scheduler kept this mark after the text named them. They refused all work for good.

--- a/include/dragonflystair/policy/endpoint_scheduler.h
+++ b/include/dragonflystair/policy/endpoint_scheduler.h
@@ -148,6 +148,8 @@
 
     /// Stops admitting; what is queued is refused with `endpoint_leaving`, what runs finishes.
     void begin_leaving();
+    /// Admits again, for an endpoint that the text did not name before.
+    void end_leaving();
 
     /// Asks for an adapter to be loaded although nothing waits for it here (warming, replicas).
     void prefetch(std::string_view adapter, double urgency, support::time_point now);
--- a/lib/node/owned_endpoint.cpp
+++ b/lib/node/owned_endpoint.cpp
@@ -264,6 +264,13 @@
     pump();
 }
 
+void owned_endpoint::end_leaving() {
+    const std::lock_guard lock(mutex_);
+    if (!retired_) {
+        scheduler_.end_leaving();
+    }
+}
+
 void owned_endpoint::retire() {
     {
         const std::lock_guard lock(mutex_);
--- a/lib/node/owned_endpoint.h
+++ b/lib/node/owned_endpoint.h
@@ -67,6 +67,8 @@
 
     /// Refuses new work and what is queued; what runs goes on.
     void begin_leaving();
+    /// Admits new work again, unless the endpoint is retired.
+    void end_leaving();
 
     /// Carries out what is due.
     void pump();
--- a/lib/node/owner_table.cpp
+++ b/lib/node/owner_table.cpp
@@ -32,6 +32,9 @@
         if (!row || row->status.state == membership::endpoint_state::gone ||
             row->leaving_for >= last_work) {
             endpoint->begin_leaving();
+        } else if (row->status.state != membership::endpoint_state::leaving) {
+            // The text may name the data centre of an endpoint only after its VM is listed.
+            endpoint->end_leaving();
         }
         endpoint->pump();
         if (endpoint->ready()) {
--- a/lib/policy/endpoint_scheduler.cpp
+++ b/lib/policy/endpoint_scheduler.cpp
@@ -183,6 +183,10 @@
     impl_->orders_allowed = allowed;
 }
 
+void endpoint_scheduler::end_leaving() {
+    impl_->leaving = false;
+}
+
 void endpoint_scheduler::begin_leaving() {
     impl_->leaving = true;
 }
