Resume begun answers outside the retry budget, split the owned endpoint

Ruled out: the engines, which served the resumed streams that were sent. Before: many_streams: 503 engine_restarted in the middle of a stream. Conclusion: only requests without a token take from the budget; an owner that cannot be reached no longer lowers its endpoints' weight.

--- a/lib/node/model_calls.cpp
+++ b/lib/node/model_calls.cpp
@@ -127,7 +127,6 @@
     item.fingerprint = request.fingerprint;
     item.resume_from = check.expected();
     item.deadline = request.deadline;
-    ++call.attempts;
     call.tokens_since_sample = 0;
 
     auto queue = std::make_shared<event_queue>(services_.context.executor);
@@ -147,7 +146,9 @@
     }
     services_.remote_attempts.remove(item.id);
     services_.directory.on_attempt_end(endpoint);
-    if (end.kind == attempt_end_kind::interrupted || end.kind == attempt_end_kind::crashed) {
+    const bool broken =
+        end.kind == attempt_end_kind::interrupted || end.kind == attempt_end_kind::crashed;
+    if (broken && !passing(end.reason)) {
         services_.directory.on_failure(endpoint, node_context::now());
     }
     co_return end;
@@ -185,6 +186,7 @@
             co_return ended(attempt_end_kind::interrupted, "wrong_model");
         }
         call.owner_missing_since.reset();
+        call.broken_attempts = 0;
         if (!std::exchange(call.first_token_seen, true)) {
             const auto latency = node_context::now() - call.began;
             services_.context.first_token_latency.record(latency);
@@ -282,7 +284,7 @@
         std::ranges::any_of(candidates, [](const auto& candidate) { return candidate.resident; });
     const std::lock_guard lock(mutex_);
     if (!held_elsewhere && !leaving.empty()) {
-        if (const auto route = router_.choose(model, leaving, excluded, random_)) {
+        if (auto route = router_.choose(model, leaving, excluded, random_)) {
             return route;
         }
     }
@@ -306,9 +308,14 @@
     }
     const bool broken =
         end.kind == attempt_end_kind::interrupted || end.kind == attempt_end_kind::crashed;
-    if (call.attempts >= max_attempts || !broken) {
+    if (!broken || ++call.broken_attempts >= max_broken_attempts) {
         return false;
     }
+    // An answer that has begun is always resumed: it adds no work, and the budget would cut off
+    // most streams when many endpoints fail at once.
+    if (call.first_token_seen) {
+        return true;
+    }
     const std::lock_guard lock(mutex_);
     if (budget_.try_take()) {
         return true;
--- a/lib/node/model_calls.h
+++ b/lib/node/model_calls.h
@@ -42,8 +42,8 @@
 /// relays the answer, and goes on elsewhere when an attempt breaks.
 class model_calls {
 public:
-    /// Attempts of one request, the first included; a crash suspect gets one attempt alone.
-    static constexpr int max_attempts = 6;
+    /// Attempts in a row that broke without a new token, after which a request is given up.
+    static constexpr int max_broken_attempts = 6;
     /// Tokens over which one sample of an endpoint's speed is averaged.
     static constexpr int tokens_per_sample = 8;
     /// Wait of a request without a first token for an endpoint to get an owner.
@@ -62,7 +62,7 @@
     struct call_state {
         model_request request;
         std::vector<std::string> excluded;
-        int attempts = 0;
+        int broken_attempts = 0; ///< In a row, without a new token.
         bool first_token_seen = false;
         support::time_point began;
         std::optional<support::time_point> owner_missing_since;
--- a/lib/node/owned_endpoint.h
+++ b/lib/node/owned_endpoint.h
@@ -51,6 +51,9 @@
 /// One model endpoint that this node owns: carries out the scheduler's actions against the engine.
 class owned_endpoint : public std::enable_shared_from_this<owned_endpoint> {
 public:
+    /// Time for an answer to a state question or an unload order.
+    static constexpr std::chrono::milliseconds state_timeout{1'000};
+
     owned_endpoint(owner_services services, endpoint_setup setup);
 
     /// Begins to poll the engine; requests are admitted once it has reported.
@@ -94,18 +97,23 @@
     using active_ptr = std::shared_ptr<active_attempt>;
     enum class read_result { done, broken, cancelled, rejected };
 
+    // The engine's state and the scheduler's actions (owned_endpoint.cpp).
     net::awaitable<void> poll_loop();
     net::awaitable<bool> announce_fence();
     net::awaitable<bool> refresh();
     void on_state(const net::engine_state& state);
     void resolve_intents_after_restart();
-
     void execute(const policy::scheduler_action& action);
-    void refuse(const std::string& id, const policy::refusal& why);
+
+    // Loads and unloads (owned_endpoint_loads.cpp).
     net::awaitable<void> run_load(std::string adapter);
     net::awaitable<void> run_unload(std::string adapter);
     net::awaitable<bool> announce_eviction(std::string adapter);
     net::awaitable<std::optional<bool>> order_unload(std::string adapter);
+    void drop_permit(const std::string& adapter);
+
+    // Requests and their streams (owned_endpoint_attempts.cpp).
+    void refuse(const std::string& id, const policy::refusal& why);
     net::awaitable<void> run_attempt(active_ptr active, bool priority);
     static net::engine_call engine_call_of(const active_attempt& active, bool priority);
     net::awaitable<attempt_end> stream_attempt(active_ptr active, bool priority);
@@ -113,7 +121,6 @@
                                             std::shared_ptr<net::engine_stream> stream);
     void finish(const active_ptr& active, const attempt_end& end);
     void cancel_at_engine(const std::string& id);
-    void drop_permit(const std::string& adapter);
 
     owner_services services_;
     endpoint_setup setup_;
--- /dev/null
+++ b/unittests/scenarios/many_streams.lua
@@ -0,0 +1,26 @@
+-- Both engines restart with 80 streams running, more than the saved retries of a node. Guards
+-- against streams that are cut off because the retry budget, which is for new requests in an
+-- overload, is used up.
+local platform = start_platform{engines = {
+  {name = "engine-1", data_centre = "lahore", batch_limit = 64, token_time = "5ms"},
+  {name = "engine-2", data_centre = "lahore", batch_limit = 64, token_time = "5ms"}}}
+local nodes = start_nodes(platform, {"lahore"})
+wait_ready(nodes)
+expect_equal(200, publish(nodes[1], deployment_text{}, 0).status, "publish")
+for number = 1, 3 do wait_served(nodes[1], "assistant/a" .. number) end
+
+local streams = {}
+for number = 1, 80 do
+  local adapter = "assistant/a" .. number % 3 + 1
+  streams[number] = {model = adapter .. "@1", handle =
+    begin_completion(nodes[1], adapter, "p" .. number, {max_tokens = 300})}
+end
+eventually("the streams to run", function()
+  for _, item in ipairs(streams) do
+    if #read_stream(http_state(item.handle)).events < 5 then return false end
+  end
+  return true
+end)
+control(platform["engine-1"], {restart = true})
+control(platform["engine-2"], {restart = true})
+for _, item in ipairs(streams) do expect_whole(finish_call(item.handle), item.model, 300) end
