Watch requests that had tokens at a crash instead of isolating them

Cause: every request in flight at a crash was run alone afterwards, so 80 streams of two restarted engines were resumed one at a time, 1.5 s each. Ruled out: more isolated requests at once, which cannot tell the culprit. Conclusion: requests without a token are suspects at once, the others at a second crash.

--- a/lib/node/crash_table.h
+++ b/lib/node/crash_table.h
@@ -12,9 +12,14 @@
 /// Shared table of requests that are suspected of crashing endpoints.
 class crash_table {
 public:
-    void on_crash(std::span<const std::uint64_t> in_flight, support::time_point now) {
+    void on_crash(std::span<const std::uint64_t> without_token,
+                  std::span<const std::uint64_t> with_tokens, support::time_point now) {
         const std::lock_guard lock(mutex_);
-        suspects_.on_crash(in_flight, now);
+        suspects_.on_crash(without_token, with_tokens, now);
+    }
+    void on_crash_after_tokens(std::uint64_t fingerprint, support::time_point now) {
+        const std::lock_guard lock(mutex_);
+        suspects_.on_crash_after_tokens(fingerprint, now);
     }
     void on_finished(std::uint64_t fingerprint) {
         const std::lock_guard lock(mutex_);
--- a/lib/node/model_calls.cpp
+++ b/lib/node/model_calls.cpp
@@ -142,7 +142,7 @@
         }
     }
     if (end.kind == attempt_end_kind::crashed) {
-        on_crashed(item);
+        on_crashed(item, check.expected() > item.resume_from);
     }
     services_.remote_attempts.remove(item.id);
     services_.directory.on_attempt_end(endpoint);
@@ -154,14 +154,19 @@
     co_return end;
 }
 
-void model_calls::on_crashed(const attempt& item) {
-    // The owner of the endpoint knows of the crash, but the next attempt may go to another owner.
+void model_calls::on_crashed(const attempt& item, bool had_tokens) {
+    if (services_.owners.find(item.endpoint)) {
+        // This node owns the endpoint and has seen the crash with all its requests.
+        return;
+    }
     const auto now = node_context::now();
     if (item.isolated) {
         services_.crashes.on_peer_quarantine(item.fingerprint, now);
-        return;
+    } else if (had_tokens) {
+        services_.crashes.on_crash_after_tokens(item.fingerprint, now);
+    } else {
+        services_.crashes.on_suspicion(item.fingerprint, now);
     }
-    services_.crashes.on_suspicion(item.fingerprint, now);
 }
 
 net::awaitable<attempt_end> model_calls::relay(call_state& call, answer_writer& writer,
--- a/lib/node/model_calls.h
+++ b/lib/node/model_calls.h
@@ -76,7 +76,7 @@
                                             stream::stream_check& check,
                                             net::http_exchange& exchange,
                                             const policy::route& route);
-    void on_crashed(const attempt& item);
+    void on_crashed(const attempt& item, bool had_tokens);
     net::awaitable<attempt_end> relay(call_state& call, answer_writer& writer,
                                       stream::stream_check& check, event_queue& queue,
                                       const policy::route& route);
--- a/lib/node/owned_endpoint.cpp
+++ b/lib/node/owned_endpoint.cpp
@@ -101,7 +101,8 @@
     const auto now = node_context::now();
     const auto unusable = setup_.checks_fencing ? std::vector<std::string>{}
                                                 : services_.members.foreign_intents(setup_.id);
-    std::vector<std::uint64_t> in_flight;
+    std::vector<std::uint64_t> without_token;
+    std::vector<std::uint64_t> with_tokens;
     bool restarted = false;
     {
         const std::lock_guard lock(mutex_);
@@ -121,7 +122,9 @@
                 const auto found = attempts_.find(id);
                 if (found != attempts_.end()) {
                     found->second->crashed = true;
-                    in_flight.push_back(found->second->item.fingerprint);
+                    const auto& item = found->second->item;
+                    const bool began = found->second->next_position > item.resume_from;
+                    (began ? with_tokens : without_token).push_back(item.fingerprint);
                 }
             }
         }
@@ -134,9 +137,9 @@
     fence_announced_ = false;
     support::log_change("engine_restarted", {{"endpoint", setup_.id}});
     services_.context.counters.increment("engine_restarts_total");
-    if (!in_flight.empty()) {
-        services_.crashes.on_crash(in_flight, now);
-        services_.announce_suspects(in_flight);
+    services_.crashes.on_crash(without_token, with_tokens, now);
+    if (!without_token.empty()) {
+        services_.announce_suspects(without_token);
     }
     resolve_intents_after_restart();
 }
--- a/lib/policy/crash_suspects.cpp
+++ b/lib/policy/crash_suspects.cpp
@@ -2,27 +2,47 @@
 
 namespace dragonflystair::policy {
 
-void crash_suspects::on_crash(std::span<const std::uint64_t> in_flight, support::time_point now) {
-    for (const auto fingerprint : in_flight) {
-        const bool alone = in_flight.size() == 1;
-        const bool again = state(fingerprint, now) != suspicion::clear;
-        // Alone and suspected before means that nothing else can have caused the second crash.
-        const auto next = alone && again ? suspicion::quarantined : suspicion::suspect;
-        if (state(fingerprint, now) != suspicion::quarantined) {
-            records_[fingerprint] = {next, now};
+void crash_suspects::on_crash(std::span<const std::uint64_t> without_token,
+                              std::span<const std::uint64_t> with_tokens, support::time_point now) {
+    const bool alone = without_token.size() + with_tokens.size() == 1;
+    // Alone and in flight at an earlier crash means that nothing else can have caused both.
+    const auto caused = [&](std::uint64_t fingerprint) {
+        return alone && state(fingerprint, now) != suspicion::clear;
+    };
+    for (const auto fingerprint : without_token) {
+        if (caused(fingerprint)) {
+            on_peer_quarantine(fingerprint, now);
+            continue;
         }
+        on_suspicion(fingerprint, now);
+    }
+    for (const auto fingerprint : with_tokens) {
+        if (caused(fingerprint)) {
+            on_peer_quarantine(fingerprint, now);
+            continue;
+        }
+        on_crash_after_tokens(fingerprint, now);
     }
 }
 
+void crash_suspects::on_crash_after_tokens(std::uint64_t fingerprint, support::time_point now) {
+    if (state(fingerprint, now) == suspicion::clear) {
+        records_[fingerprint] = {suspicion::watched, now};
+        return;
+    }
+    on_suspicion(fingerprint, now);
+}
+
 void crash_suspects::on_finished(std::uint64_t fingerprint) {
     const auto place = records_.find(fingerprint);
-    if (place != records_.end() && place->second.state == suspicion::suspect) {
+    if (place != records_.end() && place->second.state != suspicion::quarantined) {
         records_.erase(place);
     }
 }
 
 void crash_suspects::on_suspicion(std::uint64_t fingerprint, support::time_point now) {
-    if (state(fingerprint, now) == suspicion::clear) {
+    const auto known = state(fingerprint, now);
+    if (known == suspicion::clear || known == suspicion::watched) {
         records_[fingerprint] = {suspicion::suspect, now};
     }
 }
