Rename the permit desk and the scenario's world to usual terms

Cause: 'desk', 'wish' and 'world' are not terms of the field. Ruled out: keeping them for the glossary, since they name only code. Conclusion: permit_broker, waiting_request, scenario_state.

--- a/lib/node/node_impl.h
+++ b/lib/node/node_impl.h
@@ -24,7 +24,7 @@
 #include "owner_table.h"
 #include "peer_protocol.h"
 #include "peer_table.h"
-#include "permit_desk.h"
+#include "permit_broker.h"
 #include "plain_calls.h"
 #include "resolver.h"
 #include "session_agent.h"
@@ -66,7 +66,7 @@
     std::shared_ptr<log_writer> member_writer;
     std::shared_ptr<log_writer> claim_writer;
 
-    permit_desk permits;
+    permit_broker permits;
     owner_table owners;
     claim_table claims;
     key_inquiry inquiry;
--- a/lib/node/owned_endpoint.h
+++ b/lib/node/owned_endpoint.h
@@ -10,7 +10,7 @@
 #include "log_writer.h"
 #include "member_table.h"
 #include "node_context.h"
-#include "permit_desk.h"
+#include "permit_broker.h"
 
 #include <atomic>
 #include <cstdint>
@@ -42,7 +42,7 @@
     member_table& members;
     log_writer& member_writer;
     net::engine_client& engines;
-    permit_desk& permits;
+    permit_broker& permits;
     crash_table& crashes;
     /// Tells all peers the fingerprints that were in flight at a crash.
     std::function<void(std::span<const std::uint64_t>)> announce_suspects;
--- a/lib/node/owner_table.cpp
+++ b/lib/node/owner_table.cpp
@@ -21,7 +21,7 @@
     retire_lost(held);
     for (const auto& endpoint : held) {
         const auto fence = services_.members.fence_if_held(endpoint, now);
-        if (fence && endpoint != permit_desk::store_resource) {
+        if (fence && endpoint != permit_broker::store_resource) {
             take_over(endpoint, *fence);
         }
     }
--- a/lib/node/peer_protocol.h
+++ b/lib/node/peer_protocol.h
@@ -11,7 +11,7 @@
 #include "node_context.h"
 #include "owner_table.h"
 #include "peer_table.h"
-#include "permit_desk.h"
+#include "permit_broker.h"
 
 #include <atomic>
 #include <cstdint>
@@ -36,7 +36,7 @@
     attempt_registry& remote_attempts;
     crash_table& crashes;
     peer_table& peers;
-    permit_desk& permits;
+    permit_broker& permits;
     key_inquiry& inquiry;
     std::function<bool(std::string_view peer, const support::json& frame)> send;
     std::function<void(const support::json& frame)> broadcast;
--- a/lib/node/permit_desk.cpp
+++ b/lib/node/permit_broker.cpp
@@ -1,4 +1,4 @@
-#include "permit_desk.h"
+#include "permit_broker.h"
 
 #include "dragonflystair/support/log.h"
 
@@ -18,26 +18,26 @@
 
 } // namespace
 
-permit_desk::permit_desk(node_context& context, member_table& members, hooks callbacks)
+permit_broker::permit_broker(node_context& context, member_table& members, hooks callbacks)
     : context_(context), members_(members), hooks_(std::move(callbacks)) {}
 
-std::string permit_desk::holder() const {
+std::string permit_broker::holder() const {
     const auto owner = members_.owner_of(store_resource);
     return owner ? owner->session.incarnation : std::string{};
 }
 
-void permit_desk::want(const std::string& endpoint, const std::string& adapter, double urgency) {
+void permit_broker::want(const std::string& endpoint, const std::string& adapter, double urgency) {
     const auto holder_peer = holder();
     {
         const std::lock_guard lock(mutex_);
-        auto& item = wishes_[{endpoint, adapter}];
+        auto& item = waiting_[{endpoint, adapter}];
         item.urgency = urgency;
         ask({endpoint, adapter}, item, holder_peer);
     }
     tick();
 }
 
-void permit_desk::ask(const place& where, wish& item, const std::string& holder_peer) {
+void permit_broker::ask(const place& where, waiting_request& item, const std::string& holder_peer) {
     if (holder_peer.empty()) {
         return;
     }
@@ -57,11 +57,11 @@
     hooks_.send(holder_peer, frame);
 }
 
-void permit_desk::withdraw(const std::string& endpoint, const std::string& adapter) {
+void permit_broker::withdraw(const std::string& endpoint, const std::string& adapter) {
     const auto holder_peer = holder();
     {
         const std::lock_guard lock(mutex_);
-        wishes_.erase({endpoint, adapter});
+        waiting_.erase({endpoint, adapter});
         if (holder_peer == context_.incarnation) {
             forget_request({endpoint, adapter});
             return;
@@ -73,14 +73,14 @@
     }
 }
 
-void permit_desk::forget_request(const place& where) {
+void permit_broker::forget_request(const place& where) {
     requesters_.erase(where);
     if (permits_) {
         permits_->withdraw(where.first, where.second);
     }
 }
 
-void permit_desk::give_back(const held_permit& permit, bool failed) {
+void permit_broker::give_back(const held_permit& permit, bool failed) {
     if (permit.issuer != context_.incarnation) {
         hooks_.send(permit.issuer,
                     {{"type", "permit_return"}, {"number", permit.number}, {"failed", failed}});
@@ -95,7 +95,7 @@
     tick();
 }
 
-void permit_desk::on_frame(std::string_view peer, const support::json& frame) {
+void permit_broker::on_frame(std::string_view peer, const support::json& frame) {
     const auto type = frame.value("type", "");
     if (type == "permit_request") {
         on_request(peer, frame);
@@ -123,7 +123,7 @@
     }
 }
 
-void permit_desk::on_request(std::string_view peer, const support::json& frame) {
+void permit_broker::on_request(std::string_view peer, const support::json& frame) {
     const std::lock_guard lock(mutex_);
     const place where{frame.value("endpoint", ""), frame.value("adapter", "")};
     requesters_[where] = {std::string(peer), frame.value("stamp_ms", std::int64_t{0})};
@@ -133,7 +133,7 @@
     }
 }
 
-void permit_desk::on_granted(std::string_view peer, const support::json& frame) {
+void permit_broker::on_granted(std::string_view peer, const support::json& frame) {
     const place where{frame.value("endpoint", ""), frame.value("adapter", "")};
     const auto asked_at = from_ms(frame.value("stamp_ms", std::int64_t{0}));
     held_permit permit{frame.value("number", std::uint64_t{0}), std::string(peer),
@@ -141,10 +141,10 @@
     bool wanted = false;
     {
         const std::lock_guard lock(mutex_);
-        wanted = wishes_.erase(where) > 0;
+        wanted = waiting_.erase(where) > 0;
     }
     if (!wanted) {
-        // A repeated wish crossed the permit for the first one, so this one is of no use.
+        // A repeated request crossed the permit for the first one, so this one is of no use.
         context_.counters.increment("load_permits_unused_total");
         give_back(permit, false);
         return;
@@ -152,7 +152,7 @@
     hooks_.on_permit(where.first, where.second, permit);
 }
 
-void permit_desk::tick() {
+void permit_broker::tick() {
     const auto now = node_context::now();
     const auto fence = members_.fence_if_held(store_resource, now);
     const auto limits = hooks_.limits();
@@ -171,13 +171,13 @@
         if (permits_) {
             permits_->set_limits(limits);
         }
-        for (auto& [where, item] : wishes_) {
+        for (auto& [where, item] : waiting_) {
             if (!item.asked || now - item.asked_at >= repeat_period) {
                 ask(where, item, holder_peer);
             }
         }
         if (permits_) {
-            for (const auto& [where, item] : wishes_) {
+            for (const auto& [where, item] : waiting_) {
                 if (holder_peer == context_.incarnation) {
                     permits_->request(where.first, where.second, item.urgency, now);
                 }
@@ -194,7 +194,7 @@
     }
 }
 
-std::vector<support::json> permit_desk::issue(std::vector<std::string>& peers) {
+std::vector<support::json> permit_broker::issue(std::vector<std::string>& peers) {
     std::vector<support::json> frames;
     for (const auto& permit : permits_->poll(node_context::now())) {
         const auto found = requesters_.find({permit.endpoint, permit.adapter});
@@ -214,7 +214,7 @@
     return frames;
 }
 
-std::size_t permit_desk::outstanding() const {
+std::size_t permit_broker::outstanding() const {
     const std::lock_guard lock(mutex_);
     return permits_ ? permits_->outstanding(node_context::now()) : 0;
 }
--- a/lib/node/permit_desk.h
+++ b/lib/node/permit_broker.h
@@ -25,10 +25,10 @@
 };
 
 /// Asks the holder of the grant `store` for load permits, and issues them while this node holds it.
-class permit_desk {
+class permit_broker {
 public:
     static constexpr std::string_view store_resource = "store";
-    /// Open wishes are repeated this often, so that a new holder learns of them.
+    /// Waiting requests are repeated this often, so that a new holder learns of them.
     static constexpr std::chrono::milliseconds repeat_period{500};
 
     struct hooks {
@@ -40,23 +40,23 @@
             on_permit;
     };
 
-    permit_desk(node_context& context, member_table& members, hooks callbacks);
+    permit_broker(node_context& context, member_table& members, hooks callbacks);
 
     void want(const std::string& endpoint, const std::string& adapter, double urgency);
-    /// The wish is no longer needed.
+    /// The request is no longer needed.
     void withdraw(const std::string& endpoint, const std::string& adapter);
     void give_back(const held_permit& permit, bool failed);
 
     /// Frames `permit_request`, `permit`, `permit_return`, `permit_withdraw`.
     void on_frame(std::string_view peer, const support::json& frame);
 
-    /// Issues what is due and repeats open wishes.
+    /// Issues what is due and repeats waiting requests.
     void tick();
 
     [[nodiscard]] std::size_t outstanding() const;
 
 private:
-    struct wish {
+    struct waiting_request {
         double urgency = 0;
         support::time_point asked_at;
         bool asked = false;
@@ -68,7 +68,7 @@
     using place = std::pair<std::string, std::string>;
 
     [[nodiscard]] std::string holder() const;
-    void ask(const place& where, wish& item, const std::string& holder_peer);
+    void ask(const place& where, waiting_request& item, const std::string& holder_peer);
     void forget_request(const place& where);
     void on_request(std::string_view peer, const support::json& frame);
     void on_granted(std::string_view peer, const support::json& frame);
@@ -78,7 +78,7 @@
     member_table& members_;
     hooks hooks_;
     mutable std::mutex mutex_;
-    std::map<place, wish> wishes_;
+    std::map<place, waiting_request> waiting_;
     std::optional<policy::load_permits> permits_;
     ledger::position permits_fence_ = 0;
     std::map<place, issued> requesters_;
--- a/unittests/scenarios/main.cpp
+++ b/unittests/scenarios/main.cpp
@@ -28,7 +28,7 @@
 using namespace dragonflystair::scenarios;
 
 /// Everything that a scenario has started, by handle.
-struct world {
+struct scenario_state {
     std::string folder;
     lua_Integer next_handle = 1;
     std::map<lua_Integer, std::unique_ptr<child_process>> processes;
@@ -38,8 +38,8 @@
     std::map<lua_Integer, std::unique_ptr<boost::asio::ip::tcp::socket>> sockets;
 };
 
-world& the_world() {
-    static world instance;
+scenario_state& the_state() {
+    static scenario_state instance;
     return instance;
 }
 
@@ -55,7 +55,7 @@
     for (int index = 2; index <= lua_gettop(lua); ++index) {
         arguments.push_back(text_at(lua, index));
     }
-    auto& all = the_world();
+    auto& all = the_state();
     const auto log_file = all.folder + "/" + text_at(lua, 1);
     all.processes[all.next_handle] = std::make_unique<child_process>(arguments, log_file);
     lua_pushinteger(lua, all.next_handle++);
@@ -66,13 +66,13 @@
 int send_signal(lua_State* lua) {
     static const std::map<std::string, int> numbers{
         {"KILL", SIGKILL}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}, {"TERM", SIGTERM}};
-    the_world().processes.at(luaL_checkinteger(lua, 1))->signal(numbers.at(text_at(lua, 2)));
+    the_state().processes.at(luaL_checkinteger(lua, 1))->signal(numbers.at(text_at(lua, 2)));
     return 0;
 }
 
 /// wait_process(handle) -> exit code
 int wait_process(lua_State* lua) {
-    lua_pushinteger(lua, the_world().processes.at(luaL_checkinteger(lua, 1))->wait());
+    lua_pushinteger(lua, the_state().processes.at(luaL_checkinteger(lua, 1))->wait());
     return 1;
 }
 
@@ -88,7 +88,7 @@
     }
     request.body = text_at(lua, 5);
     const std::chrono::milliseconds timeout(luaL_checkinteger(lua, 6));
-    auto& all = the_world();
+    auto& all = the_state();
     all.calls[all.next_handle] = std::make_unique<http_call>(address, std::move(request), timeout);
     lua_pushinteger(lua, all.next_handle++);
     return 1;
@@ -96,7 +96,7 @@
 
 /// http_state(handle) -> table with ended, error, status, headers, body
 int http_state(lua_State* lua) {
-    const auto& call = *the_world().calls.at(luaL_checkinteger(lua, 1));
+    const auto& call = *the_state().calls.at(luaL_checkinteger(lua, 1));
     const bool ended = call.ended();
     const auto response = call.response();
     support::json headers = support::json::object();
@@ -113,7 +113,7 @@
 
 /// http_wait(handle)
 int http_wait(lua_State* lua) {
-    the_world().calls.at(luaL_checkinteger(lua, 1))->wait();
+    the_state().calls.at(luaL_checkinteger(lua, 1))->wait();
     return 0;
 }
 
@@ -121,7 +121,7 @@
 int send_raw(lua_State* lua) {
     const auto address = text_at(lua, 1);
     const auto colon = address.find(':');
-    auto& all = the_world();
+    auto& all = the_state();
     auto socket = std::make_unique<boost::asio::ip::tcp::socket>(all.context);
     socket->connect({boost::asio::ip::make_address(address.substr(0, colon)),
                      static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
@@ -135,7 +135,7 @@
 int read_raw(lua_State* lua) {
     std::string text;
     boost::system::error_code end;
-    boost::asio::read(*the_world().sockets.at(luaL_checkinteger(lua, 1)),
+    boost::asio::read(*the_state().sockets.at(luaL_checkinteger(lua, 1)),
                       boost::asio::dynamic_buffer(text), end);
     lua_pushlstring(lua, text.data(), text.size());
     return 1;
@@ -143,7 +143,7 @@
 
 /// relay(target) -> handle, address
 int relay(lua_State* lua) {
-    auto& all = the_world();
+    auto& all = the_state();
     auto item = std::make_unique<tcp_relay>(text_at(lua, 1));
     const auto address = item->address();
     all.relays[all.next_handle] = std::move(item);
@@ -157,7 +157,7 @@
     static const std::map<std::string, relay_mode> modes{{"pass", relay_mode::pass},
                                                          {"silence_open", relay_mode::silence_open},
                                                          {"cut", relay_mode::cut}};
-    the_world().relays.at(luaL_checkinteger(lua, 1))->set_mode(modes.at(text_at(lua, 2)));
+    the_state().relays.at(luaL_checkinteger(lua, 1))->set_mode(modes.at(text_at(lua, 2)));
     return 0;
 }
 
@@ -175,7 +175,7 @@
 
 /// write_file(name, text) -> path in the scenario's own folder
 int write_file(lua_State* lua) {
-    const auto path = the_world().folder + "/" + text_at(lua, 1);
+    const auto path = the_state().folder + "/" + text_at(lua, 1);
     std::ofstream(path) << text_at(lua, 2);
     lua_pushstring(lua, path.c_str());
     return 1;
@@ -183,7 +183,7 @@
 
 /// read_file(name) -> text of a file in the scenario's own folder, or an empty string
 int read_file(lua_State* lua) {
-    std::ifstream file(the_world().folder + "/" + text_at(lua, 1));
+    std::ifstream file(the_state().folder + "/" + text_at(lua, 1));
     std::ostringstream text;
     text << file.rdbuf();
     const auto content = text.str();
@@ -270,7 +270,7 @@
         std::perror("mkdtemp");
         return 2;
     }
-    the_world().folder = folder;
+    the_state().folder = folder;
     lua_State* lua = luaL_newstate();
     luaL_openlibs(lua);
     register_functions(lua);
@@ -283,9 +283,9 @@
         print_logs(folder);
     }
     lua_close(lua);
-    the_world().processes.clear();
-    the_world().calls.clear();
-    the_world().relays.clear();
+    the_state().processes.clear();
+    the_state().calls.clear();
+    the_state().relays.clear();
     std::filesystem::remove_all(folder);
     std::puts(passed ? "scenario passed" : "scenario failed");
     return passed ? 0 : 1;
