--- a/unittests/scenarios/many_streams.lua
+++ b/unittests/scenarios/many_streams.lua
@@ -9,18 +9,7 @@
 expect_equal(200, publish(nodes[1], deployment_text{}, 0).status, "publish")
 for number = 1, 3 do wait_served(nodes[1], "assistant/a" .. number) end
 
-local streams = {}
-for number = 1, 80 do
-  local adapter = "assistant/a" .. number % 3 + 1
-  streams[number] = {model = adapter .. "@1", handle =
-    begin_completion(nodes[1], adapter, "p" .. number, {max_tokens = 300})}
-end
-eventually("the streams to run", function()
-  for _, item in ipairs(streams) do
-    if #read_stream(http_state(item.handle)).events < 5 then return false end
-  end
-  return true
-end)
+local streams = begin_streams(nodes[1], 80, 300)
 control(platform["engine-1"], {restart = true})
 control(platform["engine-2"], {restart = true})
-for _, item in ipairs(streams) do expect_whole(finish_call(item.handle), item.model, 300) end
+expect_all_whole(streams)
--- a/unittests/scenarios/prelude.lua
+++ b/unittests/scenarios/prelude.lua
@@ -238,6 +238,29 @@
   return finish_call(begin_completion(node, model, prompt, options))
 end
 
+-- Begins streams of `tokens` tokens over the adapters a1 to a3 and waits until all of them run.
+function begin_streams(node, count, tokens)
+  local streams = {}
+  for number = 1, count do
+    local adapter = "assistant/a" .. (number - 1) % 3 + 1
+    streams[number] = {model = adapter .. "@1", tokens = tokens, handle =
+      begin_completion(node, adapter, "p" .. number, {max_tokens = tokens})}
+  end
+  eventually("the streams to run", function()
+    for _, item in ipairs(streams) do
+      if #read_stream(http_state(item.handle)).events < 5 then return false end
+    end
+    return true
+  end)
+  return streams
+end
+
+function expect_all_whole(streams)
+  for _, item in ipairs(streams) do
+    expect_whole(finish_call(item.handle), item.model, item.tokens)
+  end
+end
+
 -- Waits until an answer for the adapter comes, after a start or a change of owners.
 function wait_served(node, model)
   return eventually(model .. " to be served by " .. node.name, function()
--- a/unittests/scenarios/two_failures.lua
+++ b/unittests/scenarios/two_failures.lua
@@ -8,28 +8,6 @@
   wait_process(platform.process)
 end
 
-local function begin_streams(node, count, tokens)
-  local streams = {}
-  for number = 1, count do
-    local adapter = "assistant/a" .. (number - 1) % 3 + 1
-    streams[number] = {model = adapter .. "@1", tokens = tokens, handle =
-      begin_completion(node, adapter, "p" .. number, {max_tokens = tokens})}
-  end
-  eventually("the streams to run", function()
-    for _, item in ipairs(streams) do
-      if #read_stream(http_state(item.handle)).events < 5 then return false end
-    end
-    return true
-  end)
-  return streams
-end
-
-local function expect_all_whole(streams)
-  for _, item in ipairs(streams) do
-    expect_whole(finish_call(item.handle), item.model, item.tokens)
-  end
-end
-
 -- The engine restarts empty while its owner is killed.
 local function restart_and_kill()
   local platform = start_platform{engines = {{name = "engine-1", data_centre = "lahore"},
