--- a/include/dragonflystair/cli/environment.h
+++ b/include/dragonflystair/cli/environment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflystair/config/gateway_settings.h"
 #include "dragonflystair/config/settings.h"
 #include "dragonflystair/support/error.h"
 
@@ -35,6 +36,8 @@
     std::function<support::async_result<remote_answer>(const remote_request&)> call;
     /// Runs a node until it has stopped and returns its exit code. Throws if it cannot start.
     std::function<int(config::settings)> run_node;
+    /// The same for a gateway.
+    std::function<int(config::gateway_settings)> run_gateway;
     /// Value of an environment variable.
     std::function<std::optional<std::string>(const std::string& name)> variable;
 };
--- /dev/null
+++ b/include/dragonflystair/fleet/adapter_planner.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "dragonflystair/fleet/configuration.h"
+#include "dragonflystair/fleet/dispatcher.h"
+#include "dragonflystair/fleet/endpoint_record.h"
+#include "dragonflystair/support/time.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonflystair::fleet {
+
+enum class planned_kind {
+    load,
+    unload,
+    report, ///< Ask the engine what it holds.
+};
+
+/// An order that is due, or a repeat of one that shows whether it has been carried out.
+struct planned_order {
+    std::string endpoint;
+    std::string address;
+    planned_kind kind = planned_kind::load;
+    model_name what;
+    std::optional<std::uint64_t> version;
+    std::uint64_t orders_accepted = 0; ///< The engine's count that the order expects.
+    bool check = false;                ///< The order was accepted before.
+};
+
+/// How an engine answered an order.
+enum class order_outcome {
+    accepted,
+    holds,
+    conflict, ///< It counts other orders, or one is in progress.
+    failed,   ///< Not carried out.
+    unknown,  ///< It may be carried out, also later.
+};
+
+/// What the holder of the placement lease tells all nodes about an engine.
+struct residency_change {
+    std::string endpoint;
+    model_name what;
+    residency state = residency::absent;
+    std::uint64_t version = 0;
+};
+
+/// Decides which adapters the engines of one data centre hold. Run by the holder of its placement
+/// lease only. One order at a time is under way to each engine; each expects the count of orders
+/// that the engine has accepted, so an order that is carried out late does no harm.
+///
+/// Load patterns it answers: a long tail of rare adapters, each asked for once, beside a few busy
+/// ones; demand that moves to other adapters within seconds; engines that restart empty. A rare
+/// adapter goes to the engine that had it before, since engines load recent ones ten times as fast,
+/// and drives out the least popular adapter that nothing used for a while. Pure.
+class adapter_planner {
+public:
+    adapter_planner();
+    ~adapter_planner();
+    adapter_planner(const adapter_planner&) = delete;
+    adapter_planner& operator=(const adapter_planner&) = delete;
+
+    void configure(const configuration& current);
+    /// Adds or refreshes an engine of the data centre. The first record of a start counts; later
+    /// ones are older than what orders have shown.
+    void update(const endpoint_record& record);
+    void remove(std::string_view endpoint);
+
+    void on_demand(const adapter_demand& demand, support::time_point now);
+    void on_used(const model_name& what, support::time_point now);
+    void require_version(const model_name& what, std::uint64_t version);
+
+    /// Orders that are due, at most one for each engine without an order under way.
+    std::vector<planned_order> plan(support::time_point now);
+    void on_outcome(const planned_order& order, order_outcome outcome, support::time_point now);
+    void on_report(std::string_view endpoint, const engine_report& report,
+                   support::time_point now);
+    void on_report_failed(std::string_view endpoint, support::time_point now);
+
+    /// When `plan` has to run again even if nothing happens.
+    [[nodiscard]] std::optional<support::time_point> next_due() const;
+
+    /// Changes since the last time.
+    std::vector<residency_change> take_changes();
+    /// Everything that is held.
+    [[nodiscard]] std::vector<residency_change> all() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace dragonflystair::fleet
--- /dev/null
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "dragonflystair/fleet/call.h"
+#include "dragonflystair/fleet/configuration.h"
+#include "dragonflystair/fleet/endpoint_record.h"
+#include "dragonflystair/fleet/topology.h"
+#include "dragonflystair/support/time.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonflystair::fleet {
+
+/// Calls that one node has under way at one endpoint.
+struct endpoint_load {
+    std::size_t calls = 0;
+    std::size_t unread_tokens = 0; ///< Of prompts whose first event has not come.
+
+    bool operator==(const endpoint_load&) const = default;
+};
+
+enum class residency { absent, loading, ready };
+
+/// A call that needs an endpoint.
+struct pending_call {
+    std::uint64_t number = 0; ///< Chosen by the node; unique among its open calls.
+    std::string service;
+    model_name model;
+    std::vector<prompt_part> prompt;
+    std::size_t prompt_tokens = 0;
+    int priority = 0;
+    support::time_point arrived;
+    support::time_point objective_at; ///< An answer or first event until then is on time.
+    support::time_point give_up_at;   ///< Refused if it has no endpoint until then.
+    std::vector<std::string> excluded; ///< Endpoints that it was sent to.
+};
+
+enum class refusal {
+    no_endpoints, ///< No endpoint of the service is known.
+    overloaded,   ///< The calls ahead of it take longer than it can wait.
+    no_capacity,  ///< Nothing became free in time.
+    no_adapter,   ///< Its adapter was not loaded in time.
+};
+
+std::string_view to_string(refusal reason);
+
+/// What becomes of a call: an endpoint, or a refusal with the time after which there is room.
+struct dispatch_decision {
+    std::uint64_t number = 0;
+    std::string endpoint; ///< Empty if it is refused.
+    std::optional<std::uint64_t> version; ///< Adapter version that the endpoint must have.
+    refusal reason = refusal::no_capacity;
+    std::chrono::milliseconds retry_after{0};
+};
+
+/// Demand for an adapter that no endpoint of the node's data centre has ready.
+struct adapter_demand {
+    model_name what;
+    std::size_t waiting = 0;  ///< Calls that wait for it now.
+    std::size_t diverted = 0; ///< Calls sent to another data centre since the last time.
+};
+
+/// Decides where calls run, in which order they wait and which are refused. Each node dispatches
+/// straight to the endpoints: it counts its own calls exactly and adds what peers last said.
+///
+/// Load patterns it answers: a wave of short generations with a few prompts that take as long to
+/// read as fifty others; endpoints that hold the adapter but have no free place; plain services
+/// with few slots in each of three regions. Pure: the time is an argument.
+class dispatcher {
+public:
+    explicit dispatcher(topology places);
+    ~dispatcher();
+    dispatcher(const dispatcher&) = delete;
+    dispatcher& operator=(const dispatcher&) = delete;
+
+    void configure(const configuration& current);
+
+    void update(const endpoint_record& record);
+    /// The endpoint gets no further call; those under way go on.
+    void remove(std::string_view endpoint);
+    /// Nothing is sent there until then, as after a refused connection.
+    void suspend(std::string_view endpoint, support::time_point until);
+    void set_residency(std::string_view endpoint, const model_name& what, residency state,
+                       std::uint64_t version);
+    /// Calls for the adapter run on this version or a newer one.
+    void require_version(const model_name& what, std::uint64_t version);
+
+    void set_peer_load(std::string_view peer, std::string_view endpoint, endpoint_load load);
+    void forget_peer(std::string_view peer);
+
+    void submit(pending_call call);
+    /// The call has ended or its caller has gone, whatever state it was in.
+    void finish(std::uint64_t number, support::time_point now);
+    /// Frees the call's place and lets it wait again; the endpoint is not chosen a second time.
+    void retry(std::uint64_t number);
+    /// The first event or the answer came.
+    void on_started(std::uint64_t number, support::time_point now);
+    void on_failed(std::string_view endpoint, support::time_point now);
+
+    /// Places and refuses waiting calls.
+    std::vector<dispatch_decision> pump(support::time_point now);
+
+    /// When `pump` has to run again even if nothing happens; nothing if no call waits.
+    [[nodiscard]] std::optional<support::time_point> next_deadline() const;
+
+    /// Demand that the holder of the placement lease should know.
+    std::vector<adapter_demand> take_demand();
+
+    /// Adapters used on endpoints of the own data centre since the last time.
+    std::vector<model_name> take_used();
+
+    [[nodiscard]] std::map<std::string, endpoint_load> own_loads() const;
+    /// The endpoint's last record, or null.
+    [[nodiscard]] const endpoint_record* find(std::string_view endpoint) const;
+    /// Whether some endpoint takes calls of the service.
+    [[nodiscard]] bool serves(std::string_view service) const;
+    [[nodiscard]] std::size_t waiting() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace dragonflystair::fleet
--- a/include/dragonflystair/net/http_server.h
+++ b/include/dragonflystair/net/http_server.h
@@ -65,6 +65,12 @@
 
     void start();
 
+    /// Replaces the limits; requests that are being read keep theirs.
+    void set_limits(const http_server_limits& limits);
+
+    /// Goes on accepting, but closes each connection after its next answer.
+    void announce_shutdown();
+
     /// Stops accepting; idle connections close, exchanges under way finish and then close.
     void begin_shutdown();
 
--- a/lib/cli/check_command.cpp
+++ b/lib/cli/check_command.cpp
@@ -1,4 +1,5 @@
 #include "dragonflystair/config/deployment.h"
+#include "dragonflystair/config/gateway_settings.h"
 #include "dragonflystair/config/settings.h"
 
 #include "commands.h"
@@ -13,6 +14,9 @@
         return {{path, 0, "cannot be read: " + failure->reason}};
     }
     const auto& text = std::get<std::string>(read);
+    if (config::has_gateway_settings(text)) {
+        return config::parse_gateway_settings(text, path).findings;
+    }
     return config::has_settings(text) ? config::parse_settings(text, path).findings
                                       : config::parse_deployment(text, path).findings;
 }
--- a/lib/cli/command_line.cpp
+++ b/lib/cli/command_line.cpp
@@ -11,6 +11,9 @@
     if (given.has("node")) {
         return node_command(given, outside);
     }
+    if (given.has("gateway")) {
+        return gateway_command(given, outside);
+    }
     if (given.has("check")) {
         return check_command(given);
     }
--- a/lib/cli/commands.h
+++ b/lib/cli/commands.h
@@ -7,6 +7,7 @@
 namespace dragonflystair::cli {
 
 command_result node_command(const arguments& given, const environment& outside);
+command_result gateway_command(const arguments& given, const environment& outside);
 command_result check_command(const arguments& given);
 command_result publish_command(const arguments& given, const environment& outside);
 command_result status_command(const arguments& given, const environment& outside);
--- a/lib/cli/node_command.cpp
+++ b/lib/cli/node_command.cpp
@@ -1,3 +1,4 @@
+#include "dragonflystair/config/gateway_settings.h"
 #include "dragonflystair/config/settings.h"
 
 #include "commands.h"
@@ -9,7 +10,11 @@
 
 namespace dragonflystair::cli {
 
-command_result node_command(const arguments& given, const environment& outside) {
+namespace {
+
+/// Reads and checks the settings, then runs the process that they describe until it has stopped.
+template <class Parse, class Run>
+command_result run_with_settings(const arguments& given, const Parse& parse, const Run& run_process) {
     const auto path = given.text("--settings");
     const auto read = read_file(path);
     if (const auto* failure = std::get_if<read_failure>(&read)) {
@@ -17,13 +22,12 @@
                 support::to_string({{path, 0, "cannot be read: " + failure->reason}}),
                 {}};
     }
-    const auto parsed = config::parse_settings(std::get<std::string>(read), path);
+    const auto parsed = parse(std::get<std::string>(read), path);
     if (!parsed.findings.empty()) {
         return {exit_code::refused, support::to_string(parsed.findings), {}};
     }
     try {
-        return {
-            outside.run_node(parsed.values) == 0 ? exit_code::success : exit_code::refused, {}, {}};
+        return {run_process(parsed.values) == 0 ? exit_code::success : exit_code::refused, {}, {}};
     } catch (const std::exception& failure) {
         return {exit_code::refused,
                 {},
@@ -31,4 +35,14 @@
     }
 }
 
+} // namespace
+
+command_result node_command(const arguments& given, const environment& outside) {
+    return run_with_settings(given, config::parse_settings, outside.run_node);
+}
+
+command_result gateway_command(const arguments& given, const environment& outside) {
+    return run_with_settings(given, config::parse_gateway_settings, outside.run_gateway);
+}
+
 } // namespace dragonflystair::cli
--- a/lib/cli/process_environment.cpp
+++ b/lib/cli/process_environment.cpp
@@ -1,4 +1,5 @@
 #include "dragonflystair/cli/environment.h"
+#include "dragonflystair/gateway/gateway.h"
 #include "dragonflystair/net/http_client.h"
 #include "dragonflystair/node/node.h"
 
@@ -60,6 +61,10 @@
     return node::node(std::move(settings)).run();
 }
 
+int run_gateway(config::gateway_settings settings) {
+    return gateway::gateway(std::move(settings)).run();
+}
+
 std::optional<std::string> variable(const std::string& name) {
     const char* value = std::getenv(name.c_str());
     return value == nullptr ? std::nullopt : std::optional<std::string>(value);
@@ -68,7 +73,7 @@
 } // namespace
 
 environment process_environment() {
-    return {call, run_node, variable};
+    return {call, run_node, run_gateway, variable};
 }
 
 } // namespace dragonflystair::cli
--- a/lib/cli/usage.cpp
+++ b/lib/cli/usage.cpp
@@ -8,6 +8,7 @@
 
 Usage:
   dragonflystair node --settings FILE
+  dragonflystair gateway --settings FILE
   dragonflystair check FILE
   dragonflystair publish FILE --base REV --operator ADDRESS [--token-file FILE] [--author NAME]
   dragonflystair status --operator ADDRESS [--token-file FILE]
@@ -17,7 +18,7 @@
   dragonflystair --help
 
 Options:
-  --settings FILE     Settings of the node.
+  --settings FILE     Settings of the node or gateway.
   --base REV          Revision that the text was edited from; 0 for the first text.
   --operator ADDRESS  Operator address of any node, IP:PORT.
   --token-file FILE   File with the operator token; without it the environment variable
@@ -29,6 +30,7 @@
 
 Commands:
   node     Run a node until SIGTERM or SIGINT, then stop it gracefully.
+  gateway  Run a node on the platform of docs/platform.md until SIGTERM or SIGINT.
   check    Report everything that is wrong with an operators' text or node settings.
   publish  Put a text in force and name the data centres where it is.
   status   Show the revision, the peers and the endpoints as a node sees them.
--- /dev/null
+++ b/lib/config/section_table.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "dragonflystair/support/finding.h"
+
+#include "duplicate_sections.h"
+#include "ini_reader.h"
+#include "section_reader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace dragonflystair::config {
+
+/// How one section of a settings file is read.
+template <class Values> struct section_kind {
+    std::string_view name;
+    bool required;
+    void (*read)(section_reader& reader, Values& values);
+};
+
+/// Reads every section by its kind; unknown, repeated and missing ones are findings.
+template <class Values, std::size_t Count>
+Values read_sections(std::string_view text, std::string_view file,
+                     const std::array<section_kind<Values>, Count>& kinds,
+                     support::findings& findings) {
+    Values values;
+    const auto document = read_ini(text, file, findings);
+    report_duplicate_sections(document, findings);
+    for (const auto& section : document.sections) {
+        const auto kind = std::ranges::find(kinds, section.name, &section_kind<Values>::name);
+        if (kind == kinds.end()) {
+            findings.push_back(
+                {document.file, section.line, fmt::format("unknown section [{}]", section.name)});
+            continue;
+        }
+        section_reader reader(section, document.file, findings);
+        kind->read(reader, values);
+        reader.finish();
+    }
+    for (const auto& kind : kinds) {
+        const auto place = std::ranges::find(document.sections, kind.name, &ini_section::name);
+        if (!document.damaged_heading && kind.required && place == document.sections.end()) {
+            findings.push_back({document.file, 0, fmt::format("missing section [{}]", kind.name)});
+        }
+    }
+    std::ranges::stable_sort(findings, {}, &support::finding::line);
+    return values;
+}
+
+/// Whether a text has one of the sections.
+template <class Values, std::size_t Count>
+bool has_section(std::string_view text, const std::array<section_kind<Values>, Count>& kinds) {
+    support::findings ignored;
+    const auto document = read_ini(text, {}, ignored);
+    return std::ranges::any_of(document.sections, [&](const ini_section& section) {
+        return std::ranges::find(kinds, section.name, &section_kind<Values>::name) != kinds.end();
+    });
+}
+
+} // namespace dragonflystair::config
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -2,9 +2,7 @@
 
 #include "dragonflystair/config/address.h"
 
-#include "duplicate_sections.h"
-#include "ini_reader.h"
-#include "section_reader.h"
+#include "section_table.h"
 #include "values.h"
 
 #include <fmt/format.h>
@@ -18,12 +16,6 @@
 /// More threads than this are a typing error on the small entry VMs.
 constexpr std::size_t max_threads = 256;
 
-struct section_kind {
-    std::string_view name;
-    bool required;
-    void (*read)(section_reader& reader, settings& values);
-};
-
 /// An address that others are told, so it must name one host. Port 0 takes a port from the OS.
 std::string announced_address(section_reader& reader, std::string_view key) {
     auto address = reader.address(key, port_zero::allowed);
@@ -85,48 +77,21 @@
     }
 }
 
-constexpr std::array<section_kind, 5> kinds{{{"node", true, read_node},
+constexpr std::array<section_kind<settings>, 5> kinds{{{"node", true, read_node},
                                              {"peers", false, read_peers},
                                              {"platform", true, read_platform},
                                              {"secrets", true, read_secrets},
                                              {"timing", false, read_timing}}};
 
-void report_missing_sections(const ini_document& document, support::findings& findings) {
-    for (const auto& kind : kinds) {
-        const auto place = std::ranges::find(document.sections, kind.name, &ini_section::name);
-        if (!document.damaged_heading && kind.required && place == document.sections.end()) {
-            findings.push_back({document.file, 0, fmt::format("missing section [{}]", kind.name)});
-        }
-    }
-}
-
 } // namespace
 
 bool has_settings(std::string_view text) {
-    support::findings ignored;
-    const auto document = read_ini(text, {}, ignored);
-    return std::ranges::any_of(document.sections, [](const ini_section& section) {
-        return std::ranges::find(kinds, section.name, &section_kind::name) != kinds.end();
-    });
+    return has_section(text, kinds);
 }
 
 settings_result parse_settings(std::string_view text, std::string_view file) {
     settings_result result;
-    const auto document = read_ini(text, file, result.findings);
-    report_duplicate_sections(document, result.findings);
-    for (const auto& section : document.sections) {
-        const auto kind = std::ranges::find(kinds, section.name, &section_kind::name);
-        if (kind == kinds.end()) {
-            result.findings.push_back(
-                {document.file, section.line, fmt::format("unknown section [{}]", section.name)});
-            continue;
-        }
-        section_reader reader(section, document.file, result.findings);
-        kind->read(reader, result.values);
-        reader.finish();
-    }
-    report_missing_sections(document, result.findings);
-    std::ranges::stable_sort(result.findings, {}, &support::finding::line);
+    result.values = read_sections(text, file, kinds, result.findings);
     return result;
 }
 
--- /dev/null
+++ b/lib/fleet/dispatcher.cpp
@@ -0,0 +1,597 @@
+#include "dragonflystair/fleet/dispatcher.h"
+
+#include "dragonflystair/policy/endpoint_health.h"
+
+#include "prompt_cache.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace dragonflystair::fleet {
+
+using support::duration;
+using support::time_point;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Round trips between processes; the deployments state 0.5 to 1.4 ms between data centres and
+/// 20 ms between regions, one way.
+constexpr double same_data_centre_ms = 0.2;
+constexpr double same_region_ms = 3;
+constexpr double other_region_ms = 40;
+/// Added to another region's cost, since bytes between regions are paid by volume.
+constexpr double other_region_penalty_ms = 40;
+
+/// Prompt tokens that an engine reads in a millisecond; the deployments state 38 to 44.
+constexpr double prefill_tokens_per_ms = 38;
+/// Time to the first event beside the reading of prompts, with few calls in the batch.
+constexpr double first_event_ms = 25;
+/// Time of a plain call until it was measured; the deployments state 15 and 30 ms.
+constexpr double plain_work_ms = 25;
+/// Weight of a new sample in a running mean; about the last ten samples count.
+constexpr double sample_weight = 0.1;
+
+/// An endpoint that is slower than its peers still gets this share, which shows when it recovers.
+constexpr double least_weight = 0.05;
+
+/// Less urgent calls wait as if they had come this much later per step of priority. It is a fifth
+/// of a usual objective, so that they are delayed and not starved.
+constexpr milliseconds priority_step{150};
+
+/// Prompt reading ahead of a call that keeps it in the node's queue, where urgent calls can still
+/// pass, as a share of its objective.
+constexpr double held_back_share = 0.6;
+
+/// Bounds of Retry-After. Below the first a caller would come back into the same queue.
+constexpr milliseconds least_retry_after{150};
+constexpr milliseconds longest_retry_after{2'000};
+
+/// Window over which the rate of placements is measured.
+constexpr milliseconds rate_window{1'000};
+
+double to_ms(duration value) {
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+struct resident {
+    residency state = residency::absent;
+    std::uint64_t version = 0;
+};
+
+struct endpoint {
+    endpoint_record record;
+    bool leaving = false;
+    time_point suspended_until;
+    std::map<model_name, resident> adapters;
+    std::set<std::string, std::less<>> models;
+    endpoint_load own;
+    std::map<std::string, endpoint_load, std::less<>> peers;
+    prompt_cache prompts;
+
+    [[nodiscard]] endpoint_load total() const {
+        endpoint_load sum = own;
+        for (const auto& [peer, load] : peers) {
+            sum.calls += load.calls;
+            sum.unread_tokens += load.unread_tokens;
+        }
+        return sum;
+    }
+};
+
+struct service_state {
+    bool has_engines = false;
+    std::size_t batch_slots = 0;
+    double work_ms = plain_work_ms;
+    time_point window_start;
+    std::size_t placed = 0;
+    double placed_per_s = 0; ///< 0 until a whole window was measured.
+};
+
+enum class call_state { waiting, placed, started };
+
+struct open_call {
+    pending_call call;
+    call_state state = call_state::waiting;
+    std::string endpoint;
+    time_point placed_at;
+    std::size_t unread_tokens = 0;
+    double expected_ms = 0;
+};
+
+struct choice {
+    endpoint* place = nullptr;
+    double cost_ms = 0;
+    double expected_ms = 0;
+    std::size_t unread_tokens = 0;
+};
+
+} // namespace
+
+std::string_view to_string(refusal reason) {
+    switch (reason) {
+    case refusal::no_endpoints:
+        return "no_endpoints";
+    case refusal::overloaded:
+        return "overloaded";
+    case refusal::no_capacity:
+        return "no_capacity";
+    case refusal::no_adapter:
+        return "no_adapter";
+    }
+    return "no_capacity";
+}
+
+struct dispatcher::impl {
+    explicit impl(topology chosen) : places(std::move(chosen)) {}
+
+    [[nodiscard]] std::uint64_t required_version(const model_name& what) const {
+        const auto found = required.find(what);
+        return found == required.end() ? 0 : found->second;
+    }
+    [[nodiscard]] bool holds(const endpoint& item, const model_name& what) const;
+    [[nodiscard]] double distance_ms(const endpoint& item) const;
+    std::optional<choice> evaluate(endpoint& item, const open_call& open,
+                                   const service_state& state, time_point now);
+    std::optional<choice> choose(const open_call& open, const service_state& state, time_point now);
+    dispatch_decision place(open_call& open, const choice& chosen, service_state& state,
+                            time_point now);
+    dispatch_decision refuse(const open_call& open, const service_state& state, std::size_t ahead,
+                             bool adapter_missing) const;
+    void release(open_call& open);
+    void note_use(const endpoint& item, const model_name& what);
+    [[nodiscard]] bool has_endpoint(std::string_view service) const;
+    [[nodiscard]] bool adapter_missing(const open_call& open) const;
+
+    topology places;
+    std::map<std::string, endpoint, std::less<>> endpoints;
+    std::map<std::string, service_state, std::less<>> services;
+    std::map<model_name, std::uint64_t> required;
+    std::map<std::uint64_t, open_call> calls;
+    std::vector<std::uint64_t> queue;
+    policy::endpoint_health health;
+    std::map<model_name, std::size_t> diverted;
+    std::set<model_name> used;
+};
+
+bool dispatcher::impl::holds(const endpoint& item, const model_name& what) const {
+    if (what.model.empty()) {
+        return true;
+    }
+    if (!item.models.contains(what.model)) {
+        return false;
+    }
+    if (what.adapter.empty()) {
+        return true;
+    }
+    const auto found = item.adapters.find(what);
+    return found != item.adapters.end() && found->second.state == residency::ready &&
+           found->second.version >= required_version(what);
+}
+
+double dispatcher::impl::distance_ms(const endpoint& item) const {
+    switch (places.distance_to(item.record.data_centre)) {
+    case topology::distance::same_data_centre:
+        return same_data_centre_ms;
+    case topology::distance::same_region:
+        return same_region_ms;
+    case topology::distance::other_region:
+        return other_region_ms;
+    }
+    return other_region_ms;
+}
+
+/// Cost of sending a call to an endpoint; nothing if it cannot or should not go there now.
+std::optional<choice> dispatcher::impl::evaluate(endpoint& item, const open_call& open,
+                                                 const service_state& state, time_point now) {
+    const auto& call = open.call;
+    if (item.leaving || item.suspended_until > now || item.record.service != call.service ||
+        std::ranges::find(call.excluded, item.record.id) != call.excluded.end() ||
+        !holds(item, call.model)) {
+        return std::nullopt;
+    }
+    const auto load = item.total();
+    const auto slots = state.has_engines && state.batch_slots > 0 ? state.batch_slots
+                                                                  : item.record.slots;
+    if (load.calls >= slots) {
+        return std::nullopt;
+    }
+    const double weight = std::max(health.weight(item.record.id, now), least_weight);
+    const double distance = distance_ms(item);
+    choice out;
+    out.place = &item;
+    if (state.has_engines) {
+        const auto kept = item.prompts.kept_tokens(call.model, call.prompt);
+        out.unread_tokens = call.prompt_tokens - std::min(kept, call.prompt_tokens);
+        const double ahead_ms =
+            static_cast<double>(load.unread_tokens) / prefill_tokens_per_ms / weight;
+        const double objective_ms = to_ms(call.objective_at - call.arrived);
+        if (load.unread_tokens > 0 && ahead_ms > held_back_share * objective_ms) {
+            return std::nullopt;
+        }
+        out.expected_ms = first_event_ms + (static_cast<double>(load.unread_tokens) +
+                                            static_cast<double>(out.unread_tokens)) /
+                                               prefill_tokens_per_ms;
+    } else {
+        out.expected_ms = state.work_ms;
+    }
+    const double fill = static_cast<double>(load.calls) / static_cast<double>(slots);
+    const double work_ms =
+        state.has_engines ? out.expected_ms * (1 + 0.5 * fill) : out.expected_ms * (1 + fill);
+    out.cost_ms = distance + work_ms / weight;
+    out.expected_ms += distance;
+    if (places.distance_to(item.record.data_centre) == topology::distance::other_region) {
+        out.cost_ms += other_region_penalty_ms;
+    }
+    return out;
+}
+
+std::optional<choice> dispatcher::impl::choose(const open_call& open, const service_state& state,
+                                               time_point now) {
+    std::optional<choice> best;
+    for (auto& [id, item] : endpoints) {
+        const auto candidate = evaluate(item, open, state, now);
+        if (candidate && (!best || candidate->cost_ms < best->cost_ms)) {
+            best = candidate;
+        }
+    }
+    return best;
+}
+
+void dispatcher::impl::note_use(const endpoint& item, const model_name& what) {
+    if (what.adapter.empty()) {
+        return;
+    }
+    if (places.distance_to(item.record.data_centre) == topology::distance::same_data_centre) {
+        used.insert(what);
+    } else {
+        ++diverted[what];
+    }
+}
+
+dispatch_decision dispatcher::impl::place(open_call& open, const choice& chosen,
+                                          service_state& state, time_point now) {
+    auto& item = *chosen.place;
+    open.state = call_state::placed;
+    open.endpoint = item.record.id;
+    open.placed_at = now;
+    open.unread_tokens = chosen.unread_tokens;
+    open.expected_ms = chosen.expected_ms;
+    ++item.own.calls;
+    item.own.unread_tokens += chosen.unread_tokens;
+    item.prompts.add(open.call.model, open.call.prompt);
+    note_use(item, open.call.model);
+    ++state.placed;
+    dispatch_decision decision;
+    decision.number = open.call.number;
+    decision.endpoint = item.record.id;
+    if (const auto version = required_version(open.call.model); version > 0) {
+        const auto held = item.adapters.find(open.call.model);
+        decision.version = held == item.adapters.end() ? version : held->second.version;
+    }
+    return decision;
+}
+
+dispatch_decision dispatcher::impl::refuse(const open_call& open, const service_state& state,
+                                           std::size_t ahead, bool missing) const {
+    dispatch_decision decision;
+    decision.number = open.call.number;
+    decision.reason = missing ? refusal::no_adapter : refusal::no_capacity;
+    double wait_ms = to_ms(least_retry_after);
+    if (state.placed_per_s > 0) {
+        wait_ms += static_cast<double>(ahead) / state.placed_per_s * 1'000;
+    }
+    // Spreads the returns over as much time again, the less urgent later.
+    const double spread = static_cast<double>(open.call.number * 7 % 16) / 16;
+    wait_ms *= 1 + spread + 0.5 * open.call.priority;
+    decision.retry_after = std::clamp(milliseconds(static_cast<std::int64_t>(wait_ms)),
+                                      least_retry_after, longest_retry_after);
+    return decision;
+}
+
+void dispatcher::impl::release(open_call& open) {
+    if (open.state == call_state::waiting) {
+        std::erase(queue, open.call.number);
+        return;
+    }
+    const auto found = endpoints.find(open.endpoint);
+    if (found == endpoints.end()) {
+        return;
+    }
+    auto& own = found->second.own;
+    own.calls -= std::min<std::size_t>(own.calls, 1);
+    if (open.state == call_state::placed) {
+        own.unread_tokens -= std::min(own.unread_tokens, open.unread_tokens);
+    }
+    if (found->second.leaving && own.calls == 0) {
+        endpoints.erase(found);
+    }
+}
+
+bool dispatcher::impl::has_endpoint(std::string_view service) const {
+    return std::ranges::any_of(endpoints, [&](const auto& item) {
+        return !item.second.leaving && item.second.record.service == service;
+    });
+}
+
+/// Whether every usable endpoint lacks the call's adapter, rather than being full.
+bool dispatcher::impl::adapter_missing(const open_call& open) const {
+    if (open.call.model.model.empty()) {
+        return false;
+    }
+    return std::ranges::none_of(endpoints, [&](const auto& item) {
+        return !item.second.leaving && item.second.record.service == open.call.service &&
+               holds(item.second, open.call.model);
+    });
+}
+
+dispatcher::dispatcher(topology places) : impl_(std::make_unique<impl>(std::move(places))) {}
+
+dispatcher::~dispatcher() = default;
+
+void dispatcher::configure(const configuration& current) {
+    for (const auto& [name, item] : current.services) {
+        auto& state = impl_->services[name];
+        state.has_engines = item.has_engines;
+        state.batch_slots = item.engines.batch_slots;
+    }
+}
+
+void dispatcher::update(const endpoint_record& record) {
+    auto& item = impl_->endpoints[record.id];
+    const bool restarted =
+        item.record.started_ms != record.started_ms || item.record.address != record.address;
+    if (restarted) {
+        item.adapters.clear();
+        item.models.clear();
+        item.prompts.clear();
+        item.suspended_until = {};
+    }
+    const bool older = !restarted && record.orders_accepted < item.record.orders_accepted;
+    item.leaving = record.draining;
+    item.record = record;
+    if (older) {
+        return;
+    }
+    item.models.clear();
+    for (const auto& model : record.models) {
+        item.models.insert(model.name);
+        for (const auto& adapter : model.adapters) {
+            auto& held = item.adapters[{model.name, adapter.name}];
+            if (held.state == residency::absent && restarted) {
+                held.state = residency::ready;
+            }
+            held.version = std::max(held.version, adapter.version);
+        }
+    }
+}
+
+void dispatcher::remove(std::string_view endpoint) {
+    const auto found = impl_->endpoints.find(endpoint);
+    if (found == impl_->endpoints.end()) {
+        return;
+    }
+    found->second.leaving = true;
+    if (found->second.own.calls == 0) {
+        impl_->endpoints.erase(found);
+    }
+}
+
+void dispatcher::suspend(std::string_view endpoint, time_point until) {
+    if (const auto found = impl_->endpoints.find(endpoint); found != impl_->endpoints.end()) {
+        found->second.suspended_until = std::max(found->second.suspended_until, until);
+    }
+}
+
+void dispatcher::set_residency(std::string_view endpoint, const model_name& what, residency state,
+                               std::uint64_t version) {
+    const auto found = impl_->endpoints.find(endpoint);
+    if (found == impl_->endpoints.end()) {
+        return;
+    }
+    if (what.adapter.empty()) {
+        if (state == residency::ready) {
+            found->second.models.insert(what.model);
+        } else {
+            found->second.models.erase(what.model);
+        }
+        return;
+    }
+    if (state == residency::absent) {
+        found->second.adapters.erase(what);
+        return;
+    }
+    found->second.adapters[what] = {state, version};
+}
+
+void dispatcher::require_version(const model_name& what, std::uint64_t version) {
+    auto& required = impl_->required[what];
+    required = std::max(required, version);
+}
+
+void dispatcher::set_peer_load(std::string_view peer, std::string_view endpoint,
+                               endpoint_load load) {
+    const auto found = impl_->endpoints.find(endpoint);
+    if (found == impl_->endpoints.end()) {
+        return;
+    }
+    auto& peers = found->second.peers;
+    if (load.calls == 0) {
+        if (const auto known = peers.find(peer); known != peers.end()) {
+            peers.erase(known);
+        }
+        return;
+    }
+    peers.insert_or_assign(std::string(peer), load);
+}
+
+void dispatcher::forget_peer(std::string_view peer) {
+    for (auto& [id, item] : impl_->endpoints) {
+        if (const auto known = item.peers.find(peer); known != item.peers.end()) {
+            item.peers.erase(known);
+        }
+    }
+}
+
+void dispatcher::submit(pending_call call) {
+    const auto number = call.number;
+    open_call open;
+    open.call = std::move(call);
+    impl_->calls.insert_or_assign(number, std::move(open));
+    impl_->queue.push_back(number);
+}
+
+void dispatcher::finish(std::uint64_t number, time_point now) {
+    const auto found = impl_->calls.find(number);
+    if (found == impl_->calls.end()) {
+        return;
+    }
+    auto& open = found->second;
+    const auto state = impl_->services.find(open.call.service);
+    if (open.state == call_state::started && state != impl_->services.end() &&
+        !state->second.has_engines) {
+        const double took = to_ms(now - open.placed_at);
+        state->second.work_ms += sample_weight * (std::min(took, 500.0) - state->second.work_ms);
+    }
+    impl_->release(open);
+    impl_->calls.erase(found);
+}
+
+void dispatcher::retry(std::uint64_t number) {
+    const auto found = impl_->calls.find(number);
+    if (found == impl_->calls.end() || found->second.state == call_state::waiting) {
+        return;
+    }
+    auto& open = found->second;
+    impl_->release(open);
+    open.call.excluded.push_back(open.endpoint);
+    open.state = call_state::waiting;
+    impl_->queue.push_back(number);
+}
+
+void dispatcher::on_started(std::uint64_t number, time_point now) {
+    const auto found = impl_->calls.find(number);
+    if (found == impl_->calls.end() || found->second.state != call_state::placed) {
+        return;
+    }
+    auto& open = found->second;
+    open.state = call_state::started;
+    if (const auto place = impl_->endpoints.find(open.endpoint); place != impl_->endpoints.end()) {
+        auto& own = place->second.own;
+        own.unread_tokens -= std::min(own.unread_tokens, open.unread_tokens);
+        impl_->health.on_sample(open.endpoint, to_ms(now - open.placed_at) / open.expected_ms, now);
+    }
+}
+
+void dispatcher::on_failed(std::string_view endpoint, time_point now) {
+    impl_->health.on_failure(endpoint, now);
+}
+
+std::vector<dispatch_decision> dispatcher::pump(time_point now) {
+    std::vector<dispatch_decision> decisions;
+    const auto rank = [this](std::uint64_t number) {
+        const auto& call = impl_->calls.at(number).call;
+        return call.objective_at + priority_step * call.priority;
+    };
+    std::ranges::stable_sort(impl_->queue, {}, rank);
+    std::vector<std::uint64_t> still_waiting;
+    std::map<std::string_view, std::size_t> ahead;
+    for (const auto number : impl_->queue) {
+        auto& open = impl_->calls.at(number);
+        auto& state = impl_->services[open.call.service];
+        if (now - state.window_start >= rate_window) {
+            state.placed_per_s = static_cast<double>(state.placed) /
+                                 std::chrono::duration<double>(now - state.window_start).count();
+            state.window_start = now;
+            state.placed = 0;
+        }
+        if (const auto chosen = impl_->choose(open, state, now)) {
+            decisions.push_back(impl_->place(open, *chosen, state, now));
+            continue;
+        }
+        const bool missing = impl_->adapter_missing(open);
+        const auto waiting_ahead = ahead[open.call.service];
+        const bool too_long =
+            !missing && state.placed_per_s > 0 && open.call.excluded.empty() &&
+            now + std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+                      static_cast<double>(waiting_ahead) / state.placed_per_s)) >
+                open.call.give_up_at;
+        if (!impl_->has_endpoint(open.call.service)) {
+            decisions.push_back(impl_->refuse(open, state, waiting_ahead, missing));
+            decisions.back().reason = refusal::no_endpoints;
+        } else if (too_long || now >= open.call.give_up_at) {
+            decisions.push_back(impl_->refuse(open, state, waiting_ahead, missing));
+            if (too_long) {
+                decisions.back().reason = refusal::overloaded;
+            }
+        } else {
+            still_waiting.push_back(number);
+            ahead[open.call.service] += missing ? 0 : 1;
+        }
+    }
+    impl_->queue = std::move(still_waiting);
+    return decisions;
+}
+
+std::optional<time_point> dispatcher::next_deadline() const {
+    std::optional<time_point> earliest;
+    for (const auto number : impl_->queue) {
+        const auto at = impl_->calls.at(number).call.give_up_at;
+        earliest = earliest ? std::min(*earliest, at) : at;
+    }
+    return earliest;
+}
+
+std::vector<adapter_demand> dispatcher::take_demand() {
+    std::map<model_name, adapter_demand> demand;
+    for (const auto number : impl_->queue) {
+        const auto& open = impl_->calls.at(number);
+        if (!open.call.model.model.empty() && impl_->adapter_missing(open)) {
+            auto& item = demand[open.call.model];
+            item.what = open.call.model;
+            ++item.waiting;
+        }
+    }
+    for (const auto& [what, count] : std::exchange(impl_->diverted, {})) {
+        auto& item = demand[what];
+        item.what = what;
+        item.diverted = count;
+    }
+    std::vector<adapter_demand> out;
+    for (auto& [what, item] : demand) {
+        out.push_back(std::move(item));
+    }
+    return out;
+}
+
+std::vector<model_name> dispatcher::take_used() {
+    std::vector<model_name> out(impl_->used.begin(), impl_->used.end());
+    impl_->used.clear();
+    return out;
+}
+
+std::map<std::string, endpoint_load> dispatcher::own_loads() const {
+    std::map<std::string, endpoint_load> out;
+    for (const auto& [id, item] : impl_->endpoints) {
+        if (item.own.calls > 0) {
+            out.emplace(id, item.own);
+        }
+    }
+    return out;
+}
+
+const endpoint_record* dispatcher::find(std::string_view endpoint) const {
+    const auto found = impl_->endpoints.find(endpoint);
+    return found == impl_->endpoints.end() ? nullptr : &found->second.record;
+}
+
+bool dispatcher::serves(std::string_view service) const {
+    return impl_->has_endpoint(service);
+}
+
+std::size_t dispatcher::waiting() const {
+    return impl_->queue.size();
+}
+
+} // namespace dragonflystair::fleet
--- /dev/null
+++ b/lib/fleet/endpoint_watch.cpp
@@ -0,0 +1,62 @@
+#include "dragonflystair/fleet/endpoint_watch.h"
+
+#include <algorithm>
+
+namespace dragonflystair::fleet {
+
+using support::time_point;
+
+void endpoint_watch::on_listed(std::string_view endpoint) {
+    if (const auto found = missing_.find(endpoint); found != missing_.end()) {
+        missing_.erase(found);
+    }
+}
+
+void endpoint_watch::on_missing(std::string_view endpoint, time_point now) {
+    missing_.try_emplace(std::string(endpoint), now);
+}
+
+void endpoint_watch::on_store(bool reachable, time_point now) {
+    if (reachable && !reachable_) {
+        returned_at_ = now;
+    }
+    reachable_ = reachable;
+}
+
+/// An entry that went missing soon after the store's return may have lapsed before it.
+time_point endpoint_watch::gone_at(time_point missing_since) const {
+    if (!returned_at_ || missing_since > *returned_at_ + return_time) {
+        return missing_since;
+    }
+    return *returned_at_ + return_time;
+}
+
+std::vector<std::string> endpoint_watch::take_gone(time_point now) {
+    std::vector<std::string> gone;
+    if (!reachable_) {
+        return gone;
+    }
+    for (auto item = missing_.begin(); item != missing_.end();) {
+        if (gone_at(item->second) > now) {
+            ++item;
+            continue;
+        }
+        gone.push_back(item->first);
+        item = missing_.erase(item);
+    }
+    return gone;
+}
+
+std::optional<time_point> endpoint_watch::next_due() const {
+    std::optional<time_point> earliest;
+    if (!reachable_) {
+        return earliest;
+    }
+    for (const auto& [id, since] : missing_) {
+        const auto at = gone_at(since);
+        earliest = earliest ? std::min(*earliest, at) : at;
+    }
+    return earliest;
+}
+
+} // namespace dragonflystair::fleet
--- /dev/null
+++ b/lib/fleet/placement_lease.cpp
@@ -0,0 +1,98 @@
+#include "dragonflystair/fleet/placement_lease.h"
+
+#include <algorithm>
+
+namespace dragonflystair::fleet {
+
+using support::time_point;
+
+namespace {
+
+/// Gap between two ticks that only a suspended node has; ticks come every 50 ms.
+constexpr std::chrono::milliseconds suspension{1'000};
+
+} // namespace
+
+void placement_lease::on_holder_heard(std::uint64_t fence, time_point now) {
+    highest_heard_ = std::max(highest_heard_, fence);
+    if (holds_ && fence > fence_) {
+        holds_ = false;
+    }
+    if (fence >= highest_heard_) {
+        holder_heard_ = now;
+        vacant_since_.reset();
+    }
+}
+
+void placement_lease::on_holder_gone(time_point now) {
+    holder_heard_.reset();
+    vacant_since_ = now;
+}
+
+bool placement_lease::join_due(std::size_t rank, time_point now) const {
+    if (now - last_join_ < limits_.renewal_period) {
+        return false;
+    }
+    if (holds_) {
+        return true;
+    }
+    const auto patience = limits_.candidate_step * static_cast<std::int64_t>(rank);
+    if (holder_heard_) {
+        return now - *holder_heard_ > limits_.silence + patience;
+    }
+    return vacant_since_ && now - *vacant_since_ >= limits_.settling + patience;
+}
+
+void placement_lease::on_join_sent(time_point now) {
+    last_join_ = now;
+}
+
+bool placement_lease::on_joined(std::uint64_t generation, bool holds, time_point sent,
+                                time_point now) {
+    generation_ = generation;
+    if (!holds) {
+        // Another node is in the group; it tells its peers, or its membership lapses.
+        holds_ = false;
+        holder_heard_ = now;
+        return false;
+    }
+    const bool lapsed = sent - renewed_ > limits_.lifetime;
+    if (!holds_ || lapsed) {
+        fence_ = generation;
+        first_order_at_ = now + limits_.turn;
+    }
+    holds_ = true;
+    suspended_ = false;
+    renewed_ = sent;
+    highest_heard_ = std::max(highest_heard_, fence_);
+    holder_heard_.reset();
+    return true;
+}
+
+void placement_lease::on_fenced(time_point now) {
+    holds_ = false;
+    vacant_since_ = now;
+}
+
+void placement_lease::release() {
+    holds_ = false;
+}
+
+bool placement_lease::may_order(bool linked, time_point now) const {
+    if (!holds_ || suspended_ || now < first_order_at_) {
+        return false;
+    }
+    return linked || now - renewed_ < limits_.lifetime;
+}
+
+void placement_lease::on_tick(time_point now) {
+    if (last_tick_ != time_point{} && now - last_tick_ > suspension) {
+        suspended_ = true;
+    }
+    last_tick_ = now;
+    if (!vacant_since_ && !holder_heard_) {
+        vacant_since_ = now;
+    }
+}
+
+} // namespace dragonflystair::fleet
--- /dev/null
+++ b/lib/gateway/gateway_beliefs.cpp
@@ -0,0 +1,178 @@
+#include "gateway_impl.h"
+
+#include "dragonflystair/support/log.h"
+
+#include "platform/decode.h"
+#include "platform/names.h"
+
+#include "pause.h"
+
+#include <string_view>
+#include <utility>
+
+namespace dragonflystair::gateway {
+
+using std::chrono::milliseconds;
+using support::boot_clock;
+
+namespace {
+
+/// Pause between two attempts to register this node in the store.
+constexpr milliseconds register_pause{500};
+
+/// What a node writes about itself for the others.
+support::json node_value(const config::gateway_settings& settings) {
+    return {{"peer", settings.peer_address}, {"data_centre", settings.data_centre}};
+}
+
+fleet::keyed_record node_record(const config::gateway_settings& settings) {
+    fleet::keyed_record record;
+    record.key = settings.name;
+    record.value = node_value(settings).dump();
+    return record;
+}
+
+} // namespace
+
+void gateway::impl::on_operator_records(std::span<const fleet::keyed_record> records) {
+    for (const auto& record : records) {
+        if (record.key == platform::configuration_key) {
+            on_configuration(record);
+        } else if (record.key.starts_with(platform::version_key_prefix)) {
+            on_version(record);
+        }
+    }
+}
+
+void gateway::impl::on_configuration(const fleet::keyed_record& record) {
+    if (!record.value) {
+        return;
+    }
+    auto decoded = platform::decode_configuration(*record.value);
+    if (!decoded) {
+        support::log_change("configuration_damaged", {{"offset", std::to_string(record.offset)}});
+        counters_.increment("records_damaged_total", "configuration");
+        return;
+    }
+    if (view_.configuration && decoded->version <= view_.configuration->version) {
+        return;
+    }
+    support::log_change("configuration", {{"version", std::to_string(decoded->version)},
+                                          {"offset", std::to_string(record.offset)},
+                                          {"routes", std::to_string(decoded->routes.size())}});
+    view_.configuration = std::make_shared<const fleet::configuration>(std::move(*decoded));
+    const auto& current = *view_.configuration;
+    view_.dispatcher.configure(current);
+    for (const auto& [name, holder] : holders_) {
+        holder->planner().configure(current);
+    }
+    net::http_server_limits limits;
+    limits.header_bytes = current.limits.header_bytes;
+    limits.body_bytes = current.limits.body_bytes;
+    limits.request_timeout = current.limits.header_timeout;
+    limits.idle_timeout = current.limits.idle_timeout;
+    caller_server_.set_limits(limits);
+    pump();
+}
+
+void gateway::impl::on_version(const fleet::keyed_record& record) {
+    const auto decoded = record.value ? platform::decode_version(*record.value) : std::nullopt;
+    if (!decoded) {
+        counters_.increment("records_damaged_total", "version");
+        return;
+    }
+    if (decoded->adapter.empty()) {
+        return;
+    }
+    const fleet::model_name what{decoded->model, decoded->adapter};
+    support::log_change("adapter_version", {{"adapter", what.model + "/" + what.adapter},
+                                            {"version", std::to_string(decoded->version)},
+                                            {"offset", std::to_string(record.offset)}});
+    view_.dispatcher.require_version(what, decoded->version);
+    for (const auto& [name, holder] : holders_) {
+        holder->planner().require_version(what, decoded->version);
+        holder->pump();
+    }
+    pump();
+}
+
+void gateway::impl::on_endpoint_records(std::span<const fleet::keyed_record> records) {
+    const auto now = boot_clock::now();
+    for (const auto& record : records) {
+        if (!record.value) {
+            watch_.on_missing(record.key, now);
+            continue;
+        }
+        auto decoded = platform::decode_endpoint(record.key, *record.value);
+        if (!decoded) {
+            counters_.increment("records_damaged_total", "endpoint");
+            continue;
+        }
+        watch_.on_listed(record.key);
+        const auto* known = view_.dispatcher.find(decoded->id);
+        if (known == nullptr || known->draining != decoded->draining ||
+            known->started_ms != decoded->started_ms) {
+            support::log_change("endpoint", {{"endpoint", decoded->id},
+                                             {"service", decoded->service},
+                                             {"address", decoded->address},
+                                             {"state", decoded->draining ? "leaving" : "ready"},
+                                             {"offset", std::to_string(record.offset)}});
+        }
+        if (decoded->draining) {
+            view_.endpoints.forget(decoded->address);
+        }
+        view_.dispatcher.update(*decoded);
+        if (const auto holder = holders_.find(decoded->data_centre); holder != holders_.end()) {
+            const auto* service = view_.configuration
+                                      ? view_.configuration->find_service(decoded->service)
+                                      : nullptr;
+            if (!decoded->models.empty() || (service != nullptr && service->has_engines)) {
+                holder->second->planner().update(*decoded);
+            }
+        }
+    }
+    remove_gone_endpoints();
+    pump();
+}
+
+void gateway::impl::remove_gone_endpoints() {
+    for (const auto& id : watch_.take_gone(boot_clock::now())) {
+        support::log_change("endpoint", {{"endpoint", id}, {"state", "gone"}});
+        if (const auto* record = view_.dispatcher.find(id)) {
+            view_.endpoints.forget(record->address);
+        }
+        view_.dispatcher.remove(id);
+        for (const auto& [name, holder] : holders_) {
+            holder->planner().remove(id);
+        }
+    }
+}
+
+void gateway::impl::on_node_records(std::span<const fleet::keyed_record> records) {
+    for (const auto& record : records) {
+        const auto value =
+            record.value ? support::json::parse(*record.value, nullptr, false) : support::json();
+        if (!value.is_object() || !value.contains("peer") || !value["peer"].is_string()) {
+            registered_.erase(record.key);
+            continue;
+        }
+        registered_.insert_or_assign(
+            record.key, registered_node{value["peer"].get<std::string>(),
+                                        value.value("data_centre", std::string())});
+    }
+    dial_peers();
+}
+
+net::awaitable<void> gateway::impl::register_node() {
+    auto record = node_record(view_.settings);
+    const std::string topic(platform::node_topic);
+    while (!view_.stopping) {
+        const auto answer = co_await store_.put(topic, record);
+        if (answer) {
+            co_return;
+        }
+        co_await pause_for(io_.get_executor(), register_pause);
+    }
+}
+
+} // namespace dragonflystair::gateway
--- /dev/null
+++ b/lib/gateway/gateway_impl.cpp
@@ -0,0 +1,336 @@
+#include "gateway_impl.h"
+
+#include "dragonflystair/support/hash.h"
+#include "dragonflystair/support/log.h"
+
+#include "platform/directory.h"
+#include "platform/names.h"
+
+#include "pause.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <csignal>
+#include <utility>
+
+namespace dragonflystair::gateway {
+
+using std::chrono::milliseconds;
+using support::boot_clock;
+
+namespace {
+
+/// Period of the control loop; leases, demand and loads are looked at in its multiples.
+constexpr milliseconds tick_period{50};
+constexpr std::uint64_t ticks_per_load{4};    ///< 200 ms: the length of half a short generation.
+constexpr std::uint64_t ticks_per_status{10}; ///< 500 ms.
+constexpr std::uint64_t ticks_per_summary{100}; ///< 5 s: repairs what frames have missed.
+
+/// Pause between reads of the endpoint list, which changes ten times a second. An endpoint's
+/// leaving must be known within 2.5 s.
+constexpr milliseconds endpoint_list_pause{700};
+
+/// Shutdown: time kept of the platform's limit for the last answers, and the silence of callers
+/// after which the node stops sooner.
+constexpr milliseconds shutdown_margin{1'500};
+constexpr milliseconds caller_silence{1'500};
+constexpr milliseconds least_shutdown{2'500};
+
+/// Idle connections wait longer than callers use them again, so that no request crosses a close.
+constexpr milliseconds idle_margin{2'000};
+
+fleet::retry_limits retry_limits_of(const config::gateway_settings& settings) {
+    return {settings.retry_ratio, settings.retry_slack, settings.retry_window};
+}
+
+net::http_response text_response(int status, std::string body, std::string_view type) {
+    net::http_response response;
+    response.status = status;
+    response.headers["Content-Type"] = std::string(type);
+    response.body = std::move(body);
+    return response;
+}
+
+} // namespace
+
+gateway::impl::impl(config::gateway_settings settings)
+    : io_(1), view_{settings,
+                    support::random_id(),
+                    io_.get_executor(),
+                    fleet::topology(settings.data_centre, settings.data_centres),
+                    counters_,
+                    first_byte_latency_,
+                    nullptr,
+                    fleet::dispatcher(fleet::topology(settings.data_centre, settings.data_centres)),
+                    fleet::retry_allowance(retry_limits_of(settings)),
+                    net::exchange_client(io_.get_executor(),
+                                         std::string(platform::request_id_header)),
+                    {},
+                    1,
+                    false},
+      http_(io_.get_executor()), store_(http_, settings.store_address), engines_(http_),
+      relay_(view_, {[this] { pump(); },
+                     [this](std::uint64_t fingerprint) {
+                         ++view_.lost_connections[fingerprint];
+                         network_.broadcast(lost_connection_frame(fingerprint));
+                     }}),
+      operator_records_(io_.get_executor(), store_, std::string(platform::operator_topic),
+                        milliseconds{0},
+                        follower_hooks([this](auto records) { on_operator_records(records); })),
+      endpoint_records_(io_.get_executor(), store_, std::string(platform::endpoint_topic),
+                        endpoint_list_pause,
+                        follower_hooks([this](auto records) { on_endpoint_records(records); })),
+      node_records_(io_.get_executor(), store_, std::string(platform::node_topic), milliseconds{0},
+                    follower_hooks([this](auto records) { on_node_records(records); })),
+      network_(io_.get_executor(), settings.peer_address,
+               {settings.name, view_.incarnation, settings.peer_secret, milliseconds{1'500}},
+               {[this](std::string_view peer, const support::json& frame) {
+                    on_frame(peer, frame);
+                },
+                [this](std::string_view peer) {
+                    network_.send(peer, status_frame(own_status()));
+                    for (const auto& [name, holder] : holders_) {
+                        if (holder->lease().holds()) {
+                            network_.send(peer, residency_frame(holder->planner().all()));
+                        }
+                    }
+                },
+                [this](std::string_view peer) { on_peer_down(peer); }},
+               counters_),
+      caller_server_(
+          io_.get_executor(), settings.caller_address, {},
+          [this](net::http_exchange& exchange) {
+              last_caller_ = boot_clock::now();
+              return relay_.serve(exchange);
+          },
+          counters_),
+      ready_server_(
+          io_.get_executor(), settings.ready_address, {},
+          [this](net::http_exchange& exchange) { return serve_ready(exchange); }, counters_),
+      resolve_server_(
+          io_.get_executor(), settings.resolve_address, {},
+          [this](net::http_exchange& exchange) { return serve_resolve(exchange); }, counters_),
+      metrics_server_(
+          io_.get_executor(), settings.metrics_address, {},
+          [this](net::http_exchange& exchange) { return serve_metrics(exchange); }, counters_),
+      signals_(io_, SIGTERM, SIGINT), pump_timer_(io_) {
+    for (const auto& [data_centre, region] : view_.settings.data_centres) {
+        holder_for(data_centre);
+    }
+}
+
+store_follower::hooks gateway::impl::follower_hooks(
+    std::function<void(std::span<const fleet::keyed_record>)> on_records) {
+    return {std::move(on_records),
+            [this](bool reachable) { watch_.on_store(reachable, boot_clock::now()); },
+            [this] { return view_.stopping; }};
+}
+
+placement_holder& gateway::impl::holder_for(const std::string& data_centre) {
+    auto& holder = holders_[data_centre];
+    if (!holder) {
+        holder = std::make_shared<placement_holder>(
+            view_, store_, engines_, data_centre,
+            placement_holder::hooks{
+                [this](std::span<const fleet::residency_change> changes) {
+                    apply_residency(changes);
+                    network_.broadcast(residency_frame(changes));
+                    pump();
+                },
+                [this, data_centre] { return rank_for(data_centre); },
+                [this] { return !peers_.empty(); }, [this] { send_status(); }});
+    }
+    return *holder;
+}
+
+int gateway::impl::run() {
+    support::log_change("start", {{"node", view_.settings.name},
+                                  {"incarnation", view_.incarnation},
+                                  {"data_centre", view_.settings.data_centre},
+                                  {"store", view_.settings.store_address}});
+    const auto spawn = [this](auto work) {
+        boost::asio::co_spawn(io_, std::move(work), boost::asio::detached);
+    };
+    network_.start();
+    dial_peers();
+    spawn([this] { return register_node(); });
+    spawn([this] { return operator_records_.run(); });
+    spawn([this] { return endpoint_records_.run(); });
+    spawn([this] { return node_records_.run(); });
+    spawn([this] { return tick_loop(); });
+    caller_server_.start();
+    ready_server_.start();
+    resolve_server_.start();
+    metrics_server_.start();
+    wait_for_signal();
+    io_.run();
+    support::log_change("stop", {{"node", view_.settings.name}});
+    return 0;
+}
+
+net::awaitable<void> gateway::impl::tick_loop() {
+    while (true) {
+        ++ticks_;
+        for (const auto& [name, holder] : holders_) {
+            holder->tick();
+            holder->pump();
+        }
+        remove_gone_endpoints();
+        send_demand();
+        if (ticks_ % ticks_per_load == 0) {
+            send_loads();
+        }
+        if (ticks_ % ticks_per_status == 0) {
+            send_status();
+            dial_peers();
+        }
+        if (ticks_ % ticks_per_summary == 0) {
+            for (const auto& [name, holder] : holders_) {
+                if (holder->active()) {
+                    network_.broadcast(residency_frame(holder->planner().all()));
+                }
+            }
+        }
+        co_await pause_for(io_.get_executor(), tick_period);
+    }
+}
+
+/// Lets the dispatcher decide on waiting calls. Decisions wake coroutines later, so this does not
+/// recurse.
+void gateway::impl::pump() {
+    if (std::exchange(pumping_, true)) {
+        return;
+    }
+    for (const auto& decision : view_.dispatcher.pump(boot_clock::now())) {
+        relay_.decide(decision);
+    }
+    pumping_ = false;
+    schedule_pump();
+    if (view_.dispatcher.waiting() > 0) {
+        send_demand();
+    }
+}
+
+void gateway::impl::schedule_pump() {
+    const auto due = view_.dispatcher.next_deadline();
+    if (!due) {
+        return;
+    }
+    pump_timer_.expires_after(std::max(*due - boot_clock::now(), support::duration{}));
+    pump_timer_.async_wait([this](const boost::system::error_code& code) {
+        if (!code) {
+            pump();
+        }
+    });
+}
+
+bool gateway::impl::ready() const {
+    return view_.configuration && !view_.stopping && !endpoint_records_.mirror().empty();
+}
+
+net::awaitable<void> gateway::impl::serve_ready(net::http_exchange& exchange) {
+    auto response = text_response(ready() ? 200 : 503, {}, "text/plain");
+    co_await exchange.respond(std::move(response));
+}
+
+/// Addresses of ready nodes, those of the caller's data centre first. A single address is not
+/// enough: a caller that keeps it has nowhere to go when that node fails.
+std::vector<std::string> gateway::impl::addresses_for(std::string_view data_centre) const {
+    constexpr std::size_t enough = 2;
+    constexpr std::size_t most = 64;
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    const auto add = [&](std::string_view place, const std::string& address) {
+        (place == data_centre ? near : far).push_back(address);
+    };
+    if (ready()) {
+        add(view_.settings.data_centre, caller_server_.address());
+    }
+    for (const auto& [incarnation, peer] : peers_) {
+        if (peer.status.ready && !peer.status.leaving) {
+            add(peer.status.data_centre, peer.status.caller_address);
+        }
+    }
+    if (near.size() < enough) {
+        near.insert(near.end(), far.begin(), far.end());
+    }
+    if (near.size() > most) {
+        near.resize(most);
+    }
+    return near;
+}
+
+net::awaitable<void> gateway::impl::serve_resolve(net::http_exchange& exchange) {
+    const auto place = platform::resolve_place(exchange.request().target);
+    const auto addresses = addresses_for(place);
+    auto response = addresses.empty()
+                        ? text_response(503, {}, "text/plain")
+                        : text_response(200,
+                                        platform::resolve_body(addresses,
+                                                               view_.settings.resolve_lifetime),
+                                        "application/json");
+    co_await exchange.respond(std::move(response));
+}
+
+net::awaitable<void> gateway::impl::serve_metrics(net::http_exchange& exchange) {
+    counters_.set_gauge("calls_open", static_cast<double>(relay_.open_calls()));
+    counters_.set_gauge("calls_waiting", static_cast<double>(view_.dispatcher.waiting()));
+    counters_.set_gauge("peers_in_touch", static_cast<double>(peers_.size()));
+    counters_.set_gauge("endpoint_connections_opened",
+                        static_cast<double>(view_.endpoints.opened()));
+    counters_.set_gauge("configuration_version",
+                        view_.configuration ? static_cast<double>(view_.configuration->version)
+                                            : 0.0);
+    auto body = counters_.render();
+    first_byte_latency_.render("first_byte_seconds", body);
+    auto response = text_response(200, std::move(body), "text/plain; version=0.0.4");
+    co_await exchange.respond(std::move(response));
+}
+
+void gateway::impl::wait_for_signal() {
+    signals_.async_wait([this](const boost::system::error_code& code, int /*signal*/) {
+        if (!code) {
+            boost::asio::co_spawn(
+                io_, [this] { return shut_down(); }, boost::asio::detached);
+        }
+    });
+}
+
+/// Leaves the list of nodes, serves what still comes and ends before the platform's limit.
+net::awaitable<void> gateway::impl::shut_down() {
+    const auto began = boot_clock::now();
+    support::log_change("stopping", {{"open_calls", std::to_string(relay_.open_calls())}});
+    view_.stopping = true;
+    caller_server_.announce_shutdown();
+    send_status();
+    for (const auto& [name, holder] : holders_) {
+        co_await holder->leave();
+    }
+    const auto last = began + view_.settings.shutdown_timeout - shutdown_margin;
+    while (boot_clock::now() < last) {
+        const auto now = boot_clock::now();
+        const bool quiet = now - last_caller_ > caller_silence && now - began > least_shutdown;
+        if (quiet && relay_.open_calls() == 0) {
+            break;
+        }
+        co_await pause_for(io_.get_executor(), tick_period);
+    }
+    caller_server_.begin_shutdown();
+    const auto end = began + view_.settings.shutdown_timeout - shutdown_margin / 3;
+    while (relay_.open_calls() > 0 && boot_clock::now() < end) {
+        co_await pause_for(io_.get_executor(), tick_period);
+    }
+    io_.stop();
+}
+
+gateway::gateway(config::gateway_settings settings)
+    : impl_(std::make_unique<impl>(std::move(settings))) {}
+
+gateway::~gateway() = default;
+
+int gateway::run() {
+    return impl_->run();
+}
+
+} // namespace dragonflystair::gateway
--- /dev/null
+++ b/lib/gateway/gateway_impl.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "dragonflystair/fleet/endpoint_watch.h"
+#include "dragonflystair/gateway/gateway.h"
+#include "dragonflystair/net/http_client.h"
+#include "dragonflystair/net/http_server.h"
+#include "dragonflystair/net/peer_network.h"
+#include "dragonflystair/support/counters.h"
+#include "dragonflystair/support/latency_summary.h"
+
+#include "platform/endpoint_client.h"
+#include "platform/store_client.h"
+
+#include "call_relay.h"
+#include "node_view.h"
+#include "peer_frames.h"
+#include "placement_holder.h"
+#include "store_follower.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonflystair::gateway {
+
+/// A peer in touch and what it last said.
+struct peer_state {
+    node_status status;
+    std::vector<std::string> loaded_endpoints; ///< Named in its last loads frame.
+};
+
+/// A node of the system as it registered in the store.
+struct registered_node {
+    std::string peer_address;
+    std::string data_centre;
+};
+
+struct gateway::impl {
+    explicit impl(config::gateway_settings settings);
+
+    int run();
+
+private:
+    // Beliefs from the store (gateway_beliefs.cpp).
+    void on_operator_records(std::span<const fleet::keyed_record> records);
+    void on_endpoint_records(std::span<const fleet::keyed_record> records);
+    void on_node_records(std::span<const fleet::keyed_record> records);
+    void on_configuration(const fleet::keyed_record& record);
+    void on_version(const fleet::keyed_record& record);
+    void remove_gone_endpoints();
+    net::awaitable<void> register_node();
+
+    // Peers (gateway_peers.cpp).
+    void on_frame(std::string_view peer, const support::json& frame);
+    void on_status(std::string_view peer, const node_status& status);
+    void on_loads(std::string_view peer, const support::json& frame);
+    void on_demand(const support::json& frame);
+    void on_records_request(std::string_view peer, const support::json& frame);
+    void on_peer_down(std::string_view peer);
+    void dial_peers();
+    void send_status();
+    void send_loads();
+    void send_demand();
+    void apply_residency(std::span<const fleet::residency_change> changes);
+    void ask_for_records(std::string_view peer, const node_status& status);
+    [[nodiscard]] node_status own_status();
+    [[nodiscard]] std::size_t rank_for(const std::string& data_centre) const;
+    [[nodiscard]] std::string demand_receiver() const;
+
+    // Calls and the rest (gateway_impl.cpp).
+    void pump();
+    void schedule_pump();
+    net::awaitable<void> tick_loop();
+    net::awaitable<void> serve_ready(net::http_exchange& exchange);
+    net::awaitable<void> serve_resolve(net::http_exchange& exchange);
+    net::awaitable<void> serve_metrics(net::http_exchange& exchange);
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] std::vector<std::string> addresses_for(std::string_view data_centre) const;
+    void wait_for_signal();
+    net::awaitable<void> shut_down();
+    placement_holder& holder_for(const std::string& data_centre);
+    store_follower::hooks follower_hooks(
+        std::function<void(std::span<const fleet::keyed_record>)> on_records);
+
+    boost::asio::io_context io_;
+    support::counters counters_;
+    support::latency_summary first_byte_latency_;
+    node_view view_;
+    net::http_client http_;
+    platform::store_client store_;
+    platform::endpoint_client engines_;
+    fleet::endpoint_watch watch_;
+    call_relay relay_;
+    store_follower operator_records_;
+    store_follower endpoint_records_;
+    store_follower node_records_;
+    net::peer_network network_;
+    std::map<std::string, peer_state, std::less<>> peers_; ///< By incarnation.
+    std::map<std::string, registered_node> registered_;
+    std::map<std::string, std::shared_ptr<placement_holder>, std::less<>> holders_;
+    std::map<std::string, fleet::endpoint_load> sent_loads_;
+    std::map<std::string, support::time_point> asked_records_;
+    net::http_server caller_server_;
+    net::http_server ready_server_;
+    net::http_server resolve_server_;
+    net::http_server metrics_server_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer pump_timer_;
+    support::time_point last_caller_;
+    bool pumping_ = false;
+    std::uint64_t ticks_ = 0;
+};
+
+} // namespace dragonflystair::gateway
--- /dev/null
+++ b/lib/gateway/gateway_peers.cpp
@@ -0,0 +1,282 @@
+#include "gateway_impl.h"
+
+#include "dragonflystair/support/hash.h"
+#include "dragonflystair/support/log.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace dragonflystair::gateway {
+
+using std::chrono::milliseconds;
+using support::boot_clock;
+
+namespace {
+
+/// Candidates of other data centres wait as if this many of the own one stood before them.
+constexpr std::size_t foreign_rank = 2;
+
+/// A peer is asked again for records that it has and this node lacks after this time.
+constexpr milliseconds records_pause{400};
+
+} // namespace
+
+void gateway::impl::dial_peers() {
+    std::vector<std::string> addresses;
+    for (const auto& [name, node] : registered_) {
+        if (name != view_.settings.name) {
+            addresses.push_back(node.peer_address);
+        }
+    }
+    if (addresses.empty()) {
+        addresses = view_.settings.peers;
+    }
+    network_.dial(addresses);
+}
+
+void gateway::impl::on_frame(std::string_view peer, const support::json& frame) {
+    const auto kind = frame.value("type", std::string());
+    if (kind == "s") {
+        if (const auto status = decode_status(frame)) {
+            on_status(peer, *status);
+        }
+    } else if (kind == "l") {
+        on_loads(peer, frame);
+    } else if (kind == "h") {
+        const auto changes = decode_residency(frame);
+        apply_residency(changes);
+        pump();
+    } else if (kind == "d") {
+        on_demand(frame);
+    } else if (kind == "q") {
+        on_records_request(peer, frame);
+    } else if (kind == "r") {
+        const auto topic = frame.value("k", std::string());
+        for (auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
+            if (follower->topic() == topic) {
+                follower->apply(decode_records(frame));
+            }
+        }
+    } else if (kind == "x") {
+        constexpr std::size_t max_fingerprints = 10'000;
+        if (view_.lost_connections.size() >= max_fingerprints) {
+            view_.lost_connections.clear();
+        }
+        ++view_.lost_connections[frame.value("f", std::uint64_t{0})];
+    }
+}
+
+void gateway::impl::on_status(std::string_view peer, const node_status& status) {
+    const auto now = boot_clock::now();
+    auto& known = peers_[std::string(peer)];
+    if (known.status.name.empty()) {
+        support::log_change("peer_regained", {{"peer", status.name}});
+    }
+    known.status = status;
+    view_.live_nodes = peers_.size() + 1;
+    for (const auto& lease : status.leases) {
+        if (const auto holder = holders_.find(lease.data_centre); holder != holders_.end()) {
+            holder->second->lease().on_holder_heard(lease.fence, now);
+        }
+    }
+    if (status.leaving) {
+        for (const auto& [name, holder] : holders_) {
+            const bool held = std::ranges::any_of(status.leases, [&](const auto& lease) {
+                return lease.data_centre == name;
+            });
+            if (!held && known.status.data_centre == name && !holder->lease().holds()) {
+                holder->lease().on_holder_gone(now);
+            }
+        }
+    }
+    ask_for_records(peer, status);
+}
+
+/// While the store does not answer this node, peers that it does answer pass on what they read.
+void gateway::impl::ask_for_records(std::string_view peer, const node_status& status) {
+    const auto now = boot_clock::now();
+    for (auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
+        const auto end = status.topic_ends.find(follower->topic());
+        if (follower->reachable() || end == status.topic_ends.end() ||
+            end->second <= follower->mirror().next()) {
+            continue;
+        }
+        auto& asked = asked_records_[follower->topic()];
+        if (now - asked < records_pause) {
+            continue;
+        }
+        asked = now;
+        network_.send(peer, records_request(follower->topic(), follower->mirror().next()));
+    }
+}
+
+void gateway::impl::on_records_request(std::string_view peer, const support::json& frame) {
+    const auto topic = frame.value("k", std::string());
+    const auto from = frame.value("f", std::uint64_t{0});
+    for (auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
+        if (follower->topic() == topic) {
+            network_.send(peer, records_frame(topic, follower->mirror().since(from)));
+        }
+    }
+}
+
+void gateway::impl::on_peer_down(std::string_view peer) {
+    const auto found = peers_.find(peer);
+    if (found == peers_.end()) {
+        return;
+    }
+    support::log_change("peer_lost", {{"peer", found->second.status.name}});
+    const auto now = boot_clock::now();
+    for (const auto& lease : found->second.status.leases) {
+        if (const auto holder = holders_.find(lease.data_centre); holder != holders_.end()) {
+            holder->second->lease().on_holder_gone(now);
+        }
+    }
+    peers_.erase(found);
+    view_.live_nodes = peers_.size() + 1;
+    view_.dispatcher.forget_peer(peer);
+    pump();
+}
+
+void gateway::impl::on_loads(std::string_view peer, const support::json& frame) {
+    const auto found = peers_.find(peer);
+    if (found == peers_.end()) {
+        return;
+    }
+    const auto loads = decode_loads(frame);
+    for (const auto& endpoint : found->second.loaded_endpoints) {
+        if (!loads.contains(endpoint)) {
+            view_.dispatcher.set_peer_load(peer, endpoint, {});
+        }
+    }
+    found->second.loaded_endpoints.clear();
+    for (const auto& [endpoint, load] : loads) {
+        view_.dispatcher.set_peer_load(peer, endpoint, load);
+        found->second.loaded_endpoints.push_back(endpoint);
+    }
+    if (view_.dispatcher.waiting() > 0) {
+        pump();
+    }
+}
+
+void gateway::impl::on_demand(const support::json& frame) {
+    const auto now = boot_clock::now();
+    for (const auto& [name, holder] : holders_) {
+        if (!holder->lease().holds()) {
+            continue;
+        }
+        for (const auto& item : decode_used(frame)) {
+            holder->planner().on_used(item, now);
+        }
+        for (const auto& item : decode_demand(frame)) {
+            holder->planner().on_demand(item, now);
+        }
+        holder->pump();
+    }
+}
+
+void gateway::impl::apply_residency(std::span<const fleet::residency_change> changes) {
+    for (const auto& item : changes) {
+        view_.dispatcher.set_residency(item.endpoint, item.what, item.state, item.version);
+    }
+}
+
+node_status gateway::impl::own_status() {
+    node_status status;
+    status.name = view_.settings.name;
+    status.data_centre = view_.settings.data_centre;
+    status.caller_address = caller_server_.address();
+    status.ready = ready();
+    status.leaving = view_.stopping;
+    for (const auto& [name, holder] : holders_) {
+        if (holder->lease().holds()) {
+            status.leases.push_back({name, holder->lease().fence(), holder->active()});
+        }
+    }
+    for (const auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
+        status.topic_ends.emplace(follower->topic(), follower->mirror().next());
+    }
+    return status;
+}
+
+void gateway::impl::send_status() {
+    network_.broadcast(status_frame(own_status()));
+}
+
+/// Tells peers of the data centre this node's calls by endpoint, when they have changed.
+void gateway::impl::send_loads() {
+    auto loads = view_.dispatcher.own_loads();
+    if (loads == sent_loads_) {
+        return;
+    }
+    const auto frame = loads_frame(loads);
+    for (const auto& [incarnation, peer] : peers_) {
+        if (peer.status.data_centre == view_.settings.data_centre) {
+            network_.send(incarnation, frame);
+        }
+    }
+    sent_loads_ = std::move(loads);
+}
+
+/// Peer that gives orders to engines: the holder for the own data centre, or any other.
+std::string gateway::impl::demand_receiver() const {
+    std::string other;
+    for (const auto& [incarnation, peer] : peers_) {
+        for (const auto& lease : peer.status.leases) {
+            if (!lease.active) {
+                continue;
+            }
+            if (lease.data_centre == view_.settings.data_centre) {
+                return incarnation;
+            }
+            other = incarnation;
+        }
+    }
+    return other;
+}
+
+void gateway::impl::send_demand() {
+    const auto demand = view_.dispatcher.take_demand();
+    const auto used = view_.dispatcher.take_used();
+    if (demand.empty() && used.empty()) {
+        return;
+    }
+    const auto own = holders_.find(view_.settings.data_centre);
+    const auto frame = demand_frame(demand, used);
+    if (own != holders_.end() && own->second->active()) {
+        on_demand(frame);
+        return;
+    }
+    const auto receiver = demand_receiver();
+    if (receiver.empty()) {
+        on_demand(frame);
+        return;
+    }
+    network_.send(receiver, frame);
+}
+
+/// Place of this node among those that would take over a data centre's lease.
+std::size_t gateway::impl::rank_for(const std::string& data_centre) const {
+    std::vector<std::string> local;
+    std::vector<std::string> foreign;
+    const auto add = [&](const std::string& name, const std::string& place) {
+        (place == data_centre ? local : foreign).push_back(name);
+    };
+    add(view_.settings.name, view_.settings.data_centre);
+    for (const auto& [incarnation, peer] : peers_) {
+        if (!peer.status.leaving) {
+            add(peer.status.name, peer.status.data_centre);
+        }
+    }
+    auto order = support::rendezvous_order(data_centre, local);
+    const auto at = std::ranges::find(order, view_.settings.name);
+    if (at != order.end()) {
+        return static_cast<std::size_t>(at - order.begin());
+    }
+    order = support::rendezvous_order(data_centre, foreign);
+    const auto place = std::ranges::find(order, view_.settings.name) - order.begin();
+    return foreign_rank + local.size() + static_cast<std::size_t>(place);
+}
+
+} // namespace dragonflystair::gateway
--- /dev/null
+++ b/lib/gateway/pause.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "dragonflystair/net/awaitable.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <chrono>
+
+namespace dragonflystair::gateway {
+
+inline net::awaitable<void> pause_for(net::executor context, std::chrono::milliseconds time) {
+    boost::asio::steady_timer timer(context, time);
+    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
+} // namespace dragonflystair::gateway
--- /dev/null
+++ b/lib/gateway/peer_frames.cpp
@@ -0,0 +1,178 @@
+#include "peer_frames.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflystair::gateway {
+
+using support::json;
+
+namespace {
+
+std::string text_at(const json& row, std::size_t place) {
+    return row.size() > place && row[place].is_string() ? row[place].get<std::string>()
+                                                        : std::string{};
+}
+
+std::uint64_t number_at(const json& row, std::size_t place) {
+    return row.size() > place && row[place].is_number_unsigned() ? row[place].get<std::uint64_t>()
+                                                                 : 0;
+}
+
+/// Rows of a member that is a list; others are left out.
+std::vector<json> rows_of(const json& frame, const char* name) {
+    std::vector<json> rows;
+    const auto found = frame.find(name);
+    if (found == frame.end() || !found->is_array()) {
+        return rows;
+    }
+    std::ranges::copy_if(*found, std::back_inserter(rows),
+                         [](const json& row) { return row.is_array(); });
+    return rows;
+}
+
+} // namespace
+
+json status_frame(const node_status& status) {
+    json leases = json::array();
+    for (const auto& lease : status.leases) {
+        leases.push_back(json::array({lease.data_centre, lease.fence, lease.active}));
+    }
+    json ends = json::array();
+    for (const auto& [topic, end] : status.topic_ends) {
+        ends.push_back(json::array({topic, end}));
+    }
+    return {{"type", "s"},
+            {"n", status.name},
+            {"d", status.data_centre},
+            {"c", status.caller_address},
+            {"r", status.ready},
+            {"x", status.leaving},
+            {"l", std::move(leases)},
+            {"e", std::move(ends)}};
+}
+
+std::optional<node_status> decode_status(const json& frame) {
+    if (!frame.contains("n") || !frame["n"].is_string() || !frame.contains("d") ||
+        !frame["d"].is_string() || !frame.contains("c") || !frame["c"].is_string()) {
+        return std::nullopt;
+    }
+    node_status status;
+    status.name = frame["n"].get<std::string>();
+    status.data_centre = frame["d"].get<std::string>();
+    status.caller_address = frame["c"].get<std::string>();
+    status.ready = frame.value("r", false);
+    status.leaving = frame.value("x", false);
+    for (const auto& row : rows_of(frame, "l")) {
+        status.leases.push_back({text_at(row, 0), number_at(row, 1),
+                                 row.size() > 2 && row[2].is_boolean() && row[2].get<bool>()});
+    }
+    for (const auto& row : rows_of(frame, "e")) {
+        status.topic_ends.emplace(text_at(row, 0), number_at(row, 1));
+    }
+    return status;
+}
+
+json loads_frame(const std::map<std::string, fleet::endpoint_load>& loads) {
+    json rows = json::array();
+    for (const auto& [endpoint, load] : loads) {
+        rows.push_back(json::array({endpoint, load.calls, load.unread_tokens}));
+    }
+    return {{"type", "l"}, {"e", std::move(rows)}};
+}
+
+std::map<std::string, fleet::endpoint_load> decode_loads(const json& frame) {
+    std::map<std::string, fleet::endpoint_load> loads;
+    for (const auto& row : rows_of(frame, "e")) {
+        loads.emplace(text_at(row, 0),
+                      fleet::endpoint_load{number_at(row, 1), number_at(row, 2)});
+    }
+    return loads;
+}
+
+json demand_frame(std::span<const fleet::adapter_demand> demand,
+                  std::span<const fleet::model_name> used) {
+    json wanted = json::array();
+    for (const auto& item : demand) {
+        wanted.push_back(
+            json::array({item.what.model, item.what.adapter, item.waiting, item.diverted}));
+    }
+    json names = json::array();
+    for (const auto& item : used) {
+        names.push_back(json::array({item.model, item.adapter}));
+    }
+    return {{"type", "d"}, {"w", std::move(wanted)}, {"u", std::move(names)}};
+}
+
+std::vector<fleet::adapter_demand> decode_demand(const json& frame) {
+    std::vector<fleet::adapter_demand> demand;
+    for (const auto& row : rows_of(frame, "w")) {
+        demand.push_back({{text_at(row, 0), text_at(row, 1)}, number_at(row, 2), number_at(row, 3)});
+    }
+    return demand;
+}
+
+std::vector<fleet::model_name> decode_used(const json& frame) {
+    std::vector<fleet::model_name> used;
+    for (const auto& row : rows_of(frame, "u")) {
+        used.push_back({text_at(row, 0), text_at(row, 1)});
+    }
+    return used;
+}
+
+json residency_frame(std::span<const fleet::residency_change> changes) {
+    json rows = json::array();
+    for (const auto& item : changes) {
+        rows.push_back(json::array({item.endpoint, item.what.model, item.what.adapter,
+                                    static_cast<std::uint64_t>(item.state), item.version}));
+    }
+    return {{"type", "h"}, {"c", std::move(rows)}};
+}
+
+std::vector<fleet::residency_change> decode_residency(const json& frame) {
+    std::vector<fleet::residency_change> changes;
+    for (const auto& row : rows_of(frame, "c")) {
+        const auto state = number_at(row, 3);
+        if (state <= static_cast<std::uint64_t>(fleet::residency::ready)) {
+            changes.push_back({text_at(row, 0),
+                               {text_at(row, 1), text_at(row, 2)},
+                               static_cast<fleet::residency>(state),
+                               number_at(row, 4)});
+        }
+    }
+    return changes;
+}
+
+json records_request(const std::string& topic, std::uint64_t from) {
+    return {{"type", "q"}, {"k", topic}, {"f", from}};
+}
+
+json records_frame(const std::string& topic, const fleet::keyed_page& page) {
+    json rows = json::array();
+    for (const auto& record : page.records) {
+        rows.push_back(json::array({record.key, record.offset, record.value.has_value(),
+                                    record.value.value_or("")}));
+    }
+    return {{"type", "r"}, {"k", topic}, {"e", page.next}, {"v", std::move(rows)}};
+}
+
+fleet::keyed_page decode_records(const json& frame) {
+    fleet::keyed_page page;
+    page.next = frame.value("e", std::uint64_t{0});
+    for (const auto& row : rows_of(frame, "v")) {
+        fleet::keyed_record record;
+        record.key = text_at(row, 0);
+        record.offset = number_at(row, 1);
+        if (row.size() > 2 && row[2] == true) {
+            record.value = text_at(row, 3);
+        }
+        page.records.push_back(std::move(record));
+    }
+    return page;
+}
+
+json lost_connection_frame(std::uint64_t fingerprint) {
+    return {{"type", "x"}, {"f", fingerprint}};
+}
+
+} // namespace dragonflystair::gateway
--- /dev/null
+++ b/lib/gateway/peer_frames.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "dragonflystair/fleet/adapter_planner.h"
+#include "dragonflystair/fleet/dispatcher.h"
+#include "dragonflystair/fleet/keyed_record.h"
+#include "dragonflystair/support/json.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace dragonflystair::gateway {
+
+/// A lease on the engines of one data centre, as its holder tells it.
+struct held_lease {
+    std::string data_centre;
+    std::uint64_t fence = 0;
+    bool active = false; ///< Whether it gives orders already.
+};
+
+/// What each node tells all others twice a second.
+struct node_status {
+    std::string name;
+    std::string data_centre;
+    std::string caller_address;
+    bool ready = false;
+    bool leaving = false;
+    std::vector<held_lease> leases;
+    std::map<std::string, std::uint64_t> topic_ends; ///< How far its copies of topics reach.
+};
+
+/// Frames between nodes. `type` names the kind; other members have short names since
+/// bytes between regions are paid by volume. Decoders return nothing for a damaged frame.
+support::json status_frame(const node_status& status);
+std::optional<node_status> decode_status(const support::json& frame);
+
+support::json loads_frame(const std::map<std::string, fleet::endpoint_load>& loads);
+std::map<std::string, fleet::endpoint_load> decode_loads(const support::json& frame);
+
+/// Demand for adapters and the adapters that were used, for the holder of a lease.
+support::json demand_frame(std::span<const fleet::adapter_demand> demand,
+                           std::span<const fleet::model_name> used);
+std::vector<fleet::adapter_demand> decode_demand(const support::json& frame);
+std::vector<fleet::model_name> decode_used(const support::json& frame);
+
+support::json residency_frame(std::span<const fleet::residency_change> changes);
+std::vector<fleet::residency_change> decode_residency(const support::json& frame);
+
+support::json records_request(const std::string& topic, std::uint64_t from);
+support::json records_frame(const std::string& topic, const fleet::keyed_page& page);
+fleet::keyed_page decode_records(const support::json& frame);
+
+support::json lost_connection_frame(std::uint64_t fingerprint);
+
+} // namespace dragonflystair::gateway
--- /dev/null
+++ b/lib/gateway/store_follower.cpp
@@ -0,0 +1,95 @@
+#include "store_follower.h"
+
+#include "dragonflystair/support/log.h"
+
+#include "pause.h"
+
+#include <utility>
+
+namespace dragonflystair::gateway {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Longest wait of a read for a record. A connection that has gone silent is noticed after this
+/// and the client's own margin, within the 4 s that the platform calls a node's way back in touch.
+constexpr milliseconds longest_wait{2'000};
+/// Pause after a call that failed; every call is paid for.
+constexpr milliseconds failure_pause{300};
+
+} // namespace
+
+store_follower::store_follower(net::executor context, platform::store_client& store,
+                               std::string topic, milliseconds pause, hooks callbacks)
+    : context_(std::move(context)), store_(store), topic_(std::move(topic)), pause_(pause),
+      on_(std::move(callbacks)) {}
+
+net::awaitable<void> store_follower::run() {
+    while (!on_.stopping()) {
+        bool done = false;
+        if (synchronised_) {
+            done = co_await read();
+        } else {
+            done = co_await resynchronise();
+        }
+        if (!done) {
+            co_await pause_for(context_, failure_pause);
+        }
+    }
+}
+
+net::awaitable<bool> store_follower::resynchronise() {
+    const auto newest = co_await store_.newest(topic_);
+    if (!newest) {
+        set_reachable(false, newest.error().message);
+        co_return false;
+    }
+    synchronised_ = true;
+    set_reachable(true, {});
+    publish(mirror_.resynchronise(newest.value()));
+    co_return true;
+}
+
+net::awaitable<bool> store_follower::read() {
+    const auto page = co_await store_.read(topic_, mirror_.next(), longest_wait);
+    if (page) {
+        set_reachable(true, {});
+        publish(mirror_.apply(page.value()));
+        if (!page.value().records.empty() && pause_.count() > 0) {
+            co_await pause_for(context_, pause_);
+        }
+        co_return true;
+    }
+    if (page.error().kind == support::error_kind::gone) {
+        synchronised_ = false;
+        co_return true;
+    }
+    set_reachable(false, page.error().message);
+    co_return false;
+}
+
+void store_follower::apply(const fleet::keyed_page& page) {
+    publish(mirror_.apply(page));
+}
+
+void store_follower::set_reachable(bool reachable, std::string_view why) {
+    if (reachable == reachable_ && ever_reached_) {
+        return;
+    }
+    ever_reached_ = true;
+    reachable_ = reachable;
+    support::log_change(reachable ? "store_regained" : "store_lost",
+                        {{"topic", topic_},
+                         {"next", std::to_string(mirror_.next())},
+                         {"why", std::string(why)}});
+    on_.on_store(reachable);
+}
+
+void store_follower::publish(const std::vector<fleet::keyed_record>& records) {
+    if (!records.empty()) {
+        on_.on_records(records);
+    }
+}
+
+} // namespace dragonflystair::gateway
--- a/lib/ledger/records.cpp
+++ b/lib/ledger/records.cpp
@@ -1,6 +1,6 @@
 #include "dragonflystair/ledger/records.h"
 
-#include "base64.h"
+#include "dragonflystair/support/base64.h"
 #include "json_fields.h"
 
 #include <functional>
@@ -98,7 +98,7 @@
     if (is_utf8(item.body)) {
         value["body"] = item.body;
     } else {
-        value["body_base64"] = to_base64(item.body);
+        value["body_base64"] = support::to_base64(item.body);
     }
     return value;
 }
@@ -190,7 +190,7 @@
     if (!read_member(value, "body_base64", encoded)) {
         return false;
     }
-    auto decoded = from_base64(encoded);
+    auto decoded = support::from_base64(encoded);
     if (!decoded) {
         return false;
     }
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -143,6 +143,14 @@
         impl_->strand, [self = impl_] { return self->accept_loop(); }, boost::asio::detached);
 }
 
+void http_server::set_limits(const http_server_limits& limits) {
+    impl_->state->current.store(std::make_shared<const http_server_limits>(limits));
+}
+
+void http_server::announce_shutdown() {
+    impl_->state->shutting_down = true;
+}
+
 void http_server::begin_shutdown() {
     impl_->state->shutting_down = true;
     boost::asio::dispatch(impl_->strand, [self = impl_] { self->begin_shutdown(); });
--- a/lib/net/http_session.cpp
+++ b/lib/net/http_session.cpp
@@ -60,7 +60,7 @@
 void http_session::begin_shutdown() {
     boost::asio::dispatch(strand_, [self = shared_from_this()] {
         if (self->idle_) {
-            self->limit_reads(self->state_->limits.shutdown_idle_timeout);
+            self->limit_reads(self->state_->limits().shutdown_idle_timeout);
         }
     });
 }
@@ -86,8 +86,8 @@
         co_return true;
     }
     idle_ = true;
-    limit_reads(state_->shutting_down ? state_->limits.shutdown_idle_timeout
-                                      : state_->limits.idle_timeout);
+    limit_reads(state_->shutting_down ? state_->limits().shutdown_idle_timeout
+                                      : state_->limits().idle_timeout);
     const auto [code, bytes] =
         co_await socket_.async_read_some(buffer_.prepare(read_bytes), no_throw);
     idle_ = false;
@@ -118,10 +118,10 @@
 
 /// Reads one request. Refuses one that is over a limit or malformed and returns nothing.
 awaitable<std::optional<http_request>> http_session::read_request() {
-    limit_reads(state_->limits.request_timeout);
+    limit_reads(state_->limits().request_timeout);
     request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(state_->limits.header_bytes));
-    parser.body_limit(state_->limits.body_bytes);
+    parser.header_limit(static_cast<std::uint32_t>(state_->limits().header_bytes));
+    parser.body_limit(state_->limits().body_bytes);
     boost::system::error_code code;
     {
         const auto [error, bytes] =
@@ -293,7 +293,7 @@
 }
 
 void http_session::limit_writes() {
-    timer_.arm(std::chrono::steady_clock::now() + state_->limits.write_timeout, weak_from_this(),
+    timer_.arm(std::chrono::steady_clock::now() + state_->limits().write_timeout, weak_from_this(),
                [this] { close_now(); });
 }
 
--- a/lib/net/http_session.h
+++ b/lib/net/http_session.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <utility>
 
 namespace dragonflystair::net {
 
@@ -24,7 +25,14 @@
 
 /// What the sessions of one server share.
 struct http_server_state {
-    http_server_limits limits;
+    http_server_state(http_server_limits chosen, http_handler called, support::counters& counted)
+        : current(std::make_shared<const http_server_limits>(chosen)), handler(std::move(called)),
+          counters(counted) {}
+
+    /// The limits in force; they may change between two requests.
+    [[nodiscard]] http_server_limits limits() const { return *current.load(); }
+
+    std::atomic<std::shared_ptr<const http_server_limits>> current;
     http_handler handler;
     support::counters& counters;
     std::atomic<std::size_t> open_exchanges{0};
--- a/lib/ledger/base64.cpp
+++ b/lib/support/base64.cpp
@@ -1,8 +1,8 @@
-#include "base64.h"
+#include "dragonflystair/support/base64.h"
 
 #include <openssl/evp.h>
 
-namespace dragonflystair::ledger {
+namespace dragonflystair::support {
 
 namespace {
 
@@ -41,4 +41,4 @@
     return bytes;
 }
 
-} // namespace dragonflystair::ledger
+} // namespace dragonflystair::support
