--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -61,9 +62,10 @@
     std::chrono::milliseconds retry_after{0};
 };
 
-/// Demand for an adapter that no endpoint of the node's data centre has ready.
+/// Demand for an adapter that no endpoint has ready, or that only other data centres have.
 struct adapter_demand {
     model_name what;
+    std::string data_centre;  ///< Where a copy is wanted.
     std::size_t waiting = 0;  ///< Calls that wait for it now.
     std::size_t diverted = 0; ///< Calls sent to another data centre since the last time.
 };
@@ -73,7 +75,8 @@
 ///
 /// Load patterns it answers: a wave of short generations with a few prompts that take as long to
 /// read as fifty others; endpoints that hold the adapter but have no free place; plain services
-/// with few slots in each of three regions. Pure: the time is an argument.
+/// with few slots in each of three regions. An adapter is used wherever it is ready, since all
+/// engines together have hardly more places than there are adapters in use. Pure: the time is an argument.
 class dispatcher {
 public:
     explicit dispatcher(topology places);
@@ -114,8 +117,8 @@
     /// Demand that the holder of the placement lease should know.
     std::vector<adapter_demand> take_demand();
 
-    /// Adapters used on endpoints of the own data centre since the last time.
-    std::vector<model_name> take_used();
+    /// Adapters with calls under way or started since the last time, by the data centre of the endpoint.
+    std::map<std::string, std::set<model_name>> take_used();
 
     [[nodiscard]] std::map<std::string, endpoint_load> own_loads() const;
     /// The endpoint's last record, or null.
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -14,26 +14,32 @@
 
 namespace {
 
-/// Adapters on their way to one engine at once. The store slows down beyond about 1.6 for each
-/// engine over all (16 for 9, 24 for 9, 104 for 60, 112 for 72); engines take four.
-constexpr std::size_t max_in_transit = 2;
+/// Adapters on their way to one engine at once, as many as engines take. The store slows down in
+/// proportion beyond about two for each engine, which leaves the rate of loads as it is.
+constexpr std::size_t max_in_transit = 4;
 
 /// Time that an adapter load takes; the deployments state 250 and 288 ms.
-constexpr milliseconds adapter_load_time{245};
+constexpr milliseconds adapter_load_time{250};
+/// A look at this part of the usual time finds a load that was quicker.
+constexpr double first_check_part = 0.96;
+/// Weight of a new sample in the running mean of load times.
+constexpr double sample_weight = 0.2;
 /// The same for an adapter that the engine had recently, a tenth.
 constexpr milliseconds recent_load_time{25};
 /// Pause between two looks whether an order has been carried out.
-constexpr milliseconds check_period{15};
+constexpr milliseconds check_period{20};
+/// A replacement or an unload waits for the calls that use the adapter.
+constexpr milliseconds patient_check_period{60};
 constexpr milliseconds model_check_period{100};
 
-/// An adapter that was used less long ago may still have a call running; a generation of the
-/// deployments' mean length takes 0.4 s.
-constexpr milliseconds least_idle{700};
+/// An adapter that was reported in use less long ago may still have a call running; nodes report
+/// five times a second.
+constexpr milliseconds least_idle{500};
 
 /// Demand that was not repeated for this long has ended.
 constexpr milliseconds demand_lifetime{600};
 /// Calls sent to another data centre that pay for a copy here, within the time below.
-constexpr double diverted_worth_copy = 2;
+constexpr double diverted_worth_copy = 4;
 constexpr milliseconds diverted_window{3'000};
 
 /// An adapter used within this time gets its new version at once; others are dropped.
@@ -42,6 +48,13 @@
 /// Pause after an order or report that failed.
 constexpr milliseconds failure_pause{200};
 
+/// An unload that waits for its calls lets the engine refuse other orders for a moment; only a
+/// conflict that lasts longer than this many tries means that the counts differ.
+constexpr std::size_t max_conflicts = 8;
+constexpr milliseconds conflict_pause{40};
+/// Reports are some hundred milliseconds old, so orders pause this long before one is asked for.
+constexpr milliseconds report_age{350};
+
 enum class slot_state { ordered, loading, ready, unloading };
 
 struct slot {
@@ -49,13 +62,25 @@
     std::uint64_t version = 0;
     time_point last_used;
     time_point check_at;
+    time_point ordered_at;
+    bool replaces = false; ///< It waits for calls on the former version.
 };
 
+slot make_slot(slot_state state, std::uint64_t version, time_point used, time_point check = {}) {
+    slot made;
+    made.state = state;
+    made.version = version;
+    made.last_used = used;
+    made.check_at = check;
+    return made;
+}
+
 struct engine {
     endpoint_record record;
     std::uint64_t orders_accepted = 0;
     bool order_under_way = false;
     bool needs_report = false;
+    std::size_t conflicts = 0; ///< In a row.
     time_point paused_until;
     std::map<std::string, slot> models;
     std::map<model_name, slot> adapters;
@@ -115,6 +140,7 @@
     std::map<model_name, wanted> demands;
     std::map<model_name, std::uint64_t> required;
     policy::popularity popular;
+    support::duration load_time = adapter_load_time; ///< Running mean.
     std::vector<residency_change> changes;
 };
 
@@ -130,13 +156,13 @@
 
 /// Takes over what an engine says that it holds.
 void adapter_planner::impl::hold(engine& item, const held_model& model, time_point now) {
-    item.models[model.name] = {slot_state::ready, model.version, now, {}};
+    item.models[model.name] = make_slot(slot_state::ready, model.version, now);
     change(item, {model.name, {}}, residency::ready, model.version);
     for (const auto& adapter : model.adapters) {
         const model_name what{model.name, adapter.name};
         const auto known = item.adapters.find(what);
         const auto used = known == item.adapters.end() ? time_point{} : known->second.last_used;
-        item.adapters[what] = {slot_state::ready, adapter.version, used, {}};
+        item.adapters[what] = make_slot(slot_state::ready, adapter.version, used);
         change(item, what, residency::ready, adapter.version);
     }
 }
@@ -196,7 +222,8 @@
         if (settled || held.check_at > now) {
             continue;
         }
-        held.check_at = now + check_period;
+        const bool waits = held.replaces || held.state == slot_state::unloading;
+        held.check_at = now + (waits ? patient_check_period : check_period);
         return order_for(item,
                          held.state == slot_state::loading ? planned_kind::load
                                                            : planned_kind::unload,
@@ -319,7 +346,7 @@
         change(item, order.what, residency::absent, held->second.version);
     } else if (order.kind == planned_kind::load) {
         // Takes the place now, so that no other engine is chosen meanwhile.
-        item.adapters[order.what] = {slot_state::ordered, 0, {}, {}};
+        item.adapters[order.what] = make_slot(slot_state::ordered, 0, {});
     }
 }
 
@@ -439,6 +466,9 @@
     }
     auto& item = found->second;
     item.order_under_way = false;
+    if (outcome == order_outcome::accepted || outcome == order_outcome::holds) {
+        item.conflicts = 0;
+    }
     const bool loads = order.kind == planned_kind::load;
     const bool is_model = order.what.adapter.empty();
     switch (outcome) {
@@ -448,16 +478,21 @@
         }
         ++item.orders_accepted;
         if (is_model) {
-            item.models[order.what.model] = {slot_state::loading, 0, now,
-                                             now + model_check_period};
+            item.models[order.what.model] =
+                make_slot(slot_state::loading, 0, now, now + model_check_period);
             return;
         }
         auto& held = item.adapters[order.what];
+        held.replaces = loads && held.state == slot_state::ready;
+        held.ordered_at = now;
         held.state = loads ? slot_state::loading : slot_state::unloading;
         held.version = loads ? order.version.value_or(held.version) : held.version;
         held.last_used = now;
-        const auto wait = item.recent.contains(order.what) ? recent_load_time : adapter_load_time;
-        held.check_at = now + (loads ? wait : check_period);
+        const auto wait = item.recent.contains(order.what)
+                              ? support::duration(recent_load_time)
+                              : std::chrono::duration_cast<support::duration>(
+                                    impl_->load_time * first_check_part);
+        held.check_at = now + (loads ? wait : support::duration(check_period));
         if (loads) {
             impl_->change(item, order.what, residency::loading, held.version);
         }
@@ -469,7 +504,7 @@
             item.orders_accepted += loads ? 0 : 1;
         }
         if (is_model) {
-            item.models[order.what.model] = {slot_state::ready, 0, now, {}};
+            item.models[order.what.model] = make_slot(slot_state::ready, 0, now);
             impl_->change(item, order.what, residency::ready, 0);
             return;
         }
@@ -479,6 +514,12 @@
             return;
         }
         auto& held = item.adapters[order.what];
+        if (order.check && !held.replaces && !item.recent.contains(order.what)) {
+            const support::duration took = now - held.ordered_at;
+            impl_->load_time += std::chrono::duration_cast<support::duration>(
+                sample_weight * (took - impl_->load_time));
+        }
+        held.replaces = false;
         held.state = slot_state::ready;
         held.version = order.version.value_or(held.version);
         held.last_used = now;
@@ -487,8 +528,11 @@
     }
     case order_outcome::conflict:
         impl_->withdraw(item, order);
-        if (!order.check) {
+        item.paused_until = now + conflict_pause;
+        if (++item.conflicts >= max_conflicts) {
+            item.conflicts = 0;
             item.needs_report = true;
+            item.paused_until = now + report_age;
         }
         return;
     case order_outcome::failed:
@@ -496,7 +540,7 @@
         item.paused_until = now + failure_pause;
         return;
     case order_outcome::unknown:
-        item.paused_until = now + failure_pause;
+        item.paused_until = now + report_age;
         item.needs_report = true;
         return;
     }
@@ -524,7 +568,7 @@
             continue;
         }
         const model_name what{text.substr(0, slash), text.substr(slash + 1, at - slash - 1)};
-        item.adapters[what] = {slot_state::loading, 0, now, now};
+        item.adapters[what] = make_slot(slot_state::loading, 0, now, now);
     }
     for (const auto& [what, held] : former) {
         if (const auto now_held = item.adapters.find(what); now_held != item.adapters.end()) {
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -143,6 +143,7 @@
     void note_use(const endpoint& item, const model_name& what);
     [[nodiscard]] bool has_endpoint(std::string_view service) const;
     [[nodiscard]] bool adapter_missing(const open_call& open) const;
+    [[nodiscard]] std::string loading_place(const model_name& what) const;
 
     topology places;
     std::map<std::string, endpoint, std::less<>> endpoints;
@@ -152,7 +153,8 @@
     std::vector<std::uint64_t> queue;
     policy::endpoint_health health;
     std::map<model_name, std::size_t> diverted;
-    std::set<model_name> used;
+    std::map<std::string, std::set<model_name>> used;
+    std::map<model_name, std::string> last_holders;
 };
 
 bool dispatcher::impl::holds(const endpoint& item, const model_name& what) const {
@@ -243,9 +245,8 @@
     if (what.adapter.empty()) {
         return;
     }
-    if (places.distance_to(item.record.data_centre) == topology::distance::same_data_centre) {
-        used.insert(what);
-    } else {
+    used[item.record.data_centre].insert(what);
+    if (places.distance_to(item.record.data_centre) == topology::distance::other_region) {
         ++diverted[what];
     }
 }
@@ -326,6 +327,25 @@
     });
 }
 
+/// Data centre that should load an adapter: where it is being loaded already, where it was held
+/// last, since engines load recent adapters ten times as fast, or this one.
+std::string dispatcher::impl::loading_place(const model_name& what) const {
+    for (const auto& [id, item] : endpoints) {
+        const auto held = item.adapters.find(what);
+        if (!item.leaving && held != item.adapters.end() &&
+            held->second.state == residency::loading) {
+            return item.record.data_centre;
+        }
+    }
+    if (const auto last = last_holders.find(what); last != last_holders.end()) {
+        const auto holder = endpoints.find(last->second);
+        if (holder != endpoints.end() && !holder->second.leaving) {
+            return holder->second.record.data_centre;
+        }
+    }
+    return places.own();
+}
+
 dispatcher::dispatcher(topology places) : impl_(std::make_unique<impl>(std::move(places))) {}
 
 dispatcher::~dispatcher() = default;
@@ -400,6 +420,7 @@
     }
     if (state == residency::absent) {
         found->second.adapters.erase(what);
+        impl_->last_holders.insert_or_assign(what, std::string(endpoint));
         return;
     }
     found->second.adapters[what] = {state, version};
@@ -549,13 +570,19 @@
         const auto& open = impl_->calls.at(number);
         if (!open.call.model.model.empty() && impl_->adapter_missing(open)) {
             auto& item = demand[open.call.model];
-            item.what = open.call.model;
+            if (item.waiting == 0) {
+                item.what = open.call.model;
+                item.data_centre = impl_->loading_place(open.call.model);
+            }
             ++item.waiting;
         }
     }
     for (const auto& [what, count] : std::exchange(impl_->diverted, {})) {
         auto& item = demand[what];
-        item.what = what;
+        if (item.waiting == 0) {
+            item.what = what;
+            item.data_centre = impl_->places.own();
+        }
         item.diverted = count;
     }
     std::vector<adapter_demand> out;
@@ -565,10 +592,16 @@
     return out;
 }
 
-std::vector<model_name> dispatcher::take_used() {
-    std::vector<model_name> out(impl_->used.begin(), impl_->used.end());
-    impl_->used.clear();
-    return out;
+std::map<std::string, std::set<model_name>> dispatcher::take_used() {
+    auto used = std::exchange(impl_->used, {});
+    for (const auto& [number, open] : impl_->calls) {
+        const auto place = impl_->endpoints.find(open.endpoint);
+        if (open.state != call_state::waiting && !open.call.model.adapter.empty() &&
+            place != impl_->endpoints.end()) {
+            used[place->second.record.data_centre].insert(open.call.model);
+        }
+    }
+    return used;
 }
 
 std::map<std::string, endpoint_load> dispatcher::own_loads() const {
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -177,7 +177,7 @@
             holder->pump();
         }
         remove_gone_endpoints();
-        send_demand();
+        send_demand(ticks_ % ticks_per_load == 0);
         if (ticks_ % ticks_per_load == 0) {
             send_loads();
         }
@@ -208,7 +208,7 @@
     pumping_ = false;
     schedule_pump();
     if (view_.dispatcher.waiting() > 0) {
-        send_demand();
+        send_demand(false);
     }
 }
 
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -58,18 +58,19 @@
     void on_frame(std::string_view peer, const support::json& frame);
     void on_status(std::string_view peer, const node_status& status);
     void on_loads(std::string_view peer, const support::json& frame);
-    void on_demand(const support::json& frame);
+    void on_demand(const demand_notice& notice);
     void on_records_request(std::string_view peer, const support::json& frame);
     void on_peer_down(std::string_view peer);
     void dial_peers();
     void send_status();
     void send_loads();
-    void send_demand();
+    void send_demand(bool with_used);
+    void send_notice(const demand_notice& notice);
     void apply_residency(std::span<const fleet::residency_change> changes);
     void ask_for_records(std::string_view peer, const node_status& status);
     [[nodiscard]] node_status own_status();
     [[nodiscard]] std::size_t rank_for(const std::string& data_centre) const;
-    [[nodiscard]] std::string demand_receiver() const;
+    [[nodiscard]] std::string lease_holder(const std::string& data_centre) const;
 
     // Calls and the rest (gateway_impl.cpp).
     void pump();
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -48,7 +48,7 @@
         apply_residency(changes);
         pump();
     } else if (kind == "d") {
-        on_demand(frame);
+        on_demand(decode_demand(frame));
     } else if (kind == "q") {
         on_records_request(peer, frame);
     } else if (kind == "r") {
@@ -160,20 +160,26 @@
     }
 }
 
-void gateway::impl::on_demand(const support::json& frame) {
+/// Passes a notice to the planner of its data centre, or, if this node does not lead there, to any
+/// other that it leads.
+void gateway::impl::on_demand(const demand_notice& notice) {
     const auto now = boot_clock::now();
-    for (const auto& [name, holder] : holders_) {
-        if (!holder->lease().holds()) {
-            continue;
-        }
-        for (const auto& item : decode_used(frame)) {
-            holder->planner().on_used(item, now);
-        }
-        for (const auto& item : decode_demand(frame)) {
-            holder->planner().on_demand(item, now);
-        }
-        holder->pump();
+    auto holder = holders_.find(notice.data_centre);
+    if (holder == holders_.end() || !holder->second->lease().holds()) {
+        holder = std::ranges::find_if(
+            holders_, [](const auto& item) { return item.second->lease().holds(); });
+    }
+    if (holder == holders_.end()) {
+        return;
+    }
+    auto& planner = holder->second->planner();
+    for (const auto& item : notice.used) {
+        planner.on_used(item, now);
     }
+    for (const auto& item : notice.demand) {
+        planner.on_demand(item, now);
+    }
+    holder->second->pump();
 }
 
 void gateway::impl::apply_residency(std::span<const fleet::residency_change> changes) {
@@ -219,15 +225,15 @@
     sent_loads_ = std::move(loads);
 }
 
-/// Peer that gives orders to engines: the holder for the own data centre, or any other.
-std::string gateway::impl::demand_receiver() const {
+/// Peer that gives orders to the engines of a data centre, or if there is none, to others.
+std::string gateway::impl::lease_holder(const std::string& data_centre) const {
     std::string other;
     for (const auto& [incarnation, peer] : peers_) {
         for (const auto& lease : peer.status.leases) {
             if (!lease.active) {
                 continue;
             }
-            if (lease.data_centre == view_.settings.data_centre) {
+            if (lease.data_centre == data_centre) {
                 return incarnation;
             }
             other = incarnation;
@@ -236,24 +242,35 @@
     return other;
 }
 
-void gateway::impl::send_demand() {
-    const auto demand = view_.dispatcher.take_demand();
-    const auto used = view_.dispatcher.take_used();
-    if (demand.empty() && used.empty()) {
-        return;
+/// Tells the lease holders which adapters calls wait for, and now and then which were used.
+void gateway::impl::send_demand(bool with_used) {
+    std::map<std::string, demand_notice> notices;
+    for (auto& item : view_.dispatcher.take_demand()) {
+        notices[item.data_centre].demand.push_back(std::move(item));
+    }
+    if (with_used) {
+        for (const auto& [data_centre, used] : view_.dispatcher.take_used()) {
+            notices[data_centre].used.assign(used.begin(), used.end());
+        }
     }
-    const auto own = holders_.find(view_.settings.data_centre);
-    const auto frame = demand_frame(demand, used);
+    for (auto& [data_centre, notice] : notices) {
+        notice.data_centre = data_centre;
+        send_notice(notice);
+    }
+}
+
+void gateway::impl::send_notice(const demand_notice& notice) {
+    const auto own = holders_.find(notice.data_centre);
     if (own != holders_.end() && own->second->active()) {
-        on_demand(frame);
+        on_demand(notice);
         return;
     }
-    const auto receiver = demand_receiver();
+    const auto receiver = lease_holder(notice.data_centre);
     if (receiver.empty()) {
-        on_demand(frame);
+        on_demand(notice);
         return;
     }
-    network_.send(receiver, frame);
+    network_.send(receiver, demand_frame(notice));
 }
 
 /// Place of this node among those that would take over a data centre's lease.
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -90,34 +90,35 @@
     return loads;
 }
 
-json demand_frame(std::span<const fleet::adapter_demand> demand,
-                  std::span<const fleet::model_name> used) {
+json demand_frame(const demand_notice& notice) {
     json wanted = json::array();
-    for (const auto& item : demand) {
+    for (const auto& item : notice.demand) {
         wanted.push_back(
             json::array({item.what.model, item.what.adapter, item.waiting, item.diverted}));
     }
     json names = json::array();
-    for (const auto& item : used) {
+    for (const auto& item : notice.used) {
         names.push_back(json::array({item.model, item.adapter}));
     }
-    return {{"type", "d"}, {"w", std::move(wanted)}, {"u", std::move(names)}};
+    return {{"type", "d"},
+            {"d", notice.data_centre},
+            {"w", std::move(wanted)},
+            {"u", std::move(names)}};
 }
 
-std::vector<fleet::adapter_demand> decode_demand(const json& frame) {
-    std::vector<fleet::adapter_demand> demand;
+demand_notice decode_demand(const json& frame) {
+    demand_notice notice;
+    notice.data_centre = frame.value("d", std::string());
     for (const auto& row : rows_of(frame, "w")) {
-        demand.push_back({{text_at(row, 0), text_at(row, 1)}, number_at(row, 2), number_at(row, 3)});
+        notice.demand.push_back({{text_at(row, 0), text_at(row, 1)},
+                                 notice.data_centre,
+                                 number_at(row, 2),
+                                 number_at(row, 3)});
     }
-    return demand;
-}
-
-std::vector<fleet::model_name> decode_used(const json& frame) {
-    std::vector<fleet::model_name> used;
     for (const auto& row : rows_of(frame, "u")) {
-        used.push_back({text_at(row, 0), text_at(row, 1)});
+        notice.used.push_back({text_at(row, 0), text_at(row, 1)});
     }
-    return used;
+    return notice;
 }
 
 json residency_frame(std::span<const fleet::residency_change> changes) {
--- a/lib/gateway/peer_frames.h
+++ b/lib/gateway/peer_frames.h
@@ -40,11 +40,15 @@
 support::json loads_frame(const std::map<std::string, fleet::endpoint_load>& loads);
 std::map<std::string, fleet::endpoint_load> decode_loads(const support::json& frame);
 
-/// Demand for adapters and the adapters that were used, for the holder of a lease.
-support::json demand_frame(std::span<const fleet::adapter_demand> demand,
-                           std::span<const fleet::model_name> used);
-std::vector<fleet::adapter_demand> decode_demand(const support::json& frame);
-std::vector<fleet::model_name> decode_used(const support::json& frame);
+/// What the holder of a data centre's lease should know of the calls of a node.
+struct demand_notice {
+    std::string data_centre;
+    std::vector<fleet::adapter_demand> demand;
+    std::vector<fleet::model_name> used;
+};
+
+support::json demand_frame(const demand_notice& notice);
+demand_notice decode_demand(const support::json& frame);
 
 support::json residency_frame(std::span<const fleet::residency_change> changes);
 std::vector<fleet::residency_change> decode_residency(const support::json& frame);
