--- a/include/dragonflystair/config/gateway_settings.h
+++ b/include/dragonflystair/config/gateway_settings.h
@@ -29,7 +29,7 @@
     std::chrono::milliseconds retry_window{10'000};
     std::chrono::milliseconds lease{3'000}; ///< Orders of two holders are this far apart.
     std::chrono::milliseconds shutdown_timeout{8'000};
-    std::chrono::milliseconds resolve_lifetime{2'000};
+    std::chrono::milliseconds resolve_lifetime{1'000};
 };
 
 struct gateway_settings_result {
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -154,7 +154,6 @@
     policy::endpoint_health health;
     std::map<model_name, std::size_t> diverted;
     std::map<std::string, std::set<model_name>> used;
-    std::map<model_name, std::string> last_holders;
 };
 
 bool dispatcher::impl::holds(const endpoint& item, const model_name& what) const {
@@ -327,8 +326,7 @@
     });
 }
 
-/// Data centre that should load an adapter: where it is being loaded already, where it was held
-/// last, since engines load recent adapters ten times as fast, or this one.
+/// Data centre that should load an adapter: where it is being loaded already, or this one.
 std::string dispatcher::impl::loading_place(const model_name& what) const {
     for (const auto& [id, item] : endpoints) {
         const auto held = item.adapters.find(what);
@@ -337,12 +335,6 @@
             return item.record.data_centre;
         }
     }
-    if (const auto last = last_holders.find(what); last != last_holders.end()) {
-        const auto holder = endpoints.find(last->second);
-        if (holder != endpoints.end() && !holder->second.leaving) {
-            return holder->second.record.data_centre;
-        }
-    }
     return places.own();
 }
 
@@ -420,7 +412,6 @@
     }
     if (state == residency::absent) {
         found->second.adapters.erase(what);
-        impl_->last_holders.insert_or_assign(what, std::string(endpoint));
         return;
     }
     found->second.adapters[what] = {state, version};
--- a/lib/gateway/call_relay.cpp
+++ b/lib/gateway/call_relay.cpp
@@ -133,6 +133,7 @@
         return;
     }
     found->second->decision = decision;
+    found->second->placed_after = boot_clock::now() - found->second->arrived;
     found->second->changed.notify();
 }
 
@@ -353,7 +354,8 @@
     response.status = status;
     response.headers = platform::forwarded_headers(call.exchange->head->headers);
     response.body = std::move(call.exchange->body);
-    view_.first_byte_latency.record(boot_clock::now() - call.arrived);
+    call.first_after = boot_clock::now() - call.arrived;
+    view_.first_byte_latency.record(call.first_after);
     finish(call, is_success(status) ? "served" : "endpoint_error", status);
     co_await exchange.respond(std::move(response));
     co_return attempt_end::answered;
@@ -377,7 +379,8 @@
             if (std::exchange(first, false)) {
                 view_.dispatcher.on_started(call.number, boot_clock::now());
                 if (!resumed) {
-                    view_.first_byte_latency.record(boot_clock::now() - call.arrived);
+                    call.first_after = boot_clock::now() - call.arrived;
+                    view_.first_byte_latency.record(call.first_after);
                 }
             }
             const auto bytes = events.feed(std::exchange(item->body, {}));
@@ -469,6 +472,9 @@
          {"adapter", call.request.model.adapter},
          {"sends", std::to_string(call.sends)},
          {"configuration", std::to_string(call.configuration->version)},
+         {"prompt_tokens", std::to_string(call.request.prompt_tokens)},
+         {"placed_after_ms", std::to_string(to_milliseconds(call.placed_after).count())},
+         {"first_after_ms", std::to_string(to_milliseconds(call.first_after).count())},
          {"after_ms", std::to_string(to_milliseconds(boot_clock::now() - call.arrived).count())}});
 }
 
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -234,10 +234,9 @@
     co_await exchange.respond(std::move(response));
 }
 
-/// Addresses of ready nodes, those of the caller's data centre first. A single address is not
-/// enough: a caller that keeps it has nowhere to go when that node fails.
+/// Addresses of the ready nodes in the caller's data centre, or of all if it has none. The answer
+/// is short-lived, so that a caller soon hears of others when its only node fails.
 std::vector<std::string> gateway::impl::addresses_for(std::string_view data_centre) const {
-    constexpr std::size_t enough = 2;
     constexpr std::size_t most = 64;
     std::vector<std::string> near;
     std::vector<std::string> far;
@@ -252,8 +251,8 @@
             add(peer.status.data_centre, peer.status.caller_address);
         }
     }
-    if (near.size() < enough) {
-        near.insert(near.end(), far.begin(), far.end());
+    if (near.empty()) {
+        near = std::move(far);
     }
     if (near.size() > most) {
         near.resize(most);
