--- a/include/dragonflystair/cli/environment.h
+++ b/include/dragonflystair/cli/environment.h
@@ -36,8 +36,10 @@
     std::function<support::async_result<remote_answer>(const remote_request&)> call;
     /// Runs a node until it has stopped and returns its exit code. Throws if it cannot start.
     std::function<int(config::settings)> run_node;
-    /// The same for a gateway.
-    std::function<int(config::gateway_settings)> run_gateway;
+    /// The same for a gateway, which reads its settings again through `reload`.
+    std::function<int(config::gateway_settings,
+                      std::function<std::optional<config::gateway_settings>()> reload)>
+        run_gateway;
     /// Value of an environment variable.
     std::function<std::optional<std::string>(const std::string& name)> variable;
 };
--- a/include/dragonflystair/config/gateway_settings.h
+++ b/include/dragonflystair/config/gateway_settings.h
@@ -30,6 +30,8 @@
     std::chrono::milliseconds lease{3'000}; ///< Orders of two holders are this far apart.
     std::chrono::milliseconds shutdown_timeout{8'000};
     std::chrono::milliseconds resolve_lifetime{1'000};
+
+    bool operator==(const gateway_settings&) const = default;
 };
 
 struct gateway_settings_result {
--- a/include/dragonflystair/fleet/retry_allowance.h
+++ b/include/dragonflystair/fleet/retry_allowance.h
@@ -25,6 +25,8 @@
 public:
     explicit retry_allowance(retry_limits limits) : limits_(limits) {}
 
+    void set_limits(retry_limits limits) { limits_ = limits; }
+
     void on_call(std::string_view service, support::time_point now);
 
     /// Takes one retry; false if this node's share of the window is used up.
--- a/include/dragonflystair/gateway/gateway.h
+++ b/include/dragonflystair/gateway/gateway.h
@@ -2,7 +2,9 @@
 
 #include "dragonflystair/config/gateway_settings.h"
 
+#include <functional>
 #include <memory>
+#include <optional>
 
 namespace dragonflystair::gateway {
 
@@ -10,8 +12,12 @@
 /// dispatches them straight to endpoints. Runs on one thread, since its VM has one core.
 class gateway {
 public:
-    /// Binds all addresses. Throws boost::system::system_error if one is taken.
-    explicit gateway(config::gateway_settings settings);
+    /// Reads the settings again; nothing if they cannot be used, which is reported by then.
+    using settings_source = std::function<std::optional<config::gateway_settings>()>;
+
+    /// Binds all addresses. Throws boost::system::system_error if one is taken. `reload` is called
+    /// on SIGHUP and every few seconds, since the file may change without a signal.
+    gateway(config::gateway_settings settings, settings_source reload);
     ~gateway();
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -54,8 +54,8 @@
 
 } // namespace
 
-gateway::impl::impl(config::gateway_settings settings)
-    : io_(1), view_{settings,
+gateway::impl::impl(config::gateway_settings settings, settings_source reload)
+    : io_(1), reload_(std::move(reload)), view_{settings,
                     support::random_id(),
                     io_.get_executor(),
                     fleet::topology(settings.data_centre, settings.data_centres),
@@ -114,7 +114,7 @@
       metrics_server_(
           io_.get_executor(), settings.metrics_address, {},
           [this](net::http_exchange& exchange) { return serve_metrics(exchange); }, counters_),
-      signals_(io_, SIGTERM, SIGINT), pump_timer_(io_) {
+      signals_(io_, SIGTERM, SIGINT, SIGHUP), pump_timer_(io_) {
     for (const auto& [data_centre, region] : view_.settings.data_centres) {
         holder_for(data_centre);
     }
@@ -186,6 +186,7 @@
             dial_peers();
         }
         if (ticks_ % ticks_per_summary == 0) {
+            reload_settings();
             for (const auto& [name, holder] : holders_) {
                 if (holder->active()) {
                     network_.broadcast(residency_frame(holder->planner().all()));
@@ -288,19 +289,46 @@
 }
 
 void gateway::impl::wait_for_signal() {
-    signals_.async_wait([this](const boost::system::error_code& code, int /*signal*/) {
-        if (!code) {
+    signals_.async_wait([this](const boost::system::error_code& code, int signal) {
+        if (code) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload_settings();
+        } else if (!view_.stopping) {
+            view_.stopping = true;
             boost::asio::co_spawn(
                 io_, [this] { return shut_down(); }, boost::asio::detached);
         }
+        wait_for_signal();
     });
 }
 
+/// Takes over what may change while the node runs: the peers to begin with, the limits on retries,
+/// and how long callers keep an address. Everything else needs a restart, which is said.
+void gateway::impl::reload_settings() {
+    const auto fresh = reload_();
+    if (!fresh || *fresh == view_.settings) {
+        return;
+    }
+    auto& current = view_.settings;
+    current.peers = fresh->peers;
+    current.retry_ratio = fresh->retry_ratio;
+    current.retry_slack = fresh->retry_slack;
+    current.retry_window = fresh->retry_window;
+    current.shutdown_timeout = fresh->shutdown_timeout;
+    current.resolve_lifetime = fresh->resolve_lifetime;
+    view_.retries.set_limits(retry_limits_of(current));
+    const bool complete = *fresh == current;
+    support::log_change("settings_reloaded",
+                        {{"restart_needed", complete ? "no" : "yes"},
+                         {"peers", std::to_string(current.peers.size())}});
+}
+
 /// Leaves the list of nodes, serves what still comes and ends before the platform's limit.
 net::awaitable<void> gateway::impl::shut_down() {
     const auto began = boot_clock::now();
     support::log_change("stopping", {{"open_calls", std::to_string(relay_.open_calls())}});
-    view_.stopping = true;
     caller_server_.announce_shutdown();
     send_status();
     for (const auto& [name, holder] : holders_) {
@@ -323,8 +351,8 @@
     io_.stop();
 }
 
-gateway::gateway(config::gateway_settings settings)
-    : impl_(std::make_unique<impl>(std::move(settings))) {}
+gateway::gateway(config::gateway_settings settings, settings_source reload)
+    : impl_(std::make_unique<impl>(std::move(settings), std::move(reload))) {}
 
 gateway::~gateway() = default;
 
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -40,7 +40,7 @@
 };
 
 struct gateway::impl {
-    explicit impl(config::gateway_settings settings);
+    impl(config::gateway_settings settings, settings_source reload);
 
     int run();
 
@@ -82,12 +82,14 @@
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::vector<std::string> addresses_for(std::string_view data_centre) const;
     void wait_for_signal();
+    void reload_settings();
     net::awaitable<void> shut_down();
     placement_holder& holder_for(const std::string& data_centre);
     store_follower::hooks follower_hooks(
         std::function<void(std::span<const fleet::keyed_record>)> on_records);
 
     boost::asio::io_context io_;
+    settings_source reload_;
     support::counters counters_;
     support::latency_summary first_byte_latency_;
     node_view view_;
