--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -36,8 +36,11 @@
 /// five times a second.
 constexpr milliseconds least_idle{500};
 
-/// Demand that was not repeated for this long has ended.
-constexpr milliseconds demand_lifetime{600};
+/// Demand that was not repeated for this long has ended; nodes repeat it every 50 ms.
+constexpr milliseconds demand_lifetime{160};
+/// Calls that have waited longer give up before their adapter is there: the shortest objective of
+/// the deployments, 500 ms, less the time of a load.
+constexpr milliseconds hopeful_wait{250};
 /// Calls sent to another data centre that pay for a copy here, within the time below.
 constexpr double diverted_worth_copy = 4;
 constexpr milliseconds diverted_window{3'000};
@@ -91,6 +94,7 @@
     std::size_t waiting = 0;
     double diverted = 0;
     time_point asked;
+    time_point waiting_since;
     time_point first_diverted;
 };
 
@@ -400,6 +404,9 @@
         item.diverted = 0;
         item.first_diverted = now;
     }
+    if (item.waiting == 0) {
+        item.waiting_since = now;
+    }
     item.waiting = demand.waiting;
     item.diverted += static_cast<double>(demand.diverted);
     item.asked = now;
@@ -446,8 +453,11 @@
     for (const auto& item : impl_->demands) {
         by_age.push_back(&item);
     }
-    std::ranges::stable_sort(by_age, [](const auto* left, const auto* right) {
-        return left->second.waiting > right->second.waiting;
+    // Oldest first, so that no adapter is passed over again and again, but those whose calls are
+    // about to give up come last.
+    std::ranges::stable_sort(by_age, {}, [now](const auto* item) {
+        const auto since = item->second.waiting_since;
+        return std::pair(now - since > hopeful_wait, since);
     });
     for (const auto* item : by_age) {
         if (auto order = impl_->demand_order(now, item->first, item->second)) {
--- /dev/null
+++ b/unittests/fleet/adapter_planner_test.cpp
@@ -0,0 +1,253 @@
+#include "dragonflystair/fleet/adapter_planner.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::fleet;
+using std::chrono::milliseconds;
+
+constexpr support::time_point start{std::chrono::hours{1}};
+
+endpoint_record engine(const std::string& id) {
+    endpoint_record record;
+    record.id = id;
+    record.service = "assistant";
+    record.address = "10.0.0.1:80";
+    record.data_centre = "north";
+    record.slots = 4;
+    record.started_ms = 1;
+    record.models = {{"base", 1, {}}};
+    return record;
+}
+
+adapter_demand waiting_for(const std::string& adapter) {
+    return {{"base", adapter}, "north", 1, 0};
+}
+
+/// Which adapters engines hold, and the orders for it.
+class adapter_planner_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(adapter_planner_test);
+    CPPUNIT_TEST(waiting_calls_get_one_load);
+    CPPUNIT_TEST(adapter_is_ready_when_the_repeated_order_holds);
+    CPPUNIT_TEST(full_engine_drops_the_adapter_that_nothing_uses);
+    CPPUNIT_TEST(engine_whose_adapters_are_all_in_use_drops_none);
+    CPPUNIT_TEST(burst_of_rare_adapters_never_exceeds_the_places);
+    CPPUNIT_TEST(engine_that_restarts_empty_loads_its_model_first);
+    CPPUNIT_TEST(one_refused_order_does_not_bring_a_stale_report);
+    CPPUNIT_TEST(lasting_conflict_asks_for_a_report);
+    CPPUNIT_TEST(order_without_answer_asks_for_a_report);
+    CPPUNIT_TEST(new_version_replaces_the_busy_adapter_and_drops_the_idle_one);
+    CPPUNIT_TEST(few_diverted_calls_bring_no_copy);
+    CPPUNIT_TEST(many_diverted_calls_bring_a_copy);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override {
+        planner_ = std::make_unique<adapter_planner>();
+        configuration current;
+        service assistant;
+        assistant.name = "assistant";
+        assistant.has_engines = true;
+        assistant.engines.batch_slots = 4;
+        assistant.engines.weights_mb = 100;
+        assistant.engines.adapter_slots = 3;
+        assistant.engines.models = {{"base", 50, 1, milliseconds{600}}};
+        current.services = {{"assistant", assistant}};
+        planner_->configure(current);
+        planner_->update(engine("a"));
+        now_ = start;
+    }
+
+    void waiting_calls_get_one_load() {
+        planner_->on_demand(waiting_for("x"), now_);
+        const auto orders = planner_->plan(now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT(orders.front().kind == planned_kind::load);
+        planner_->on_demand(waiting_for("x"), now_);
+        CPPUNIT_ASSERT(planner_->plan(now_).empty());
+    }
+
+    void adapter_is_ready_when_the_repeated_order_holds() {
+        load("x");
+        CPPUNIT_ASSERT(last_state("x") == residency::ready);
+    }
+
+    void full_engine_drops_the_adapter_that_nothing_uses() {
+        load("x");
+        load("y");
+        load("z");
+        now_ += milliseconds{2'000};
+        planner_->on_used({"base", "x"}, now_);
+        planner_->on_used({"base", "z"}, now_);
+        planner_->on_demand(waiting_for("w"), now_);
+        const auto orders = planner_->plan(now_);
+        CPPUNIT_ASSERT(orders.at(0).kind == planned_kind::unload);
+        CPPUNIT_ASSERT_EQUAL(std::string("y"), orders.at(0).what.adapter);
+        CPPUNIT_ASSERT(last_state("y") == residency::absent);
+    }
+
+    /// Guards against the eviction of an adapter that serves a call.
+    void engine_whose_adapters_are_all_in_use_drops_none() {
+        load("x");
+        load("y");
+        load("z");
+        for (const auto* name : {"x", "y", "z"}) {
+            planner_->on_used({"base", name}, now_);
+        }
+        planner_->on_demand(waiting_for("w"), now_);
+        CPPUNIT_ASSERT(planner_->plan(now_).empty());
+    }
+
+    /// Replays forty rare adapters on three places, each asked for once in two seconds by a call that
+    /// waits for half a second. Engines that are ordered to hold more than their places crash, and
+    /// by order of name the first adapters were loaded again and again while the others starved.
+    void burst_of_rare_adapters_never_exceeds_the_places() {
+        std::set<std::string> held;
+        std::set<std::string> served;
+        for (int step = 0; step < 800; ++step) {
+            now_ += milliseconds{50};
+            for (int rare = 0; rare < 40; ++rare) {
+                if ((step + rare) % 40 < 10) {
+                    planner_->on_demand(waiting_for("rare" + std::to_string(rare)), now_);
+                }
+            }
+            for (const auto& order : planner_->plan(now_)) {
+                if (order.kind == planned_kind::unload) {
+                    held.erase(order.what.adapter);
+                    planner_->on_outcome(order, order_outcome::holds, now_);
+                    continue;
+                }
+                held.insert(order.what.adapter);
+                planner_->on_outcome(
+                    order, order.check ? order_outcome::holds : order_outcome::accepted, now_);
+                if (order.check) {
+                    served.insert(order.what.adapter);
+                }
+            }
+            CPPUNIT_ASSERT(held.size() <= 3);
+        }
+        // At most 1 + 10 in 100 may starve.
+        CPPUNIT_ASSERT(served.size() >= 35);
+    }
+
+    void engine_that_restarts_empty_loads_its_model_first() {
+        load("x");
+        auto again = engine("a");
+        again.started_ms = 2;
+        again.models.clear();
+        planner_->update(again);
+        planner_->on_demand(waiting_for("x"), now_);
+        const auto orders = planner_->plan(now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT_EQUAL(model_name({"base", ""}).model, orders.front().what.model);
+        CPPUNIT_ASSERT(orders.front().what.adapter.empty());
+    }
+
+    /// Guards against the loss of all later orders: a report is some hundred milliseconds old, and
+    /// a planner that took its count of orders was refused from then on.
+    void one_refused_order_does_not_bring_a_stale_report() {
+        planner_->on_demand(waiting_for("x"), now_);
+        planner_->on_outcome(planner_->plan(now_).at(0), order_outcome::conflict, now_);
+        now_ += milliseconds{60};
+        planner_->on_demand(waiting_for("x"), now_);
+        const auto orders = planner_->plan(now_);
+        CPPUNIT_ASSERT(orders.at(0).kind == planned_kind::load);
+    }
+
+    void lasting_conflict_asks_for_a_report() {
+        bool asked = false;
+        for (int step = 0; step < 40 && !asked; ++step) {
+            now_ += milliseconds{50};
+            planner_->on_demand(waiting_for("x"), now_);
+            for (const auto& order : planner_->plan(now_)) {
+                asked = asked || order.kind == planned_kind::report;
+                planner_->on_outcome(order, order_outcome::conflict, now_);
+            }
+        }
+        CPPUNIT_ASSERT(asked);
+    }
+
+    /// Such an order may be carried out seconds later.
+    void order_without_answer_asks_for_a_report() {
+        planner_->on_demand(waiting_for("x"), now_);
+        planner_->on_outcome(planner_->plan(now_).at(0), order_outcome::unknown, now_);
+        now_ += milliseconds{1'000};
+        CPPUNIT_ASSERT(planner_->plan(now_).at(0).kind == planned_kind::report);
+        engine_report report;
+        report.started_ms = 1;
+        report.orders_accepted = 1;
+        report.models = {{"base", 1, {}}};
+        report.pending = {"base/x@1"};
+        planner_->on_report("a", report, now_);
+        CPPUNIT_ASSERT(last_state("x") == residency::absent);
+        now_ += milliseconds{300};
+        const auto check = planner_->plan(now_).at(0);
+        CPPUNIT_ASSERT(check.check);
+        planner_->on_outcome(check, order_outcome::holds, now_);
+        CPPUNIT_ASSERT(last_state("x") == residency::ready);
+    }
+
+    void new_version_replaces_the_busy_adapter_and_drops_the_idle_one() {
+        load("x");
+        load("y");
+        now_ += std::chrono::seconds{20};
+        planner_->on_used({"base", "x"}, now_);
+        planner_->require_version({"base", "x"}, 2);
+        planner_->require_version({"base", "y"}, 2);
+        std::set<std::string> seen;
+        for (int step = 0; step < 2; ++step) {
+            const auto order = planner_->plan(now_).at(0);
+            seen.insert((order.kind == planned_kind::load ? "load " : "unload ") +
+                        order.what.adapter);
+            planner_->on_outcome(order, order_outcome::holds, now_);
+        }
+        CPPUNIT_ASSERT((seen == std::set<std::string>{"load x", "unload y"}));
+    }
+
+    void few_diverted_calls_bring_no_copy() {
+        planner_->on_demand({{"base", "x"}, "north", 0, 2}, now_);
+        CPPUNIT_ASSERT(planner_->plan(now_).empty());
+    }
+
+    void many_diverted_calls_bring_a_copy() {
+        for (int calls = 0; calls < 5; ++calls) {
+            now_ += milliseconds{100};
+            planner_->on_demand({{"base", "x"}, "north", 0, 2}, now_);
+        }
+        CPPUNIT_ASSERT(planner_->plan(now_).at(0).kind == planned_kind::load);
+    }
+
+private:
+    void load(const std::string& adapter) {
+        planner_->on_demand(waiting_for(adapter), now_);
+        planner_->on_outcome(planner_->plan(now_).at(0), order_outcome::accepted, now_);
+        now_ += milliseconds{300};
+        planner_->on_outcome(planner_->plan(now_).at(0), order_outcome::holds, now_);
+    }
+
+    residency last_state(const std::string& adapter) {
+        auto state = residency::absent;
+        for (const auto& change : planner_->take_changes()) {
+            if (change.what.adapter == adapter) {
+                state = change.state;
+            }
+        }
+        return state;
+    }
+
+    std::unique_ptr<adapter_planner> planner_;
+    support::time_point now_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(adapter_planner_test);
+
+} // namespace
--- /dev/null
+++ b/unittests/fleet/beliefs_test.cpp
@@ -0,0 +1,198 @@
+#include "dragonflystair/fleet/configuration.h"
+#include "dragonflystair/fleet/endpoint_watch.h"
+#include "dragonflystair/fleet/record_mirror.h"
+#include "dragonflystair/fleet/retry_allowance.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::fleet;
+using std::chrono::milliseconds;
+
+constexpr support::time_point start{std::chrono::hours{1}};
+
+keyed_record record(const std::string& key, std::uint64_t offset, const std::string& value) {
+    return {key, value, offset};
+}
+
+/// The copy of a topic.
+class record_mirror_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(record_mirror_test);
+    CPPUNIT_TEST(newer_record_replaces_the_older);
+    CPPUNIT_TEST(older_record_of_a_late_peer_changes_nothing);
+    CPPUNIT_TEST(resynchronisation_drops_keys_that_are_missing);
+    CPPUNIT_TEST(list_older_than_the_copy_drops_nothing);
+    CPPUNIT_TEST(peer_that_lags_gets_what_it_lacks);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void newer_record_replaces_the_older() {
+        mirror_.apply({{record("config", 1, "one"), record("config", 2, "two")}, 3});
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), *mirror_.since(0).records.at(0).value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, mirror_.next());
+    }
+
+    /// Guards against a configuration that steps back.
+    void older_record_of_a_late_peer_changes_nothing() {
+        mirror_.apply({{record("config", 5, "new")}, 6});
+        CPPUNIT_ASSERT(mirror_.apply({{record("config", 2, "old")}, 3}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, mirror_.next());
+    }
+
+    void resynchronisation_drops_keys_that_are_missing() {
+        mirror_.apply({{record("a", 1, "x"), record("b", 2, "y")}, 3});
+        const auto changed = mirror_.resynchronise({{record("b", 2, "y")}, 9});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changed.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), changed.front().key);
+        CPPUNIT_ASSERT(!changed.front().value);
+    }
+
+    /// Guards against endpoints taken for gone by a read that lags seconds behind.
+    void list_older_than_the_copy_drops_nothing() {
+        mirror_.apply({{record("a", 1, "x"), record("b", 7, "y")}, 8});
+        CPPUNIT_ASSERT(mirror_.resynchronise({{record("a", 1, "x")}, 2}).empty());
+    }
+
+    void peer_that_lags_gets_what_it_lacks() {
+        mirror_.apply({{record("a", 1, "x"), record("b", 7, "y")}, 8});
+        const auto page = mirror_.since(2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, page.records.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, page.next);
+    }
+
+private:
+    record_mirror mirror_;
+};
+
+/// When an endpoint that is missing from the list counts as gone.
+class endpoint_watch_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(endpoint_watch_test);
+    CPPUNIT_TEST(missing_entry_of_a_reachable_store_is_gone_at_once);
+    CPPUNIT_TEST(entry_missing_during_an_outage_is_kept);
+    CPPUNIT_TEST(entry_back_after_the_outage_is_not_gone);
+    CPPUNIT_TEST(entry_still_missing_after_the_return_time_is_gone);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void missing_entry_of_a_reachable_store_is_gone_at_once() {
+        watch_.on_missing("a", start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, watch_.take_gone(start).size());
+        CPPUNIT_ASSERT(watch_.take_gone(start).empty());
+    }
+
+    void entry_missing_during_an_outage_is_kept() {
+        watch_.on_store(false, start);
+        watch_.on_missing("a", start);
+        CPPUNIT_ASSERT(watch_.take_gone(start + std::chrono::minutes{5}).empty());
+    }
+
+    void entry_back_after_the_outage_is_not_gone() {
+        watch_.on_store(false, start);
+        watch_.on_missing("a", start);
+        watch_.on_store(true, start + milliseconds{5'000});
+        watch_.on_listed("a");
+        CPPUNIT_ASSERT(watch_.take_gone(start + milliseconds{9'000}).empty());
+    }
+
+    void entry_still_missing_after_the_return_time_is_gone() {
+        watch_.on_store(false, start);
+        watch_.on_missing("a", start);
+        watch_.on_store(true, start + milliseconds{5'000});
+        CPPUNIT_ASSERT(watch_.take_gone(start + milliseconds{6'900}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, watch_.take_gone(start + milliseconds{7'000}).size());
+    }
+
+private:
+    endpoint_watch watch_;
+};
+
+/// The share of one node in the bound on retries.
+class retry_allowance_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(retry_allowance_test);
+    CPPUNIT_TEST(retries_of_all_nodes_stay_within_the_bound);
+    CPPUNIT_TEST(retries_return_after_the_window);
+    CPPUNIT_TEST(service_without_calls_has_none);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Replays six nodes whose calls are all refused by their endpoints.
+    void retries_of_all_nodes_stay_within_the_bound() {
+        constexpr std::size_t nodes = 6;
+        std::vector<retry_allowance> all(nodes, retry_allowance(limits()));
+        std::size_t calls = 0;
+        std::size_t retries = 0;
+        for (int step = 0; step < 1'000; ++step) {
+            const auto now = start + milliseconds{step * 9};
+            for (auto& node : all) {
+                node.on_call("assistant", now);
+                ++calls;
+                retries += node.try_take("assistant", nodes, now) ? 1U : 0U;
+            }
+        }
+        CPPUNIT_ASSERT(retries > 0);
+        CPPUNIT_ASSERT(static_cast<double>(retries) <= 0.2 * static_cast<double>(calls) + 52);
+    }
+
+    void retries_return_after_the_window() {
+        retry_allowance node(limits());
+        node.on_call("assistant", start);
+        while (node.try_take("assistant", 1, start)) {
+        }
+        const auto later = start + std::chrono::seconds{11};
+        node.on_call("assistant", later);
+        CPPUNIT_ASSERT(node.try_take("assistant", 1, later));
+    }
+
+    void service_without_calls_has_none() {
+        retry_allowance node(limits());
+        CPPUNIT_ASSERT(!node.try_take("assistant", 1, start));
+    }
+
+private:
+    static retry_limits limits() { return {0.2, 52, std::chrono::seconds{10}}; }
+};
+
+/// Which route a call takes.
+class configuration_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(configuration_test);
+    CPPUNIT_TEST(longest_prefix_of_the_host_wins);
+    CPPUNIT_TEST(other_host_has_no_route);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override {
+        route wide;
+        wide.name = "wide";
+        wide.host = "desk.example";
+        wide.path_prefix = "/a/";
+        auto narrow = wide;
+        narrow.name = "narrow";
+        narrow.path_prefix = "/a/b/";
+        current_.routes = {wide, narrow};
+    }
+
+    void longest_prefix_of_the_host_wins() {
+        CPPUNIT_ASSERT_EQUAL(std::string("narrow"), current_.match("desk.example", "/a/b/c")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("wide"), current_.match("desk.example", "/a/c")->name);
+    }
+
+    void other_host_has_no_route() {
+        CPPUNIT_ASSERT(current_.match("other.example", "/a/c") == nullptr);
+        CPPUNIT_ASSERT(current_.match("desk.example", "/c") == nullptr);
+    }
+
+private:
+    configuration current_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(record_mirror_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_watch_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(retry_allowance_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(configuration_test);
+
+} // namespace
--- /dev/null
+++ b/unittests/fleet/dispatcher_test.cpp
@@ -0,0 +1,316 @@
+#include "dragonflystair/fleet/dispatcher.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::fleet;
+using std::chrono::milliseconds;
+
+constexpr support::time_point start{std::chrono::hours{1}};
+
+const model_name patterns{"base", "patterns"};
+
+endpoint_record engine(const std::string& id, const std::string& data_centre) {
+    endpoint_record record;
+    record.id = id;
+    record.service = "assistant";
+    record.address = "10.0.0.1:80";
+    record.data_centre = data_centre;
+    record.slots = 4;
+    record.started_ms = 1;
+    record.models = {{"base", 1, {{"patterns", 1}}}};
+    return record;
+}
+
+endpoint_record plain(const std::string& id, const std::string& data_centre) {
+    auto record = engine(id, data_centre);
+    record.service = "register";
+    record.models.clear();
+    return record;
+}
+
+pending_call generation(std::uint64_t number, std::size_t tokens = 400) {
+    pending_call call;
+    call.number = number;
+    call.service = "assistant";
+    call.model = patterns;
+    call.prompt_tokens = tokens;
+    call.arrived = start;
+    call.objective_at = start + milliseconds{500};
+    call.give_up_at = call.objective_at;
+    return call;
+}
+
+pending_call stamp(std::uint64_t number) {
+    auto call = generation(number, 0);
+    call.service = "register";
+    call.model = {};
+    return call;
+}
+
+/// Where calls run, how they wait and which are refused.
+class dispatcher_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(dispatcher_test);
+    CPPUNIT_TEST(call_with_free_places_goes_to_the_own_data_centre);
+    CPPUNIT_TEST(adapter_ready_elsewhere_only_is_used_there);
+    CPPUNIT_TEST(short_call_avoids_the_endpoint_that_reads_a_long_prompt);
+    CPPUNIT_TEST(full_service_makes_calls_wait_for_the_next_free_place);
+    CPPUNIT_TEST(burst_on_full_service_keeps_urgent_calls_first);
+    CPPUNIT_TEST(call_behind_too_long_a_queue_is_refused_on_arrival);
+    CPPUNIT_TEST(refused_calls_are_told_to_return_at_different_times);
+    CPPUNIT_TEST(call_without_any_endpoint_is_refused_at_once);
+    CPPUNIT_TEST(call_is_not_refused_while_places_are_free);
+    CPPUNIT_TEST(leaving_endpoint_gets_no_call);
+    CPPUNIT_TEST(returning_endpoint_restarted_empty_has_no_adapter);
+    CPPUNIT_TEST(older_version_is_not_used_once_a_newer_is_required);
+    CPPUNIT_TEST(retried_call_does_not_go_to_the_same_endpoint);
+    CPPUNIT_TEST(peers_calls_count_as_load);
+    CPPUNIT_TEST(lost_peer_no_longer_counts_as_load);
+    CPPUNIT_TEST(demand_names_the_adapters_that_calls_wait_for);
+    CPPUNIT_TEST(adapter_of_a_running_call_is_reported_as_used);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override {
+        topology places("north", {{"north", "n"}, {"south", "s"}});
+        dispatcher_ = std::make_unique<dispatcher>(places);
+        configuration current;
+        service assistant;
+        assistant.name = "assistant";
+        assistant.has_engines = true;
+        assistant.engines.batch_slots = 4;
+        service registry;
+        registry.name = "register";
+        current.services = {{"assistant", assistant}, {"register", registry}};
+        dispatcher_->configure(current);
+    }
+
+    void call_with_free_places_goes_to_the_own_data_centre() {
+        dispatcher_->update(engine("far", "south"));
+        dispatcher_->update(engine("near", "north"));
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), place(generation(1)));
+    }
+
+    /// Guards against each data centre loading every adapter for itself, which its few places
+    /// cannot hold.
+    void adapter_ready_elsewhere_only_is_used_there() {
+        auto near = engine("near", "north");
+        near.models = {{"base", 1, {}}};
+        dispatcher_->update(near);
+        dispatcher_->update(engine("far", "south"));
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), place(generation(1)));
+    }
+
+    /// Replays a dossier of 9,000 tokens followed by a quick question.
+    void short_call_avoids_the_endpoint_that_reads_a_long_prompt() {
+        dispatcher_->update(engine("a", "north"));
+        dispatcher_->update(engine("b", "north"));
+        const auto busy = place(generation(1, 9'000));
+        CPPUNIT_ASSERT(busy != place(generation(2)));
+    }
+
+    void full_service_makes_calls_wait_for_the_next_free_place() {
+        dispatcher_->update(plain("a", "north"));
+        for (std::uint64_t number = 1; number <= 4; ++number) {
+            CPPUNIT_ASSERT_EQUAL(std::string("a"), place(stamp(number)));
+        }
+        dispatcher_->submit(stamp(5));
+        CPPUNIT_ASSERT(dispatcher_->pump(start).empty());
+        dispatcher_->finish(1, start);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), dispatcher_->pump(start).at(0).endpoint);
+    }
+
+    /// Guards against urgent calls being served less often than less urgent ones in a burst.
+    void burst_on_full_service_keeps_urgent_calls_first() {
+        dispatcher_->update(plain("a", "north"));
+        for (std::uint64_t number = 1; number <= 4; ++number) {
+            place(stamp(number));
+        }
+        auto less_urgent = stamp(5);
+        less_urgent.priority = 2;
+        dispatcher_->submit(less_urgent);
+        auto urgent = stamp(6);
+        urgent.arrived = start + milliseconds{100};
+        urgent.objective_at = start + milliseconds{600};
+        dispatcher_->submit(urgent);
+        dispatcher_->finish(1, start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, dispatcher_->pump(start).at(0).number);
+    }
+
+    /// Replays arrivals at three times the rate at which places become free.
+    void call_behind_too_long_a_queue_is_refused_on_arrival() {
+        dispatcher_->update(plain("a", "north"));
+        std::uint64_t number = 0;
+        std::size_t refused = 0;
+        support::duration longest_wait{};
+        std::vector<std::uint64_t> running;
+        for (int step = 0; step < 600; ++step) {
+            const auto now = start + milliseconds{10 * step};
+            auto call = stamp(++number);
+            call.arrived = now;
+            call.objective_at = now + milliseconds{250};
+            call.give_up_at = call.objective_at;
+            dispatcher_->submit(call);
+            if (step % 3 == 0 && !running.empty()) {
+                dispatcher_->finish(running.front(), now);
+                running.erase(running.begin());
+            }
+            for (const auto& decision : dispatcher_->pump(now)) {
+                if (!decision.endpoint.empty()) {
+                    running.push_back(decision.number);
+                    continue;
+                }
+                const auto arrived = start + milliseconds{10 * static_cast<int>(decision.number - 1)};
+                longest_wait = std::max(longest_wait, now - arrived);
+                refused += decision.reason == refusal::overloaded ? 1 : 0;
+                dispatcher_->finish(decision.number, now);
+            }
+        }
+        CPPUNIT_ASSERT(refused > 100);
+        CPPUNIT_ASSERT(longest_wait <= milliseconds{260});
+    }
+
+    /// Guards against those sent away coming back together.
+    void refused_calls_are_told_to_return_at_different_times() {
+        dispatcher_->update(plain("a", "north"));
+        for (std::uint64_t number = 1; number <= 12; ++number) {
+            dispatcher_->submit(stamp(number));
+        }
+        std::vector<milliseconds> returns;
+        for (const auto& decision : dispatcher_->pump(start + milliseconds{600})) {
+            if (decision.endpoint.empty()) {
+                returns.push_back(decision.retry_after);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, returns.size());
+        std::ranges::sort(returns);
+        CPPUNIT_ASSERT(std::ranges::adjacent_find(returns) == returns.end());
+        CPPUNIT_ASSERT(returns.front() > milliseconds{0});
+    }
+
+    void call_without_any_endpoint_is_refused_at_once() {
+        dispatcher_->submit(stamp(1));
+        const auto decisions = dispatcher_->pump(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
+        CPPUNIT_ASSERT(decisions.front().reason == refusal::no_endpoints);
+    }
+
+    void call_is_not_refused_while_places_are_free() {
+        dispatcher_->update(plain("a", "north"));
+        for (std::uint64_t number = 1; number <= 200; ++number) {
+            const auto now = start + milliseconds{static_cast<int>(number)};
+            auto call = stamp(number);
+            call.give_up_at = now;
+            dispatcher_->submit(call);
+            CPPUNIT_ASSERT_EQUAL(std::string("a"), dispatcher_->pump(now).at(0).endpoint);
+            dispatcher_->finish(number, now);
+        }
+    }
+
+    void leaving_endpoint_gets_no_call() {
+        dispatcher_->update(plain("a", "north"));
+        dispatcher_->update(plain("b", "south"));
+        auto leaving = plain("a", "north");
+        leaving.draining = true;
+        dispatcher_->update(leaving);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), place(stamp(1)));
+        dispatcher_->remove("b");
+        CPPUNIT_ASSERT(!dispatcher_->serves("register"));
+    }
+
+    /// Guards against calls to an engine that came back under its former id with nothing loaded.
+    void returning_endpoint_restarted_empty_has_no_adapter() {
+        dispatcher_->update(engine("a", "north"));
+        auto again = engine("a", "north");
+        again.started_ms = 2;
+        again.models.clear();
+        dispatcher_->update(again);
+        dispatcher_->submit(generation(1));
+        CPPUNIT_ASSERT(dispatcher_->pump(start).empty());
+    }
+
+    void older_version_is_not_used_once_a_newer_is_required() {
+        dispatcher_->update(engine("a", "north"));
+        dispatcher_->require_version(patterns, 2);
+        dispatcher_->submit(generation(1));
+        CPPUNIT_ASSERT(dispatcher_->pump(start).empty());
+        dispatcher_->set_residency("a", patterns, residency::ready, 2);
+        const auto decisions = dispatcher_->pump(start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, decisions.at(0).version.value());
+    }
+
+    void retried_call_does_not_go_to_the_same_endpoint() {
+        dispatcher_->update(plain("a", "north"));
+        dispatcher_->update(plain("b", "south"));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), place(stamp(1)));
+        dispatcher_->retry(1);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), dispatcher_->pump(start).at(0).endpoint);
+    }
+
+    void peers_calls_count_as_load() {
+        dispatcher_->update(plain("a", "north"));
+        dispatcher_->update(plain("b", "north"));
+        dispatcher_->set_peer_load("peer", "a", {4, 0});
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), place(stamp(1)));
+    }
+
+    /// Guards against places that stay taken after the node that used them was killed.
+    void lost_peer_no_longer_counts_as_load() {
+        dispatcher_->update(plain("a", "north"));
+        dispatcher_->set_peer_load("peer", "a", {4, 0});
+        dispatcher_->submit(stamp(1));
+        CPPUNIT_ASSERT(dispatcher_->pump(start).empty());
+        dispatcher_->forget_peer("peer");
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), dispatcher_->pump(start).at(0).endpoint);
+    }
+
+    void demand_names_the_adapters_that_calls_wait_for() {
+        auto near = engine("near", "north");
+        near.models = {{"base", 1, {}}};
+        dispatcher_->update(near);
+        dispatcher_->submit(generation(1));
+        dispatcher_->submit(generation(2));
+        dispatcher_->pump(start);
+        const auto demand = dispatcher_->take_demand();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, demand.size());
+        CPPUNIT_ASSERT(demand.front().what == patterns);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, demand.front().waiting);
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), demand.front().data_centre);
+    }
+
+    /// Guards against the unload of an adapter whose stream lasts longer than the idle time.
+    void adapter_of_a_running_call_is_reported_as_used() {
+        dispatcher_->update(engine("a", "north"));
+        place(generation(1));
+        dispatcher_->take_used();
+        CPPUNIT_ASSERT(dispatcher_->take_used()["north"].contains(patterns));
+        dispatcher_->finish(1, start);
+        CPPUNIT_ASSERT(dispatcher_->take_used().empty());
+    }
+
+private:
+    std::string place(pending_call call) {
+        const auto number = call.number;
+        dispatcher_->submit(std::move(call));
+        for (const auto& decision : dispatcher_->pump(start)) {
+            if (decision.number == number) {
+                return decision.endpoint;
+            }
+        }
+        return {};
+    }
+
+    std::unique_ptr<dispatcher> dispatcher_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(dispatcher_test);
+
+} // namespace
