--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -68,6 +68,7 @@
     std::string data_centre;  ///< Where a copy is wanted.
     std::size_t waiting = 0;  ///< Calls that wait for it now.
     std::size_t diverted = 0; ///< Calls sent to another data centre since the last time.
+    std::size_t crowded = 0;  ///< Calls sent to a busy endpoint while another was less so.
 };
 
 /// Decides where calls run, in which order they wait and which are refused. Each node dispatches
@@ -75,7 +76,8 @@
 ///
 /// Load patterns it answers: a wave of short generations with a few prompts that take as long to
 /// read as fifty others; endpoints that hold the adapter but have no free place; plain services
-/// with few slots in each of three regions. An adapter is used wherever it is ready, since all
+/// with few slots in each of three regions. Long prompts are kept apart from each other and, where
+/// there is a choice, from running generations, whose events they delay. An adapter is used wherever it is ready, since all
 /// engines together have hardly more places than there are adapters in use. Pure: the time is an argument.
 class dispatcher {
 public:
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -44,6 +44,8 @@
 /// Calls sent to another data centre that pay for a copy here, within the time below.
 constexpr double diverted_worth_copy = 4;
 constexpr milliseconds diverted_window{3'000};
+/// The same for calls sent to a busy engine of this data centre.
+constexpr double crowded_worth_copy = 6;
 
 /// An adapter used within this time gets its new version at once; others are dropped.
 constexpr milliseconds busy_window{5'000};
@@ -93,6 +95,7 @@
 struct wanted {
     std::size_t waiting = 0;
     double diverted = 0;
+    double crowded = 0;
     time_point asked;
     time_point waiting_since;
     time_point first_diverted;
@@ -134,7 +137,7 @@
                                               const wanted& demand);
     std::optional<model_name> victim(const engine& item, double worth, time_point now) const;
     [[nodiscard]] bool fits(const engine& item, const model_name& what) const;
-    [[nodiscard]] bool is_due(const wanted& demand) const;
+    [[nodiscard]] bool is_due(const model_name& what, const wanted& demand) const;
     [[nodiscard]] bool placed(const model_name& what) const;
     void begin(engine& item, const planned_order& order);
     void withdraw(engine& item, const planned_order& order);
@@ -285,8 +288,11 @@
     return best;
 }
 
-bool adapter_planner::impl::is_due(const wanted& demand) const {
-    return demand.waiting > 0 || demand.diverted >= diverted_worth_copy;
+bool adapter_planner::impl::is_due(const model_name& what, const wanted& demand) const {
+    if (demand.crowded >= crowded_worth_copy) {
+        return true;
+    }
+    return (demand.waiting > 0 || demand.diverted >= diverted_worth_copy) && !placed(what);
 }
 
 /// Whether some engine holds the adapter in the version needed or is loading it.
@@ -302,7 +308,7 @@
 std::optional<planned_order> adapter_planner::impl::demand_order(time_point now,
                                                                  const model_name& what,
                                                                  const wanted& demand) {
-    if (!is_due(demand) || placed(what)) {
+    if (!is_due(what, demand)) {
         return std::nullopt;
     }
     std::vector<std::string> names;
@@ -319,7 +325,7 @@
     const double worth = demand.waiting > 0 ? any_rate : popular.rate(key_of(what), now);
     for (const auto& id : support::rendezvous_order(key_of(what), names)) {
         auto& item = engines.at(id);
-        if (item.order_under_way) {
+        if (item.order_under_way || item.adapters.contains(what)) {
             continue;
         }
         const auto in_transit = std::ranges::count_if(item.adapters, [](const auto& held) {
@@ -397,11 +403,12 @@
 
 void adapter_planner::on_demand(const adapter_demand& demand, time_point now) {
     auto& item = impl_->demands[demand.what];
-    if (demand.waiting > item.waiting || demand.diverted > 0) {
+    if (demand.waiting > item.waiting || demand.diverted > 0 || demand.crowded > 0) {
         impl_->popular.on_request(key_of(demand.what), now);
     }
     if (now - item.first_diverted > diverted_window) {
         item.diverted = 0;
+        item.crowded = 0;
         item.first_diverted = now;
     }
     if (item.waiting == 0) {
@@ -409,6 +416,7 @@
     }
     item.waiting = demand.waiting;
     item.diverted += static_cast<double>(demand.diverted);
+    item.crowded += static_cast<double>(demand.crowded);
     item.asked = now;
 }
 
@@ -461,6 +469,9 @@
     });
     for (const auto* item : by_age) {
         if (auto order = impl_->demand_order(now, item->first, item->second)) {
+            if (order->kind == planned_kind::load) {
+                impl_->demands.at(item->first).crowded = 0;
+            }
             impl_->begin(impl_->engines.at(order->endpoint), *order);
             orders.push_back(std::move(*order));
         }
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -33,6 +33,15 @@
 /// Weight of a new sample in a running mean; about the last ten samples count.
 constexpr double sample_weight = 0.1;
 
+/// A prompt of this many tokens takes longer to read than the pause between two events may be.
+constexpr std::size_t long_prompt_tokens = 3'000;
+/// Added to the cost of an engine that is reading one, since events come late there.
+constexpr double long_prompt_penalty_ms = 80;
+/// Added to the cost of a long prompt for each running call, whose events it delays.
+constexpr double disturbance_ms = 4;
+/// An endpoint that costs this much more than the best is crowded.
+constexpr double crowded_ms = 40;
+
 /// An endpoint that is slower than its peers still gets this share, which shows when it recovers.
 constexpr double least_weight = 0.05;
 
@@ -70,6 +79,10 @@
     std::map<std::string, endpoint_load, std::less<>> peers;
     prompt_cache prompts;
 
+    [[nodiscard]] bool serves_model(const model_name& what) const {
+        return what.model.empty() || models.contains(what.model);
+    }
+
     [[nodiscard]] endpoint_load total() const {
         endpoint_load sum = own;
         for (const auto& [peer, load] : peers) {
@@ -105,6 +118,7 @@
     double cost_ms = 0;
     double expected_ms = 0;
     std::size_t unread_tokens = 0;
+    bool crowded = false; ///< An endpoint without the adapter would have cost much less.
 };
 
 } // namespace
@@ -140,7 +154,7 @@
     dispatch_decision refuse(const open_call& open, const service_state& state, std::size_t ahead,
                              bool adapter_missing) const;
     void release(open_call& open);
-    void note_use(const endpoint& item, const model_name& what);
+    void note_use(const choice& chosen, const model_name& what);
     [[nodiscard]] bool has_endpoint(std::string_view service) const;
     [[nodiscard]] bool adapter_missing(const open_call& open) const;
     [[nodiscard]] std::string loading_place(const model_name& what) const;
@@ -153,6 +167,7 @@
     std::vector<std::uint64_t> queue;
     policy::endpoint_health health;
     std::map<model_name, std::size_t> diverted;
+    std::map<model_name, std::size_t> crowded;
     std::map<std::string, std::set<model_name>> used;
 };
 
@@ -189,7 +204,7 @@
     const auto& call = open.call;
     if (item.leaving || item.suspended_until > now || item.record.service != call.service ||
         std::ranges::find(call.excluded, item.record.id) != call.excluded.end() ||
-        !holds(item, call.model)) {
+        !item.serves_model(call.model)) {
         return std::nullopt;
     }
     const auto load = item.total();
@@ -222,6 +237,12 @@
         state.has_engines ? out.expected_ms * (1 + 0.5 * fill) : out.expected_ms * (1 + fill);
     out.cost_ms = distance + work_ms / weight;
     out.expected_ms += distance;
+    if (load.unread_tokens >= long_prompt_tokens) {
+        out.cost_ms += long_prompt_penalty_ms;
+    }
+    if (out.unread_tokens >= long_prompt_tokens) {
+        out.cost_ms += disturbance_ms * static_cast<double>(load.calls);
+    }
     if (places.distance_to(item.record.data_centre) == topology::distance::other_region) {
         out.cost_ms += other_region_penalty_ms;
     }
@@ -231,22 +252,35 @@
 std::optional<choice> dispatcher::impl::choose(const open_call& open, const service_state& state,
                                                time_point now) {
     std::optional<choice> best;
+    std::optional<double> least_ms;
     for (auto& [id, item] : endpoints) {
         const auto candidate = evaluate(item, open, state, now);
-        if (candidate && (!best || candidate->cost_ms < best->cost_ms)) {
+        if (!candidate) {
+            continue;
+        }
+        if (!least_ms || candidate->cost_ms < *least_ms) {
+            least_ms = candidate->cost_ms;
+        }
+        if (holds(item, open.call.model) && (!best || candidate->cost_ms < best->cost_ms)) {
             best = candidate;
         }
     }
+    if (best && best->cost_ms > *least_ms + crowded_ms) {
+        best->crowded = true;
+    }
     return best;
 }
 
-void dispatcher::impl::note_use(const endpoint& item, const model_name& what) {
+void dispatcher::impl::note_use(const choice& chosen, const model_name& what) {
     if (what.adapter.empty()) {
         return;
     }
+    const auto& item = *chosen.place;
     used[item.record.data_centre].insert(what);
     if (places.distance_to(item.record.data_centre) == topology::distance::other_region) {
         ++diverted[what];
+    } else if (chosen.crowded) {
+        ++crowded[what];
     }
 }
 
@@ -261,7 +295,7 @@
     ++item.own.calls;
     item.own.unread_tokens += chosen.unread_tokens;
     item.prompts.add(open.call.model, open.call.prompt);
-    note_use(item, open.call.model);
+    note_use(chosen, open.call.model);
     ++state.placed;
     dispatch_decision decision;
     decision.number = open.call.number;
@@ -568,13 +602,19 @@
             ++item.waiting;
         }
     }
-    for (const auto& [what, count] : std::exchange(impl_->diverted, {})) {
+    const auto entry = [&](const model_name& what) -> adapter_demand& {
         auto& item = demand[what];
-        if (item.waiting == 0) {
+        if (item.what.model.empty()) {
             item.what = what;
             item.data_centre = impl_->places.own();
         }
-        item.diverted = count;
+        return item;
+    };
+    for (const auto& [what, count] : std::exchange(impl_->diverted, {})) {
+        entry(what).diverted = count;
+    }
+    for (const auto& [what, count] : std::exchange(impl_->crowded, {})) {
+        entry(what).crowded = count;
     }
     std::vector<adapter_demand> out;
     for (auto& [what, item] : demand) {
--- a/lib/gateway/call_relay.cpp
+++ b/lib/gateway/call_relay.cpp
@@ -383,6 +383,7 @@
                     view_.first_byte_latency.record(call.first_after);
                 }
             }
+            note_piece(call);
             const auto bytes = events.feed(std::exchange(item->body, {}));
             const bool written = co_await exchange.write(bytes);
             if (!written) {
@@ -408,6 +409,14 @@
     co_return true;
 }
 
+void call_relay::note_piece(open_call& call) {
+    const auto now = boot_clock::now();
+    if (call.last_piece != time_point{}) {
+        call.longest_pause = std::max(call.longest_pause, now - call.last_piece);
+    }
+    call.last_piece = now;
+}
+
 bool call_relay::may_retry(open_call& call, attempt_end end, bool started) {
     if (call.sends >= max_sends || view_.stopping) {
         return false;
@@ -474,6 +483,7 @@
          {"configuration", std::to_string(call.configuration->version)},
          {"prompt_tokens", std::to_string(call.request.prompt_tokens)},
          {"placed_after_ms", std::to_string(to_milliseconds(call.placed_after).count())},
+         {"longest_pause_ms", std::to_string(to_milliseconds(call.longest_pause).count())},
          {"first_after_ms", std::to_string(to_milliseconds(call.first_after).count())},
          {"after_ms", std::to_string(to_milliseconds(boot_clock::now() - call.arrived).count())}});
 }
--- a/lib/gateway/call_relay.h
+++ b/lib/gateway/call_relay.h
@@ -52,6 +52,7 @@
     net::awaitable<void> refuse(net::http_exchange& exchange, const open_call& call,
                                 net::problem item);
     void note_refusal(const open_call& call, const net::problem& item);
+    static void note_piece(open_call& call);
     attempt_end after_failure(open_call& call, std::string_view fault);
     attempt_end classify(open_call& call);
     bool may_retry(open_call& call, attempt_end end, bool started);
--- a/lib/gateway/open_call.h
+++ b/lib/gateway/open_call.h
@@ -29,6 +29,8 @@
     support::time_point answer_by; ///< The final answer is due.
     support::duration placed_after{}; ///< From the arrival to the last decision of the dispatcher.
     support::duration first_after{};  ///< From the arrival to the first byte of an answer.
+    support::duration longest_pause{}; ///< Between two pieces of a stream.
+    support::time_point last_piece;
     std::optional<fleet::dispatch_decision> decision;
     std::shared_ptr<net::exchange> exchange;
     std::size_t sends = 0;    ///< Endpoints that it was sent to.
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -94,7 +94,8 @@
     json wanted = json::array();
     for (const auto& item : notice.demand) {
         wanted.push_back(
-            json::array({item.what.model, item.what.adapter, item.waiting, item.diverted}));
+            json::array({item.what.model, item.what.adapter, item.waiting,
+                                     item.diverted, item.crowded}));
     }
     json names = json::array();
     for (const auto& item : notice.used) {
@@ -113,7 +114,8 @@
         notice.demand.push_back({{text_at(row, 0), text_at(row, 1)},
                                  notice.data_centre,
                                  number_at(row, 2),
-                                 number_at(row, 3)});
+                                 number_at(row, 3),
+                                 number_at(row, 4)});
     }
     for (const auto& row : rows_of(frame, "u")) {
         notice.used.push_back({text_at(row, 0), text_at(row, 1)});
--- a/unittests/fleet/adapter_planner_test.cpp
+++ b/unittests/fleet/adapter_planner_test.cpp
@@ -30,7 +30,7 @@
 }
 
 adapter_demand waiting_for(const std::string& adapter) {
-    return {{"base", adapter}, "north", 1, 0};
+    return {{"base", adapter}, "north", 1, 0, 0};
 }
 
 /// Which adapters engines hold, and the orders for it.
@@ -214,14 +214,14 @@
     }
 
     void few_diverted_calls_bring_no_copy() {
-        planner_->on_demand({{"base", "x"}, "north", 0, 2}, now_);
+        planner_->on_demand({{"base", "x"}, "north", 0, 2, 0}, now_);
         CPPUNIT_ASSERT(planner_->plan(now_).empty());
     }
 
     void many_diverted_calls_bring_a_copy() {
         for (int calls = 0; calls < 5; ++calls) {
             now_ += milliseconds{100};
-            planner_->on_demand({{"base", "x"}, "north", 0, 2}, now_);
+            planner_->on_demand({{"base", "x"}, "north", 0, 2, 0}, now_);
         }
         CPPUNIT_ASSERT(planner_->plan(now_).at(0).kind == planned_kind::load);
     }
