--- a/include/dragonflystair/config/gateway_settings.h
+++ b/include/dragonflystair/config/gateway_settings.h
@@ -28,6 +28,7 @@
     double retry_slack = 50;
     std::chrono::milliseconds retry_window{10'000};
     std::chrono::milliseconds lease{3'000}; ///< Orders of two holders are this far apart.
+    bool engines_check_fencing = false;     ///< Then a new holder need not wait that long.
     std::chrono::milliseconds shutdown_timeout{8'000};
     std::chrono::milliseconds resolve_lifetime{1'000};
 
--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -101,6 +101,9 @@
     void set_peer_load(std::string_view peer, std::string_view endpoint, endpoint_load load);
     void forget_peer(std::string_view peer);
 
+    /// Whether some node gives orders to engines; without one no adapter can be loaded.
+    void set_loads_possible(bool possible);
+
     void submit(pending_call call);
     /// The call has ended or its caller has gone, whatever state it was in.
     void finish(std::uint64_t number, support::time_point now);
--- a/include/dragonflystair/fleet/placement_lease.h
+++ b/include/dragonflystair/fleet/placement_lease.h
@@ -10,15 +10,15 @@
 namespace dragonflystair::fleet {
 
 struct lease_limits {
-    std::chrono::milliseconds renewal_period{700}; ///< A third of the lifetime, so two may be lost.
-    std::chrono::milliseconds lifetime{2'500};
+    std::chrono::milliseconds renewal_period{500}; ///< A quarter of the lifetime.
+    std::chrono::milliseconds lifetime{2'000};
     /// A new holder gives no order for this long, so that those of the former have arrived.
     std::chrono::milliseconds turn{3'000};
     /// Silence of the holder after which the first candidate tries; later ones wait a step more.
     std::chrono::milliseconds silence{1'200};
-    std::chrono::milliseconds candidate_step{800};
+    std::chrono::milliseconds candidate_step{400};
     /// Wait before a vacant lease is tried, in which nodes that start together find each other.
-    std::chrono::milliseconds settling{400};
+    std::chrono::milliseconds settling{300};
 };
 
 /// One node's view of the lease on the engines of one data centre. The lease is membership of a
@@ -39,13 +39,15 @@
     /// Whether to join now; `rank` is this node's place among the candidates, from 0.
     [[nodiscard]] bool join_due(std::size_t rank, support::time_point now) const;
     void on_join_sent(support::time_point now);
-    /// `sent` is when the join was sent. Returns false if the group must be left again, because
-    /// another node is its first member.
-    bool on_joined(std::uint64_t generation, bool holds, support::time_point sent,
+    /// `sent` is when the join was sent. A member that does not hold the lease stays in the group
+    /// until its former holder's membership has lapsed, or until another holder is heard.
+    void on_joined(std::uint64_t generation, bool holds, support::time_point sent,
                    support::time_point now);
     /// An engine has seen a larger fencing number.
     void on_fenced(support::time_point now);
     void release();
+    /// Whether to leave the group since another node holds the lease; asked once.
+    bool take_leave_due();
 
     [[nodiscard]] bool holds() const { return holds_; }
     [[nodiscard]] std::uint64_t fence() const { return fence_; }
@@ -59,6 +61,8 @@
 private:
     lease_limits limits_;
     bool holds_ = false;
+    bool applied_ = false;   ///< Member of the group.
+    bool leave_due_ = false;
     bool suspended_ = false; ///< Since the last renewal.
     std::uint64_t fence_ = 0;
     std::uint64_t generation_ = 0;
--- a/lib/config/gateway_settings.cpp
+++ b/lib/config/gateway_settings.cpp
@@ -56,6 +56,8 @@
     reader.number("retry_slack", values.retry_slack);
     reader.duration("retry_window", values.retry_window);
     reader.duration("lease", values.lease);
+    values.engines_check_fencing =
+        reader.choice("engines_check_fencing", {"true", "false"}) == "true";
     reader.duration("shutdown_timeout", values.shutdown_timeout);
     reader.duration("resolve_lifetime", values.resolve_lifetime);
 }
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -323,7 +323,10 @@
     // Waiting calls drive out anything idle; a copy for convenience only what is less popular.
     constexpr double any_rate = 1e9;
     const double worth = demand.waiting > 0 ? any_rate : popular.rate(key_of(what), now);
-    for (const auto& id : support::rendezvous_order(key_of(what), names)) {
+    auto order = support::rendezvous_order(key_of(what), names);
+    std::ranges::stable_partition(
+        order, [&](const auto& id) { return engines.at(id).recent.contains(what); });
+    for (const auto& id : order) {
         auto& item = engines.at(id);
         if (item.order_under_way || item.adapters.contains(what)) {
             continue;
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -57,6 +57,9 @@
 constexpr milliseconds least_retry_after{150};
 constexpr milliseconds longest_retry_after{2'000};
 
+/// Retry-After while no node gives orders to engines, about as long as a new one takes to follow.
+constexpr milliseconds no_loads_retry_after{1'000};
+
 /// Window over which the rate of placements is measured.
 constexpr milliseconds rate_window{1'000};
 
@@ -157,15 +160,18 @@
     void note_use(const choice& chosen, const model_name& what);
     [[nodiscard]] bool has_endpoint(std::string_view service) const;
     [[nodiscard]] bool adapter_missing(const open_call& open) const;
+    [[nodiscard]] const endpoint* loading(const model_name& what) const;
     [[nodiscard]] std::string loading_place(const model_name& what) const;
 
     topology places;
+    bool loads_possible = true;
     std::map<std::string, endpoint, std::less<>> endpoints;
     std::map<std::string, service_state, std::less<>> services;
     std::map<model_name, std::uint64_t> required;
     std::map<std::uint64_t, open_call> calls;
     std::vector<std::uint64_t> queue;
     policy::endpoint_health health;
+    std::map<model_name, std::string> last_holders;
     std::map<model_name, std::size_t> diverted;
     std::map<model_name, std::size_t> crowded;
     std::map<std::string, std::set<model_name>> used;
@@ -360,13 +366,28 @@
     });
 }
 
-/// Data centre that should load an adapter: where it is being loaded already, or this one.
-std::string dispatcher::impl::loading_place(const model_name& what) const {
+/// An endpoint on which the adapter is being loaded, or null.
+const endpoint* dispatcher::impl::loading(const model_name& what) const {
     for (const auto& [id, item] : endpoints) {
         const auto held = item.adapters.find(what);
         if (!item.leaving && held != item.adapters.end() &&
             held->second.state == residency::loading) {
-            return item.record.data_centre;
+            return &item;
+        }
+    }
+    return nullptr;
+}
+
+/// Data centre that should load an adapter: where it is being loaded already, where it was held
+/// last, since engines load recent adapters ten times as fast, or this one.
+std::string dispatcher::impl::loading_place(const model_name& what) const {
+    if (const auto* place = loading(what)) {
+        return place->record.data_centre;
+    }
+    if (const auto last = last_holders.find(what); last != last_holders.end()) {
+        const auto holder = endpoints.find(last->second);
+        if (holder != endpoints.end() && !holder->second.leaving) {
+            return holder->second.record.data_centre;
         }
     }
     return places.own();
@@ -445,7 +466,9 @@
         return;
     }
     if (state == residency::absent) {
-        found->second.adapters.erase(what);
+        if (found->second.adapters.erase(what) > 0) {
+            impl_->last_holders.insert_or_assign(what, std::string(endpoint));
+        }
         return;
     }
     found->second.adapters[what] = {state, version};
@@ -480,6 +503,10 @@
     }
 }
 
+void dispatcher::set_loads_possible(bool possible) {
+    impl_->loads_possible = possible;
+}
+
 void dispatcher::submit(pending_call call) {
     const auto number = call.number;
     open_call open;
@@ -566,6 +593,9 @@
         if (!impl_->has_endpoint(open.call.service)) {
             decisions.push_back(impl_->refuse(open, state, waiting_ahead, missing));
             decisions.back().reason = refusal::no_endpoints;
+        } else if (missing && !impl_->loads_possible && !impl_->loading(open.call.model)) {
+            decisions.push_back(impl_->refuse(open, state, waiting_ahead, missing));
+            decisions.back().retry_after = no_loads_retry_after;
         } else if (too_long || now >= open.call.give_up_at) {
             decisions.push_back(impl_->refuse(open, state, waiting_ahead, missing));
             if (too_long) {
--- a/lib/fleet/placement_lease.cpp
+++ b/lib/fleet/placement_lease.cpp
@@ -21,9 +21,19 @@
     if (fence >= highest_heard_) {
         holder_heard_ = now;
         vacant_since_.reset();
+        leave_due_ = leave_due_ || (applied_ && !holds_);
     }
 }
 
+bool placement_lease::take_leave_due() {
+    if (!leave_due_) {
+        return false;
+    }
+    leave_due_ = false;
+    applied_ = false;
+    return true;
+}
+
 void placement_lease::on_holder_gone(time_point now) {
     holder_heard_.reset();
     vacant_since_ = now;
@@ -33,7 +43,7 @@
     if (now - last_join_ < limits_.renewal_period) {
         return false;
     }
-    if (holds_) {
+    if (holds_ || applied_) {
         return true;
     }
     const auto patience = limits_.candidate_step * static_cast<std::int64_t>(rank);
@@ -47,14 +57,13 @@
     last_join_ = now;
 }
 
-bool placement_lease::on_joined(std::uint64_t generation, bool holds, time_point sent,
+void placement_lease::on_joined(std::uint64_t generation, bool holds, time_point sent,
                                 time_point now) {
     generation_ = generation;
+    applied_ = true;
     if (!holds) {
-        // Another node is in the group; it tells its peers, or its membership lapses.
         holds_ = false;
-        holder_heard_ = now;
-        return false;
+        return;
     }
     const bool lapsed = sent - renewed_ > limits_.lifetime;
     if (!holds_ || lapsed) {
@@ -66,16 +75,18 @@
     renewed_ = sent;
     highest_heard_ = std::max(highest_heard_, fence_);
     holder_heard_.reset();
-    return true;
+    leave_due_ = false;
 }
 
 void placement_lease::on_fenced(time_point now) {
     holds_ = false;
+    leave_due_ = applied_;
     vacant_since_ = now;
 }
 
 void placement_lease::release() {
     holds_ = false;
+    applied_ = false;
 }
 
 bool placement_lease::may_order(bool linked, time_point now) const {
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -177,6 +177,7 @@
             holder->pump();
         }
         remove_gone_endpoints();
+        view_.dispatcher.set_loads_possible(loads_possible());
         send_demand(ticks_ % ticks_per_load == 0);
         if (ticks_ % ticks_per_load == 0) {
             send_loads();
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -70,6 +70,7 @@
     void ask_for_records(std::string_view peer, const node_status& status);
     [[nodiscard]] node_status own_status();
     [[nodiscard]] std::size_t rank_for(const std::string& data_centre) const;
+    [[nodiscard]] bool loads_possible() const;
     [[nodiscard]] std::string lease_holder(const std::string& data_centre) const;
 
     // Calls and the rest (gateway_impl.cpp).
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -225,6 +225,12 @@
     sent_loads_ = std::move(loads);
 }
 
+/// Whether this node or a peer gives orders to engines.
+bool gateway::impl::loads_possible() const {
+    return std::ranges::any_of(holders_, [](const auto& item) { return item.second->active(); }) ||
+           !lease_holder(view_.settings.data_centre).empty();
+}
+
 /// Peer that gives orders to the engines of a data centre, or if there is none, to others.
 std::string gateway::impl::lease_holder(const std::string& data_centre) const {
     std::string other;
--- a/lib/gateway/placement_holder.cpp
+++ b/lib/gateway/placement_holder.cpp
@@ -18,9 +18,11 @@
 /// engines leave orders unanswered, so a longer wait would stall the others of that engine.
 constexpr milliseconds order_timeout{400};
 
+/// Engines that check fencing refuse what the former holder still sends, so there a new holder only
+/// waits until orders under way have arrived.
 fleet::lease_limits limits_of(const config::gateway_settings& settings) {
     fleet::lease_limits limits;
-    limits.turn = settings.lease;
+    limits.turn = settings.engines_check_fencing ? order_timeout : settings.lease;
     return limits;
 }
 
@@ -71,6 +73,11 @@
 void placement_holder::tick() {
     const auto now = boot_clock::now();
     lease_.on_tick(now);
+    if (lease_.take_leave_due()) {
+        boost::asio::co_spawn(
+            view_.executor, [self = shared_from_this()] { return self->leave_group(); },
+            boost::asio::detached);
+    }
     if (joining_ || view_.stopping || !lease_.join_due(on_.rank(), now)) {
         return;
     }
@@ -93,12 +100,8 @@
         co_return;
     }
     const auto& membership = answer.value();
-    const bool keep = lease_.on_joined(membership.generation, membership.holds_first, sent,
-                                       boot_clock::now());
+    lease_.on_joined(membership.generation, membership.holds_first, sent, boot_clock::now());
     note_lease(held_before);
-    if (!keep) {
-        co_await store_.leave(group(), member_);
-    }
 }
 
 void placement_holder::note_lease(bool held_before) {
@@ -119,7 +122,16 @@
     }
     lease_.release();
     note_lease(true);
-    co_await store_.leave(group(), member_);
+    co_await leave_group();
+}
+
+net::awaitable<void> placement_holder::leave_group() {
+    const auto self = shared_from_this();
+    const auto answer = co_await store_.leave(group(), member_);
+    if (!answer) {
+        support::log_change("lease_not_left", {{"data_centre", data_centre_},
+                                               {"why", answer.error().message}});
+    }
 }
 
 void placement_holder::pump() {
--- a/lib/gateway/placement_holder.h
+++ b/lib/gateway/placement_holder.h
@@ -45,6 +45,7 @@
 
 private:
     net::awaitable<void> join();
+    net::awaitable<void> leave_group();
     net::awaitable<void> carry_out(fleet::planned_order order);
     net::awaitable<void> ask(fleet::planned_order order);
     void note_lease(bool held_before);
