--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -25,7 +25,9 @@
 constexpr milliseconds tick_period{50};
 constexpr std::uint64_t ticks_per_load{4};    ///< 200 ms: the length of half a short generation.
 constexpr std::uint64_t ticks_per_status{10}; ///< 500 ms.
-constexpr std::uint64_t ticks_per_summary{100}; ///< 5 s: repairs what frames have missed.
+constexpr std::uint64_t ticks_per_far_status{20}; ///< 1 s: bytes between regions are paid for.
+constexpr std::uint64_t ticks_per_reload{100};    ///< 5 s.
+constexpr std::uint64_t ticks_per_summary{200};   ///< 10 s: repairs what frames have missed.
 
 /// Pause between reads of the endpoint list, which changes ten times a second. An endpoint's
 /// leaving must be known within 2.5 s.
@@ -124,7 +126,11 @@
     std::function<void(std::span<const fleet::keyed_record>)> on_records) {
     return {std::move(on_records),
             [this](bool reachable) { watch_.on_store(reachable, boot_clock::now()); },
-            [this] { return view_.stopping; }};
+            [this] { return view_.stopping; },
+            [this] { return has_reader(); },
+            [this](const std::string& topic, const fleet::keyed_page& page) {
+                pass_on_records(topic, page);
+            }};
 }
 
 placement_holder& gateway::impl::holder_for(const std::string& data_centre) {
@@ -135,11 +141,11 @@
             placement_holder::hooks{
                 [this](std::span<const fleet::residency_change> changes) {
                     apply_residency(changes);
-                    network_.broadcast(residency_frame(changes));
+                    send_residency(changes);
                     pump();
                 },
                 [this, data_centre] { return rank_for(data_centre); },
-                [this] { return !peers_.empty(); }, [this] { send_status(); }});
+                [this] { return !peers_.empty(); }, [this] { send_status(true); }});
     }
     return *holder;
 }
@@ -183,11 +189,13 @@
             send_loads();
         }
         if (ticks_ % ticks_per_status == 0) {
-            send_status();
+            send_status(holds_lease() && ticks_ % ticks_per_far_status == 0);
             dial_peers();
         }
-        if (ticks_ % ticks_per_summary == 0) {
+        if (ticks_ % ticks_per_reload == 0) {
             reload_settings();
+        }
+        if (ticks_ % ticks_per_summary == 0) {
             for (const auto& [name, holder] : holders_) {
                 if (holder->active()) {
                     network_.broadcast(residency_frame(holder->planner().all()));
@@ -331,7 +339,7 @@
     const auto began = boot_clock::now();
     support::log_change("stopping", {{"open_calls", std::to_string(relay_.open_calls())}});
     caller_server_.announce_shutdown();
-    send_status();
+    send_status(true);
     for (const auto& [name, holder] : holders_) {
         co_await holder->leave();
     }
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -62,7 +62,18 @@
     void on_records_request(std::string_view peer, const support::json& frame);
     void on_peer_down(std::string_view peer);
     void dial_peers();
-    void send_status();
+    /// Tells the nodes of the data centre, or all, how this node is.
+    void send_status(bool to_all);
+    void send_residency(std::span<const fleet::residency_change> changes);
+    void relay_residency(std::string_view peer, const support::json& frame);
+    void pass_on_records(const std::string& topic, const fleet::keyed_page& page);
+    /// Sends to peers of the own data centre.
+    void send_nearby(const support::json& frame);
+    [[nodiscard]] bool has_reader() const;
+    [[nodiscard]] bool holds_lease() const;
+    [[nodiscard]] bool is_near(const peer_state& peer) const {
+        return peer.status.data_centre == view_.settings.data_centre;
+    }
     void send_loads();
     void send_demand(bool with_used);
     void send_notice(const demand_notice& notice);
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -14,22 +14,28 @@
 
 namespace {
 
-/// Candidates of other data centres wait as if this many of the own one stood before them.
-constexpr std::size_t foreign_rank = 2;
+/// Holders of other data centres' leases wait as if this many candidates stood before them, other
+/// nodes there as if many did: they hear of the holder only now and then.
+constexpr std::size_t foreign_holder_rank = 3;
+constexpr std::size_t foreign_rank = 20;
 
 /// A peer is asked again for records that it has and this node lacks after this time.
 constexpr milliseconds records_pause{400};
 
 } // namespace
 
+/// Every node is linked to those of its data centre and to all lease holders, which dial everyone:
+/// a full mesh would grow with the square of the nodes.
 void gateway::impl::dial_peers() {
     std::vector<std::string> addresses;
+    const bool everyone = holds_lease();
     for (const auto& [name, node] : registered_) {
-        if (name != view_.settings.name) {
+        if (name != view_.settings.name &&
+            (everyone || node.data_centre == view_.settings.data_centre)) {
             addresses.push_back(node.peer_address);
         }
     }
-    if (addresses.empty()) {
+    if (registered_.empty()) {
         addresses = view_.settings.peers;
     }
     network_.dial(addresses);
@@ -46,6 +52,7 @@
     } else if (kind == "h") {
         const auto changes = decode_residency(frame);
         apply_residency(changes);
+        relay_residency(peer, frame);
         pump();
     } else if (kind == "d") {
         on_demand(decode_demand(frame));
@@ -74,7 +81,7 @@
         support::log_change("peer_regained", {{"peer", status.name}});
     }
     known.status = status;
-    view_.live_nodes = peers_.size() + 1;
+    view_.live_nodes = std::max(registered_.size(), peers_.size() + 1);
     for (const auto& lease : status.leases) {
         if (const auto holder = holders_.find(lease.data_centre); holder != holders_.end()) {
             holder->second->lease().on_holder_heard(lease.fence, now);
@@ -98,7 +105,7 @@
     const auto now = boot_clock::now();
     for (auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
         const auto end = status.topic_ends.find(follower->topic());
-        if (follower->reachable() || end == status.topic_ends.end() ||
+        if (follower->reads() || end == status.topic_ends.end() ||
             end->second <= follower->mirror().next()) {
             continue;
         }
@@ -134,7 +141,6 @@
         }
     }
     peers_.erase(found);
-    view_.live_nodes = peers_.size() + 1;
     view_.dispatcher.forget_peer(peer);
     pump();
 }
@@ -195,6 +201,7 @@
     status.caller_address = caller_server_.address();
     status.ready = ready();
     status.leaving = view_.stopping;
+    status.reads_store = endpoint_records_.reads();
     for (const auto& [name, holder] : holders_) {
         if (holder->lease().holds()) {
             status.leases.push_back({name, holder->lease().fence(), holder->active()});
@@ -206,8 +213,64 @@
     return status;
 }
 
-void gateway::impl::send_status() {
-    network_.broadcast(status_frame(own_status()));
+void gateway::impl::send_nearby(const support::json& frame) {
+    for (const auto& [incarnation, peer] : peers_) {
+        if (is_near(peer)) {
+            network_.send(incarnation, frame);
+        }
+    }
+}
+
+void gateway::impl::send_status(bool to_all) {
+    const auto frame = status_frame(own_status());
+    if (to_all) {
+        network_.broadcast(frame);
+    } else {
+        send_nearby(frame);
+    }
+}
+
+bool gateway::impl::holds_lease() const {
+    return std::ranges::any_of(holders_,
+                               [](const auto& item) { return item.second->lease().holds(); });
+}
+
+/// Whether a node of the data centre that comes before this one reads the store.
+bool gateway::impl::has_reader() const {
+    return std::ranges::any_of(peers_, [this](const auto& item) {
+        const auto& status = item.second.status;
+        return is_near(item.second) && status.reads_store && !status.leaving &&
+               status.name < view_.settings.name;
+    });
+}
+
+void gateway::impl::pass_on_records(const std::string& topic, const fleet::keyed_page& page) {
+    send_nearby(records_frame(topic, page));
+}
+
+/// Tells the own data centre, and of the others the lease holder, which passes it on, or everyone
+/// where there is none.
+void gateway::impl::send_residency(std::span<const fleet::residency_change> changes) {
+    const auto frame = residency_frame(changes);
+    std::set<std::string_view> led;
+    for (const auto& [incarnation, peer] : peers_) {
+        if (!peer.status.leases.empty()) {
+            led.insert(peer.status.data_centre);
+        }
+    }
+    for (const auto& [incarnation, peer] : peers_) {
+        if (is_near(peer) || !peer.status.leases.empty() ||
+            !led.contains(peer.status.data_centre)) {
+            network_.send(incarnation, frame);
+        }
+    }
+}
+
+void gateway::impl::relay_residency(std::string_view peer, const support::json& frame) {
+    const auto sender = peers_.find(peer);
+    if (sender != peers_.end() && !is_near(sender->second) && holds_lease()) {
+        send_nearby(frame);
+    }
 }
 
 /// Tells peers of the data centre this node's calls by endpoint, when they have changed.
@@ -216,12 +279,7 @@
     if (loads == sent_loads_) {
         return;
     }
-    const auto frame = loads_frame(loads);
-    for (const auto& [incarnation, peer] : peers_) {
-        if (peer.status.data_centre == view_.settings.data_centre) {
-            network_.send(incarnation, frame);
-        }
-    }
+    send_nearby(loads_frame(loads));
     sent_loads_ = std::move(loads);
 }
 
@@ -281,25 +339,19 @@
 
 /// Place of this node among those that would take over a data centre's lease.
 std::size_t gateway::impl::rank_for(const std::string& data_centre) const {
-    std::vector<std::string> local;
-    std::vector<std::string> foreign;
-    const auto add = [&](const std::string& name, const std::string& place) {
-        (place == data_centre ? local : foreign).push_back(name);
-    };
-    add(view_.settings.name, view_.settings.data_centre);
+    const bool near = data_centre == view_.settings.data_centre;
+    if (!near && !holds_lease()) {
+        return foreign_rank;
+    }
+    std::vector<std::string> candidates{view_.settings.name};
     for (const auto& [incarnation, peer] : peers_) {
-        if (!peer.status.leaving) {
-            add(peer.status.name, peer.status.data_centre);
+        if (!peer.status.leaving && (near ? is_near(peer) : !peer.status.leases.empty())) {
+            candidates.push_back(peer.status.name);
         }
     }
-    auto order = support::rendezvous_order(data_centre, local);
-    const auto at = std::ranges::find(order, view_.settings.name);
-    if (at != order.end()) {
-        return static_cast<std::size_t>(at - order.begin());
-    }
-    order = support::rendezvous_order(data_centre, foreign);
+    const auto order = support::rendezvous_order(data_centre, candidates);
     const auto place = std::ranges::find(order, view_.settings.name) - order.begin();
-    return foreign_rank + local.size() + static_cast<std::size_t>(place);
+    return static_cast<std::size_t>(place) + (near ? 0 : foreign_holder_rank);
 }
 
 } // namespace dragonflystair::gateway
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -48,6 +48,7 @@
             {"c", status.caller_address},
             {"r", status.ready},
             {"x", status.leaving},
+            {"b", status.reads_store},
             {"l", std::move(leases)},
             {"e", std::move(ends)}};
 }
@@ -63,6 +64,7 @@
     status.caller_address = frame["c"].get<std::string>();
     status.ready = frame.value("r", false);
     status.leaving = frame.value("x", false);
+    status.reads_store = frame.value("b", false);
     for (const auto& row : rows_of(frame, "l")) {
         status.leases.push_back({text_at(row, 0), number_at(row, 1),
                                  row.size() > 2 && row[2].is_boolean() && row[2].get<bool>()});
--- a/lib/gateway/peer_frames.h
+++ b/lib/gateway/peer_frames.h
@@ -28,6 +28,7 @@
     std::string caller_address;
     bool ready = false;
     bool leaving = false;
+    bool reads_store = false; ///< It reads the store itself and gets answers.
     std::vector<held_lease> leases;
     std::map<std::string, std::uint64_t> topic_ends; ///< How far its copies of topics reach.
 };
--- a/lib/gateway/store_follower.cpp
+++ b/lib/gateway/store_follower.cpp
@@ -15,6 +15,8 @@
 /// Longest wait of a read for a record. A connection that has gone silent is noticed after this
 /// and the client's own margin, within the 4 s that the platform calls a node's way back in touch.
 constexpr milliseconds longest_wait{2'000};
+/// How often a node that does not read looks whether its reader is still there.
+constexpr milliseconds passive_pause{100};
 /// Pause after a call that failed; every call is paid for.
 constexpr milliseconds failure_pause{300};
 
@@ -27,6 +29,10 @@
 
 net::awaitable<void> store_follower::run() {
     while (!on_.stopping()) {
+        if (synchronised_ && on_.passive()) {
+            co_await pause_for(context_, passive_pause);
+            continue;
+        }
         bool done = false;
         if (synchronised_) {
             done = co_await read();
@@ -48,6 +54,7 @@
     synchronised_ = true;
     set_reachable(true, {});
     publish(mirror_.resynchronise(newest.value()));
+    on_.on_page(topic_, mirror_.since(0));
     co_return true;
 }
 
@@ -56,6 +63,9 @@
     if (page) {
         set_reachable(true, {});
         publish(mirror_.apply(page.value()));
+        if (!page.value().records.empty()) {
+            on_.on_page(topic_, page.value());
+        }
         if (!page.value().records.empty() && pause_.count() > 0) {
             co_await pause_for(context_, pause_);
         }
--- a/lib/gateway/store_follower.h
+++ b/lib/gateway/store_follower.h
@@ -13,14 +13,18 @@
 
 namespace dragonflystair::gateway {
 
-/// Keeps a copy of one topic of the store, and takes what peers pass on while the store does not
-/// answer this node.
+/// Keeps a copy of one topic of the store. One node of a data centre reads it and passes it on to
+/// the others, since calls are paid for; a node whose reader is lost reads itself.
 class store_follower {
 public:
     struct hooks {
         std::function<void(std::span<const fleet::keyed_record>)> on_records;
         std::function<void(bool reachable)> on_store;
         std::function<bool()> stopping;
+        /// Whether a peer reads the store and passes on what it reads, so that this node need not.
+        std::function<bool()> passive;
+        /// This node has read a page that peers may lack.
+        std::function<void(const std::string& topic, const fleet::keyed_page&)> on_page;
     };
 
     /// `pause` passes between two reads that returned records, so that a topic that changes all the
@@ -36,6 +40,8 @@
 
     [[nodiscard]] const fleet::record_mirror& mirror() const { return mirror_; }
     [[nodiscard]] bool reachable() const { return reachable_; }
+    /// Whether this node reads the store itself and gets answers.
+    [[nodiscard]] bool reads() const { return reachable_ && !on_.passive(); }
     [[nodiscard]] const std::string& topic() const { return topic_; }
 
 private:
