--- a/include/dragonflystair/fleet/adapter_planner.h
+++ b/include/dragonflystair/fleet/adapter_planner.h
@@ -76,8 +76,7 @@
     /// Orders that are due, at most one for each engine without an order under way.
     std::vector<planned_order> plan(support::time_point now);
     void on_outcome(const planned_order& order, order_outcome outcome, support::time_point now);
-    void on_report(std::string_view endpoint, const engine_report& report,
-                   support::time_point now);
+    void on_report(std::string_view endpoint, const engine_report& report, support::time_point now);
     void on_report_failed(std::string_view endpoint, support::time_point now);
 
     /// When `plan` has to run again even if nothing happens.
--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -39,8 +39,8 @@
     std::size_t prompt_tokens = 0;
     int priority = 0;
     support::time_point arrived;
-    support::time_point objective_at; ///< An answer or first event until then is on time.
-    support::time_point give_up_at;   ///< Refused if it has no endpoint until then.
+    support::time_point objective_at;  ///< An answer or first event until then is on time.
+    support::time_point give_up_at;    ///< Refused if it has no endpoint until then.
     std::vector<std::string> excluded; ///< Endpoints that it was sent to.
 };
 
@@ -56,7 +56,7 @@
 /// What becomes of a call: an endpoint, or a refusal with the time after which there is room.
 struct dispatch_decision {
     std::uint64_t number = 0;
-    std::string endpoint; ///< Empty if it is refused.
+    std::string endpoint;                 ///< Empty if it is refused.
     std::optional<std::uint64_t> version; ///< Adapter version that the endpoint must have.
     refusal reason = refusal::no_capacity;
     std::chrono::milliseconds retry_after{0};
@@ -77,8 +77,9 @@
 /// Load patterns it answers: a wave of short generations with a few prompts that take as long to
 /// read as fifty others; endpoints that hold the adapter but have no free place; plain services
 /// with few slots in each of three regions. Long prompts are kept apart from each other and, where
-/// there is a choice, from running generations, whose events they delay. An adapter is used wherever it is ready, since all
-/// engines together have hardly more places than there are adapters in use. Pure: the time is an argument.
+/// there is a choice, from running generations, whose events they delay. An adapter is used
+/// wherever it is ready, since all engines together have hardly more places than there are adapters
+/// in use. Pure: the time is an argument.
 class dispatcher {
 public:
     explicit dispatcher(topology places);
@@ -122,7 +123,8 @@
     /// Demand that the holder of the placement lease should know.
     std::vector<adapter_demand> take_demand();
 
-    /// Adapters with calls under way or started since the last time, by the data centre of the endpoint.
+    /// Adapters with calls under way or started since the last time, by the data centre of the
+    /// endpoint.
     std::map<std::string, std::set<model_name>> take_used();
 
     [[nodiscard]] std::map<std::string, endpoint_load> own_loads() const;
--- a/include/dragonflystair/fleet/placement_lease.h
+++ b/include/dragonflystair/fleet/placement_lease.h
@@ -61,7 +61,7 @@
 private:
     lease_limits limits_;
     bool holds_ = false;
-    bool applied_ = false;   ///< Member of the group.
+    bool applied_ = false; ///< Member of the group.
     bool leave_due_ = false;
     bool suspended_ = false; ///< Since the last renewal.
     std::uint64_t fence_ = 0;
--- a/lib/cli/node_command.cpp
+++ b/lib/cli/node_command.cpp
@@ -17,7 +17,8 @@
 
 /// Reads and checks the settings, then runs the process that they describe until it has stopped.
 template <class Parse, class Run>
-command_result run_with_settings(const arguments& given, const Parse& parse, const Run& run_process) {
+command_result run_with_settings(const arguments& given, const Parse& parse,
+                                 const Run& run_process) {
     const auto path = given.text("--settings");
     const auto read = read_file(path);
     if (const auto* failure = std::get_if<read_failure>(&read)) {
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -78,10 +78,10 @@
 }
 
 constexpr std::array<section_kind<settings>, 5> kinds{{{"node", true, read_node},
-                                             {"peers", false, read_peers},
-                                             {"platform", true, read_platform},
-                                             {"secrets", true, read_secrets},
-                                             {"timing", false, read_timing}}};
+                                                       {"peers", false, read_peers},
+                                                       {"platform", true, read_platform},
+                                                       {"secrets", true, read_secrets},
+                                                       {"timing", false, read_timing}}};
 
 } // namespace
 
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -224,17 +224,15 @@
 /// Repeats an accepted order whose time has come, to learn whether it was carried out.
 std::optional<planned_order> adapter_planner::impl::due_check(engine& item, time_point now) {
     for (auto& [what, held] : item.adapters) {
-        const bool settled =
-            held.state == slot_state::ready || held.state == slot_state::ordered;
+        const bool settled = held.state == slot_state::ready || held.state == slot_state::ordered;
         if (settled || held.check_at > now) {
             continue;
         }
         const bool waits = held.replaces || held.state == slot_state::unloading;
         held.check_at = now + (waits ? patient_check_period : check_period);
-        return order_for(item,
-                         held.state == slot_state::loading ? planned_kind::load
-                                                           : planned_kind::unload,
-                         what, true);
+        return order_for(
+            item, held.state == slot_state::loading ? planned_kind::load : planned_kind::unload,
+            what, true);
     }
     return std::nullopt;
 }
@@ -299,15 +297,14 @@
 bool adapter_planner::impl::placed(const model_name& what) const {
     return std::ranges::any_of(engines, [&](const auto& item) {
         const auto held = item.second.adapters.find(what);
-        return held != item.second.adapters.end() &&
-               held->second.state != slot_state::unloading && !item.second.record.draining;
+        return held != item.second.adapters.end() && held->second.state != slot_state::unloading &&
+               !item.second.record.draining;
     });
 }
 
 /// Loads a wanted adapter on the engine that it belongs to, or makes room there.
-std::optional<planned_order> adapter_planner::impl::demand_order(time_point now,
-                                                                 const model_name& what,
-                                                                 const wanted& demand) {
+std::optional<planned_order>
+adapter_planner::impl::demand_order(time_point now, const model_name& what, const wanted& demand) {
     if (!is_due(what, demand)) {
         return std::nullopt;
     }
@@ -514,8 +511,8 @@
         held.last_used = now;
         const auto wait = item.recent.contains(order.what)
                               ? support::duration(recent_load_time)
-                              : std::chrono::duration_cast<support::duration>(
-                                    impl_->load_time * first_check_part);
+                              : std::chrono::duration_cast<support::duration>(impl_->load_time *
+                                                                              first_check_part);
         held.check_at = now + (loads ? wait : support::duration(check_period));
         if (loads) {
             impl_->change(item, order.what, residency::loading, held.version);
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -10,9 +10,9 @@
 
 namespace dragonflystair::fleet {
 
+using std::chrono::milliseconds;
 using support::duration;
 using support::time_point;
-using std::chrono::milliseconds;
 
 namespace {
 
@@ -214,8 +214,8 @@
         return std::nullopt;
     }
     const auto load = item.total();
-    const auto slots = state.has_engines && state.batch_slots > 0 ? state.batch_slots
-                                                                  : item.record.slots;
+    const auto slots =
+        state.has_engines && state.batch_slots > 0 ? state.batch_slots : item.record.slots;
     if (load.calls >= slots) {
         return std::nullopt;
     }
--- a/lib/gateway/call_relay.cpp
+++ b/lib/gateway/call_relay.cpp
@@ -51,8 +51,8 @@
         sum += item.weight;
     }
     constexpr std::uint64_t steps = 10'000;
-    double point = static_cast<double>(support::fingerprint(id) % steps) /
-                   static_cast<double>(steps) * sum;
+    double point =
+        static_cast<double>(support::fingerprint(id) % steps) / static_cast<double>(steps) * sum;
     for (const auto& item : route.services) {
         if (point < item.weight) {
             return item.service;
@@ -97,8 +97,11 @@
     call.fingerprint = support::fingerprint(request.target + '\n' + request.body);
     const auto lost = view_.lost_connections.find(call.fingerprint);
     if (lost != view_.lost_connections.end() && lost->second >= crash_limit) {
-        return net::problem{503, "crashes_endpoints",
-                            "the same request has ended several endpoints", "not_run", {}};
+        return net::problem{503,
+                            "crashes_endpoints",
+                            "the same request has ended several endpoints",
+                            "not_run",
+                            {}};
     }
     auto patience = call.request.patience.count() > 0 ? call.request.patience : default_patience;
     if (call.route->timeout.count() > 0) {
@@ -180,11 +183,10 @@
                 co_return;
             }
             const bool may_have_run = call.runs > 0;
-            const net::problem item{may_have_run ? 502 : 503,
-                                    fleet::to_string(call.decision->reason),
-                                    "the call could not be placed in time",
-                                    may_have_run ? "unknown" : "not_run",
-                                    may_have_run ? milliseconds{} : call.decision->retry_after};
+            const net::problem item{
+                may_have_run ? 502 : 503, fleet::to_string(call.decision->reason),
+                "the call could not be placed in time", may_have_run ? "unknown" : "not_run",
+                may_have_run ? milliseconds{} : call.decision->retry_after};
             co_await refuse(exchange, call, item);
             co_return;
         }
@@ -250,9 +252,9 @@
     }
     added.resume_after = events.last_id();
     ++call.sends;
-    call.exchange = view_.endpoints.send(record->address,
-                                         platform::render_call(exchange.request(), added),
-                                         call.request.id, [&call] { call.changed.notify(); });
+    call.exchange =
+        view_.endpoints.send(record->address, platform::render_call(exchange.request(), added),
+                             call.request.id, [&call] { call.changed.notify(); });
     while (!call.exchange->head && !call.exchange->end) {
         if (call.caller_gone || boot_clock::now() >= call.answer_by) {
             ++call.runs;
@@ -448,8 +450,7 @@
          {"status", std::to_string(item.status)},
          {"reason", std::string(item.reason)},
          {"adapter", call.request.model.adapter},
-         {"configuration",
-          std::to_string(call.configuration ? call.configuration->version : 0)},
+         {"configuration", std::to_string(call.configuration ? call.configuration->version : 0)},
          {"sends", std::to_string(call.sends)},
          {"runs", std::to_string(call.runs)},
          {"waiting", std::to_string(view_.dispatcher.waiting())},
--- a/lib/gateway/gateway_beliefs.cpp
+++ b/lib/gateway/gateway_beliefs.cpp
@@ -1,12 +1,10 @@
-#include "gateway_impl.h"
-
 #include "dragonflystair/support/log.h"
 
+#include "gateway_impl.h"
+#include "pause.h"
 #include "platform/decode.h"
 #include "platform/names.h"
 
-#include "pause.h"
-
 #include <string_view>
 #include <utility>
 
@@ -123,9 +121,8 @@
         }
         view_.dispatcher.update(*decoded);
         if (const auto holder = holders_.find(decoded->data_centre); holder != holders_.end()) {
-            const auto* service = view_.configuration
-                                      ? view_.configuration->find_service(decoded->service)
-                                      : nullptr;
+            const auto* service =
+                view_.configuration ? view_.configuration->find_service(decoded->service) : nullptr;
             if (!decoded->models.empty() || (service != nullptr && service->has_engines)) {
                 holder->second->planner().update(*decoded);
             }
@@ -156,9 +153,9 @@
             registered_.erase(record.key);
             continue;
         }
-        registered_.insert_or_assign(
-            record.key, registered_node{value["peer"].get<std::string>(),
-                                        value.value("data_centre", std::string())});
+        registered_.insert_or_assign(record.key,
+                                     registered_node{value["peer"].get<std::string>(),
+                                                     value.value("data_centre", std::string())});
     }
     dial_peers();
 }
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -3,11 +3,10 @@
 #include "dragonflystair/support/hash.h"
 #include "dragonflystair/support/log.h"
 
+#include "pause.h"
 #include "platform/directory.h"
 #include "platform/names.h"
 
-#include "pause.h"
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -57,20 +56,20 @@
 } // namespace
 
 gateway::impl::impl(config::gateway_settings settings, settings_source reload)
-    : io_(1), reload_(std::move(reload)), view_{settings,
-                    support::random_id(),
-                    io_.get_executor(),
-                    fleet::topology(settings.data_centre, settings.data_centres),
-                    counters_,
-                    first_byte_latency_,
-                    nullptr,
-                    fleet::dispatcher(fleet::topology(settings.data_centre, settings.data_centres)),
-                    fleet::retry_allowance(retry_limits_of(settings)),
-                    net::exchange_client(io_.get_executor(),
-                                         std::string(platform::request_id_header)),
-                    {},
-                    1,
-                    false},
+    : io_(1), reload_(std::move(reload)),
+      view_{settings,
+            support::random_id(),
+            io_.get_executor(),
+            fleet::topology(settings.data_centre, settings.data_centres),
+            counters_,
+            first_byte_latency_,
+            nullptr,
+            fleet::dispatcher(fleet::topology(settings.data_centre, settings.data_centres)),
+            fleet::retry_allowance(retry_limits_of(settings)),
+            net::exchange_client(io_.get_executor(), std::string(platform::request_id_header)),
+            {},
+            1,
+            false},
       http_(io_.get_executor()), store_(http_, settings.store_address), engines_(http_),
       relay_(view_, {[this] { pump(); },
                      [this](std::uint64_t fingerprint) {
@@ -85,21 +84,20 @@
                         follower_hooks([this](auto records) { on_endpoint_records(records); })),
       node_records_(io_.get_executor(), store_, std::string(platform::node_topic), milliseconds{0},
                     follower_hooks([this](auto records) { on_node_records(records); })),
-      network_(io_.get_executor(), settings.peer_address,
-               {settings.name, view_.incarnation, settings.peer_secret, milliseconds{1'500}},
-               {[this](std::string_view peer, const support::json& frame) {
-                    on_frame(peer, frame);
-                },
-                [this](std::string_view peer) {
-                    network_.send(peer, status_frame(own_status()));
-                    for (const auto& [name, holder] : holders_) {
-                        if (holder->lease().holds()) {
-                            network_.send(peer, residency_frame(holder->planner().all()));
-                        }
-                    }
-                },
-                [this](std::string_view peer) { on_peer_down(peer); }},
-               counters_),
+      network_(
+          io_.get_executor(), settings.peer_address,
+          {settings.name, view_.incarnation, settings.peer_secret, milliseconds{1'500}},
+          {[this](std::string_view peer, const support::json& frame) { on_frame(peer, frame); },
+           [this](std::string_view peer) {
+               network_.send(peer, status_frame(own_status()));
+               for (const auto& [name, holder] : holders_) {
+                   if (holder->lease().holds()) {
+                       network_.send(peer, residency_frame(holder->planner().all()));
+                   }
+               }
+           },
+           [this](std::string_view peer) { on_peer_down(peer); }},
+          counters_),
       caller_server_(
           io_.get_executor(), settings.caller_address, {},
           [this](net::http_exchange& exchange) {
@@ -126,8 +124,7 @@
     std::function<void(std::span<const fleet::keyed_record>)> on_records) {
     return {std::move(on_records),
             [this](bool reachable) { watch_.on_store(reachable, boot_clock::now()); },
-            [this] { return view_.stopping; },
-            [this] { return has_reader(); },
+            [this] { return view_.stopping; }, [this] { return has_reader(); },
             [this](const std::string& topic, const fleet::keyed_page& page) {
                 pass_on_records(topic, page);
             }};
@@ -138,14 +135,14 @@
     if (!holder) {
         holder = std::make_shared<placement_holder>(
             view_, store_, engines_, data_centre,
-            placement_holder::hooks{
-                [this](std::span<const fleet::residency_change> changes) {
-                    apply_residency(changes);
-                    send_residency(changes);
-                    pump();
-                },
-                [this, data_centre] { return rank_for(data_centre); },
-                [this] { return !peers_.empty(); }, [this] { send_status(true); }});
+            placement_holder::hooks{[this](std::span<const fleet::residency_change> changes) {
+                                        apply_residency(changes);
+                                        send_residency(changes);
+                                        pump();
+                                    },
+                                    [this, data_centre] { return rank_for(data_centre); },
+                                    [this] { return !peers_.empty(); },
+                                    [this] { send_status(true); }});
     }
     return *holder;
 }
@@ -273,12 +270,11 @@
 net::awaitable<void> gateway::impl::serve_resolve(net::http_exchange& exchange) {
     const auto place = platform::resolve_place(exchange.request().target);
     const auto addresses = addresses_for(place);
-    auto response = addresses.empty()
-                        ? text_response(503, {}, "text/plain")
-                        : text_response(200,
-                                        platform::resolve_body(addresses,
-                                                               view_.settings.resolve_lifetime),
-                                        "application/json");
+    auto response =
+        addresses.empty()
+            ? text_response(503, {}, "text/plain")
+            : text_response(200, platform::resolve_body(addresses, view_.settings.resolve_lifetime),
+                            "application/json");
     co_await exchange.respond(std::move(response));
 }
 
@@ -329,9 +325,8 @@
     current.resolve_lifetime = fresh->resolve_lifetime;
     view_.retries.set_limits(retry_limits_of(current));
     const bool complete = *fresh == current;
-    support::log_change("settings_reloaded",
-                        {{"restart_needed", complete ? "no" : "yes"},
-                         {"peers", std::to_string(current.peers.size())}});
+    support::log_change("settings_reloaded", {{"restart_needed", complete ? "no" : "yes"},
+                                              {"peers", std::to_string(current.peers.size())}});
 }
 
 /// Leaves the list of nodes, serves what still comes and ends before the platform's limit.
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -8,13 +8,12 @@
 #include "dragonflystair/support/counters.h"
 #include "dragonflystair/support/latency_summary.h"
 
-#include "platform/endpoint_client.h"
-#include "platform/store_client.h"
-
 #include "call_relay.h"
 #include "node_view.h"
 #include "peer_frames.h"
 #include "placement_holder.h"
+#include "platform/endpoint_client.h"
+#include "platform/store_client.h"
 #include "store_follower.h"
 
 #include <boost/asio/io_context.hpp>
@@ -97,8 +96,8 @@
     void reload_settings();
     net::awaitable<void> shut_down();
     placement_holder& holder_for(const std::string& data_centre);
-    store_follower::hooks follower_hooks(
-        std::function<void(std::span<const fleet::keyed_record>)> on_records);
+    store_follower::hooks
+    follower_hooks(std::function<void(std::span<const fleet::keyed_record>)> on_records);
 
     boost::asio::io_context io_;
     settings_source reload_;
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -1,8 +1,8 @@
-#include "gateway_impl.h"
-
 #include "dragonflystair/support/hash.h"
 #include "dragonflystair/support/log.h"
 
+#include "gateway_impl.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -89,9 +89,8 @@
     }
     if (status.leaving) {
         for (const auto& [name, holder] : holders_) {
-            const bool held = std::ranges::any_of(status.leases, [&](const auto& lease) {
-                return lease.data_centre == name;
-            });
+            const bool held = std::ranges::any_of(
+                status.leases, [&](const auto& lease) { return lease.data_centre == name; });
             if (!held && known.status.data_centre == name && !holder->lease().holds()) {
                 holder->lease().on_holder_gone(now);
             }
--- a/lib/gateway/open_call.h
+++ b/lib/gateway/open_call.h
@@ -26,15 +26,15 @@
     std::string service;
     std::uint64_t fingerprint = 0;
     support::time_point arrived;
-    support::time_point answer_by; ///< The final answer is due.
-    support::duration placed_after{}; ///< From the arrival to the last decision of the dispatcher.
-    support::duration first_after{};  ///< From the arrival to the first byte of an answer.
+    support::time_point answer_by;     ///< The final answer is due.
+    support::duration placed_after{};  ///< From the arrival to the last decision of the dispatcher.
+    support::duration first_after{};   ///< From the arrival to the first byte of an answer.
     support::duration longest_pause{}; ///< Between two pieces of a stream.
     support::time_point last_piece;
     std::optional<fleet::dispatch_decision> decision;
     std::shared_ptr<net::exchange> exchange;
-    std::size_t sends = 0;    ///< Endpoints that it was sent to.
-    std::size_t runs = 0;     ///< Of these, those that may have run it.
+    std::size_t sends = 0; ///< Endpoints that it was sent to.
+    std::size_t runs = 0;  ///< Of these, those that may have run it.
     bool caller_gone = false;
     wakeup changed;
 };
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -86,8 +86,7 @@
 std::map<std::string, fleet::endpoint_load> decode_loads(const json& frame) {
     std::map<std::string, fleet::endpoint_load> loads;
     for (const auto& row : rows_of(frame, "e")) {
-        loads.emplace(text_at(row, 0),
-                      fleet::endpoint_load{number_at(row, 1), number_at(row, 2)});
+        loads.emplace(text_at(row, 0), fleet::endpoint_load{number_at(row, 1), number_at(row, 2)});
     }
     return loads;
 }
@@ -95,9 +94,8 @@
 json demand_frame(const demand_notice& notice) {
     json wanted = json::array();
     for (const auto& item : notice.demand) {
-        wanted.push_back(
-            json::array({item.what.model, item.what.adapter, item.waiting,
-                                     item.diverted, item.crowded}));
+        wanted.push_back(json::array(
+            {item.what.model, item.what.adapter, item.waiting, item.diverted, item.crowded}));
     }
     json names = json::array();
     for (const auto& item : notice.used) {
@@ -155,8 +153,8 @@
 json records_frame(const std::string& topic, const fleet::keyed_page& page) {
     json rows = json::array();
     for (const auto& record : page.records) {
-        rows.push_back(json::array({record.key, record.offset, record.value.has_value(),
-                                    record.value.value_or("")}));
+        rows.push_back(json::array(
+            {record.key, record.offset, record.value.has_value(), record.value.value_or("")}));
     }
     return {{"type", "r"}, {"k", topic}, {"e", page.next}, {"v", std::move(rows)}};
 }
--- a/lib/gateway/placement_holder.cpp
+++ b/lib/gateway/placement_holder.cpp
@@ -93,8 +93,7 @@
     const auto sent = boot_clock::now();
     const bool held_before = lease_.holds();
     const auto answer =
-        co_await store_.join(group(), member_, fleet::lease_limits{}.lifetime,
-                             lease_.generation());
+        co_await store_.join(group(), member_, fleet::lease_limits{}.lifetime, lease_.generation());
     joining_ = false;
     if (!answer) {
         co_return;
@@ -129,8 +128,8 @@
     const auto self = shared_from_this();
     const auto answer = co_await store_.leave(group(), member_);
     if (!answer) {
-        support::log_change("lease_not_left", {{"data_centre", data_centre_},
-                                               {"why", answer.error().message}});
+        support::log_change("lease_not_left",
+                            {{"data_centre", data_centre_}, {"why", answer.error().message}});
     }
 }
 
--- a/lib/gateway/placement_holder.h
+++ b/lib/gateway/placement_holder.h
@@ -3,11 +3,10 @@
 #include "dragonflystair/fleet/adapter_planner.h"
 #include "dragonflystair/fleet/placement_lease.h"
 
+#include "node_view.h"
 #include "platform/endpoint_client.h"
 #include "platform/store_client.h"
 
-#include "node_view.h"
-
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
@@ -23,9 +22,9 @@
     struct hooks {
         /// What engines hold has changed.
         std::function<void(std::span<const fleet::residency_change>)> on_changes;
-        std::function<std::size_t()> rank;  ///< This node's place among the candidates.
-        std::function<bool()> linked;       ///< Whether a peer would report a newer holder.
-        std::function<void()> on_lease;     ///< The lease was won or lost.
+        std::function<std::size_t()> rank; ///< This node's place among the candidates.
+        std::function<bool()> linked;      ///< Whether a peer would report a newer holder.
+        std::function<void()> on_lease;    ///< The lease was won or lost.
     };
 
     placement_holder(node_view& view, platform::store_client& store,
--- a/lib/gateway/store_follower.cpp
+++ b/lib/gateway/store_follower.cpp
@@ -89,10 +89,9 @@
     }
     ever_reached_ = true;
     reachable_ = reachable;
-    support::log_change(reachable ? "store_regained" : "store_lost",
-                        {{"topic", topic_},
-                         {"next", std::to_string(mirror_.next())},
-                         {"why", std::string(why)}});
+    support::log_change(
+        reachable ? "store_regained" : "store_lost",
+        {{"topic", topic_}, {"next", std::to_string(mirror_.next())}, {"why", std::string(why)}});
     on_.on_store(reachable);
 }
 
--- a/lib/ledger/records.cpp
+++ b/lib/ledger/records.cpp
@@ -1,6 +1,7 @@
 #include "dragonflystair/ledger/records.h"
 
 #include "dragonflystair/support/base64.h"
+
 #include "json_fields.h"
 
 #include <functional>
--- a/lib/net/exchange_client.cpp
+++ b/lib/net/exchange_client.cpp
@@ -86,12 +86,11 @@
     std::string key(address);
     auto connection = impl_->take(key);
     if (!connection) {
-        connection = std::make_shared<exchange_connection>(impl_->context, impl_->id_header,
-                                                           impl_->limits);
+        connection =
+            std::make_shared<exchange_connection>(impl_->context, impl_->id_header, impl_->limits);
         ++impl_->opened;
     }
-    connection->on_idle = [weak = impl_->weak_from_this(), key,
-                           held = std::weak_ptr(connection)] {
+    connection->on_idle = [weak = impl_->weak_from_this(), key, held = std::weak_ptr(connection)] {
         const auto self = weak.lock();
         const auto idle = held.lock();
         if (self && idle) {
--- a/lib/net/exchange_connection.cpp
+++ b/lib/net/exchange_connection.cpp
@@ -1,7 +1,6 @@
 #include "exchange_connection.h"
 
 #include <boost/asio/write.hpp>
-
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -78,19 +77,19 @@
             self->fail(exchange_end::not_sent, "connect: timed out");
         }
     });
-    socket_.async_connect(
-        address, [self = shared_from_this()](const boost::system::error_code& error) {
-            self->connect_timer_.cancel();
-            if (!self->socket_.is_open()) {
-                return;
-            }
-            if (error) {
-                self->fail(exchange_end::not_sent, "connect: " + error.message());
-                return;
-            }
-            self->read();
-            self->write();
-        });
+    socket_.async_connect(address,
+                          [self = shared_from_this()](const boost::system::error_code& error) {
+                              self->connect_timer_.cancel();
+                              if (!self->socket_.is_open()) {
+                                  return;
+                              }
+                              if (error) {
+                                  self->fail(exchange_end::not_sent, "connect: " + error.message());
+                                  return;
+                              }
+                              self->read();
+                              self->write();
+                          });
 }
 
 void exchange_connection::set_options() {
@@ -223,8 +222,7 @@
     }
     if (reusable) {
         const auto named = keep_alive_timeout(header(parser_->head().headers, "Keep-Alive"));
-        idle_until_ =
-            std::chrono::steady_clock::now() + named.value_or(limits_.idle_timeout);
+        idle_until_ = std::chrono::steady_clock::now() + named.value_or(limits_.idle_timeout);
         parser_.reset();
         if (on_idle) {
             on_idle();
--- a/unittests/fleet/adapter_planner_test.cpp
+++ b/unittests/fleet/adapter_planner_test.cpp
@@ -107,9 +107,10 @@
         CPPUNIT_ASSERT(planner_->plan(now_).empty());
     }
 
-    /// Replays forty rare adapters on three places, each asked for once in two seconds by a call that
-    /// waits for half a second. Engines that are ordered to hold more than their places crash, and
-    /// by order of name the first adapters were loaded again and again while the others starved.
+    /// Replays forty rare adapters on three places, each asked for once in two seconds by a call
+    /// that waits for half a second. Engines that are ordered to hold more than their places crash,
+    /// and by order of name the first adapters were loaded again and again while the others
+    /// starved.
     void burst_of_rare_adapters_never_exceeds_the_places() {
         std::set<std::string> held;
         std::set<std::string> served;
--- a/unittests/fleet/dispatcher_test.cpp
+++ b/unittests/fleet/dispatcher_test.cpp
@@ -168,7 +168,8 @@
                     running.push_back(decision.number);
                     continue;
                 }
-                const auto arrived = start + milliseconds{10 * static_cast<int>(decision.number - 1)};
+                const auto arrived =
+                    start + milliseconds{10 * static_cast<int>(decision.number - 1)};
                 longest_wait = std::max(longest_wait, now - arrived);
                 refused += decision.reason == refusal::overloaded ? 1 : 0;
                 dispatcher_->finish(decision.number, now);
