--- a/lib/gateway/call_relay.cpp
+++ b/lib/gateway/call_relay.cpp
@@ -145,6 +145,10 @@
     call->number = ++last_number_;
     call->arrived = boot_clock::now();
     view_.counters.increment("calls_total");
+    if (exchange.disconnected()) {
+        view_.counters.increment("calls_ended_total", "caller_gone");
+        co_return;
+    }
     const auto problem = admit(exchange, *call);
     if (problem) {
         co_await refuse(exchange, *call, *problem);
--- a/lib/net/http_session.cpp
+++ b/lib/net/http_session.cpp
@@ -110,6 +110,7 @@
         co_return false;
     }
     timer_.disarm();
+    note_closed_peer();
     watch_reads();
     co_await run_handler(std::move(*request));
     co_await end_watch();
@@ -323,6 +324,21 @@
         }));
 }
 
+/// Notices a caller that left before its request was read, as when this process was stopped for a
+/// while: the watch would only tell after the handler has started its work.
+void http_session::note_closed_peer() {
+    if (buffer_.size() > 0) {
+        return;
+    }
+    boost::system::error_code code;
+    char byte = 0;
+    socket_.non_blocking(true, code);
+    socket_.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    if (code && code != boost::asio::error::would_block) {
+        note_disconnect();
+    }
+}
+
 awaitable<void> http_session::end_watch() {
     boost::system::error_code ignored;
     while (watching_) {
--- a/lib/net/http_session.h
+++ b/lib/net/http_session.h
@@ -81,6 +81,7 @@
     void limit_reads(std::chrono::milliseconds timeout);
     void limit_writes();
     void watch_reads();
+    void note_closed_peer();
     awaitable<void> end_watch();
     void note_disconnect();
     void close_now();
--- a/unittests/net/http_server_test.cpp
+++ b/unittests/net/http_server_test.cpp
@@ -78,6 +78,7 @@
     CPPUNIT_TEST(stream_without_end_is_cut_off);
     CPPUNIT_TEST(stream_to_http_1_0_ends_with_the_connection);
     CPPUNIT_TEST(head_request_gets_no_body);
+    CPPUNIT_TEST(caller_that_left_before_it_was_read_is_known_to_be_gone);
     CPPUNIT_TEST(caller_that_leaves_runs_the_disconnect_hook);
     CPPUNIT_TEST(caller_that_does_not_read_ends_the_stream);
     CPPUNIT_TEST(shutdown_lets_the_exchange_finish);
@@ -329,6 +330,24 @@
         CPPUNIT_ASSERT(ended.get_future().get());
     }
 
+    /// Guards against work for callers that left while this process was stopped. The connection is
+    /// made, used and closed before the server accepts it.
+    void caller_that_left_before_it_was_read_is_known_to_be_gone() {
+        std::promise<bool> gone;
+        const http_handler handler = [&](http_exchange& exchange) -> awaitable<void> {
+            gone.set_value(exchange.disconnected());
+            co_return;
+        };
+        http_server server(context_.get(), "127.0.0.1:0", {}, handler, counters_);
+        {
+            auto connection = raw_connection::to(server.address());
+            connection.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+            connection.close();
+        }
+        server.start();
+        CPPUNIT_ASSERT(gone.get_future().get());
+    }
+
     /// Guards against a planned stop that cuts off a request in flight.
     void shutdown_lets_the_exchange_finish() {
         std::promise<void> handling;
