--- a/include/dragonflystair/cli/environment.h
+++ b/include/dragonflystair/cli/environment.h
@@ -37,7 +37,7 @@
     /// Runs a node until it has stopped and returns its exit code. Throws if it cannot start.
     std::function<int(config::settings)> run_node;
     /// The same for a gateway, which reads its settings again through `reload`.
-    std::function<int(config::gateway_settings,
+    std::function<int(const config::gateway_settings&,
                       std::function<std::optional<config::gateway_settings>()> reload)>
         run_gateway;
     /// Value of an environment variable.
--- a/include/dragonflystair/gateway/gateway.h
+++ b/include/dragonflystair/gateway/gateway.h
@@ -17,7 +17,7 @@
 
     /// Binds all addresses. Throws boost::system::system_error if one is taken. `reload` is called
     /// on SIGHUP and every few seconds, since the file may change without a signal.
-    gateway(config::gateway_settings settings, settings_source reload);
+    gateway(const config::gateway_settings& settings, settings_source reload);
     ~gateway();
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
--- a/lib/cli/process_environment.cpp
+++ b/lib/cli/process_environment.cpp
@@ -61,8 +61,9 @@
     return node::node(std::move(settings)).run();
 }
 
-int run_gateway(config::gateway_settings settings, gateway::gateway::settings_source reload) {
-    return gateway::gateway(std::move(settings), std::move(reload)).run();
+int run_gateway(const config::gateway_settings& settings,
+                gateway::gateway::settings_source reload) {
+    return gateway::gateway(settings, std::move(reload)).run();
 }
 
 std::optional<std::string> variable(const std::string& name) {
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -141,6 +141,9 @@
     [[nodiscard]] bool placed(const model_name& what) const;
     void begin(engine& item, const planned_order& order);
     void withdraw(engine& item, const planned_order& order);
+    void on_accepted(engine& item, const planned_order& order, time_point now);
+    void on_holds(engine& item, const planned_order& order, time_point now);
+    void on_conflict(engine& item, const planned_order& order, time_point now);
 
     configuration current;
     std::map<std::string, engine, std::less<>> engines;
@@ -479,6 +482,72 @@
     return orders;
 }
 
+/// The engine carries the order out; `due_check` finds when it is done.
+void adapter_planner::impl::on_accepted(engine& item, const planned_order& order, time_point now) {
+    if (order.check) {
+        return;
+    }
+    ++item.orders_accepted;
+    if (order.what.adapter.empty()) {
+        item.models[order.what.model] =
+            make_slot(slot_state::loading, 0, now, now + model_check_period);
+        return;
+    }
+    const bool loads = order.kind == planned_kind::load;
+    auto& held = item.adapters[order.what];
+    held.replaces = loads && held.state == slot_state::ready;
+    held.state = loads ? slot_state::loading : slot_state::unloading;
+    held.ordered_at = now;
+    held.last_used = now;
+    held.check_at = now + check_period;
+    if (!loads) {
+        return;
+    }
+    held.version = order.version.value_or(held.version);
+    held.check_at =
+        now + (item.recent.contains(order.what)
+                   ? support::duration(recent_load_time)
+                   : std::chrono::duration_cast<support::duration>(load_time * first_check_part));
+    change(item, order.what, residency::loading, held.version);
+}
+
+/// What was ordered is so.
+void adapter_planner::impl::on_holds(engine& item, const planned_order& order, time_point now) {
+    if (order.what.adapter.empty()) {
+        item.models[order.what.model] = make_slot(slot_state::ready, 0, now);
+        change(item, order.what, residency::ready, 0);
+        return;
+    }
+    if (order.kind == planned_kind::unload) {
+        // An adapter that no call uses is unloaded at once, which counts as an order.
+        item.orders_accepted += order.check ? 0 : 1;
+        item.adapters.erase(order.what);
+        item.recent[order.what] = now;
+        return;
+    }
+    auto& held = item.adapters[order.what];
+    if (order.check && !held.replaces && !item.recent.contains(order.what)) {
+        const support::duration took = now - held.ordered_at;
+        load_time +=
+            std::chrono::duration_cast<support::duration>(sample_weight * (took - load_time));
+    }
+    held.replaces = false;
+    held.state = slot_state::ready;
+    held.version = order.version.value_or(held.version);
+    held.last_used = now;
+    change(item, order.what, residency::ready, held.version);
+}
+
+void adapter_planner::impl::on_conflict(engine& item, const planned_order& order, time_point now) {
+    withdraw(item, order);
+    item.paused_until = now + conflict_pause;
+    if (++item.conflicts >= max_conflicts) {
+        item.conflicts = 0;
+        item.needs_report = true;
+        item.paused_until = now + report_age;
+    }
+}
+
 void adapter_planner::on_outcome(const planned_order& order, order_outcome outcome,
                                  time_point now) {
     const auto found = impl_->engines.find(order.endpoint);
@@ -487,74 +556,18 @@
     }
     auto& item = found->second;
     item.order_under_way = false;
-    if (outcome == order_outcome::accepted || outcome == order_outcome::holds) {
+    if (outcome != order_outcome::conflict) {
         item.conflicts = 0;
     }
-    const bool loads = order.kind == planned_kind::load;
-    const bool is_model = order.what.adapter.empty();
     switch (outcome) {
-    case order_outcome::accepted: {
-        if (order.check) {
-            return;
-        }
-        ++item.orders_accepted;
-        if (is_model) {
-            item.models[order.what.model] =
-                make_slot(slot_state::loading, 0, now, now + model_check_period);
-            return;
-        }
-        auto& held = item.adapters[order.what];
-        held.replaces = loads && held.state == slot_state::ready;
-        held.ordered_at = now;
-        held.state = loads ? slot_state::loading : slot_state::unloading;
-        held.version = loads ? order.version.value_or(held.version) : held.version;
-        held.last_used = now;
-        const auto wait = item.recent.contains(order.what)
-                              ? support::duration(recent_load_time)
-                              : std::chrono::duration_cast<support::duration>(impl_->load_time *
-                                                                              first_check_part);
-        held.check_at = now + (loads ? wait : support::duration(check_period));
-        if (loads) {
-            impl_->change(item, order.what, residency::loading, held.version);
-        }
+    case order_outcome::accepted:
+        impl_->on_accepted(item, order, now);
         return;
-    }
-    case order_outcome::holds: {
-        if (!order.check) {
-            // An adapter that no call uses is unloaded at once, which counts as an order.
-            item.orders_accepted += loads ? 0 : 1;
-        }
-        if (is_model) {
-            item.models[order.what.model] = make_slot(slot_state::ready, 0, now);
-            impl_->change(item, order.what, residency::ready, 0);
-            return;
-        }
-        if (!loads) {
-            item.adapters.erase(order.what);
-            item.recent[order.what] = now;
-            return;
-        }
-        auto& held = item.adapters[order.what];
-        if (order.check && !held.replaces && !item.recent.contains(order.what)) {
-            const support::duration took = now - held.ordered_at;
-            impl_->load_time += std::chrono::duration_cast<support::duration>(
-                sample_weight * (took - impl_->load_time));
-        }
-        held.replaces = false;
-        held.state = slot_state::ready;
-        held.version = order.version.value_or(held.version);
-        held.last_used = now;
-        impl_->change(item, order.what, residency::ready, held.version);
+    case order_outcome::holds:
+        impl_->on_holds(item, order, now);
         return;
-    }
     case order_outcome::conflict:
-        impl_->withdraw(item, order);
-        item.paused_until = now + conflict_pause;
-        if (++item.conflicts >= max_conflicts) {
-            item.conflicts = 0;
-            item.needs_report = true;
-            item.paused_until = now + report_age;
-        }
+        impl_->on_conflict(item, order, now);
         return;
     case order_outcome::failed:
         impl_->withdraw(item, order);
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -647,6 +647,7 @@
         entry(what).crowded = count;
     }
     std::vector<adapter_demand> out;
+    out.reserve(demand.size());
     for (auto& [what, item] : demand) {
         out.push_back(std::move(item));
     }
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -38,9 +38,6 @@
 constexpr milliseconds caller_silence{1'500};
 constexpr milliseconds least_shutdown{2'500};
 
-/// Idle connections wait longer than callers use them again, so that no request crosses a close.
-constexpr milliseconds idle_margin{2'000};
-
 fleet::retry_limits retry_limits_of(const config::gateway_settings& settings) {
     return {settings.retry_ratio, settings.retry_slack, settings.retry_window};
 }
@@ -55,7 +52,7 @@
 
 } // namespace
 
-gateway::impl::impl(config::gateway_settings settings, settings_source reload)
+gateway::impl::impl(const config::gateway_settings& settings, settings_source reload)
     : io_(1), reload_(std::move(reload)),
       view_{settings,
             support::random_id(),
@@ -355,8 +352,8 @@
     io_.stop();
 }
 
-gateway::gateway(config::gateway_settings settings, settings_source reload)
-    : impl_(std::make_unique<impl>(std::move(settings), std::move(reload))) {}
+gateway::gateway(const config::gateway_settings& settings, settings_source reload)
+    : impl_(std::make_unique<impl>(settings, std::move(reload))) {}
 
 gateway::~gateway() = default;
 
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -39,7 +39,7 @@
 };
 
 struct gateway::impl {
-    impl(config::gateway_settings settings, settings_source reload);
+    impl(const config::gateway_settings& settings, settings_source reload);
 
     int run();
 
--- a/lib/gateway/placement_holder.h
+++ b/lib/gateway/placement_holder.h
@@ -62,7 +62,6 @@
     fleet::placement_lease lease_;
     fleet::adapter_planner planner_;
     bool joining_ = false;
-    bool pump_scheduled_ = false;
     boost::asio::steady_timer pump_timer_;
 };
 
