--- a/lib/gateway/call_relay.cpp
+++ b/lib/gateway/call_relay.cpp
@@ -323,9 +323,9 @@
         on_.on_connection_lost(call.fingerprint);
     }
     view_.counters.increment("endpoint_failures_total", "broken");
-    support::log_change("endpoint_failed", {{"request", call.request.id},
-                                            {"endpoint", call.decision->endpoint},
-                                            {"fault", std::string(fault)}});
+    support::log_request("endpoint_failed", {{"request", call.request.id},
+                                             {"endpoint", call.decision->endpoint},
+                                             {"fault", std::string(fault)}});
     return attempt_end::failed;
 }
 
@@ -447,7 +447,7 @@
 
 void call_relay::note_refusal(const open_call& call, const net::problem& item) {
     view_.counters.increment("refusals_total", item.reason);
-    support::log_change(
+    support::log_request(
         "call_refused",
         {{"request", call.request.id},
          {"route", call.route == nullptr ? std::string("none") : call.route->name},
@@ -476,7 +476,7 @@
 
 void call_relay::finish(open_call& call, std::string_view outcome, int status) {
     view_.counters.increment("calls_ended_total", outcome);
-    support::log_change(
+    support::log_request(
         "call",
         {{"request", call.request.id},
          {"route", call.route->name},
--- a/lib/support/log.cpp
+++ b/lib/support/log.cpp
@@ -2,20 +2,64 @@
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <spdlog/async.h>
+#include <spdlog/logger.h>
+#include <spdlog/sinks/stdout_sinks.h>
 
+#include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <iterator>
+#include <memory>
 
 namespace dragonflystair::support {
 
 namespace {
 
+/// Lines that wait for the writing thread: a second's worth of requests and changes.
+constexpr std::size_t queue_lines = 1'024;
+
+/// The queue, its thread and the sink. Its end writes what is queued.
+struct log_output {
+    std::shared_ptr<spdlog::details::thread_pool> pool =
+        std::make_shared<spdlog::details::thread_pool>(queue_lines, 1);
+    std::shared_ptr<spdlog::async_logger> logger = std::make_shared<spdlog::async_logger>(
+        "dragonflystair", std::make_shared<spdlog::sinks::stdout_sink_mt>(), pool,
+        spdlog::async_overflow_policy::overrun_oldest);
+
+    log_output() { logger->set_pattern("%v"); }
+};
+
+log_output& output() {
+    static log_output made;
+    return made;
+}
+
+std::atomic<std::uint64_t> dropped_requests{0};
+
+/// Counts the lines of the current second; returns whether one more may be written.
+bool take_request_line() {
+    using clock = std::chrono::steady_clock;
+    static std::atomic<std::int64_t> second{0};
+    static std::atomic<std::uint64_t> lines{0};
+    const auto now =
+        std::chrono::duration_cast<std::chrono::seconds>(clock::now().time_since_epoch()).count();
+    if (second.exchange(now) != now) {
+        lines = 0;
+    }
+    if (lines.fetch_add(1) < max_request_lines) {
+        return true;
+    }
+    ++dropped_requests;
+    return false;
+}
+
 /// Quotes a value that holds blanks or quotes, so that a line can be split at blanks.
-std::string quoted(std::string_view value) {
+void append_value(std::string& line, std::string_view value) {
     if (!value.empty() && value.find_first_of(" \"\\\n\t=") == std::string_view::npos) {
-        return std::string(value);
+        line += value;
+        return;
     }
-    return fmt::format("{:?}", value);
+    fmt::format_to(std::back_inserter(line), "{:?}", value);
 }
 
 } // namespace
@@ -29,9 +73,28 @@
         fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z event={}",
                     fmt::gmtime(std::chrono::system_clock::to_time_t(now)), millis, event);
     for (const auto& [key, value] : fields) {
-        line += fmt::format(" {}={}", key, quoted(value));
+        line += ' ';
+        line += key;
+        line += '=';
+        append_value(line, value);
+    }
+    output().logger->info(line);
+}
+
+void log_request(std::string_view event, std::initializer_list<log_field> fields) {
+    static std::atomic<std::uint64_t> reported{0};
+    if (!take_request_line()) {
+        return;
+    }
+    const auto dropped = dropped_requests.load();
+    if (const auto before = reported.exchange(dropped); before != dropped) {
+        log_change("log_dropped", {{"lines", std::to_string(dropped - before)}});
     }
-    fmt::print(stderr, "{}\n", line);
+    log_change(event, fields);
+}
+
+std::uint64_t dropped_log_lines() {
+    return dropped_requests + output().pool->overrun_counter();
 }
 
 } // namespace dragonflystair::support
