--- a/include/dragonflystair/fleet/endpoint_watch.h
+++ b/include/dragonflystair/fleet/endpoint_watch.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "dragonflystair/fleet/endpoint_record.h"
 #include "dragonflystair/support/time.h"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -11,15 +13,17 @@
 
 namespace dragonflystair::fleet {
 
-/// Decides when an endpoint whose entry is missing from the VM list counts as gone. Entries lapse
-/// while the store is away although their endpoints live, and are back within two seconds of its
-/// return. Pure.
+/// Decides which entries of the VM list hold. Entries lapse while the store is away although their
+/// endpoints live, and are back within two seconds of its return. Heartbeats may be written late, so
+/// an entry may say less than an earlier one: an endpoint that leaves does not come back in the same
+/// run, and one that is gone is believed again only at its second heartbeat. Pure.
 class endpoint_watch {
 public:
     /// Time after the store's return by which an entry is back; stated by the platform.
     static constexpr std::chrono::milliseconds return_time{2'000};
 
-    void on_listed(std::string_view endpoint);
+    /// The record as it is to be believed; nothing if it is not.
+    std::optional<endpoint_record> on_listed(endpoint_record record);
     void on_missing(std::string_view endpoint, support::time_point now);
     /// The store did not answer, or answers again.
     void on_store(bool reachable, support::time_point now);
@@ -32,6 +36,9 @@
     [[nodiscard]] support::time_point gone_at(support::time_point missing_since) const;
 
     std::map<std::string, support::time_point, std::less<>> missing_;
+    std::map<std::string, std::uint64_t> leaving_; ///< Start times of endpoints that leave.
+    std::map<std::string, std::uint64_t> gone_;    ///< The same of those that are gone.
+    std::map<std::string, std::uint64_t, std::less<>> started_; ///< Of all that were listed.
     bool reachable_ = true;
     std::optional<support::time_point> returned_at_;
 };
--- a/lib/fleet/endpoint_watch.cpp
+++ b/lib/fleet/endpoint_watch.cpp
@@ -1,15 +1,30 @@
 #include "dragonflystair/fleet/endpoint_watch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dragonflystair::fleet {
 
 using support::time_point;
 
-void endpoint_watch::on_listed(std::string_view endpoint) {
-    if (const auto found = missing_.find(endpoint); found != missing_.end()) {
+std::optional<endpoint_record> endpoint_watch::on_listed(endpoint_record record) {
+    if (const auto gone = gone_.find(record.id); gone != gone_.end()) {
+        const bool same_run = gone->second == record.started_ms;
+        gone_.erase(gone);
+        if (same_run) {
+            return std::nullopt;
+        }
+    }
+    if (const auto found = missing_.find(record.id); found != missing_.end()) {
         missing_.erase(found);
     }
+    started_.insert_or_assign(record.id, record.started_ms);
+    if (record.draining) {
+        leaving_.insert_or_assign(record.id, record.started_ms);
+    }
+    const auto leaving = leaving_.find(record.id);
+    record.draining = leaving != leaving_.end() && leaving->second == record.started_ms;
+    return record;
 }
 
 void endpoint_watch::on_missing(std::string_view endpoint, time_point now) {
@@ -42,6 +57,10 @@
             continue;
         }
         gone.push_back(item->first);
+        if (const auto started = started_.find(item->first); started != started_.end()) {
+            gone_.insert_or_assign(item->first, started->second);
+            started_.erase(started);
+        }
         item = missing_.erase(item);
     }
     return gone;
--- a/lib/gateway/gateway_beliefs.cpp
+++ b/lib/gateway/gateway_beliefs.cpp
@@ -106,7 +106,11 @@
             counters_.increment("records_damaged_total", "endpoint");
             continue;
         }
-        watch_.on_listed(record.key);
+        decoded = watch_.on_listed(std::move(*decoded));
+        if (!decoded) {
+            counters_.increment("records_doubted_total", "endpoint");
+            continue;
+        }
         const auto* known = view_.dispatcher.find(decoded->id);
         if (known == nullptr || known->draining != decoded->draining ||
             known->started_ms != decoded->started_ms) {
--- a/unittests/fleet/beliefs_test.cpp
+++ b/unittests/fleet/beliefs_test.cpp
@@ -76,6 +76,9 @@
     CPPUNIT_TEST(entry_missing_during_an_outage_is_kept);
     CPPUNIT_TEST(entry_back_after_the_outage_is_not_gone);
     CPPUNIT_TEST(entry_still_missing_after_the_return_time_is_gone);
+    CPPUNIT_TEST(late_heartbeat_does_not_bring_back_an_endpoint_that_leaves);
+    CPPUNIT_TEST(endpoint_that_starts_again_is_ready);
+    CPPUNIT_TEST(late_heartbeat_does_not_bring_back_an_endpoint_that_is_gone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,7 +98,7 @@
         watch_.on_store(false, start);
         watch_.on_missing("a", start);
         watch_.on_store(true, start + milliseconds{5'000});
-        watch_.on_listed("a");
+        watch_.on_listed(listed(false, 1));
         CPPUNIT_ASSERT(watch_.take_gone(start + milliseconds{9'000}).empty());
     }
 
@@ -107,7 +110,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, watch_.take_gone(start + milliseconds{7'000}).size());
     }
 
+    /// Guards against calls to an endpoint seconds after it said that it leaves.
+    void late_heartbeat_does_not_bring_back_an_endpoint_that_leaves() {
+        watch_.on_listed(listed(true, 1));
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 1))->draining);
+    }
+
+    void endpoint_that_starts_again_is_ready() {
+        watch_.on_listed(listed(true, 1));
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 2))->draining);
+    }
+
+    void late_heartbeat_does_not_bring_back_an_endpoint_that_is_gone() {
+        watch_.on_listed(listed(false, 1));
+        watch_.on_missing("a", start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, watch_.take_gone(start).size());
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 1)));
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 1)).has_value());
+    }
+
 private:
+    static endpoint_record listed(bool draining, std::uint64_t started_ms) {
+        endpoint_record record;
+        record.id = "a";
+        record.draining = draining;
+        record.started_ms = started_ms;
+        return record;
+    }
+
     endpoint_watch watch_;
 };
 
