--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -114,12 +114,14 @@
     void on_started(std::uint64_t number, support::time_point now);
     void on_failed(std::string_view endpoint, support::time_point now);
 
-    /// Places and refuses waiting calls.
+    /// Places and refuses waiting calls. Cheap while nothing has changed.
     std::vector<dispatch_decision> pump(support::time_point now);
 
     /// When `pump` has to run again even if nothing happens; nothing if no call waits.
     [[nodiscard]] std::optional<support::time_point> next_deadline() const;
 
+    /// Whether a call began to wait for an adapter since the last time.
+    bool take_new_demand();
     /// Demand that the holder of the placement lease should know.
     std::vector<adapter_demand> take_demand();
 
--- a/include/dragonflystair/fleet/endpoint_watch.h
+++ b/include/dragonflystair/fleet/endpoint_watch.h
@@ -14,9 +14,9 @@
 namespace dragonflystair::fleet {
 
 /// Decides which entries of the VM list hold. Entries lapse while the store is away although their
-/// endpoints live, and are back within two seconds of its return. Heartbeats may be written late, so
-/// an entry may say less than an earlier one: an endpoint that leaves does not come back in the same
-/// run, and one that is gone is believed again only at its second heartbeat. Pure.
+/// endpoints live, and are back within two seconds of its return. Heartbeats may be written late,
+/// so an entry may say less than an earlier one: an endpoint that leaves does not come back in the
+/// same run, and one that is gone is believed again only at its second heartbeat. Pure.
 class endpoint_watch {
 public:
     /// Time after the store's return by which an entry is back; stated by the platform.
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <span>
 #include <utility>
 
 namespace dragonflystair::fleet {
@@ -133,8 +134,10 @@
     std::optional<planned_order> model_order(engine& item, time_point now);
     std::optional<planned_order> due_check(engine& item, time_point now);
     std::optional<planned_order> version_order(engine& item, time_point now);
+    [[nodiscard]] bool takes_load(const engine& item, time_point now) const;
     std::optional<planned_order> demand_order(time_point now, const model_name& what,
-                                              const wanted& demand);
+                                              const wanted& demand,
+                                              std::span<const std::string> names);
     std::optional<model_name> victim(const engine& item, double worth, time_point now) const;
     [[nodiscard]] bool fits(const engine& item, const model_name& what) const;
     [[nodiscard]] bool is_due(const model_name& what, const wanted& demand) const;
@@ -305,21 +308,25 @@
     });
 }
 
+/// Whether the engine can be given an order to load an adapter now.
+bool adapter_planner::impl::takes_load(const engine& item, time_point now) const {
+    if (item.order_under_way || item.record.draining || item.paused_until > now ||
+        item.models.empty() || class_of(item) == nullptr) {
+        return false;
+    }
+    const auto in_transit = std::ranges::count_if(item.adapters, [](const auto& held) {
+        return held.second.state == slot_state::loading || held.second.state == slot_state::ordered;
+    });
+    return static_cast<std::size_t>(in_transit) < max_in_transit;
+}
+
 /// Loads a wanted adapter on the engine that it belongs to, or makes room there.
 std::optional<planned_order>
-adapter_planner::impl::demand_order(time_point now, const model_name& what, const wanted& demand) {
+adapter_planner::impl::demand_order(time_point now, const model_name& what, const wanted& demand,
+                                    std::span<const std::string> names) {
     if (!is_due(what, demand)) {
         return std::nullopt;
     }
-    std::vector<std::string> names;
-    for (const auto& [id, item] : engines) {
-        const auto* engines_class = class_of(item);
-        if (!item.record.draining && item.paused_until <= now && engines_class != nullptr &&
-            item.models.contains(what.model) &&
-            item.models.at(what.model).state == slot_state::ready) {
-            names.push_back(id);
-        }
-    }
     // Waiting calls drive out anything idle; a copy for convenience only what is less popular.
     constexpr double any_rate = 1e9;
     const double worth = demand.waiting > 0 ? any_rate : popular.rate(key_of(what), now);
@@ -328,14 +335,9 @@
         order, [&](const auto& id) { return engines.at(id).recent.contains(what); });
     for (const auto& id : order) {
         auto& item = engines.at(id);
-        if (item.order_under_way || item.adapters.contains(what)) {
-            continue;
-        }
-        const auto in_transit = std::ranges::count_if(item.adapters, [](const auto& held) {
-            return held.second.state == slot_state::loading ||
-                   held.second.state == slot_state::ordered;
-        });
-        if (static_cast<std::size_t>(in_transit) >= max_in_transit) {
+        const auto model = item.models.find(what.model);
+        if (!takes_load(item, now) || item.adapters.contains(what) || model == item.models.end() ||
+            model->second.state != slot_state::ready) {
             continue;
         }
         if (fits(item, what)) {
@@ -363,11 +365,16 @@
     }
 }
 
-/// Gives back the place of a load that was not carried out.
+/// Takes back what was done for an order that was not carried out.
 void adapter_planner::impl::withdraw(engine& item, const planned_order& order) {
     const auto held = item.adapters.find(order.what);
-    if (held != item.adapters.end() && held->second.state == slot_state::ordered) {
+    if (held == item.adapters.end()) {
+        return;
+    }
+    if (held->second.state == slot_state::ordered) {
         item.adapters.erase(held);
+    } else if (held->second.state == slot_state::ready) {
+        change(item, order.what, residency::ready, held->second.version);
     }
 }
 
@@ -470,8 +477,18 @@
         const auto since = item->second.waiting_since;
         return std::pair(now - since > hopeful_wait, since);
     });
+    std::vector<std::string> names;
+    for (const auto& [id, item] : impl_->engines) {
+        if (impl_->takes_load(item, now)) {
+            names.push_back(id);
+        }
+    }
     for (const auto* item : by_age) {
-        if (auto order = impl_->demand_order(now, item->first, item->second)) {
+        if (names.empty()) {
+            break;
+        }
+        if (auto order = impl_->demand_order(now, item->first, item->second, names)) {
+            std::erase(names, order->endpoint);
             if (order->kind == planned_kind::load) {
                 impl_->demands.at(item->first).crowded = 0;
             }
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -114,6 +114,8 @@
     time_point placed_at;
     std::size_t unread_tokens = 0;
     double expected_ms = 0;
+    bool fresh = true;    ///< Not looked at yet.
+    bool missing = false; ///< It waits for its adapter rather than for a place.
 };
 
 struct choice {
@@ -156,6 +158,7 @@
                             time_point now);
     dispatch_decision refuse(const open_call& open, const service_state& state, std::size_t ahead,
                              bool adapter_missing) const;
+    std::optional<dispatch_decision> decide(open_call& open, std::size_t ahead, time_point now);
     void release(open_call& open);
     void note_use(const choice& chosen, const model_name& what);
     [[nodiscard]] bool has_endpoint(std::string_view service) const;
@@ -170,6 +173,10 @@
     std::map<model_name, std::uint64_t> required;
     std::map<std::uint64_t, open_call> calls;
     std::vector<std::uint64_t> queue;
+    bool changed = false;              ///< Something that calls may wait for, since the last pump.
+    bool has_fresh = false;            ///< The queue has calls that were not looked at.
+    std::size_t waiting_for_place = 0; ///< Calls whose adapter is ready somewhere.
+    bool new_demand = false;           ///< A call began to wait for an adapter.
     policy::endpoint_health health;
     std::map<model_name, std::string> last_holders;
     std::map<model_name, std::size_t> diverted;
@@ -398,6 +405,7 @@
 dispatcher::~dispatcher() = default;
 
 void dispatcher::configure(const configuration& current) {
+    impl_->changed = true;
     for (const auto& [name, item] : current.services) {
         auto& state = impl_->services[name];
         state.has_engines = item.has_engines;
@@ -406,6 +414,7 @@
 }
 
 void dispatcher::update(const endpoint_record& record) {
+    impl_->changed = true;
     auto& item = impl_->endpoints[record.id];
     const bool restarted =
         item.record.started_ms != record.started_ms || item.record.address != record.address;
@@ -435,6 +444,7 @@
 }
 
 void dispatcher::remove(std::string_view endpoint) {
+    impl_->changed = true;
     const auto found = impl_->endpoints.find(endpoint);
     if (found == impl_->endpoints.end()) {
         return;
@@ -453,6 +463,7 @@
 
 void dispatcher::set_residency(std::string_view endpoint, const model_name& what, residency state,
                                std::uint64_t version) {
+    impl_->changed = impl_->changed || state == residency::ready;
     const auto found = impl_->endpoints.find(endpoint);
     if (found == impl_->endpoints.end()) {
         return;
@@ -475,6 +486,7 @@
 }
 
 void dispatcher::require_version(const model_name& what, std::uint64_t version) {
+    impl_->changed = true;
     auto& required = impl_->required[what];
     required = std::max(required, version);
 }
@@ -496,6 +508,7 @@
 }
 
 void dispatcher::forget_peer(std::string_view peer) {
+    impl_->changed = true;
     for (auto& [id, item] : impl_->endpoints) {
         if (const auto known = item.peers.find(peer); known != item.peers.end()) {
             item.peers.erase(known);
@@ -504,6 +517,7 @@
 }
 
 void dispatcher::set_loads_possible(bool possible) {
+    impl_->changed = impl_->changed || impl_->loads_possible != possible;
     impl_->loads_possible = possible;
 }
 
@@ -513,6 +527,7 @@
     open.call = std::move(call);
     impl_->calls.insert_or_assign(number, std::move(open));
     impl_->queue.push_back(number);
+    impl_->has_fresh = true;
 }
 
 void dispatcher::finish(std::uint64_t number, time_point now) {
@@ -540,7 +555,9 @@
     impl_->release(open);
     open.call.excluded.push_back(open.endpoint);
     open.state = call_state::waiting;
+    open.fresh = true;
     impl_->queue.push_back(number);
+    impl_->has_fresh = true;
 }
 
 void dispatcher::on_started(std::uint64_t number, time_point now) {
@@ -561,49 +578,75 @@
     impl_->health.on_failure(endpoint, now);
 }
 
+/// Places or refuses a call if that can be decided now; nothing if it goes on waiting.
+std::optional<dispatch_decision> dispatcher::impl::decide(open_call& open, std::size_t ahead,
+                                                          time_point now) {
+    auto& state = services[open.call.service];
+    if (now - state.window_start >= rate_window) {
+        state.placed_per_s = static_cast<double>(state.placed) /
+                             std::chrono::duration<double>(now - state.window_start).count();
+        state.window_start = now;
+        state.placed = 0;
+    }
+    if (const auto chosen = choose(open, state, now)) {
+        return place(open, *chosen, state, now);
+    }
+    open.missing = adapter_missing(open);
+    if (!has_endpoint(open.call.service)) {
+        auto decision = refuse(open, state, ahead, open.missing);
+        decision.reason = refusal::no_endpoints;
+        return decision;
+    }
+    if (open.missing && !loads_possible && loading(open.call.model) == nullptr) {
+        auto decision = refuse(open, state, ahead, open.missing);
+        decision.retry_after = no_loads_retry_after;
+        return decision;
+    }
+    const bool too_long = !open.missing && state.placed_per_s > 0 && open.call.excluded.empty() &&
+                          now + std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+                                    static_cast<double>(ahead) / state.placed_per_s)) >
+                              open.call.give_up_at;
+    if (!too_long && now < open.call.give_up_at) {
+        return std::nullopt;
+    }
+    auto decision = refuse(open, state, ahead, open.missing);
+    if (too_long) {
+        decision.reason = refusal::overloaded;
+    }
+    return decision;
+}
+
 std::vector<dispatch_decision> dispatcher::pump(time_point now) {
     std::vector<dispatch_decision> decisions;
-    const auto rank = [this](std::uint64_t number) {
+    const auto due = next_deadline();
+    // Calls that wait for an adapter need no new look unless something has changed.
+    const bool all = impl_->changed || impl_->waiting_for_place > 0 || (due && now >= *due);
+    if (!all && !impl_->has_fresh) {
+        return decisions;
+    }
+    impl_->changed = false;
+    impl_->has_fresh = false;
+    impl_->waiting_for_place = 0;
+    std::ranges::stable_sort(impl_->queue, {}, [this](std::uint64_t number) {
         const auto& call = impl_->calls.at(number).call;
         return call.objective_at + priority_step * call.priority;
-    };
-    std::ranges::stable_sort(impl_->queue, {}, rank);
+    });
     std::vector<std::uint64_t> still_waiting;
     std::map<std::string_view, std::size_t> ahead;
     for (const auto number : impl_->queue) {
         auto& open = impl_->calls.at(number);
-        auto& state = impl_->services[open.call.service];
-        if (now - state.window_start >= rate_window) {
-            state.placed_per_s = static_cast<double>(state.placed) /
-                                 std::chrono::duration<double>(now - state.window_start).count();
-            state.window_start = now;
-            state.placed = 0;
-        }
-        if (const auto chosen = impl_->choose(open, state, now)) {
-            decisions.push_back(impl_->place(open, *chosen, state, now));
-            continue;
-        }
-        const bool missing = impl_->adapter_missing(open);
-        const auto waiting_ahead = ahead[open.call.service];
-        const bool too_long =
-            !missing && state.placed_per_s > 0 && open.call.excluded.empty() &&
-            now + std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-                      static_cast<double>(waiting_ahead) / state.placed_per_s)) >
-                open.call.give_up_at;
-        if (!impl_->has_endpoint(open.call.service)) {
-            decisions.push_back(impl_->refuse(open, state, waiting_ahead, missing));
-            decisions.back().reason = refusal::no_endpoints;
-        } else if (missing && !impl_->loads_possible && !impl_->loading(open.call.model)) {
-            decisions.push_back(impl_->refuse(open, state, waiting_ahead, missing));
-            decisions.back().retry_after = no_loads_retry_after;
-        } else if (too_long || now >= open.call.give_up_at) {
-            decisions.push_back(impl_->refuse(open, state, waiting_ahead, missing));
-            if (too_long) {
-                decisions.back().reason = refusal::overloaded;
+        const bool fresh = std::exchange(open.fresh, false);
+        if (all || fresh) {
+            if (auto decision = impl_->decide(open, ahead[open.call.service], now)) {
+                decisions.push_back(std::move(*decision));
+                continue;
             }
-        } else {
-            still_waiting.push_back(number);
-            ahead[open.call.service] += missing ? 0 : 1;
+            impl_->new_demand = impl_->new_demand || (fresh && open.missing);
+        }
+        still_waiting.push_back(number);
+        if (!open.missing) {
+            ++ahead[open.call.service];
+            ++impl_->waiting_for_place;
         }
     }
     impl_->queue = std::move(still_waiting);
@@ -619,6 +662,10 @@
     return earliest;
 }
 
+bool dispatcher::take_new_demand() {
+    return std::exchange(impl_->new_demand, false);
+}
+
 std::vector<adapter_demand> dispatcher::take_demand() {
     std::map<model_name, adapter_demand> demand;
     for (const auto number : impl_->queue) {
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -211,7 +211,7 @@
     }
     pumping_ = false;
     schedule_pump();
-    if (view_.dispatcher.waiting() > 0) {
+    if (view_.dispatcher.take_new_demand()) {
         send_demand(false);
     }
 }
--- a/lib/net/http_session.cpp
+++ b/lib/net/http_session.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/error.hpp>
@@ -50,6 +51,11 @@
     : strand_(socket.get_executor()), socket_(std::move(socket)), state_(std::move(state)),
       timer_(strand_), watch_ended_(strand_) {}
 
+bool http_session::on_strand() const {
+    const auto* strand = strand_.target<boost::asio::strand<executor>>();
+    return strand != nullptr && strand->running_in_this_thread();
+}
+
 void http_session::start() {
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
--- a/lib/net/http_session.h
+++ b/lib/net/http_session.h
@@ -54,6 +54,8 @@
 
     /// For the exchange; on the strand.
     [[nodiscard]] const executor& strand() const { return strand_; }
+    /// Whether the caller runs on the strand already.
+    [[nodiscard]] bool on_strand() const;
     awaitable<bool> write_response(http::response<http::string_body> message);
     awaitable<bool> write_head(http::response<http::empty_body> message);
     awaitable<bool> write_raw(std::string_view bytes, bool as_chunk);
--- a/lib/net/http_session_exchange.cpp
+++ b/lib/net/http_session_exchange.cpp
@@ -46,6 +46,9 @@
 
 awaitable<bool> http_session_exchange::write(std::string_view bytes) {
     auto work = write_on_strand(bytes);
+    if (session_.on_strand()) {
+        co_return co_await std::move(work);
+    }
     co_return co_await run_on(session_.strand(), std::move(work));
 }
 
--- a/unittests/fleet/adapter_planner_test.cpp
+++ b/unittests/fleet/adapter_planner_test.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(burst_of_rare_adapters_never_exceeds_the_places);
     CPPUNIT_TEST(engine_that_restarts_empty_loads_its_model_first);
     CPPUNIT_TEST(one_refused_order_does_not_bring_a_stale_report);
+    CPPUNIT_TEST(adapter_whose_unload_is_refused_stays_ready);
     CPPUNIT_TEST(lasting_conflict_asks_for_a_report);
     CPPUNIT_TEST(order_without_answer_asks_for_a_report);
     CPPUNIT_TEST(new_version_replaces_the_busy_adapter_and_drops_the_idle_one);
@@ -164,6 +165,20 @@
         CPPUNIT_ASSERT(orders.at(0).kind == planned_kind::load);
     }
 
+    /// Guards against nodes that no longer use an adapter which the engine still holds.
+    void adapter_whose_unload_is_refused_stays_ready() {
+        load("x");
+        load("y");
+        load("z");
+        now_ += milliseconds{2'000};
+        planner_->on_demand(waiting_for("w"), now_);
+        const auto order = planner_->plan(now_).at(0);
+        CPPUNIT_ASSERT(order.kind == planned_kind::unload);
+        CPPUNIT_ASSERT(last_state(order.what.adapter) == residency::absent);
+        planner_->on_outcome(order, order_outcome::conflict, now_);
+        CPPUNIT_ASSERT(last_state(order.what.adapter) == residency::ready);
+    }
+
     void lasting_conflict_asks_for_a_report() {
         bool asked = false;
         for (int step = 0; step < 40 && !asked; ++step) {
