--- a/include/dragonflystair/gateway/gateway.h
+++ b/include/dragonflystair/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace dragonflystair::gateway {
 
@@ -22,6 +23,9 @@
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
 
+    /// Where callers send their calls, with the port in use.
+    [[nodiscard]] std::string caller_address() const;
+
     /// Runs until SIGTERM or SIGINT and a graceful shutdown; returns the exit code.
     int run();
 
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -358,6 +358,10 @@
 
 gateway::~gateway() = default;
 
+std::string gateway::caller_address() const {
+    return impl_->caller_address();
+}
+
 int gateway::run() {
     return impl_->run();
 }
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -42,6 +42,7 @@
     impl(const config::gateway_settings& settings, settings_source reload);
 
     int run();
+    [[nodiscard]] std::string caller_address() const { return caller_server_.address(); }
 
 private:
     // Beliefs from the store (gateway_beliefs.cpp).
--- /dev/null
+++ b/unittests/gateway/gateway_test.cpp
@@ -0,0 +1,274 @@
+#include "dragonflystair/gateway/gateway.h"
+
+#include "net/test_context.h"
+#include "platform_stand_in.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <future>
+#include <initializer_list>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <tuple>
+#include <unistd.h>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::gateway;
+using std::chrono::milliseconds;
+
+constexpr milliseconds ample{20'000};
+
+const std::string configuration = R"({"version":3,"routes":[
+    {"name":"stamps","host":"desk","path-prefix":"/stamps/","kind":"unsafe","timeout-ms":9000,
+     "slo-ms":300,"service":"register"},
+    {"name":"patterns","host":"desk","path-prefix":"/patterns/","kind":"stream","timeout-ms":9000,
+     "slo-ms":300,"gap-aim-ms":300,"service":"assistant"}],
+    "services":[{"name":"register"},{"name":"assistant","engine":{"slots":4,"weights-mb":100,
+     "adapter-slots":2,"models":[{"name":"base","weights-mb":50,"adapter-mb":1}]}}]})";
+
+std::string record(const std::string& service, const std::string& address, int slots) {
+    return R"({"service":")" + service + R"(","addr":")" + address +
+           R"(","zone":"north","slots":)" + std::to_string(slots) +
+           R"(,"state":"ready","seq":0,"born":1,"models":)" +
+           (service == "assistant" ? R"([{"name":"base","version":1,"adapters":["known@1"]}]})"
+                                   : "[]}");
+}
+
+/// Sends everything that the process writes to standard output to a file while it lives.
+class captured_output {
+public:
+    captured_output() : saved_(::dup(STDOUT_FILENO)) {
+        std::fflush(stdout);
+        const int file = ::mkstemp(path_.data());
+        ::dup2(file, STDOUT_FILENO);
+        ::close(file);
+    }
+    ~captured_output() {
+        std::fflush(stdout);
+        ::dup2(saved_, STDOUT_FILENO);
+        ::close(saved_);
+        ::unlink(path_.c_str());
+    }
+    captured_output(const captured_output&) = delete;
+    captured_output& operator=(const captured_output&) = delete;
+
+    /// The first line with all words; empty if there is none yet.
+    std::string find(std::initializer_list<std::string_view> words) const {
+        std::fflush(stdout);
+        std::ifstream file(path_);
+        for (std::string line; std::getline(file, line);) {
+            if (std::ranges::all_of(
+                    words, [&](auto word) { return line.find(word) != std::string::npos; })) {
+                return line;
+            }
+        }
+        return {};
+    }
+
+    /// As `find`, but waits for the line and fails the test if it never comes.
+    void expect(std::initializer_list<std::string_view> words) const {
+        for (int look = 0; look < 2'000; ++look) {
+            if (!find(words).empty()) {
+                return;
+            }
+            std::this_thread::sleep_for(milliseconds{10});
+        }
+        CPPUNIT_FAIL("no log line with " + std::string(*words.begin()));
+    }
+
+private:
+    std::string path_ = "/tmp/gateway_test_XXXXXX";
+    int saved_;
+};
+
+/// One gateway as a whole before stand-ins of the platform. The log lines are those that
+/// docs/OPERATIONS.md follows from a request's id to its cause.
+class gateway_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_test);
+    CPPUNIT_TEST(stamp_is_answered_by_the_register_once);
+    CPPUNIT_TEST(stream_is_passed_on_with_its_end);
+    CPPUNIT_TEST(call_refused_under_load_is_explained_by_its_line);
+    CPPUNIT_TEST(stream_broken_off_by_its_endpoint_is_explained_by_its_lines);
+    CPPUNIT_TEST(order_refused_by_fencing_explains_the_missing_adapter);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override {
+        output_ = std::make_unique<captured_output>();
+        context_ = std::make_unique<net::test_context>();
+        store_ = std::make_unique<store_stand_in>(context_->get());
+        client_ = std::make_unique<net::http_client>(context_->get());
+        store_->put("keyed.op", "config", configuration);
+    }
+
+    void tearDown() override {
+        if (running_.joinable()) {
+            ::kill(::getpid(), SIGTERM);
+            running_.join();
+        }
+        release_.set_value();
+        client_.reset();
+        endpoint_.reset();
+        store_.reset();
+        context_->stop();
+        context_.reset();
+        output_.reset();
+        release_ = {};
+    }
+
+    void stamp_is_answered_by_the_register_once() {
+        start("register", 6, [](net::http_exchange& exchange) -> net::awaitable<void> {
+            auto response = endpoint_stand_in::signed_head(exchange);
+            response.body = "stamped";
+            co_await exchange.respond(std::move(response));
+        });
+        const auto answer = call("/stamps/1", "id-1");
+        CPPUNIT_ASSERT_EQUAL(200, answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("stamped"), answer.body);
+        CPPUNIT_ASSERT_EQUAL(1, endpoint_->calls());
+        output_->expect({"event=call ", "request=id-1", "outcome=served"});
+    }
+
+    void stream_is_passed_on_with_its_end() {
+        start("assistant", 4, stream_of({"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, true));
+        const auto answer = call("/patterns/1", "id-2", "base/known");
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), answer.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("signature"),
+                             std::string(net::header(answer.headers, "Server-Stamp")));
+    }
+
+    /// The register has one place, which a call that never ends holds.
+    void call_refused_under_load_is_explained_by_its_line() {
+        auto released = release_.get_future().share();
+        start("register", 1, [released](net::http_exchange& exchange) -> net::awaitable<void> {
+            boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor);
+            while (released.wait_for(milliseconds{0}) != std::future_status::ready &&
+                   !exchange.disconnected()) {
+                pause.expires_after(milliseconds{1});
+                co_await pause.async_wait(boost::asio::use_awaitable);
+            }
+        });
+        std::thread holder([this] { std::ignore = send("/stamps/1", "id-3"); });
+        while (endpoint_->calls() == 0) {
+            std::this_thread::sleep_for(milliseconds{1});
+        }
+        const auto answer = call("/stamps/2", "id-4");
+        CPPUNIT_ASSERT_EQUAL(503, answer.status);
+        CPPUNIT_ASSERT(!net::header(answer.headers, "Retry-After").empty());
+        CPPUNIT_ASSERT_EQUAL(1, endpoint_->calls());
+        output_->expect({"event=call_refused", "request=id-4", "reason=no_capacity", "sends=0",
+                         "configuration=3"});
+        ::kill(::getpid(), SIGTERM);
+        running_.join();
+        holder.join();
+    }
+
+    void stream_broken_off_by_its_endpoint_is_explained_by_its_lines() {
+        start("assistant", 4, stream_of({"id: 1\ndata: a\n\n"}, false));
+        const auto answer = send("/patterns/1", "id-5", "base/known");
+        CPPUNIT_ASSERT(!answer);
+        output_->expect({"event=endpoint_failed", "request=id-5", "endpoint=endpoint-1"});
+        output_->expect({"event=call ", "request=id-5", "outcome=broken_off", "sends=1"});
+    }
+
+    void order_refused_by_fencing_explains_the_missing_adapter() {
+        start("assistant", 4, stream_of({}, true));
+        endpoint_->set_order_status(412);
+        // A new holder gives no order for a moment; until then calls are refused at once.
+        int calls = 0;
+        do {
+            const auto answer =
+                call("/patterns/1", "id-6." + std::to_string(++calls), "base/absent");
+            CPPUNIT_ASSERT_EQUAL(503, answer.status);
+            CPPUNIT_ASSERT(calls < 2'000);
+            std::this_thread::sleep_for(milliseconds{10});
+        } while (output_->find({"event=order "}).empty());
+        output_->expect(
+            {"event=call_refused", "request=id-6.", "reason=no_adapter", "adapter=absent"});
+        output_->expect({"event=order ", "adapter=base/absent", "fence=7", "result=fenced"});
+        output_->expect({"event=lease_lost", "data_centre=north", "fence=7"});
+    }
+
+private:
+    static endpoint_stand_in::call_handler stream_of(std::vector<std::string> events, bool whole) {
+        return [events = std::move(events),
+                whole](net::http_exchange& exchange) -> net::awaitable<void> {
+            co_await exchange.begin_stream(endpoint_stand_in::signed_head(exchange));
+            for (const auto& event : events) {
+                co_await exchange.write(event);
+            }
+            if (whole) {
+                co_await exchange.end_stream();
+            }
+        };
+    }
+
+    /// Starts the endpoint and the gateway, and waits until it is ready and its lease is won.
+    void start(const std::string& service, int slots, endpoint_stand_in::call_handler on_call) {
+        endpoint_ = std::make_unique<endpoint_stand_in>(context_->get(), std::move(on_call));
+        store_->put("keyed.servers", "endpoint-1", record(service, endpoint_->address(), slots));
+        config::gateway_settings settings;
+        settings.name = "node-1";
+        settings.data_centre = "north";
+        settings.region = "n";
+        settings.data_centres = {{"north", "n"}};
+        settings.store_address = store_->address();
+        settings.peer_secret = "secret";
+        settings.engines_check_fencing = true;
+        settings.shutdown_timeout = milliseconds{1'600};
+        for (auto* address :
+             {&settings.caller_address, &settings.ready_address, &settings.resolve_address,
+              &settings.peer_address, &settings.metrics_address}) {
+            *address = "127.0.0.1:0";
+        }
+        auto node = std::make_shared<gateway::gateway>(settings, [] { return std::nullopt; });
+        address_ = node->caller_address();
+        running_ = std::thread([node] { node->run(); });
+        output_->expect({"event=endpoint ", "endpoint=endpoint-1"});
+        output_->expect({"event=lease_won"});
+    }
+
+    net::async_result<net::http_response> send(const std::string& path, const std::string& id,
+                                               const std::string& model = {}) {
+        net::http_request request;
+        request.method = "POST";
+        request.target = path;
+        request.headers = {{"Host", "desk"}, {"Request-Id", id}, {"Deadline-Ms", "9000"}};
+        if (!model.empty()) {
+            request.headers["Model"] = model;
+        }
+        return context_->run(client_->request(address_, request, ample, false));
+    }
+
+    net::http_response call(const std::string& path, const std::string& id,
+                            const std::string& model = {}) {
+        const auto answer = send(path, id, model);
+        CPPUNIT_ASSERT(answer);
+        return answer.value();
+    }
+
+    std::unique_ptr<captured_output> output_;
+    std::unique_ptr<net::test_context> context_;
+    std::unique_ptr<store_stand_in> store_;
+    std::unique_ptr<endpoint_stand_in> endpoint_;
+    std::unique_ptr<net::http_client> client_;
+    std::string address_;
+    std::thread running_;
+    std::promise<void> release_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_test);
+
+} // namespace
--- a/unittests/scenarios/child_process.cpp
+++ b/unittests/scenarios/child_process.cpp
@@ -20,6 +20,7 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, 2, log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                      0644);
+    posix_spawn_file_actions_adddup2(&actions, 2, 1);
     const int fault = posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (fault != 0) {
