--- /dev/null
+++ b/unittests/config/gateway_settings_test.cpp
@@ -0,0 +1,74 @@
+#include "dragonflystair/config/gateway_settings.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace {
+
+using namespace dragonflystair::config;
+
+const std::string whole = R"([gateway]
+name = front-1
+data_centre = north
+region = n
+caller_address = 10.0.0.1:7000
+ready_address = 10.0.0.1:7001
+resolve_address = 10.0.0.1:7002
+peer_address = 10.0.0.1:7003
+metrics_address = 10.0.0.1:7004
+[peers]
+addresses = 10.0.0.1:7003,10.0.0.2:7003
+[store]
+store = 10.9.0.1:8142
+[data_centres]
+north = n
+south = s
+[secrets]
+peer_secret = secret
+[limits]
+retry_ratio = 0.3
+lease = 3000ms
+engines_check_fencing = true
+)";
+
+/// Settings of a gateway and what is wrong with them.
+class gateway_settings_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_settings_test);
+    CPPUNIT_TEST(whole_settings_have_no_findings);
+    CPPUNIT_TEST(all_findings_come_at_once_with_their_lines);
+    CPPUNIT_TEST(settings_of_a_gateway_are_told_from_those_of_a_node);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void whole_settings_have_no_findings() {
+        const auto result = parse_gateway_settings(whole, "gateway.ini");
+        CPPUNIT_ASSERT(result.findings.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, result.values.peers.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("s"), result.values.data_centres.at("south"));
+        CPPUNIT_ASSERT(result.values.engines_check_fencing);
+        CPPUNIT_ASSERT_EQUAL(0.3, result.values.retry_ratio);
+    }
+
+    void all_findings_come_at_once_with_their_lines() {
+        auto text = whole;
+        text.replace(text.find("10.9.0.1:8142"), 13, "nowhere");
+        text.replace(text.find("3000ms"), 6, "3000");
+        text += "[unknown]\n";
+        const auto result = parse_gateway_settings(text, "gateway.ini");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, result.findings.size());
+        CPPUNIT_ASSERT_EQUAL(13, result.findings.at(0).line);
+        CPPUNIT_ASSERT_EQUAL(21, result.findings.at(1).line);
+        CPPUNIT_ASSERT_EQUAL(23, result.findings.at(2).line);
+    }
+
+    void settings_of_a_gateway_are_told_from_those_of_a_node() {
+        CPPUNIT_ASSERT(has_gateway_settings(whole));
+        CPPUNIT_ASSERT(!has_gateway_settings("[node]\nname = a\n"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_settings_test);
+
+} // namespace
