--- a/include/dragonflystair/gateway/gateway.h
+++ b/include/dragonflystair/gateway/gateway.h
@@ -25,6 +25,8 @@
 
     /// Where callers send their calls, with the port in use.
     [[nodiscard]] std::string caller_address() const;
+    /// Where other nodes connect, with the port in use.
+    [[nodiscard]] std::string peer_address() const;
 
     /// Runs until SIGTERM or SIGINT and a graceful shutdown; returns the exit code.
     int run();
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -120,7 +120,6 @@
 store_follower::hooks gateway::impl::follower_hooks(
     std::function<void(std::span<const fleet::keyed_record>)> on_records) {
     return {std::move(on_records),
-            [this](bool reachable) { watch_.on_store(reachable, boot_clock::now()); },
             [this] { return view_.stopping; }, [this] { return has_reader(); },
             [this](const std::string& topic, const fleet::keyed_page& page) {
                 pass_on_records(topic, page);
@@ -176,6 +175,7 @@
             holder->tick();
             holder->pump();
         }
+        watch_.on_store(endpoint_records_.reads() || has_reader(), boot_clock::now());
         remove_gone_endpoints();
         view_.dispatcher.set_loads_possible(loads_possible());
         send_demand(ticks_ % ticks_per_load == 0);
@@ -362,6 +362,10 @@
     return impl_->caller_address();
 }
 
+std::string gateway::peer_address() const {
+    return impl_->peer_address();
+}
+
 int gateway::run() {
     return impl_->run();
 }
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -43,6 +43,7 @@
 
     int run();
     [[nodiscard]] std::string caller_address() const { return caller_server_.address(); }
+    [[nodiscard]] std::string peer_address() const { return network_.address(); }
 
 private:
     // Beliefs from the store (gateway_beliefs.cpp).
--- a/lib/gateway/store_follower.cpp
+++ b/lib/gateway/store_follower.cpp
@@ -92,7 +92,6 @@
     support::log_change(
         reachable ? "store_regained" : "store_lost",
         {{"topic", topic_}, {"next", std::to_string(mirror_.next())}, {"why", std::string(why)}});
-    on_.on_store(reachable);
 }
 
 void store_follower::publish(const std::vector<fleet::keyed_record>& records) {
--- a/lib/gateway/store_follower.h
+++ b/lib/gateway/store_follower.h
@@ -19,7 +19,6 @@
 public:
     struct hooks {
         std::function<void(std::span<const fleet::keyed_record>)> on_records;
-        std::function<void(bool reachable)> on_store;
         std::function<bool()> stopping;
         /// Whether a peer reads the store and passes on what it reads, so that this node need not.
         std::function<bool()> passive;
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -64,23 +64,23 @@
     captured_output(const captured_output&) = delete;
     captured_output& operator=(const captured_output&) = delete;
 
-    /// The first line with all words; empty if there is none yet.
-    std::string find(std::initializer_list<std::string_view> words) const {
+    /// Number of lines with all words so far.
+    int count(std::initializer_list<std::string_view> words) const {
         std::fflush(stdout);
         std::ifstream file(path_);
+        int lines = 0;
         for (std::string line; std::getline(file, line);) {
-            if (std::ranges::all_of(
-                    words, [&](auto word) { return line.find(word) != std::string::npos; })) {
-                return line;
-            }
+            const bool all = std::ranges::all_of(
+                words, [&](auto word) { return line.find(word) != std::string::npos; });
+            lines += all ? 1 : 0;
         }
-        return {};
+        return lines;
     }
 
-    /// As `find`, but waits for the line and fails the test if it never comes.
-    void expect(std::initializer_list<std::string_view> words) const {
+    /// Waits for so many lines and fails the test if they never come.
+    void expect(std::initializer_list<std::string_view> words, int lines = 1) const {
         for (int look = 0; look < 2'000; ++look) {
-            if (!find(words).empty()) {
+            if (count(words) >= lines) {
                 return;
             }
             std::this_thread::sleep_for(milliseconds{10});
@@ -102,6 +102,7 @@
     CPPUNIT_TEST(call_refused_under_load_is_explained_by_its_line);
     CPPUNIT_TEST(stream_broken_off_by_its_endpoint_is_explained_by_its_lines);
     CPPUNIT_TEST(order_refused_by_fencing_explains_the_missing_adapter);
+    CPPUNIT_TEST(node_without_the_store_learns_from_its_peer_that_an_endpoint_is_gone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -194,13 +195,30 @@
             CPPUNIT_ASSERT_EQUAL(503, answer.status);
             CPPUNIT_ASSERT(calls < 2'000);
             std::this_thread::sleep_for(milliseconds{10});
-        } while (output_->find({"event=order "}).empty());
+        } while (output_->count({"event=order "}) == 0);
         output_->expect(
             {"event=call_refused", "request=id-6.", "reason=no_adapter", "adapter=absent"});
         output_->expect({"event=order ", "adapter=base/absent", "fence=7", "result=fenced"});
         output_->expect({"event=lease_lost", "data_centre=north", "fence=7"});
     }
 
+    /// Guards against calls to an endpoint that is gone: a node whose store did not answer took
+    /// what its peer read for uncertain until its own store was back.
+    void node_without_the_store_learns_from_its_peer_that_an_endpoint_is_gone() {
+        start("register", 6, stream_of({}, true));
+        auto settings = settings_of("node-2");
+        settings.store_address = "127.0.0.1:1";
+        settings.peers = {peer_address_};
+        gateway::gateway second(settings, [] { return std::nullopt; });
+        std::thread running([&] { second.run(); });
+        output_->expect({"event=endpoint ", "endpoint=endpoint-1", "state=ready"}, 2);
+        store_->put("keyed.servers", "endpoint-1", "");
+        output_->expect({"event=endpoint ", "endpoint=endpoint-1", "state=gone"}, 2);
+        ::kill(::getpid(), SIGTERM);
+        running.join();
+        running_.join();
+    }
+
 private:
     static endpoint_stand_in::call_handler stream_of(std::vector<std::string> events, bool whole) {
         return [events = std::move(events),
@@ -215,12 +233,9 @@
         };
     }
 
-    /// Starts the endpoint and the gateway, and waits until it is ready and its lease is won.
-    void start(const std::string& service, int slots, endpoint_stand_in::call_handler on_call) {
-        endpoint_ = std::make_unique<endpoint_stand_in>(context_->get(), std::move(on_call));
-        store_->put("keyed.servers", "endpoint-1", record(service, endpoint_->address(), slots));
+    config::gateway_settings settings_of(const std::string& name) const {
         config::gateway_settings settings;
-        settings.name = "node-1";
+        settings.name = name;
         settings.data_centre = "north";
         settings.region = "n";
         settings.data_centres = {{"north", "n"}};
@@ -233,8 +248,17 @@
               &settings.peer_address, &settings.metrics_address}) {
             *address = "127.0.0.1:0";
         }
+        return settings;
+    }
+
+    /// Starts the endpoint and the gateway, and waits until it is ready and its lease is won.
+    void start(const std::string& service, int slots, endpoint_stand_in::call_handler on_call) {
+        endpoint_ = std::make_unique<endpoint_stand_in>(context_->get(), std::move(on_call));
+        store_->put("keyed.servers", "endpoint-1", record(service, endpoint_->address(), slots));
+        const auto settings = settings_of("node-1");
         auto node = std::make_shared<gateway::gateway>(settings, [] { return std::nullopt; });
         address_ = node->caller_address();
+        peer_address_ = node->peer_address();
         running_ = std::thread([node] { node->run(); });
         output_->expect({"event=endpoint ", "endpoint=endpoint-1"});
         output_->expect({"event=lease_won"});
@@ -265,6 +289,7 @@
     std::unique_ptr<endpoint_stand_in> endpoint_;
     std::unique_ptr<net::http_client> client_;
     std::string address_;
+    std::string peer_address_;
     std::thread running_;
     std::promise<void> release_;
 };
