--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -209,7 +209,7 @@
         auto settings = settings_of("node-2");
         settings.store_address = "127.0.0.1:1";
         settings.peers = {peer_address_};
-        gateway::gateway second(settings, [] { return std::nullopt; });
+        dragonflystair::gateway::gateway second(settings, [] { return std::nullopt; });
         std::thread running([&] { second.run(); });
         output_->expect({"event=endpoint ", "endpoint=endpoint-1", "state=ready"}, 2);
         store_->put("keyed.servers", "endpoint-1", "");
@@ -256,7 +256,8 @@
         endpoint_ = std::make_unique<endpoint_stand_in>(context_->get(), std::move(on_call));
         store_->put("keyed.servers", "endpoint-1", record(service, endpoint_->address(), slots));
         const auto settings = settings_of("node-1");
-        auto node = std::make_shared<gateway::gateway>(settings, [] { return std::nullopt; });
+        auto node = std::make_shared<dragonflystair::gateway::gateway>(settings,
+                                                                       [] { return std::nullopt; });
         address_ = node->caller_address();
         peer_address_ = node->peer_address();
         running_ = std::thread([node] { node->run(); });
--- a/unittests/net/exchange_client_test.cpp
+++ b/unittests/net/exchange_client_test.cpp
@@ -3,7 +3,6 @@
 #include "scripted_peer.h"
 
 #include <boost/asio/io_context.hpp>
-
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
