--- /dev/null
+++ b/lib/fleet/adapter_planner_orders.cpp
@@ -0,0 +1,254 @@
+#include "dragonflystair/support/hash.h"
+
+#include "adapter_planner_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflystair::fleet {
+
+namespace {
+
+/// Adapters on their way to one engine at once, as many as engines take. The store slows down in
+/// proportion beyond about two for each engine, which leaves the rate of loads as it is.
+constexpr std::size_t max_in_transit = 4;
+
+/// A replacement or an unload waits for the calls that use the adapter.
+constexpr milliseconds patient_check_period{60};
+
+/// An adapter that was reported in use less long ago may still have a call running; nodes report
+/// five times a second.
+constexpr milliseconds least_idle{500};
+
+/// Calls sent to another data centre that pay for a copy here, within `diverted_window`.
+constexpr double diverted_worth_copy = 4;
+/// The same for calls sent to a busy engine of this data centre.
+constexpr double crowded_worth_copy = 6;
+
+/// An adapter used within this time gets its new version at once; others are dropped.
+constexpr milliseconds busy_window{5'000};
+
+} // namespace
+
+const engine_class* adapter_planner::impl::class_of(const engine& item) const {
+    const auto* service = current.find_service(item.record.service);
+    return service == nullptr || !service->has_engines ? nullptr : &service->engines;
+}
+
+void adapter_planner::impl::change(const engine& item, const model_name& what, residency state,
+                                   std::uint64_t version) {
+    changes.push_back({item.record.id, what, state, version});
+}
+
+/// Takes over what an engine says that it holds.
+void adapter_planner::impl::hold(engine& item, const held_model& model, time_point now) {
+    item.models[model.name] = make_slot(slot_state::ready, model.version, now);
+    change(item, {model.name, {}}, residency::ready, model.version);
+    for (const auto& adapter : model.adapters) {
+        const model_name what{model.name, adapter.name};
+        const auto known = item.adapters.find(what);
+        const auto used = known == item.adapters.end() ? time_point{} : known->second.last_used;
+        item.adapters[what] = make_slot(slot_state::ready, adapter.version, used);
+        change(item, what, residency::ready, adapter.version);
+    }
+}
+
+planned_order adapter_planner::impl::order_for(const engine& item, planned_kind kind,
+                                               const model_name& what, bool check) const {
+    planned_order order;
+    order.endpoint = item.record.id;
+    order.address = item.record.address;
+    order.kind = kind;
+    order.what = what;
+    order.orders_accepted = item.orders_accepted;
+    order.check = check;
+    if (const auto version = required_version(what);
+        kind == planned_kind::load && version > 0 && !what.adapter.empty()) {
+        order.version = version;
+    }
+    return order;
+}
+
+/// Loads a base model on an engine that holds none, such as after a restart.
+std::optional<planned_order> adapter_planner::impl::model_order(engine& item, time_point now) {
+    for (auto& [name, held] : item.models) {
+        if (held.state == slot_state::loading) {
+            if (held.check_at > now) {
+                return std::nullopt;
+            }
+            held.check_at = now + model_check_period;
+            return order_for(item, planned_kind::load, {name, {}}, true);
+        }
+    }
+    const auto* engines_class = class_of(item);
+    if (!item.models.empty() || engines_class == nullptr || engines_class->models.empty()) {
+        return std::nullopt;
+    }
+    // One model at a time in a data centre, since the store slows down with parallel loads.
+    const bool other_loading = std::ranges::any_of(engines, [](const auto& other) {
+        return std::ranges::any_of(other.second.models, [](const auto& held) {
+            return held.second.state == slot_state::loading;
+        });
+    });
+    if (other_loading) {
+        return std::nullopt;
+    }
+    const auto& model = engines_class->models.front();
+    if (model.weights_mb > engines_class->weights_mb) {
+        return std::nullopt;
+    }
+    return order_for(item, planned_kind::load, {model.name, {}}, false);
+}
+
+/// Repeats an accepted order whose time has come, to learn whether it was carried out.
+std::optional<planned_order> adapter_planner::impl::due_check(engine& item, time_point now) {
+    for (auto& [what, held] : item.adapters) {
+        const bool settled = held.state == slot_state::ready || held.state == slot_state::ordered;
+        if (settled || held.check_at > now) {
+            continue;
+        }
+        const bool waits = held.replaces || held.state == slot_state::unloading;
+        held.check_at = now + (waits ? patient_check_period : check_period);
+        return order_for(
+            item, held.state == slot_state::loading ? planned_kind::load : planned_kind::unload,
+            what, true);
+    }
+    return std::nullopt;
+}
+
+/// Replaces an adapter of an old version if it is in use, and drops it otherwise.
+std::optional<planned_order> adapter_planner::impl::version_order(engine& item, time_point now) {
+    for (const auto& [what, held] : item.adapters) {
+        if (held.state != slot_state::ready || held.version >= required_version(what)) {
+            continue;
+        }
+        const bool busy = now - held.last_used < busy_window || demands.contains(what);
+        return order_for(item, busy ? planned_kind::load : planned_kind::unload, what, false);
+    }
+    return std::nullopt;
+}
+
+bool adapter_planner::impl::fits(const engine& item, const model_name& what) const {
+    const auto* engines_class = class_of(item);
+    const auto* model = engines_class == nullptr ? nullptr : engines_class->find(what.model);
+    if (model == nullptr || item.adapters.size() >= engines_class->adapter_slots) {
+        return false;
+    }
+    double used_mb = model->adapter_mb;
+    for (const auto& [name, held] : item.models) {
+        const auto* other = engines_class->find(name);
+        used_mb += other == nullptr ? 0 : other->weights_mb;
+    }
+    for (const auto& [name, held] : item.adapters) {
+        const auto* other = engines_class->find(name.model);
+        used_mb += other == nullptr ? 0 : other->adapter_mb;
+    }
+    return used_mb <= engines_class->weights_mb;
+}
+
+/// The least popular adapter that nothing has used for a while and that is less popular than the
+/// one to load.
+std::optional<model_name> adapter_planner::impl::victim(const engine& item, double worth,
+                                                        time_point now) const {
+    std::optional<model_name> best;
+    double least = 0;
+    for (const auto& [what, held] : item.adapters) {
+        if (held.state != slot_state::ready || now - held.last_used < least_idle) {
+            continue;
+        }
+        const double rate = popular.rate(key_of(what), now);
+        if (rate <= worth && (!best || rate < least)) {
+            best = what;
+            least = rate;
+        }
+    }
+    return best;
+}
+
+bool adapter_planner::impl::is_due(const model_name& what, const wanted& demand) const {
+    if (demand.crowded >= crowded_worth_copy) {
+        return true;
+    }
+    return (demand.waiting > 0 || demand.diverted >= diverted_worth_copy) && !placed(what);
+}
+
+/// Whether some engine holds the adapter in the version needed or is loading it.
+bool adapter_planner::impl::placed(const model_name& what) const {
+    return std::ranges::any_of(engines, [&](const auto& item) {
+        const auto held = item.second.adapters.find(what);
+        return held != item.second.adapters.end() && held->second.state != slot_state::unloading &&
+               !item.second.record.draining;
+    });
+}
+
+/// Whether the engine can be given an order to load an adapter now.
+bool adapter_planner::impl::takes_load(const engine& item, time_point now) const {
+    if (item.order_under_way || item.record.draining || item.paused_until > now ||
+        item.models.empty() || class_of(item) == nullptr) {
+        return false;
+    }
+    const auto in_transit = std::ranges::count_if(item.adapters, [](const auto& held) {
+        return held.second.state == slot_state::loading || held.second.state == slot_state::ordered;
+    });
+    return static_cast<std::size_t>(in_transit) < max_in_transit;
+}
+
+/// Loads a wanted adapter on the engine that it belongs to, or makes room there.
+std::optional<planned_order>
+adapter_planner::impl::demand_order(time_point now, const model_name& what, const wanted& demand,
+                                    std::span<const std::string> names) {
+    if (!is_due(what, demand)) {
+        return std::nullopt;
+    }
+    // Waiting calls drive out anything idle; a copy for convenience only what is less popular.
+    constexpr double any_rate = 1e9;
+    const double worth = demand.waiting > 0 ? any_rate : popular.rate(key_of(what), now);
+    auto order = support::rendezvous_order(key_of(what), names);
+    std::ranges::stable_partition(
+        order, [&](const auto& id) { return engines.at(id).recent.contains(what); });
+    for (const auto& id : order) {
+        auto& item = engines.at(id);
+        const auto model = item.models.find(what.model);
+        if (!takes_load(item, now) || item.adapters.contains(what) || model == item.models.end() ||
+            model->second.state != slot_state::ready) {
+            continue;
+        }
+        if (fits(item, what)) {
+            return order_for(item, planned_kind::load, what, false);
+        }
+        if (const auto out = victim(item, worth, now)) {
+            return order_for(item, planned_kind::unload, *out, false);
+        }
+    }
+    return std::nullopt;
+}
+
+void adapter_planner::impl::begin(engine& item, const planned_order& order) {
+    item.order_under_way = true;
+    if (order.check || order.what.adapter.empty()) {
+        return;
+    }
+    // Nodes stop sending before the engine starts to unload or to replace.
+    const auto held = item.adapters.find(order.what);
+    if (held != item.adapters.end()) {
+        change(item, order.what, residency::absent, held->second.version);
+    } else if (order.kind == planned_kind::load) {
+        // Takes the place now, so that no other engine is chosen meanwhile.
+        item.adapters[order.what] = make_slot(slot_state::ordered, 0, {});
+    }
+}
+
+/// Takes back what was done for an order that was not carried out.
+void adapter_planner::impl::withdraw(engine& item, const planned_order& order) {
+    const auto held = item.adapters.find(order.what);
+    if (held == item.adapters.end()) {
+        return;
+    }
+    if (held->second.state == slot_state::ordered) {
+        item.adapters.erase(held);
+    } else if (held->second.state == slot_state::ready) {
+        change(item, order.what, residency::ready, held->second.version);
+    }
+}
+
+} // namespace dragonflystair::fleet
--- /dev/null
+++ b/lib/fleet/adapter_planner_outcomes.cpp
@@ -0,0 +1,172 @@
+#include "adapter_planner_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflystair::fleet {
+
+namespace {
+
+/// A look at this part of the usual time finds a load that was quicker.
+constexpr double first_check_part = 0.96;
+/// Weight of a new sample in the running mean of load times.
+constexpr double sample_weight = 0.2;
+/// The same for an adapter that the engine had recently, a tenth.
+constexpr milliseconds recent_load_time{25};
+
+/// Pause after an order or report that failed.
+constexpr milliseconds failure_pause{200};
+
+/// An unload that waits for its calls lets the engine refuse other orders for a moment; only a
+/// conflict that lasts longer than this many tries means that the counts differ.
+constexpr std::size_t max_conflicts = 8;
+constexpr milliseconds conflict_pause{40};
+/// Reports are some hundred milliseconds old, so orders pause this long before one is asked for.
+constexpr milliseconds report_age{350};
+
+} // namespace
+
+/// The engine carries the order out; `due_check` finds when it is done.
+void adapter_planner::impl::on_accepted(engine& item, const planned_order& order, time_point now) {
+    if (order.check) {
+        return;
+    }
+    ++item.orders_accepted;
+    if (order.what.adapter.empty()) {
+        item.models[order.what.model] =
+            make_slot(slot_state::loading, 0, now, now + model_check_period);
+        return;
+    }
+    const bool loads = order.kind == planned_kind::load;
+    auto& held = item.adapters[order.what];
+    held.replaces = loads && held.state == slot_state::ready;
+    held.state = loads ? slot_state::loading : slot_state::unloading;
+    held.ordered_at = now;
+    held.last_used = now;
+    held.check_at = now + check_period;
+    if (!loads) {
+        return;
+    }
+    held.version = order.version.value_or(held.version);
+    held.check_at =
+        now + (item.recent.contains(order.what)
+                   ? support::duration(recent_load_time)
+                   : std::chrono::duration_cast<support::duration>(load_time * first_check_part));
+    change(item, order.what, residency::loading, held.version);
+}
+
+/// What was ordered is so.
+void adapter_planner::impl::on_holds(engine& item, const planned_order& order, time_point now) {
+    if (order.what.adapter.empty()) {
+        item.models[order.what.model] = make_slot(slot_state::ready, 0, now);
+        change(item, order.what, residency::ready, 0);
+        return;
+    }
+    if (order.kind == planned_kind::unload) {
+        // An adapter that no call uses is unloaded at once, which counts as an order.
+        item.orders_accepted += order.check ? 0 : 1;
+        item.adapters.erase(order.what);
+        item.recent[order.what] = now;
+        return;
+    }
+    auto& held = item.adapters[order.what];
+    if (order.check && !held.replaces && !item.recent.contains(order.what)) {
+        const support::duration took = now - held.ordered_at;
+        load_time +=
+            std::chrono::duration_cast<support::duration>(sample_weight * (took - load_time));
+    }
+    held.replaces = false;
+    held.state = slot_state::ready;
+    held.version = order.version.value_or(held.version);
+    held.last_used = now;
+    change(item, order.what, residency::ready, held.version);
+}
+
+void adapter_planner::impl::on_conflict(engine& item, const planned_order& order, time_point now) {
+    withdraw(item, order);
+    item.paused_until = now + conflict_pause;
+    if (++item.conflicts >= max_conflicts) {
+        item.conflicts = 0;
+        item.needs_report = true;
+        item.paused_until = now + report_age;
+    }
+}
+
+void adapter_planner::on_outcome(const planned_order& order, order_outcome outcome,
+                                 time_point now) {
+    const auto found = impl_->engines.find(order.endpoint);
+    if (found == impl_->engines.end()) {
+        return;
+    }
+    auto& item = found->second;
+    item.order_under_way = false;
+    if (outcome != order_outcome::conflict) {
+        item.conflicts = 0;
+    }
+    switch (outcome) {
+    case order_outcome::accepted:
+        impl_->on_accepted(item, order, now);
+        return;
+    case order_outcome::holds:
+        impl_->on_holds(item, order, now);
+        return;
+    case order_outcome::conflict:
+        impl_->on_conflict(item, order, now);
+        return;
+    case order_outcome::failed:
+        impl_->withdraw(item, order);
+        item.paused_until = now + failure_pause;
+        return;
+    case order_outcome::unknown:
+        item.paused_until = now + report_age;
+        item.needs_report = true;
+        return;
+    }
+}
+
+void adapter_planner::on_report(std::string_view endpoint, const engine_report& report,
+                                time_point now) {
+    const auto found = impl_->engines.find(endpoint);
+    if (found == impl_->engines.end()) {
+        return;
+    }
+    auto& item = found->second;
+    item.order_under_way = false;
+    item.needs_report = false;
+    item.orders_accepted = report.orders_accepted;
+    const auto former = std::exchange(item.adapters, {});
+    const auto models = std::exchange(item.models, {});
+    for (const auto& model : report.models) {
+        impl_->hold(item, model, now);
+    }
+    for (const auto& text : report.pending) {
+        const auto slash = text.find('/');
+        const auto at = text.find('@');
+        if (slash == std::string::npos) {
+            continue;
+        }
+        const model_name what{text.substr(0, slash), text.substr(slash + 1, at - slash - 1)};
+        item.adapters[what] = make_slot(slot_state::loading, 0, now, now);
+    }
+    for (const auto& [what, held] : former) {
+        if (const auto now_held = item.adapters.find(what); now_held != item.adapters.end()) {
+            now_held->second.last_used = std::max(now_held->second.last_used, held.last_used);
+        } else {
+            impl_->change(item, what, residency::absent, held.version);
+        }
+    }
+    for (const auto& [name, held] : models) {
+        if (!item.models.contains(name)) {
+            impl_->change(item, {name, {}}, residency::absent, 0);
+        }
+    }
+}
+
+void adapter_planner::on_report_failed(std::string_view endpoint, time_point now) {
+    if (const auto found = impl_->engines.find(endpoint); found != impl_->engines.end()) {
+        found->second.order_under_way = false;
+        found->second.paused_until = now + failure_pause;
+    }
+}
+
+} // namespace dragonflystair::fleet
--- /dev/null
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -0,0 +1,306 @@
+#include "dispatcher_impl.h"
+
+#include <algorithm>
+
+namespace dragonflystair::fleet {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Round trips between processes; the deployments state 0.5 to 1.4 ms between data centres and
+/// 20 ms between regions, one way.
+constexpr double same_data_centre_ms = 0.2;
+constexpr double same_region_ms = 3;
+constexpr double other_region_ms = 40;
+/// Added to another region's cost, since bytes between regions are paid by volume.
+constexpr double other_region_penalty_ms = 40;
+
+/// Prompt tokens that an engine reads in a millisecond; the deployments state 38 to 44.
+constexpr double prefill_tokens_per_ms = 38;
+/// Time to the first event beside the reading of prompts, with few calls in the batch.
+constexpr double first_event_ms = 25;
+
+/// A prompt of this many tokens takes longer to read than the pause between two events may be.
+constexpr std::size_t long_prompt_tokens = 3'000;
+/// Added to the cost of an engine that is reading one, since events come late there.
+constexpr double long_prompt_penalty_ms = 80;
+/// Added to the cost of a long prompt for each running call, whose events it delays.
+constexpr double disturbance_ms = 4;
+/// An endpoint that costs this much more than the best is crowded.
+constexpr double crowded_ms = 40;
+
+/// An endpoint that is slower than its peers still gets this share, which shows when it recovers.
+constexpr double least_weight = 0.05;
+
+/// Prompt reading ahead of a call that keeps it in the node's queue, where urgent calls can still
+/// pass, as a share of its objective.
+constexpr double held_back_share = 0.6;
+
+/// Bounds of Retry-After. Below the first a caller would come back into the same queue.
+constexpr milliseconds least_retry_after{150};
+constexpr milliseconds longest_retry_after{2'000};
+
+/// Retry-After while no node gives orders to engines, about as long as a new one takes to follow.
+constexpr milliseconds no_loads_retry_after{1'000};
+
+/// Window over which the rate of placements is measured.
+constexpr milliseconds rate_window{1'000};
+
+} // namespace
+
+bool dispatcher::impl::holds(const endpoint& item, const model_name& what) const {
+    if (what.model.empty()) {
+        return true;
+    }
+    if (!item.models.contains(what.model)) {
+        return false;
+    }
+    if (what.adapter.empty()) {
+        return true;
+    }
+    const auto found = item.adapters.find(what);
+    return found != item.adapters.end() && found->second.state == residency::ready &&
+           found->second.version >= required_version(what);
+}
+
+double dispatcher::impl::distance_ms(const endpoint& item) const {
+    switch (places.distance_to(item.record.data_centre)) {
+    case topology::distance::same_data_centre:
+        return same_data_centre_ms;
+    case topology::distance::same_region:
+        return same_region_ms;
+    case topology::distance::other_region:
+        return other_region_ms;
+    }
+    return other_region_ms;
+}
+
+/// Cost of sending a call to an endpoint; nothing if it cannot or should not go there now.
+std::optional<choice> dispatcher::impl::evaluate(endpoint& item, const open_call& open,
+                                                 const service_state& state, time_point now) {
+    const auto& call = open.call;
+    if (item.leaving || item.suspended_until > now || item.record.service != call.service ||
+        std::ranges::find(call.excluded, item.record.id) != call.excluded.end() ||
+        !item.serves_model(call.model)) {
+        return std::nullopt;
+    }
+    const auto load = item.total();
+    const auto slots =
+        state.has_engines && state.batch_slots > 0 ? state.batch_slots : item.record.slots;
+    if (load.calls >= slots) {
+        return std::nullopt;
+    }
+    const double weight = std::max(health.weight(item.record.id, now), least_weight);
+    const double distance = distance_ms(item);
+    choice out;
+    out.place = &item;
+    if (state.has_engines) {
+        const auto kept = item.prompts.kept_tokens(call.model, call.prompt);
+        out.unread_tokens = call.prompt_tokens - std::min(kept, call.prompt_tokens);
+        const double ahead_ms =
+            static_cast<double>(load.unread_tokens) / prefill_tokens_per_ms / weight;
+        const double objective_ms = to_ms(call.objective_at - call.arrived);
+        if (load.unread_tokens > 0 && ahead_ms > held_back_share * objective_ms) {
+            return std::nullopt;
+        }
+        out.expected_ms = first_event_ms + (static_cast<double>(load.unread_tokens) +
+                                            static_cast<double>(out.unread_tokens)) /
+                                               prefill_tokens_per_ms;
+    } else {
+        out.expected_ms = state.work_ms;
+    }
+    const double fill = static_cast<double>(load.calls) / static_cast<double>(slots);
+    const double work_ms =
+        state.has_engines ? out.expected_ms * (1 + 0.5 * fill) : out.expected_ms * (1 + fill);
+    out.cost_ms = distance + work_ms / weight;
+    out.expected_ms += distance;
+    if (load.unread_tokens >= long_prompt_tokens) {
+        out.cost_ms += long_prompt_penalty_ms;
+    }
+    if (out.unread_tokens >= long_prompt_tokens) {
+        out.cost_ms += disturbance_ms * static_cast<double>(load.calls);
+    }
+    if (places.distance_to(item.record.data_centre) == topology::distance::other_region) {
+        out.cost_ms += other_region_penalty_ms;
+    }
+    return out;
+}
+
+std::optional<choice> dispatcher::impl::choose(const open_call& open, const service_state& state,
+                                               time_point now) {
+    std::optional<choice> best;
+    std::optional<double> least_ms;
+    for (auto& [id, item] : endpoints) {
+        const auto candidate = evaluate(item, open, state, now);
+        if (!candidate) {
+            continue;
+        }
+        if (!least_ms || candidate->cost_ms < *least_ms) {
+            least_ms = candidate->cost_ms;
+        }
+        if (holds(item, open.call.model) && (!best || candidate->cost_ms < best->cost_ms)) {
+            best = candidate;
+        }
+    }
+    if (best && best->cost_ms > *least_ms + crowded_ms) {
+        best->crowded = true;
+    }
+    return best;
+}
+
+void dispatcher::impl::note_use(const choice& chosen, const model_name& what) {
+    if (what.adapter.empty()) {
+        return;
+    }
+    const auto& item = *chosen.place;
+    used[item.record.data_centre].insert(what);
+    if (places.distance_to(item.record.data_centre) == topology::distance::other_region) {
+        ++diverted[what];
+    } else if (chosen.crowded) {
+        ++crowded[what];
+    }
+}
+
+dispatch_decision dispatcher::impl::place(open_call& open, const choice& chosen,
+                                          service_state& state, time_point now) {
+    auto& item = *chosen.place;
+    open.state = call_state::placed;
+    open.endpoint = item.record.id;
+    open.placed_at = now;
+    open.unread_tokens = chosen.unread_tokens;
+    open.expected_ms = chosen.expected_ms;
+    ++item.own.calls;
+    item.own.unread_tokens += chosen.unread_tokens;
+    item.prompts.add(open.call.model, open.call.prompt);
+    note_use(chosen, open.call.model);
+    ++state.placed;
+    dispatch_decision decision;
+    decision.number = open.call.number;
+    decision.endpoint = item.record.id;
+    if (const auto version = required_version(open.call.model); version > 0) {
+        const auto held = item.adapters.find(open.call.model);
+        decision.version = held == item.adapters.end() ? version : held->second.version;
+    }
+    return decision;
+}
+
+dispatch_decision dispatcher::impl::refuse(const open_call& open, const service_state& state,
+                                           std::size_t ahead, bool missing) const {
+    dispatch_decision decision;
+    decision.number = open.call.number;
+    decision.reason = missing ? refusal::no_adapter : refusal::no_capacity;
+    double wait_ms = to_ms(least_retry_after);
+    if (state.placed_per_s > 0) {
+        wait_ms += static_cast<double>(ahead) / state.placed_per_s * 1'000;
+    }
+    // Spreads the returns over as much time again, the less urgent later.
+    const double spread = static_cast<double>(open.call.number * 7 % 16) / 16;
+    wait_ms *= 1 + spread + 0.5 * open.call.priority;
+    decision.retry_after = std::clamp(milliseconds(static_cast<std::int64_t>(wait_ms)),
+                                      least_retry_after, longest_retry_after);
+    return decision;
+}
+
+void dispatcher::impl::release(open_call& open) {
+    if (open.state == call_state::waiting) {
+        std::erase(queue, open.call.number);
+        return;
+    }
+    const auto found = endpoints.find(open.endpoint);
+    if (found == endpoints.end()) {
+        return;
+    }
+    auto& own = found->second.own;
+    own.calls -= std::min<std::size_t>(own.calls, 1);
+    if (open.state == call_state::placed) {
+        own.unread_tokens -= std::min(own.unread_tokens, open.unread_tokens);
+    }
+    if (found->second.leaving && own.calls == 0) {
+        endpoints.erase(found);
+    }
+}
+
+bool dispatcher::impl::has_endpoint(std::string_view service) const {
+    return std::ranges::any_of(endpoints, [&](const auto& item) {
+        return !item.second.leaving && item.second.record.service == service;
+    });
+}
+
+/// Whether every usable endpoint lacks the call's adapter, rather than being full.
+bool dispatcher::impl::adapter_missing(const open_call& open) const {
+    if (open.call.model.model.empty()) {
+        return false;
+    }
+    return std::ranges::none_of(endpoints, [&](const auto& item) {
+        return !item.second.leaving && item.second.record.service == open.call.service &&
+               holds(item.second, open.call.model);
+    });
+}
+
+/// An endpoint on which the adapter is being loaded, or null.
+const endpoint* dispatcher::impl::loading(const model_name& what) const {
+    for (const auto& [id, item] : endpoints) {
+        const auto held = item.adapters.find(what);
+        if (!item.leaving && held != item.adapters.end() &&
+            held->second.state == residency::loading) {
+            return &item;
+        }
+    }
+    return nullptr;
+}
+
+/// Data centre that should load an adapter: where it is being loaded already, where it was held
+/// last, since engines load recent adapters ten times as fast, or this one.
+std::string dispatcher::impl::loading_place(const model_name& what) const {
+    if (const auto* place = loading(what)) {
+        return place->record.data_centre;
+    }
+    if (const auto last = last_holders.find(what); last != last_holders.end()) {
+        const auto holder = endpoints.find(last->second);
+        if (holder != endpoints.end() && !holder->second.leaving) {
+            return holder->second.record.data_centre;
+        }
+    }
+    return places.own();
+}
+
+/// Places or refuses a call if that can be decided now; nothing if it goes on waiting.
+std::optional<dispatch_decision> dispatcher::impl::decide(open_call& open, std::size_t ahead,
+                                                          time_point now) {
+    auto& state = services[open.call.service];
+    if (now - state.window_start >= rate_window) {
+        state.placed_per_s = static_cast<double>(state.placed) /
+                             std::chrono::duration<double>(now - state.window_start).count();
+        state.window_start = now;
+        state.placed = 0;
+    }
+    if (const auto chosen = choose(open, state, now)) {
+        return place(open, *chosen, state, now);
+    }
+    open.missing = adapter_missing(open);
+    if (!has_endpoint(open.call.service)) {
+        auto decision = refuse(open, state, ahead, open.missing);
+        decision.reason = refusal::no_endpoints;
+        return decision;
+    }
+    if (open.missing && !loads_possible && loading(open.call.model) == nullptr) {
+        auto decision = refuse(open, state, ahead, open.missing);
+        decision.retry_after = no_loads_retry_after;
+        return decision;
+    }
+    const bool too_long = !open.missing && state.placed_per_s > 0 && open.call.excluded.empty() &&
+                          now + std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+                                    static_cast<double>(ahead) / state.placed_per_s)) >
+                              open.call.give_up_at;
+    if (!too_long && now < open.call.give_up_at) {
+        return std::nullopt;
+    }
+    auto decision = refuse(open, state, ahead, open.missing);
+    if (too_long) {
+        decision.reason = refusal::overloaded;
+    }
+    return decision;
+}
+
+} // namespace dragonflystair::fleet
--- /dev/null
+++ b/lib/fleet/dispatcher_impl.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "dragonflystair/fleet/dispatcher.h"
+#include "dragonflystair/policy/endpoint_health.h"
+
+#include "prompt_cache.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace dragonflystair::fleet {
+
+using support::duration;
+using support::time_point;
+
+/// Time of a plain call until it was measured; the deployments state 15 and 30 ms.
+inline constexpr double plain_work_ms = 25;
+
+inline double to_ms(duration value) {
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+/// What is known of one adapter on one endpoint.
+struct resident {
+    residency state = residency::absent;
+    std::uint64_t version = 0;
+};
+
+/// One endpoint as this node knows it.
+struct endpoint {
+    endpoint_record record;
+    bool leaving = false;
+    time_point suspended_until;
+    std::map<model_name, resident> adapters;
+    std::set<std::string, std::less<>> models;
+    endpoint_load own;
+    std::map<std::string, endpoint_load, std::less<>> peers;
+    prompt_cache prompts;
+
+    [[nodiscard]] bool serves_model(const model_name& what) const {
+        return what.model.empty() || models.contains(what.model);
+    }
+
+    [[nodiscard]] endpoint_load total() const {
+        endpoint_load sum = own;
+        for (const auto& [peer, load] : peers) {
+            sum.calls += load.calls;
+            sum.unread_tokens += load.unread_tokens;
+        }
+        return sum;
+    }
+};
+
+/// What one service shows of itself.
+struct service_state {
+    bool has_engines = false;
+    std::size_t batch_slots = 0;
+    double work_ms = plain_work_ms;
+    time_point window_start;
+    std::size_t placed = 0;
+    double placed_per_s = 0; ///< 0 until a whole window was measured.
+};
+
+enum class call_state { waiting, placed, started };
+
+/// A call from its arrival to its end.
+struct open_call {
+    pending_call call;
+    call_state state = call_state::waiting;
+    std::string endpoint;
+    time_point placed_at;
+    std::size_t unread_tokens = 0;
+    double expected_ms = 0;
+    bool fresh = true;    ///< Not looked at yet.
+    bool missing = false; ///< It waits for its adapter rather than for a place.
+};
+
+/// An endpoint that a call could go to, and what that would cost.
+struct choice {
+    endpoint* place = nullptr;
+    double cost_ms = 0;
+    double expected_ms = 0;
+    std::size_t unread_tokens = 0;
+    bool crowded = false; ///< An endpoint without the adapter would have cost much less.
+};
+
+struct dispatcher::impl {
+    explicit impl(topology chosen) : places(std::move(chosen)) {}
+
+    [[nodiscard]] std::uint64_t required_version(const model_name& what) const {
+        const auto found = required.find(what);
+        return found == required.end() ? 0 : found->second;
+    }
+    [[nodiscard]] bool holds(const endpoint& item, const model_name& what) const;
+    [[nodiscard]] double distance_ms(const endpoint& item) const;
+    std::optional<choice> evaluate(endpoint& item, const open_call& open,
+                                   const service_state& state, time_point now);
+    std::optional<choice> choose(const open_call& open, const service_state& state, time_point now);
+    dispatch_decision place(open_call& open, const choice& chosen, service_state& state,
+                            time_point now);
+    dispatch_decision refuse(const open_call& open, const service_state& state, std::size_t ahead,
+                             bool adapter_missing) const;
+    std::optional<dispatch_decision> decide(open_call& open, std::size_t ahead, time_point now);
+    void release(open_call& open);
+    void note_use(const choice& chosen, const model_name& what);
+    [[nodiscard]] bool has_endpoint(std::string_view service) const;
+    [[nodiscard]] bool adapter_missing(const open_call& open) const;
+    [[nodiscard]] const endpoint* loading(const model_name& what) const;
+    [[nodiscard]] std::string loading_place(const model_name& what) const;
+
+    topology places;
+    bool loads_possible = true;
+    std::map<std::string, endpoint, std::less<>> endpoints;
+    std::map<std::string, service_state, std::less<>> services;
+    std::map<model_name, std::uint64_t> required;
+    std::map<std::uint64_t, open_call> calls;
+    std::vector<std::uint64_t> queue;
+    bool changed = false;              ///< Something that calls may wait for, since the last pump.
+    bool has_fresh = false;            ///< The queue has calls that were not looked at.
+    std::size_t waiting_for_place = 0; ///< Calls whose adapter is ready somewhere.
+    bool new_demand = false;           ///< A call began to wait for an adapter.
+    policy::endpoint_health health;
+    std::map<model_name, std::string> last_holders;
+    std::map<model_name, std::size_t> diverted;
+    std::map<model_name, std::size_t> crowded;
+    std::map<std::string, std::set<model_name>> used;
+};
+
+} // namespace dragonflystair::fleet
