--- a/include/dragonflystair/net/problem.h
+++ b/include/dragonflystair/net/problem.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflystair/net/http_message.h"
+#include "dragonflystair/support/json.h"
 
 #include <chrono>
 #include <string_view>
@@ -16,6 +17,9 @@
     std::chrono::milliseconds retry_after{0}; ///< 0 leaves the Retry-After header out.
 };
 
+/// The `error` object that clients of the OpenAI interface look for in a refusal.
+support::json error_object(std::string_view message, std::string_view reason);
+
 /// Response with a problem details body (RFC 9457). Retry-After is rounded up to whole seconds.
 http_response render(const problem& item);
 
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -119,8 +119,8 @@
 
 store_follower::hooks gateway::impl::follower_hooks(
     std::function<void(std::span<const fleet::keyed_record>)> on_records) {
-    return {std::move(on_records),
-            [this] { return view_.stopping; }, [this] { return has_reader(); },
+    return {std::move(on_records), [this] { return view_.stopping; },
+            [this] { return has_reader(); },
             [this](const std::string& topic, const fleet::keyed_page& page) {
                 pass_on_records(topic, page);
             }};
--- a/lib/net/problem.cpp
+++ b/lib/net/problem.cpp
@@ -1,7 +1,5 @@
 #include "dragonflystair/net/problem.h"
 
-#include "dragonflystair/support/json.h"
-
 #include <boost/beast/http/status.hpp>
 
 #include <charconv>
@@ -10,12 +8,20 @@
 
 namespace dragonflystair::net {
 
+support::json error_object(std::string_view message, std::string_view reason) {
+    return {{"message", message}, {"type", reason}, {"code", reason}};
+}
+
 http_response render(const problem& item) {
     const auto title = boost::beast::http::obsolete_reason(
         boost::beast::http::int_to_status(static_cast<unsigned>(item.status)));
-    const support::json body{{"type", "about:blank"}, {"title", std::string(title)},
-                             {"status", item.status}, {"detail", item.detail},
-                             {"reason", item.reason}, {"outcome", item.outcome}};
+    const support::json body{{"type", "about:blank"},
+                             {"title", std::string(title)},
+                             {"status", item.status},
+                             {"detail", item.detail},
+                             {"reason", item.reason},
+                             {"outcome", item.outcome},
+                             {"error", error_object(item.detail, item.reason)}};
     http_response response;
     response.status = item.status;
     response.headers["Content-Type"] = "application/problem+json";
--- a/lib/node/caller_api.cpp
+++ b/lib/node/caller_api.cpp
@@ -1,13 +1,16 @@
 #include "caller_api.h"
 
+#include "dragonflystair/support/json.h"
+
 #include <utility>
 
 namespace dragonflystair::node {
 
 caller_api::caller_api(node_context& context, resolver& resolver, model_calls& models,
-                       plain_calls& plain, std::function<bool()> serves)
+                       plain_calls& plain, std::function<bool()> serves,
+                       std::function<std::vector<std::string>()> model_names)
     : context_(context), resolver_(resolver), models_(models), plain_(plain),
-      serves_(std::move(serves)) {}
+      serves_(std::move(serves)), model_names_(std::move(model_names)) {}
 
 net::awaitable<void> caller_api::serve(net::http_exchange& exchange) {
     const auto& request = exchange.request();
@@ -23,6 +26,11 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
+    if (path == "/v1/models" && request.method == "GET") {
+        auto response = list_models();
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     if (path.starts_with("/services/")) {
         co_await plain_.serve(exchange);
         co_return;
@@ -39,6 +47,19 @@
     co_await models_.serve(exchange, chat);
 }
 
+/// The list that clients of the OpenAI interface ask for first.
+net::http_response caller_api::list_models() const {
+    auto data = support::json::array();
+    for (const auto& name : model_names_()) {
+        data.push_back({{"id", name}, {"object", "model"}, {"owned_by", "dragonflystair"}});
+    }
+    const support::json body{{"object", "list"}, {"data", std::move(data)}};
+    net::http_response response;
+    response.headers["Content-Type"] = "application/json";
+    response.body = body.dump();
+    return response;
+}
+
 net::awaitable<void> caller_api::refuse(net::http_exchange& exchange, problem item) {
     context_.counters.increment("refusals_total", item.reason);
     co_await exchange.respond(problem_response(item));
--- a/lib/node/caller_api.h
+++ b/lib/node/caller_api.h
@@ -13,11 +13,12 @@
 class caller_api {
 public:
     caller_api(node_context& context, resolver& resolver, model_calls& models, plain_calls& plain,
-               std::function<bool()> serves);
+               std::function<bool()> serves, std::function<std::vector<std::string>()> model_names);
 
     net::awaitable<void> serve(net::http_exchange& exchange);
 
 private:
+    [[nodiscard]] net::http_response list_models() const;
     net::awaitable<void> refuse(net::http_exchange& exchange, problem item);
 
     node_context& context_;
@@ -25,6 +26,7 @@
     model_calls& models_;
     plain_calls& plain_;
     std::function<bool()> serves_;
+    std::function<std::vector<std::string>()> model_names_;
 };
 
 } // namespace dragonflystair::node
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -85,7 +85,9 @@
               }}),
       plain({context, config, directory, claims, inquiry, http}),
       resolve(context, config, members, peers, models, [this] { return accepts_callers(); }),
-      callers(context, resolve, models, plain, [this] { return serves_callers(); }),
+      callers(
+          context, resolve, models, plain, [this] { return serves_callers(); },
+          [this] { return model_names(); }),
       operators({context, config, members, directory, peers, *config_writer,
                  [this] { return accepts_callers(); },
                  [this] {
@@ -176,6 +178,16 @@
     return lifecycle.accepts_callers() || lifecycle.draining();
 }
 
+std::vector<std::string> node::impl::model_names() const {
+    const auto view = config.view();
+    std::vector<std::string> names;
+    names.reserve(view->deployment.adapters.size());
+    for (const auto& [name, adapter] : view->deployment.adapters) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 policy::store_limits node::impl::store_limits() const {
     const auto view = config.view();
     policy::store_limits limits;
--- a/lib/node/node_impl.h
+++ b/lib/node/node_impl.h
@@ -96,6 +96,7 @@
     [[nodiscard]] bool accepts_callers();
     [[nodiscard]] bool serves_callers();
     [[nodiscard]] bool draining();
+    [[nodiscard]] std::vector<std::string> model_names() const;
     [[nodiscard]] policy::store_limits store_limits() const;
     [[nodiscard]] std::vector<membership::ownable> ownables() const;
     [[nodiscard]] ledger::session_open session_record() const;
--- a/lib/node/problem.cpp
+++ b/lib/node/problem.cpp
@@ -1,5 +1,6 @@
 #include "problem.h"
 
+#include "dragonflystair/net/problem.h"
 #include "dragonflystair/support/json.h"
 
 #include <fmt/format.h>
@@ -36,7 +37,9 @@
                              {"status", item.status},
                              {"detail", item.detail},
                              {"reason", item.reason},
-                             {"outcome", item.outcome}};
+                             {"outcome", item.outcome},
+                             // Clients of the OpenAI interface read this object.
+                             {"error", net::error_object(item.detail, item.reason)}};
     return body.dump(-1, ' ', false, support::json::error_handler_t::replace);
 }
 
--- a/unittests/scenarios/child_process.h
+++ b/unittests/scenarios/child_process.h
@@ -10,7 +10,8 @@
 /// A process that the scenario started. It is killed when the object is destroyed.
 class child_process {
 public:
-    /// Starts `arguments[0]`; standard output and error go to `log_file`. Throws std::runtime_error.
+    /// Starts `arguments[0]`; standard output and error go to `log_file`. Throws
+    /// std::runtime_error.
     child_process(std::span<const std::string> arguments, const std::string& log_file);
     ~child_process();
     child_process(const child_process&) = delete;
--- a/unittests/scenarios/whole_path.lua
+++ b/unittests/scenarios/whole_path.lua
@@ -22,6 +22,14 @@
 local unknown = completion(nodes[1], "assistant/a1@9", "a fan")
 expect_equal(404, unknown.status, "an unknown version")
 expect_equal("unknown_model", json_decode(unknown.body).reason, "reason")
+-- Guards against clients of the OpenAI interface that show a refusal as "no body".
+expect_equal("unknown_model", json_decode(unknown.body).error.code, "code of the error object")
+expect_equal(json_decode(unknown.body).detail, json_decode(unknown.body).error.message, "message")
+local listed = {}
+for _, item in ipairs(json_decode(get(nodes[1].callers, "/v1/models").body).data) do
+  listed[item.id] = item.object
+end
+expect_equal("model", listed["assistant/a1"], "the list of models names the adapter")
 
 local first = stamp(nodes[1], "key-1")
 expect_equal(200, first.status, "stamp: " .. first.body)
