--- a/unittests/net/exchange_client_test.cpp
+++ b/unittests/net/exchange_client_test.cpp
@@ -120,7 +120,7 @@
     }
 
     std::shared_ptr<exchange> run_at(const std::string& address, const std::string& id) {
-        const auto item = client_.send(address, std::string(request), id, {});
+        auto item = client_.send(address, std::string(request), id, {});
         context_.restart();
         while (!item->end) {
             context_.run_one();
