Refuse no caller while permits for loads come

Cause: an endpoint took the store as unavailable when any one adapter had waited for its permit longer than the patience, also while permits for other adapters came. After an outage of the store permits come slowly (the rate grows back from a sixteenth) and sixteen adapters wait for them, so under load one of them passed the patience and the next caller was refused. Ruled out: failed loads (their refusal has another reason, load_failed) and the deadline (60 s). Change: the patience counts from the last permit of any adapter. Before: the new test of the scheduler fails (refuses the waiters).

--- a/lib/policy/endpoint_admission.cpp
+++ b/lib/policy/endpoint_admission.cpp
@@ -148,9 +148,10 @@
     if (known != loads.end() && known->second.hopeless(now)) {
         return refusal{refusal_reason::load_failed, retry_after(known->second.not_before - now)};
     }
+    // While permits come for other adapters, a long wait for one is a queue and not an outage.
     const bool starved = std::ranges::any_of(loads, [&](const auto& item) {
         return item.second.phase == load_phase::wanted &&
-               now - item.second.wanted_since >= limits.permit_patience;
+               now - std::max(item.second.wanted_since, last_permit) >= limits.permit_patience;
     });
     const bool under_way = known != loads.end() && (known->second.phase == load_phase::granted ||
                                                     known->second.phase == load_phase::ordered);
--- a/unittests/policy/endpoint_loads_test.cpp
+++ b/unittests/policy/endpoint_loads_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(failed_load_is_retried_with_doubling_waits);
     CPPUNIT_TEST(failed_loads_refuse_waiters_and_newcomers);
     CPPUNIT_TEST(store_without_permits_refuses_waiters_in_time);
+    CPPUNIT_TEST(store_that_grants_slowly_refuses_no_newcomer);
     CPPUNIT_TEST(load_answer_from_before_restart_is_ignored);
     CPPUNIT_TEST(load_failure_from_before_restart_starts_no_retry_wait);
     CPPUNIT_TEST(load_while_unload_of_former_run_is_unanswered_waits);
@@ -191,6 +192,22 @@
         CPPUNIT_ASSERT(!driver_.submit(make_request("3", "b")).has_value());
     }
 
+    /// Guards against callers who are refused right after an outage of the store: permits come again,
+    /// only not yet for the adapter that has waited the longest.
+    void store_that_grants_slowly_refuses_no_newcomer() {
+        driver_.submit(make_request("1", "a"));
+        driver_.submit(make_request("2", "b"));
+        driver_.poll();
+        driver_.now = scheduler_limits{}.permit_patience - milliseconds{500};
+        driver_.permit("b");
+        driver_.poll();
+        driver_.now += milliseconds{1'000};
+        CPPUNIT_ASSERT(only<refuse_action>(driver_.poll()).empty());
+        CPPUNIT_ASSERT(!driver_.submit(make_request("3", "c")).has_value());
+        driver_.now += scheduler_limits{}.permit_patience;
+        CPPUNIT_ASSERT(driver_.submit(make_request("4", "c")).has_value());
+    }
+
     void load_answer_from_before_restart_is_ignored() {
         want("a");
         driver_.report({}, {}, "run-2");
