Test a gateway's reload and stop signals

The stand-in of the store now keeps what nodes append, lets groups change hands and can refuse or lose answers, which a soak needs too. Checked that the tests can fail: without SIGHUP in the signal set the process ends; with the servers stopped at the signal the call under way is cut.

--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -16,6 +16,7 @@
 #include <future>
 #include <initializer_list>
 #include <memory>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -29,6 +30,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds ample{20'000};
+/// Keeps the ends of tests short: little more than the margin that a node leaves for last answers.
+constexpr milliseconds short_shutdown{1'600};
 
 const std::string configuration = R"({"version":3,"routes":[
     {"name":"stamps","host":"desk","path-prefix":"/stamps/","kind":"unsafe","timeout-ms":9000,
@@ -103,6 +106,8 @@
     CPPUNIT_TEST(stream_broken_off_by_its_endpoint_is_explained_by_its_lines);
     CPPUNIT_TEST(order_refused_by_fencing_explains_the_missing_adapter);
     CPPUNIT_TEST(node_without_the_store_learns_from_its_peer_that_an_endpoint_is_gone);
+    CPPUNIT_TEST(hangup_signal_reloads_the_settings_and_ends_nothing);
+    CPPUNIT_TEST(call_under_way_at_the_stop_signal_is_answered);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -127,14 +132,12 @@
         context_.reset();
         output_.reset();
         release_ = {};
+        reloaded_.reset();
+        shutdown_timeout_ = short_shutdown;
     }
 
     void stamp_is_answered_by_the_register_once() {
-        start("register", 6, [](net::http_exchange& exchange) -> net::awaitable<void> {
-            auto response = endpoint_stand_in::signed_head(exchange);
-            response.body = "stamped";
-            co_await exchange.respond(std::move(response));
-        });
+        start("register", 6, answer_with("stamped"));
         const auto answer = call("/stamps/1", "id-1");
         CPPUNIT_ASSERT_EQUAL(200, answer.status);
         CPPUNIT_ASSERT_EQUAL(std::string("stamped"), answer.body);
@@ -219,7 +222,56 @@
         running_.join();
     }
 
+    /// Guards against a node that SIGHUP ends.
+    void hangup_signal_reloads_the_settings_and_ends_nothing() {
+        auto changed = settings_of("node-1");
+        changed.retry_slack = 7;
+        changed.region = "elsewhere";
+        reloaded_ = changed;
+        start("register", 6, answer_with("stamped"));
+        ::kill(::getpid(), SIGHUP);
+        output_->expect({"event=settings_reloaded", "restart_needed=yes"});
+        CPPUNIT_ASSERT_EQUAL(200, call("/stamps/1", "id-7").status);
+    }
+
+    /// Guards against callers that a stopping node cuts off: its endpoint answers only after the
+    /// signal has been taken.
+    void call_under_way_at_the_stop_signal_is_answered() {
+        shutdown_timeout_ = ample;
+        auto released = release_.get_future().share();
+        start("register", 6, [released](net::http_exchange& exchange) -> net::awaitable<void> {
+            boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor);
+            while (released.wait_for(milliseconds{0}) != std::future_status::ready) {
+                pause.expires_after(milliseconds{1});
+                co_await pause.async_wait(boost::asio::use_awaitable);
+            }
+            auto response = endpoint_stand_in::signed_head(exchange);
+            response.body = "stamped";
+            co_await exchange.respond(std::move(response));
+        });
+        int status = 0;
+        std::thread caller([&] { status = call("/stamps/1", "id-8").status; });
+        while (endpoint_->calls() == 0) {
+            std::this_thread::sleep_for(milliseconds{1});
+        }
+        ::kill(::getpid(), SIGTERM);
+        output_->expect({"event=stopping"});
+        release_.set_value();
+        caller.join();
+        release_ = {};
+        CPPUNIT_ASSERT_EQUAL(200, status);
+        running_.join();
+    }
+
 private:
+    static endpoint_stand_in::call_handler answer_with(std::string body) {
+        return [body = std::move(body)](net::http_exchange& exchange) -> net::awaitable<void> {
+            auto response = endpoint_stand_in::signed_head(exchange);
+            response.body = body;
+            co_await exchange.respond(std::move(response));
+        };
+    }
+
     static endpoint_stand_in::call_handler stream_of(std::vector<std::string> events, bool whole) {
         return [events = std::move(events),
                 whole](net::http_exchange& exchange) -> net::awaitable<void> {
@@ -242,7 +294,7 @@
         settings.store_address = store_->address();
         settings.peer_secret = "secret";
         settings.engines_check_fencing = true;
-        settings.shutdown_timeout = milliseconds{1'600};
+        settings.shutdown_timeout = shutdown_timeout_;
         for (auto* address :
              {&settings.caller_address, &settings.ready_address, &settings.resolve_address,
               &settings.peer_address, &settings.metrics_address}) {
@@ -256,8 +308,8 @@
         endpoint_ = std::make_unique<endpoint_stand_in>(context_->get(), std::move(on_call));
         store_->put("keyed.servers", "endpoint-1", record(service, endpoint_->address(), slots));
         const auto settings = settings_of("node-1");
-        auto node = std::make_shared<dragonflystair::gateway::gateway>(settings,
-                                                                       [] { return std::nullopt; });
+        auto node = std::make_shared<dragonflystair::gateway::gateway>(
+            settings, [this] { return reloaded_; });
         address_ = node->caller_address();
         peer_address_ = node->peer_address();
         running_ = std::thread([node] { node->run(); });
@@ -291,6 +343,8 @@
     std::unique_ptr<net::http_client> client_;
     std::string address_;
     std::string peer_address_;
+    std::optional<config::gateway_settings> reloaded_; ///< What a reload finds.
+    milliseconds shutdown_timeout_ = short_shutdown;
     std::thread running_;
     std::promise<void> release_;
 };
--- a/unittests/gateway/platform_stand_in.h
+++ b/unittests/gateway/platform_stand_in.h
@@ -4,8 +4,14 @@
 #include "dragonflystair/net/http_server.h"
 #include "dragonflystair/support/counters.h"
 #include "dragonflystair/support/json.h"
+#include "dragonflystair/support/time.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -15,10 +21,20 @@
 
 namespace dragonflystair::gateway {
 
-/// The platform's metadata store with what one gateway needs of it: topics of one partition whose
-/// newest records are kept, and groups whose only member holds everything.
+/// How the store treats its callers.
+enum class store_mode {
+    serve,
+    refuse,       ///< Answers 503 and does nothing.
+    lose_answers, ///< Acts and breaks the answer off.
+};
+
+/// The platform's metadata store with what gateways need of it: topics of one partition whose
+/// records are all kept, and groups whose first live member holds everything.
 class store_stand_in {
 public:
+    /// Fencing number of the first holder of a group.
+    static constexpr std::uint64_t first_generation = 7;
+
     explicit store_stand_in(const net::executor& context)
         : server_(
               context, "127.0.0.1:0", {},
@@ -33,7 +49,15 @@
         topics_[topic].emplace_back(key, value);
     }
 
+    void set_mode(store_mode mode) { mode_ = mode; }
+
 private:
+    struct group {
+        std::uint64_t generation = first_generation - 1;
+        std::string holder;
+        support::time_point expires;
+    };
+
     static void append_big_endian(std::string& out, std::uint64_t value, int bytes) {
         for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) {
             out += static_cast<char>(value >> static_cast<unsigned>(shift) & 0xffU);
@@ -56,29 +80,99 @@
         return out;
     }
 
+    bool has_records(const std::string& topic, std::uint64_t from) {
+        const std::lock_guard lock(mutex_);
+        return topics_[topic].size() > from;
+    }
+
+    /// One record of an append: four bytes of length, one of the key's length, key and value.
+    void append(const std::string& topic, std::string_view body) {
+        constexpr std::size_t head = 5;
+        const auto length = static_cast<std::size_t>(static_cast<unsigned char>(body.at(head - 1)));
+        put(topic, std::string(body.substr(head, length)), std::string(body.substr(head + length)));
+    }
+
+    std::string join(const support::json& body) {
+        const std::lock_guard lock(mutex_);
+        const auto now = support::boot_clock::now();
+        auto& item = groups_[body.at("group").get<std::string>()];
+        const auto member = body.at("member").get<std::string>();
+        if (item.holder.empty() || item.expires <= now) {
+            item.generation += item.holder == member ? 0 : 1;
+            item.holder = member;
+        }
+        auto parts = support::json::array();
+        if (item.holder == member) {
+            item.expires = now + std::chrono::milliseconds(body.at("ttl-ms").get<int>());
+            parts.push_back({"placement", 0, 0});
+        }
+        return support::json{{"generation", item.generation}, {"parts", parts}}.dump();
+    }
+
+    void leave(const support::json& body) {
+        const std::lock_guard lock(mutex_);
+        auto& item = groups_[body.at("group").get<std::string>()];
+        if (item.holder == body.at("member").get<std::string>()) {
+            item.holder.clear();
+        }
+    }
+
     net::http_response answer(const net::http_request& request) {
         net::http_response response;
         const auto path = net::path_of(request.target);
         const auto topic = net::query_value(request.target, "topic");
+        response.body = "{}";
         if (path.ends_with("log-newest")) {
             response.body = R"({"items":[],"has-more":false,"end":0})";
         } else if (path.ends_with("log-read")) {
             response.body = page(topic, std::stoull(net::query_value(request.target, "from")));
+        } else if (path.ends_with("log-append")) {
+            append(topic, request.body);
         } else if (path.ends_with("log-join")) {
-            response.body = R"({"generation":7,"parts":[["placement",0,0]]})";
-        } else {
-            response.body = "{}";
+            response.body = join(support::json::parse(request.body));
+        } else if (path.ends_with("log-leave")) {
+            leave(support::json::parse(request.body));
         }
         return response;
     }
 
+    /// Returns once a read has something to answer or has waited as long as it asked for.
+    net::awaitable<void> wait_for_records(const net::http_request& request) {
+        const auto wait = net::query_value(request.target, "wait-ms");
+        const auto topic = net::query_value(request.target, "topic");
+        if (wait.empty()) {
+            co_return;
+        }
+        const auto from = std::stoull(net::query_value(request.target, "from"));
+        const auto end = support::boot_clock::now() + std::chrono::milliseconds(std::stoi(wait));
+        boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor);
+        while (!has_records(topic, from) && support::boot_clock::now() < end) {
+            pause.expires_after(std::chrono::milliseconds{5});
+            co_await pause.async_wait(boost::asio::use_awaitable);
+        }
+    }
+
     net::awaitable<void> serve(net::http_exchange& exchange) {
-        auto response = answer(exchange.request());
+        co_await wait_for_records(exchange.request());
+        net::http_response response;
+        if (mode_ == store_mode::refuse) {
+            response.status = 503;
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+        response = answer(exchange.request());
+        if (mode_ == store_mode::lose_answers) {
+            // A stream that is not ended breaks the connection.
+            co_await exchange.begin_stream(std::move(response));
+            co_return;
+        }
         co_await exchange.respond(std::move(response));
     }
 
+    std::atomic<store_mode> mode_{store_mode::serve};
     std::mutex mutex_;
     std::map<std::string, std::vector<std::pair<std::string, std::string>>> topics_;
+    std::map<std::string, group> groups_;
     support::counters counters_;
     net::http_server server_;
 };
