Learn load times only from loads whose begin is known

Cause: after a lost answer to an order the planner asks the engine for a report. A load on its way that only the report told of had no time of its order, so when it was done it counted as one that had lasted since the clock's begin. The running mean of load times rose to hours, every later load was looked at only after that, and its adapter stayed on its way for good: calls for it were refused, its place was taken, and after four of them an engine took no order at all. Ruled out, with a trial that printed the planner's state: demand sent elsewhere, a lease that was not active, a missing configuration, engines without a model. Before: the new test fails (no look at the second load). After: passes.

--- a/lib/fleet/adapter_planner_impl.h
+++ b/lib/fleet/adapter_planner_impl.h
@@ -38,7 +38,8 @@
     std::uint64_t version = 0;
     time_point last_used;
     time_point check_at;
-    time_point ordered_at;
+    /// Unknown for a load that only a report told of.
+    std::optional<time_point> ordered_at;
     bool replaces = false; ///< It waits for calls on the former version.
 };
 
--- a/lib/fleet/adapter_planner_outcomes.cpp
+++ b/lib/fleet/adapter_planner_outcomes.cpp
@@ -70,8 +70,8 @@
         return;
     }
     auto& held = item.adapters[order.what];
-    if (order.check && !held.replaces && !item.recent.contains(order.what)) {
-        const support::duration took = now - held.ordered_at;
+    if (order.check && held.ordered_at && !held.replaces && !item.recent.contains(order.what)) {
+        const support::duration took = now - *held.ordered_at;
         load_time +=
             std::chrono::duration_cast<support::duration>(sample_weight * (took - load_time));
     }
--- a/unittests/fleet/adapter_planner_test.cpp
+++ b/unittests/fleet/adapter_planner_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(adapter_whose_unload_is_refused_stays_ready);
     CPPUNIT_TEST(lasting_conflict_asks_for_a_report);
     CPPUNIT_TEST(order_without_answer_asks_for_a_report);
+    CPPUNIT_TEST(load_found_in_a_report_leaves_the_next_loads_looked_at_in_time);
     CPPUNIT_TEST(new_version_replaces_the_busy_adapter_and_drops_the_idle_one);
     CPPUNIT_TEST(few_diverted_calls_bring_no_copy);
     CPPUNIT_TEST(many_diverted_calls_bring_a_copy);
@@ -212,6 +213,19 @@
         CPPUNIT_ASSERT(last_state("x") == residency::ready);
     }
 
+    /// Guards against a data centre whose adapters stay on their way for good: a load of which only
+    /// a report told was taken for one that had lasted since the clock began, and all later loads
+    /// were expected to last hours.
+    void load_found_in_a_report_leaves_the_next_loads_looked_at_in_time() {
+        order_without_answer_asks_for_a_report();
+        planner_->on_demand(waiting_for("y"), now_);
+        const auto order = planner_->plan(now_).at(0);
+        CPPUNIT_ASSERT_EQUAL(std::string("y"), order.what.adapter);
+        planner_->on_outcome(order, order_outcome::accepted, now_);
+        now_ += milliseconds{300};
+        CPPUNIT_ASSERT(planner_->plan(now_).at(0).check);
+    }
+
     void new_version_replaces_the_busy_adapter_and_drops_the_idle_one() {
         load("x");
         load("y");
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -250,7 +250,10 @@
             co_await exchange.respond(std::move(response));
         });
         int status = 0;
-        std::thread caller([&] { status = call("/stamps/1", "id-8").status; });
+        std::thread caller([&] {
+            const auto answer = send("/stamps/1", "id-8");
+            status = answer ? answer.value().status : 0;
+        });
         while (endpoint_->calls() == 0) {
             std::this_thread::sleep_for(milliseconds{1});
         }
