Soak gateways under random faults from outside their processes

Four gateways as processes before stand-ins of the store and of endpoints in the soak; relays on loopback cut, silence, reset and delay links, signals stop, kill and suspend. Checks: at most once, true refusals, answers whole and the call's own, streams without gap or repeat, fencing numbers of one holder each, no crash, and service after the last fault.

--- a/unittests/scenarios/tcp_relay.cpp
+++ b/unittests/scenarios/tcp_relay.cpp
@@ -8,10 +8,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <chrono>
 #include <set>
 #include <thread>
 #include <utility>
@@ -30,7 +33,16 @@
         : near(std::move(from)), far(executor) {}
     tcp::socket near;
     tcp::socket far;
-    bool silent = false;
+    bool silent = false;         ///< Towards the target.
+    bool silent_answers = false; ///< From the target.
+
+    /// Closes both sides so that their peers see a reset.
+    void reset() {
+        boost::system::error_code ignored;
+        near.set_option(tcp::socket::linger(true, 0), ignored);
+        far.set_option(tcp::socket::linger(true, 0), ignored);
+        close();
+    }
 
     void close() {
         boost::system::error_code ignored;
@@ -46,12 +58,20 @@
             static_cast<unsigned short>(std::stoi(address.substr(colon + 1)))};
 }
 
+/// Well above a round trip between regions.
+constexpr std::chrono::milliseconds late_by{150};
+
 /// Copies one direction. Bytes that arrive after the connection was silenced are swallowed.
-asio::awaitable<void> pump(connection_ptr link, tcp::socket& from, tcp::socket& to) {
+asio::awaitable<void> pump(connection_ptr link, tcp::socket& from, tcp::socket& to,
+                           const bool& silent, const relay_mode& mode) {
     std::array<char, 16'384> buffer{};
     for (;;) {
         const auto [fault, size] = co_await from.async_read_some(asio::buffer(buffer), as_result);
-        if (link->silent) {
+        if (mode == relay_mode::delay) {
+            asio::steady_timer timer(co_await asio::this_coro::executor, late_by);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        if (silent) {
             if (fault) {
                 co_return;
             }
@@ -98,13 +118,17 @@
             co_return;
         }
         asio::co_spawn(
-            io, [link] { return pump(link, link->far, link->near); }, asio::detached);
-        co_await pump(link, link->near, link->far);
+            io,
+            [this, link] {
+                return pump(link, link->far, link->near, link->silent_answers, mode);
+            },
+            asio::detached);
+        co_await pump(link, link->near, link->far, link->silent, mode);
     }
 
     void apply(relay_mode next) {
         mode = next;
-        if (next == relay_mode::pass) {
+        if (next == relay_mode::pass || next == relay_mode::delay) {
             return;
         }
         for (const auto& link : std::exchange(links, {})) {
@@ -112,10 +136,15 @@
                 link->close();
                 continue;
             }
-            link->silent = true;
+            if (next == relay_mode::reset_open) {
+                link->reset();
+                continue;
+            }
+            link->silent = next == relay_mode::silence_open;
+            link->silent_answers = true;
             silenced.insert(link);
         }
-        if (next == relay_mode::silence_open) {
+        if (next != relay_mode::cut) {
             mode = relay_mode::pass;
         }
     }
--- a/unittests/scenarios/tcp_relay.h
+++ b/unittests/scenarios/tcp_relay.h
@@ -10,6 +10,9 @@
     pass,
     silence_open, ///< Connections open now carry nothing any more, for good; new ones work.
     cut,          ///< Open connections are closed and new ones are closed at once.
+    reset_open,      ///< Connections open now are reset; new ones work.
+    silence_answers, ///< Like `silence_open`, but only for what the target sends.
+    delay,           ///< Everything arrives late, on connections old and new.
 };
 
 /// Forwards TCP connections to a target, to cut or silence the path between two processes.
--- /dev/null
+++ b/unittests/soak/fault_plan.cpp
@@ -0,0 +1,95 @@
+#include "fault_plan.h"
+
+#include <array>
+#include <random>
+
+namespace dragonflystair::soak {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Faults begin this far apart at most and last up to four times as long, so that some overlap.
+constexpr int longest_gap_ms = 600;
+constexpr int shortest_fault_ms = 100;
+constexpr int longest_fault_ms = 2'400;
+
+constexpr std::array planned_kinds{fault_kind::stop_gateway, fault_kind::hang_up_gateway,
+                                   fault_kind::replace_endpoint, fault_kind::change_configuration};
+
+} // namespace
+
+std::string_view to_string(fault_kind kind) {
+    switch (kind) {
+    case fault_kind::kill_gateway:
+        return "kill_gateway";
+    case fault_kind::suspend_gateway:
+        return "suspend_gateway";
+    case fault_kind::stop_gateway:
+        return "stop_gateway";
+    case fault_kind::hang_up_gateway:
+        return "hang_up_gateway";
+    case fault_kind::cut_store_link:
+        return "cut_store_link";
+    case fault_kind::silence_store_link:
+        return "silence_store_link";
+    case fault_kind::silence_store_answers:
+        return "silence_store_answers";
+    case fault_kind::reset_store_link:
+        return "reset_store_link";
+    case fault_kind::delay_store_link:
+        return "delay_store_link";
+    case fault_kind::cut_endpoint_link:
+        return "cut_endpoint_link";
+    case fault_kind::silence_endpoint_link:
+        return "silence_endpoint_link";
+    case fault_kind::reset_endpoint_link:
+        return "reset_endpoint_link";
+    case fault_kind::delay_endpoint_link:
+        return "delay_endpoint_link";
+    case fault_kind::endpoint_fails:
+        return "endpoint_fails";
+    case fault_kind::endpoint_loses_answers:
+        return "endpoint_loses_answers";
+    case fault_kind::endpoint_full:
+        return "endpoint_full";
+    case fault_kind::replace_endpoint:
+        return "replace_endpoint";
+    case fault_kind::restart_endpoint:
+        return "restart_endpoint";
+    case fault_kind::store_refuses:
+        return "store_refuses";
+    case fault_kind::store_loses_answers:
+        return "store_loses_answers";
+    case fault_kind::change_configuration:
+        return "change_configuration";
+    }
+    return "unknown";
+}
+
+std::vector<fault> plan_faults(std::uint64_t seed, std::size_t count, fault_choice choice) {
+    std::mt19937_64 random(seed);
+    // Plain remainders keep a seed's plan the same with every standard library.
+    const auto below = [&random](int limit) {
+        return static_cast<int>(random() % static_cast<std::uint64_t>(limit));
+    };
+    std::vector<fault> plan;
+    milliseconds at{0};
+    for (std::size_t i = 0; i < count; ++i) {
+        at += milliseconds(below(longest_gap_ms));
+        fault item;
+        item.kind = choice == fault_choice::planned
+                        ? planned_kinds.at(random() % planned_kinds.size())
+                        : static_cast<fault_kind>(below(static_cast<int>(fault_kinds)));
+        item.at = at;
+        item.lasts = milliseconds(shortest_fault_ms + below(longest_fault_ms));
+        if (item.kind == fault_kind::stop_gateway) {
+            item.lasts = shutdown_time;
+        }
+        item.target = static_cast<std::size_t>(below(1 << 16));
+        plan.push_back(item);
+    }
+    return plan;
+}
+
+} // namespace dragonflystair::soak
--- /dev/null
+++ b/unittests/soak/main.cpp
@@ -0,0 +1,146 @@
+#include "net/test_context.h"
+
+#include "fault_plan.h"
+#include "promises.h"
+#include "soak_callers.h"
+#include "soak_cluster.h"
+
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <map>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::soak;
+using std::chrono::milliseconds;
+using steady = std::chrono::steady_clock;
+
+constexpr const char* usage = R"(Soak of real gateways under random faults.
+
+Usage:
+  dragonflystair-soak [--seed N] [--seeds N] [--faults N] [--callers N] [--planned] [--keep] PROGRAM
+
+Options:
+  --seed N     First seed [default: 1].
+  --seeds N    Number of seeds in a row [default: 1].
+  --faults N   Faults of a run [default: 40].
+  --callers N  Callers that call in turn [default: 16].
+  --planned    Only what operators do on purpose; no call may be cut off.
+  --keep       Keep the logs of a run that passed.
+)";
+
+/// Calls of each kind that have to be served after the last fault, and the time for it: ample, so
+/// that the verdict does not depend on how busy the machine is.
+constexpr std::size_t recovered_calls = 5;
+constexpr milliseconds recovery_time{60'000};
+
+/// Begins and ends the faults of a plan at their times.
+void carry_out(const std::vector<fault>& plan, soak_cluster& cluster) {
+    std::multimap<milliseconds, std::function<void()>> steps;
+    for (const auto& item : plan) {
+        steps.emplace(item.at, [&cluster, &steps, item] {
+            std::printf("%6lld ms  %s %zu for %lld ms\n", static_cast<long long>(item.at.count()),
+                        std::string(to_string(item.kind)).c_str(), item.target,
+                        static_cast<long long>(item.lasts.count()));
+            steps.emplace(item.at + item.lasts, cluster.begin(item));
+        });
+    }
+    const auto start = steady::now();
+    while (!steps.empty()) {
+        auto step = steps.extract(steps.begin());
+        std::this_thread::sleep_until(start + step.key());
+        step.mapped()();
+    }
+}
+
+bool recovered(const promises& checked, const std::vector<std::size_t>& before) {
+    for (std::size_t kind = 0; kind < call_kinds; ++kind) {
+        if (checked.served(static_cast<call_kind>(kind)) < before[kind] + recovered_calls) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Waits until every kind of call is served again.
+void wait_recovered(promises& checked) {
+    std::vector<std::size_t> before;
+    for (std::size_t kind = 0; kind < call_kinds; ++kind) {
+        before.push_back(checked.served(static_cast<call_kind>(kind)));
+    }
+    const auto end = steady::now() + recovery_time;
+    while (!recovered(checked, before)) {
+        if (steady::now() > end) {
+            checked.broken("not every kind of call is served again after the last fault");
+            return;
+        }
+        std::this_thread::sleep_for(milliseconds{20});
+    }
+}
+
+std::size_t number_of(const docopt::value& value) {
+    return static_cast<std::size_t>(value.asLong());
+}
+
+/// Runs one seed; whether all promises were kept.
+bool run_seed(std::uint64_t seed, std::map<std::string, docopt::value>& options) {
+    auto folder =
+        (std::filesystem::temp_directory_path() / fmt::format("soak-{}-XXXXXX", seed)).string();
+    if (mkdtemp(folder.data()) == nullptr) {
+        std::perror("mkdtemp");
+        return false;
+    }
+    const bool planned = options["--planned"].asBool();
+    promises checked(!planned, [](std::string_view text) {
+        std::printf("broken: %s\n", std::string(text).c_str());
+        std::fflush(stdout);
+    });
+    net::test_context context;
+    {
+        soak_cluster cluster(context.get(), options["PROGRAM"].asString(), folder, checked);
+        soak_callers callers(context.get(), cluster, checked, seed);
+        callers.start(number_of(options["--callers"]));
+        wait_recovered(checked);
+        carry_out(plan_faults(seed, number_of(options["--faults"]),
+                              planned ? fault_choice::planned : fault_choice::any),
+                  cluster);
+        wait_recovered(checked);
+        callers.stop();
+        cluster.stop();
+        context.stop();
+    }
+    std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed),
+                checked.summary().c_str());
+    const bool kept = checked.violations() == 0;
+    if (kept && !options["--keep"].asBool()) {
+        std::filesystem::remove_all(folder);
+    } else {
+        std::printf("logs: %s\n", folder.c_str());
+    }
+    std::fflush(stdout);
+    return kept;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    auto options = docopt::docopt(usage, {argv + 1, argv + argc});
+    const auto first = number_of(options["--seed"]);
+    const auto seeds = number_of(options["--seeds"]);
+    std::size_t failed = 0;
+    for (auto seed = first; seed < first + seeds; ++seed) {
+        failed += run_seed(seed, options) ? 0 : 1;
+    }
+    std::printf("%zu of %zu seeds failed\n", failed, seeds);
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/unittests/soak/promises.cpp
@@ -0,0 +1,149 @@
+#include "promises.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace dragonflystair::soak {
+
+bool runs_once(call_kind kind) {
+    return kind == call_kind::stamp || kind == call_kind::draft;
+}
+
+std::string_view to_string(call_kind kind) {
+    switch (kind) {
+    case call_kind::stamp:
+        return "stamp";
+    case call_kind::lookup:
+        return "lookup";
+    case call_kind::draft:
+        return "draft";
+    case call_kind::pattern:
+        return "pattern";
+    }
+    return "unknown";
+}
+
+std::string request_body(std::string_view id) {
+    return fmt::format("content of {}", id);
+}
+
+std::string signature_of(std::string_view id) {
+    return fmt::format("signed-{}", id);
+}
+
+std::string plain_body(std::string_view id) {
+    return fmt::format("answer to {} from its first byte to its last", id);
+}
+
+std::string event_text(std::string_view id, int number) {
+    return fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
+}
+
+void promises::note_call(const std::string& id, call_kind kind) {
+    const std::lock_guard lock(mutex_);
+    calls_[id].kind = kind;
+}
+
+void promises::note_run(const std::string& id, std::string_view service, int first_event) {
+    const std::lock_guard lock(mutex_);
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        ++violations_;
+        on_broken_(fmt::format("{} was run but never asked for", id));
+        return;
+    }
+    auto& item = found->second;
+    ++item.runs;
+    std::string fault;
+    const bool stream = item.kind == call_kind::draft || item.kind == call_kind::pattern;
+    if (stream != (service == "assistant")) {
+        fault = fmt::format("was run by {}", service);
+    } else if (runs_once(item.kind) && item.runs > 1) {
+        fault = fmt::format("ran {} times", item.runs);
+    } else if (runs_once(item.kind) && item.refused) {
+        fault = "ran after a refusal that promised the opposite";
+    } else if (first_event > 1 && item.kind != call_kind::pattern) {
+        fault = fmt::format("was resumed at event {}", first_event);
+    }
+    if (!fault.empty()) {
+        ++violations_;
+        on_broken_(fmt::format("{} {} {}", to_string(item.kind), id, fault));
+    }
+}
+
+void promises::note_end(const std::string& id, call_end end, std::string_view signature,
+                        std::string_view body) {
+    const std::lock_guard lock(mutex_);
+    auto& item = calls_.at(id);
+    ++ends_[{item.kind, end}];
+    if (end == call_end::refused) {
+        item.refused = true;
+        if (runs_once(item.kind) && item.runs > 0) {
+            ++violations_;
+            on_broken_(fmt::format("{} {} was refused after it had run", to_string(item.kind), id));
+        }
+    } else if (!cuts_allowed_ && end != call_end::served && item.runs > 0) {
+        ++violations_;
+        on_broken_(fmt::format("{} {} {} after it had begun to run, with no fault that explains it",
+                               to_string(item.kind), id,
+                               end == call_end::cut ? "was cut off" : "failed"));
+    } else if (end == call_end::served || (end == call_end::cut && !body.empty())) {
+        check_body(id, item, signature, body, end == call_end::served);
+    }
+}
+
+/// A whole answer is the endpoint's own; one that was cut is a beginning of it.
+void promises::check_body(const std::string& id, const call& item, std::string_view signature,
+                          std::string_view body, bool complete) {
+    std::string expected;
+    if (item.kind == call_kind::stamp || item.kind == call_kind::lookup) {
+        expected = plain_body(id);
+    } else {
+        for (int number = 1; number <= stream_events; ++number) {
+            expected += event_text(id, number);
+        }
+    }
+    const bool matches = complete ? body == expected : expected.starts_with(body);
+    if (matches && (!complete || signature == signature_of(id))) {
+        return;
+    }
+    ++violations_;
+    on_broken_(fmt::format("{} {} got a {} answer with signature '{}': {}", to_string(item.kind),
+                           id, complete ? "complete" : "partial", signature, body));
+}
+
+void promises::broken(const std::string& text) {
+    const std::lock_guard lock(mutex_);
+    ++violations_;
+    on_broken_(text);
+}
+
+std::size_t promises::violations() const {
+    const std::lock_guard lock(mutex_);
+    return violations_;
+}
+
+std::size_t promises::served(call_kind kind) const {
+    const std::lock_guard lock(mutex_);
+    const auto found = ends_.find({kind, call_end::served});
+    return found == ends_.end() ? 0 : found->second;
+}
+
+std::string promises::summary() const {
+    const std::lock_guard lock(mutex_);
+    const auto count = [&](call_kind kind, call_end end) {
+        const auto found = ends_.find({kind, end});
+        return found == ends_.end() ? 0 : found->second;
+    };
+    std::string out;
+    for (const auto kind :
+         {call_kind::stamp, call_kind::lookup, call_kind::draft, call_kind::pattern}) {
+        out += fmt::format("{}: served {}, refused {}, failed {}, cut {}; ", to_string(kind),
+                           count(kind, call_end::served), count(kind, call_end::refused),
+                           count(kind, call_end::failed), count(kind, call_end::cut));
+    }
+    return out + fmt::format("broken promises {}", violations_);
+}
+
+} // namespace dragonflystair::soak
--- /dev/null
+++ b/unittests/soak/soak_callers.cpp
@@ -0,0 +1,165 @@
+#include "soak_callers.h"
+
+#include "platform/names.h"
+
+#include "dragonflystair/support/json.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <thread>
+#include <utility>
+
+namespace dragonflystair::soak {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds deadline{3'000};
+/// A caller waits longer than its deadline, so that an answer that is late is still checked.
+constexpr milliseconds patience{8'000};
+constexpr milliseconds resolve_time{1'000};
+constexpr int longest_pause_ms = 40;
+/// More adapters than the engines have places, a few of them popular.
+constexpr int adapters = 16;
+
+bool is_refusal(int status) {
+    return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+} // namespace
+
+soak_callers::soak_callers(const net::executor& context, const soak_cluster& cluster,
+                           promises& checked, std::uint64_t seed)
+    : context_(context), cluster_(cluster), checked_(checked), seed_(seed), client_(context) {}
+
+void soak_callers::start(std::size_t count) {
+    for (std::size_t number = 0; number < count; ++number) {
+        ++active_;
+        boost::asio::co_spawn(
+            context_, [this, number] { return call_in_turn(number); }, boost::asio::detached);
+    }
+}
+
+void soak_callers::stop() {
+    stopping_ = true;
+    while (active_ > 0) {
+        std::this_thread::sleep_for(milliseconds{5});
+    }
+}
+
+net::awaitable<void> soak_callers::call_in_turn(std::size_t number) {
+    std::mt19937_64 random(seed_ * 1'000 + number);
+    boost::asio::steady_timer timer(context_);
+    while (!stopping_) {
+        timer.expires_after(milliseconds(random() % longest_pause_ms));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        const auto kind = static_cast<call_kind>(random() % call_kinds);
+        const auto draw = static_cast<int>(random() % adapters);
+        const auto second = static_cast<int>(random() % adapters);
+        auto address = co_await resolve(number);
+        if (address.empty()) {
+            continue;
+        }
+        auto id = fmt::format("{:016x}", next_id_++);
+        co_await call(std::move(address), kind, std::move(id), std::min(draw, second));
+    }
+    --active_;
+}
+
+/// One of the addresses that a gateway names, tried from the caller's own on.
+net::awaitable<std::string> soak_callers::resolve(std::size_t number) {
+    const auto& gateways = cluster_.gateways();
+    for (std::size_t step = 0; step < 3; ++step) {
+        const auto& asked = *gateways[(number + step) % gateways.size()];
+        net::http_request request;
+        request.target = fmt::format("{}?name=desk&region={}&zone={}", platform::resolve_path,
+                                     number % 2 == 0 ? "n" : "s",
+                                     number % 2 == 0 ? "north" : "south");
+        const auto answer =
+            co_await client_.request(asked.resolve_address(), request, resolve_time);
+        if (!answer || answer.value().status != 200) {
+            continue;
+        }
+        const auto body = support::json::parse(answer.value().body, nullptr, false);
+        if (!body.is_object() || body.value("addrs", support::json::array()).empty()) {
+            checked_.broken(fmt::format("{} resolved to '{}'", asked.name(), answer.value().body));
+            continue;
+        }
+        const auto& addresses = body["addrs"];
+        co_return addresses[number % addresses.size()].get<std::string>();
+    }
+    co_return std::string();
+}
+
+net::awaitable<void> soak_callers::call(std::string address, call_kind kind, std::string id,
+                                        int adapter) {
+    checked_.note_call(id, kind);
+    net::http_request request;
+    request.method = "POST";
+    request.target = fmt::format("/{}/{}", to_string(kind), id);
+    request.headers["Host"] = "desk";
+    request.headers[std::string(platform::request_id_header)] = id;
+    request.headers[std::string(platform::deadline_header)] = std::to_string(deadline.count());
+    request.body = request_body(id);
+    if (kind == call_kind::stamp || kind == call_kind::lookup) {
+        co_await call_plain(std::move(address), std::move(request), std::move(id));
+        co_return;
+    }
+    request.headers[std::string(platform::model_header)] = fmt::format("base/a{}", adapter);
+    request.headers[std::string(platform::tokens_header)] = "200,60";
+    request.headers[std::string(platform::prompt_header)] = fmt::format("ab:100,{}:100", id);
+    co_await call_stream(std::move(address), std::move(request), std::move(id));
+}
+
+net::awaitable<void> soak_callers::call_plain(std::string address, net::http_request request,
+                                              std::string id) {
+    const auto answer = co_await client_.request(address, std::move(request), patience);
+    if (!answer) {
+        checked_.note_end(id, call_end::cut, {}, {});
+        co_return;
+    }
+    const auto& response = answer.value();
+    const auto end = response.status == 200           ? call_end::served
+                     : is_refusal(response.status) ? call_end::refused
+                                                      : call_end::failed;
+    checked_.note_end(id, end, net::header(response.headers, platform::signature_header),
+                      response.body);
+}
+
+net::awaitable<void> soak_callers::call_stream(std::string address, net::http_request request,
+                                               std::string id) {
+    const auto opened = co_await client_.open_stream(address, std::move(request), patience);
+    if (!opened) {
+        checked_.note_end(id, call_end::cut, {}, {});
+        co_return;
+    }
+    auto& stream = *opened.value();
+    std::string body;
+    bool complete = false;
+    for (;;) {
+        const auto piece = co_await stream.read(patience);
+        if (!piece) {
+            break;
+        }
+        if (!piece.value()) {
+            complete = true;
+            break;
+        }
+        body += *piece.value();
+    }
+    const auto signature = net::header(stream.head().headers, platform::signature_header);
+    if (stream.head().status != 200) {
+        checked_.note_end(
+            id, is_refusal(stream.head().status) ? call_end::refused : call_end::failed, {}, {});
+        co_return;
+    }
+    checked_.note_end(id, complete ? call_end::served : call_end::cut, signature, body);
+}
+
+} // namespace dragonflystair::soak
--- /dev/null
+++ b/unittests/soak/soak_cluster.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "gateway/platform_stand_in.h"
+
+#include "fault_plan.h"
+#include "promises.h"
+#include "soak_endpoint.h"
+#include "soak_gateway.h"
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonflystair::soak {
+
+/// Four gateways in two data centres, the store, two plain endpoints and three engines; every path
+/// to the store and to an endpoint leads through a relay.
+class soak_cluster {
+public:
+    soak_cluster(const net::executor& context, const std::string& program, std::string folder,
+                 promises& checked);
+    ~soak_cluster();
+    soak_cluster(const soak_cluster&) = delete;
+    soak_cluster& operator=(const soak_cluster&) = delete;
+
+    /// Begins a fault; the function ends it.
+    std::function<void()> begin(const fault& item);
+
+    [[nodiscard]] const std::vector<std::unique_ptr<soak_gateway>>& gateways() const {
+        return gateways_;
+    }
+    /// Ends all processes; one that had ended by itself breaks a promise.
+    void stop();
+
+private:
+    struct linked_endpoint {
+        std::unique_ptr<soak_endpoint> self;
+        std::unique_ptr<scenarios::tcp_relay> link;
+    };
+
+    void add_endpoint(const net::executor& context, const std::string& service,
+                      const std::string& name, const std::string& data_centre);
+    void write_settings(soak_gateway& item, double retry_slack);
+    void publish_configuration();
+    std::function<void()> begin_on_gateway(const fault& item, soak_gateway& target);
+    std::function<void()> begin_on_endpoint(const fault& item, linked_endpoint& target);
+    void reap(soak_gateway& item);
+
+    std::string folder_;
+    promises& checked_;
+    gateway::store_stand_in store_;
+    std::vector<linked_endpoint> endpoints_;
+    std::vector<std::unique_ptr<soak_gateway>> gateways_;
+    std::uint64_t version_ = 0;
+};
+
+} // namespace dragonflystair::soak
--- /dev/null
+++ b/unittests/soak/soak_endpoint.cpp
@@ -0,0 +1,278 @@
+#include "soak_endpoint.h"
+
+#include "platform/names.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+namespace dragonflystair::soak {
+
+using std::chrono::milliseconds;
+using support::json;
+
+namespace {
+
+/// Short enough for many calls in a run, long enough that faults meet calls under way.
+constexpr milliseconds work_time{15};
+constexpr milliseconds event_pause{10};
+constexpr milliseconds load_time{60};
+
+net::awaitable<void> pause_for(milliseconds time) {
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    timer.expires_after(time);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+net::http_response status_only(int status) {
+    net::http_response response;
+    response.status = status;
+    return response;
+}
+
+int first_event_of(const net::http_request& request) {
+    const auto last = net::header(request.headers, platform::last_event_header);
+    int number = 0;
+    std::from_chars(last.data(), last.data() + last.size(), number);
+    return number + 1;
+}
+
+/// Part of a model's name after the slash.
+std::string adapter_of(const net::http_request& request) {
+    const auto model = net::header(request.headers, platform::model_header);
+    const auto slash = model.find('/');
+    return slash == std::string_view::npos ? std::string{} : std::string(model.substr(slash + 1));
+}
+
+} // namespace
+
+soak_endpoint::soak_endpoint(const net::executor& context, promises& checked, std::string service,
+                             std::string name, std::string data_centre, registry publish)
+    : checked_(checked), service_(std::move(service)), name_(std::move(name)),
+      data_centre_(std::move(data_centre)), publish_(std::move(publish)),
+      server_(
+          context, "127.0.0.1:0", {},
+          [this](net::http_exchange& exchange) { return serve(exchange); }, counters_) {
+    server_.start();
+}
+
+void soak_endpoint::enter(const std::string& advertised) {
+    {
+        const std::lock_guard lock(mutex_);
+        advertised_ = advertised;
+        id_ = fmt::format("{}-{}", name_, ++starts_);
+    }
+    publish_record("ready");
+}
+
+void soak_endpoint::set_trouble(endpoint_trouble trouble) {
+    const std::lock_guard lock(mutex_);
+    trouble_ = trouble;
+}
+
+void soak_endpoint::announce_leaving() {
+    publish_record("draining");
+}
+
+void soak_endpoint::restart() {
+    std::string former;
+    {
+        const std::lock_guard lock(mutex_);
+        former = std::exchange(id_, fmt::format("{}-{}", name_, ++starts_));
+        adapters_.clear();
+        holders_.clear();
+        orders_accepted_ = 0;
+        highest_fence_ = 0;
+    }
+    publish_(former, "");
+    publish_record("ready");
+}
+
+void soak_endpoint::publish_record(const std::string& state) {
+    json record;
+    std::string id;
+    {
+        const std::lock_guard lock(mutex_);
+        id = id_;
+        record = {{"service", service_},      {"addr", advertised_},
+                  {"zone", data_centre_},     {"slots", slots},
+                  {"state", state},           {"seq", orders_accepted_},
+                  {"born", starts_},          {"models", models_locked()}};
+    }
+    publish_(id, record.dump());
+}
+
+json soak_endpoint::models_locked() const {
+    if (!is_engine()) {
+        return json::array();
+    }
+    json held = json::array();
+    for (const auto& [name, item] : adapters_) {
+        if (item.ready_at <= support::boot_clock::now()) {
+            held.push_back(fmt::format("{}@{}", name, item.version));
+        }
+    }
+    return json::array({{{"name", "base"}, {"version", 1}, {"adapters", held}}});
+}
+
+net::http_response soak_endpoint::report() {
+    const std::lock_guard lock(mutex_);
+    net::http_response response;
+    response.body = json{{"stage", "mixed"},
+                         {"busy", false},
+                         {"seq", orders_accepted_},
+                         {"models", models_locked()}}
+                        .dump();
+    return response;
+}
+
+net::http_response soak_endpoint::take_order(const json& order) {
+    const std::lock_guard lock(mutex_);
+    const auto fence = order.at("fence").get<std::uint64_t>();
+    const auto holder = order.at("holder").get<std::string>();
+    if (fence < highest_fence_) {
+        return status_only(412);
+    }
+    highest_fence_ = fence;
+    if (const auto known = holders_.try_emplace(fence, holder).first; known->second != holder) {
+        checked_.broken(fmt::format("{} got orders of {} and {} with fencing number {}", id_,
+                                    known->second, holder, fence));
+    }
+    const auto name = order.value("adapter", "");
+    const auto held = adapters_.find(name);
+    const bool loads = order.at("op") == "load";
+    if (name.empty() || (!loads && held == adapters_.end())) {
+        return status_only(200);
+    }
+    if (loads && held != adapters_.end()) {
+        return status_only(held->second.ready_at <= support::boot_clock::now() ? 200 : 202);
+    }
+    if (order.value("precondition", orders_accepted_) != orders_accepted_) {
+        return status_only(409);
+    }
+    ++orders_accepted_;
+    if (!loads) {
+        adapters_.erase(held);
+        return status_only(200);
+    }
+    if (adapters_.size() >= adapter_slots) {
+        checked_.broken(fmt::format("{} was ordered to load more adapters than fit", id_));
+        return status_only(400);
+    }
+    adapters_[name].ready_at = support::boot_clock::now() + load_time;
+    return status_only(202);
+}
+
+int soak_endpoint::rejection(const net::http_request& request) {
+    const std::lock_guard lock(mutex_);
+    if (net::header(request.headers, platform::expected_endpoint_header) != id_) {
+        return 421;
+    }
+    if (is_engine()) {
+        const auto held = adapters_.find(adapter_of(request));
+        if (held == adapters_.end() || held->second.ready_at > support::boot_clock::now()) {
+            return 421;
+        }
+    }
+    return running_ >= slots || trouble_ == endpoint_trouble::full ? 503 : 0;
+}
+
+net::awaitable<void> soak_endpoint::serve(net::http_exchange& exchange) {
+    const auto& request = exchange.request();
+    net::http_response response;
+    if (request.target == platform::order_path) {
+        response = take_order(json::parse(request.body));
+    } else if (request.target == platform::report_path) {
+        response = report();
+    } else {
+        co_await serve_call(exchange);
+        co_return;
+    }
+    co_await exchange.respond(std::move(response));
+}
+
+net::awaitable<void> soak_endpoint::serve_call(net::http_exchange& exchange) {
+    const auto& request = exchange.request();
+    const std::string id(net::header(request.headers, platform::request_id_header));
+    if (const int status = rejection(request); status != 0) {
+        auto response = status_only(status);
+        response.headers[std::string(platform::request_id_header)] = id;
+        response.headers[std::string(platform::not_run_header)] = "1";
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    checked_.note_run(id, service_, first_event_of(request));
+    if (!request.target.ends_with(id) || request.body != request_body(id)) {
+        checked_.broken(fmt::format("{} was changed on its way: {} {}", id, request.target,
+                                    request.body));
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        ++running_;
+    }
+    if (is_engine()) {
+        co_await serve_stream(exchange, id);
+    } else {
+        co_await serve_plain(exchange, id);
+    }
+    const std::lock_guard lock(mutex_);
+    --running_;
+}
+
+net::awaitable<void> soak_endpoint::serve_plain(net::http_exchange& exchange,
+                                                const std::string& id) {
+    co_await pause_for(work_time);
+    endpoint_trouble trouble{};
+    {
+        const std::lock_guard lock(mutex_);
+        trouble = trouble_;
+    }
+    net::http_response response;
+    response.headers[std::string(platform::request_id_header)] = id;
+    response.headers[std::string(platform::signature_header)] = signature_of(id);
+    if (trouble == endpoint_trouble::loses_answer) {
+        // A stream that is not ended breaks the connection.
+        co_await exchange.begin_stream(std::move(response));
+        co_return;
+    }
+    response.status = trouble == endpoint_trouble::fails ? 500 : 200;
+    response.body = plain_body(id);
+    co_await exchange.respond(std::move(response));
+}
+
+net::awaitable<void> soak_endpoint::serve_stream(net::http_exchange& exchange,
+                                                 const std::string& id) {
+    net::http_response head;
+    head.headers[std::string(platform::request_id_header)] = id;
+    head.headers[std::string(platform::signature_header)] = signature_of(id);
+    head.headers["Content-Type"] = "text/event-stream";
+    const int first = first_event_of(exchange.request());
+    co_await exchange.begin_stream(std::move(head));
+    for (int number = first; number <= stream_events; ++number) {
+        co_await pause_for(event_pause);
+        bool breaks = false;
+        {
+            const std::lock_guard lock(mutex_);
+            breaks = trouble_ == endpoint_trouble::loses_answer;
+        }
+        auto text = event_text(id, number);
+        if (breaks && number > 1) {
+            // Ends in the middle of an event.
+            text.resize(text.size() / 2);
+            co_await exchange.write(text);
+            co_return;
+        }
+        if (!co_await exchange.write(text)) {
+            co_return;
+        }
+    }
+    co_await exchange.end_stream();
+}
+
+} // namespace dragonflystair::soak
--- /dev/null
+++ b/unittests/soak/soak_gateway.cpp
@@ -0,0 +1,102 @@
+#include "soak_gateway.h"
+
+#include "fault_plan.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <array>
+#include <csignal>
+#include <cstdint>
+#include <fstream>
+#include <unistd.h>
+#include <utility>
+
+namespace dragonflystair::soak {
+
+namespace {
+
+/// An address that is free now and stays so: a restarted gateway needs the one that it had. It is
+/// on a loopback host of this process's own, where no other process listens and no connection
+/// begins.
+std::string free_address() {
+    const auto process = static_cast<std::uint32_t>(::getpid());
+    const auto host = fmt::format("127.{}.{}.{}", 64 + (process >> 16U) % 64,
+                                  (process >> 8U) % 256, process % 256);
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address(host), 0});
+    return fmt::format("{}:{}", host, acceptor.local_endpoint().port());
+}
+
+} // namespace
+
+soak_gateway::soak_gateway(std::string program, std::string folder, place where,
+                           const std::string& store_address)
+    : program_(std::move(program)), folder_(std::move(folder)), where_(std::move(where)),
+      store_link_(store_address), caller_address_(free_address()), ready_address_(free_address()),
+      resolve_address_(free_address()), peer_address_(free_address()),
+      metrics_address_(free_address()) {}
+
+void soak_gateway::write_settings(const std::vector<std::string>& peers, double retry_slack) {
+    std::ofstream file(folder_ + "/" + where_.name + ".ini");
+    file << fmt::format("[gateway]\nname = {}\ndata_centre = {}\nregion = {}\n", where_.name,
+                        where_.data_centre, where_.region)
+         << fmt::format("caller_address = {}\nready_address = {}\nresolve_address = {}\n",
+                        caller_address_, ready_address_, resolve_address_)
+         << fmt::format("peer_address = {}\nmetrics_address = {}\n", peer_address_,
+                        metrics_address_)
+         << fmt::format("[peers]\naddresses = {}\n", fmt::join(peers, ", "))
+         << fmt::format("[store]\nstore = {}\n", store_link_.address())
+         << "[data_centres]\nnorth = n\nsouth = s\n[secrets]\npeer_secret = soak\n"
+         << fmt::format("[limits]\nretry_ratio = 0.2\nretry_slack = {}\nretry_window = 10s\n",
+                        retry_slack)
+         << fmt::format("lease = 3000ms\nengines_check_fencing = true\nshutdown_timeout = {}ms\n",
+                        shutdown_time.count());
+}
+
+void soak_gateway::start() {
+    if (process_) {
+        return;
+    }
+    ++starts_;
+    stopping_ = false;
+    const std::array<std::string, 4> arguments{program_, "gateway", "--settings",
+                                               folder_ + "/" + where_.name + ".ini"};
+    process_ = std::make_unique<scenarios::child_process>(arguments,
+                                                          folder_ + "/" + where_.name + ".log");
+}
+
+void soak_gateway::kill() {
+    process_->signal(SIGKILL);
+    process_->wait();
+    process_.reset();
+}
+
+void soak_gateway::suspend() {
+    process_->signal(SIGSTOP);
+}
+
+void soak_gateway::resume() {
+    process_->signal(SIGCONT);
+}
+
+void soak_gateway::hang_up() {
+    process_->signal(SIGHUP);
+}
+
+void soak_gateway::terminate() {
+    stopping_ = true;
+    process_->signal(SIGCONT);
+    process_->signal(SIGTERM);
+}
+
+int soak_gateway::reap() {
+    process_->signal(SIGKILL);
+    const int code = process_->wait();
+    process_.reset();
+    return code;
+}
+
+} // namespace dragonflystair::soak
