Keep loads from the store within callers' patience; ask engines first as a new holder

Cause 1: up to four adapters were on their way to each engine. Change 1: a window of loads from the store for each data centre, grown while loads take about the shortest time seen, shrunk when they take longer. Loads of what an engine had recently do not count. The first look at a load comes a little earlier, so that the mean follows loads that become quicker. Change 2: a new holder asks each engine for a report before its first order.

--- a/include/dragonflystair/fleet/adapter_planner.h
+++ b/include/dragonflystair/fleet/adapter_planner.h
@@ -73,6 +73,10 @@
     void on_used(const model_name& what, support::time_point now);
     void require_version(const model_name& what, std::uint64_t version);
 
+    /// The lease was won: what engines hold is asked for before the first order, since the former
+    /// holder's orders do not show in records.
+    void begin_term();
+
     /// Orders that are due, at most one for each engine without an order under way.
     std::vector<planned_order> plan(support::time_point now);
     void on_outcome(const planned_order& order, order_outcome outcome, support::time_point now);
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -94,6 +94,13 @@
     required = std::max(required, version);
 }
 
+void adapter_planner::begin_term() {
+    for (auto& [id, item] : impl_->engines) {
+        item.needs_report = true;
+        item.order_under_way = false;
+    }
+}
+
 std::vector<planned_order> adapter_planner::plan(time_point now) {
     std::vector<planned_order> orders;
     std::erase_if(impl_->demands, [&](const auto& item) {
@@ -127,6 +134,7 @@
         const auto since = item->second.waiting_since;
         return std::pair(now - since > hopeful_wait, since);
     });
+    impl_->window.set_engines(impl_->engines.size());
     std::vector<std::string> names;
     for (const auto& [id, item] : impl_->engines) {
         if (impl_->takes_load(item, now)) {
--- a/lib/fleet/adapter_planner_impl.h
+++ b/lib/fleet/adapter_planner_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflystair/fleet/adapter_planner.h"
+#include "dragonflystair/fleet/load_window.h"
 #include "dragonflystair/policy/popularity.h"
 
 #include <chrono>
@@ -17,8 +18,6 @@
 using std::chrono::milliseconds;
 using support::time_point;
 
-/// Time that an adapter load takes; the deployments state 250 and 288 ms.
-inline constexpr milliseconds adapter_load_time{250};
 /// Pause between two looks whether an order has been carried out.
 inline constexpr milliseconds check_period{20};
 inline constexpr milliseconds model_check_period{100};
@@ -41,6 +40,7 @@
     /// Unknown for a load that only a report told of.
     std::optional<time_point> ordered_at;
     bool replaces = false; ///< It waits for calls on the former version.
+    bool from_store = true; ///< The engine did not have it recently.
 };
 
 inline slot make_slot(slot_state state, std::uint64_t version, time_point used,
@@ -93,6 +93,7 @@
     std::optional<planned_order> model_order(engine& item, time_point now);
     std::optional<planned_order> due_check(engine& item, time_point now);
     std::optional<planned_order> version_order(engine& item, time_point now);
+    [[nodiscard]] std::size_t loads_from_store() const;
     [[nodiscard]] bool takes_load(const engine& item, time_point now) const;
     std::optional<planned_order> demand_order(time_point now, const model_name& what,
                                               const wanted& demand,
@@ -112,7 +113,7 @@
     std::map<model_name, wanted> demands;
     std::map<model_name, std::uint64_t> required;
     policy::popularity popular;
-    support::duration load_time = adapter_load_time; ///< Running mean.
+    load_window window;
     std::vector<residency_change> changes;
 };
 
--- a/lib/fleet/adapter_planner_orders.cpp
+++ b/lib/fleet/adapter_planner_orders.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 
-/// Adapters on their way to one engine at once, as many as engines take. The store slows down in
-/// proportion beyond about two for each engine, which leaves the rate of loads as it is.
+/// Adapters on their way to one engine at once, as many as engines take.
 constexpr std::size_t max_in_transit = 4;
 
 /// A replacement or an unload waits for the calls that use the adapter.
@@ -181,6 +180,18 @@
     });
 }
 
+/// Adapters that are on their way from the store to engines of the data centre.
+std::size_t adapter_planner::impl::loads_from_store() const {
+    std::size_t count = 0;
+    for (const auto& [id, item] : engines) {
+        count += static_cast<std::size_t>(std::ranges::count_if(item.adapters, [](const auto& held) {
+            return held.second.from_store && (held.second.state == slot_state::loading ||
+                                              held.second.state == slot_state::ordered);
+        }));
+    }
+    return count;
+}
+
 /// Whether the engine can be given an order to load an adapter now.
 bool adapter_planner::impl::takes_load(const engine& item, time_point now) const {
     if (item.order_under_way || item.record.draining || item.paused_until > now ||
@@ -203,6 +214,7 @@
     // Waiting calls drive out anything idle; a copy for convenience only what is less popular.
     constexpr double any_rate = 1e9;
     const double worth = demand.waiting > 0 ? any_rate : popular.rate(key_of(what), now);
+    const bool store_is_free = loads_from_store() < window.limit();
     auto order = support::rendezvous_order(key_of(what), names);
     std::ranges::stable_partition(
         order, [&](const auto& id) { return engines.at(id).recent.contains(what); });
@@ -210,7 +222,8 @@
         auto& item = engines.at(id);
         const auto model = item.models.find(what.model);
         if (!takes_load(item, now) || item.adapters.contains(what) || model == item.models.end() ||
-            model->second.state != slot_state::ready) {
+            model->second.state != slot_state::ready ||
+            (!store_is_free && !item.recent.contains(what))) {
             continue;
         }
         if (fits(item, what)) {
@@ -234,7 +247,9 @@
         change(item, order.what, residency::absent, held->second.version);
     } else if (order.kind == planned_kind::load) {
         // Takes the place now, so that no other engine is chosen meanwhile.
-        item.adapters[order.what] = make_slot(slot_state::ordered, 0, {});
+        auto& held_place = item.adapters[order.what];
+        held_place = make_slot(slot_state::ordered, 0, {});
+        held_place.from_store = !item.recent.contains(order.what);
     }
 }
 
--- a/lib/fleet/adapter_planner_outcomes.cpp
+++ b/lib/fleet/adapter_planner_outcomes.cpp
@@ -7,10 +7,8 @@
 
 namespace {
 
-/// A look at this part of the usual time finds a load that was quicker.
-constexpr double first_check_part = 0.96;
-/// Weight of a new sample in the running mean of load times.
-constexpr double sample_weight = 0.2;
+/// A look at this part of the usual time finds loads that have become quicker.
+constexpr double first_check_part = 0.9;
 /// The same for an adapter that the engine had recently, a tenth.
 constexpr milliseconds recent_load_time{25};
 
@@ -51,7 +49,8 @@
     held.check_at =
         now + (item.recent.contains(order.what)
                    ? support::duration(recent_load_time)
-                   : std::chrono::duration_cast<support::duration>(load_time * first_check_part));
+                   : std::chrono::duration_cast<support::duration>(window.expected() *
+                                                                   first_check_part));
     change(item, order.what, residency::loading, held.version);
 }
 
@@ -71,9 +70,7 @@
     }
     auto& held = item.adapters[order.what];
     if (order.check && held.ordered_at && !held.replaces && !item.recent.contains(order.what)) {
-        const support::duration took = now - *held.ordered_at;
-        load_time +=
-            std::chrono::duration_cast<support::duration>(sample_weight * (took - load_time));
+        window.on_load_done(now - *held.ordered_at, now);
     }
     held.replaces = false;
     held.state = slot_state::ready;
--- /dev/null
+++ b/lib/fleet/load_window.cpp
@@ -0,0 +1,64 @@
+#include "dragonflystair/fleet/load_window.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dragonflystair::fleet {
+
+namespace {
+
+/// Loads of one engine at once: what an engine takes at most, what the window starts with, and
+/// what is left of it when the store is slow.
+constexpr double most_per_engine = 4;
+constexpr double initial_per_engine = 1.5;
+constexpr double least_per_engine = 0.5;
+
+/// A load that takes this much of the shortest time shows that the store is slowed down. Ends are
+/// seen 20 ms late at most, which is less than a tenth of a load.
+constexpr double slow_factor = 1.35;
+/// Part of the window that is left after it has shrunk, at most once in the time of a load. Times
+/// the factor above it stays below one, or the shortest time would rise from one cycle to the next.
+constexpr double shrink_factor = 0.7;
+/// The shortest time is forgotten by this part with each load, so that a store that has become
+/// slower for good is known as such after some thousand loads.
+constexpr double forgotten_part = 0.0003;
+/// Weight of a new sample in the running mean of load times.
+constexpr double sample_weight = 0.2;
+
+support::duration scaled(support::duration time, double factor) {
+    return std::chrono::duration_cast<support::duration>(time * factor);
+}
+
+} // namespace
+
+double load_window::lowest() const {
+    return std::max(1.0, least_per_engine * static_cast<double>(engines_));
+}
+
+double load_window::highest() const {
+    return std::max(1.0, most_per_engine * static_cast<double>(engines_));
+}
+
+void load_window::set_engines(std::size_t count) {
+    engines_ = std::max<std::size_t>(count, 1);
+}
+
+void load_window::on_load_done(support::duration took, support::time_point now) {
+    mean_ += scaled(took - mean_, sample_weight);
+    shortest_ = shortest_ ? std::min(took, *shortest_ + scaled(*shortest_, forgotten_part)) : took;
+    double loads = loads_.value_or(initial_per_engine * static_cast<double>(engines_));
+    if (took <= scaled(*shortest_, slow_factor)) {
+        loads += 1 / loads;
+    } else if (!shrunk_ || now - *shrunk_ >= took) {
+        loads *= shrink_factor;
+        shrunk_ = now;
+    }
+    loads_ = std::clamp(loads, lowest(), highest());
+}
+
+std::size_t load_window::limit() const {
+    const double loads = loads_.value_or(initial_per_engine * static_cast<double>(engines_));
+    return static_cast<std::size_t>(std::floor(std::clamp(loads, lowest(), highest())));
+}
+
+} // namespace dragonflystair::fleet
--- a/lib/gateway/placement_holder.cpp
+++ b/lib/gateway/placement_holder.cpp
@@ -107,6 +107,9 @@
     if (held_before == lease_.holds()) {
         return;
     }
+    if (lease_.holds()) {
+        planner_.begin_term();
+    }
     support::log_change(lease_.holds() ? "lease_won" : "lease_lost",
                         {{"data_centre", data_centre_},
                          {"fence", std::to_string(lease_.fence())},
--- a/unittests/fleet/adapter_planner_test.cpp
+++ b/unittests/fleet/adapter_planner_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(one_refused_order_does_not_bring_a_stale_report);
     CPPUNIT_TEST(adapter_whose_unload_is_refused_stays_ready);
     CPPUNIT_TEST(lasting_conflict_asks_for_a_report);
+    CPPUNIT_TEST(new_holder_asks_for_a_report_before_its_first_order);
     CPPUNIT_TEST(order_without_answer_asks_for_a_report);
     CPPUNIT_TEST(load_found_in_a_report_leaves_the_next_loads_looked_at_in_time);
     CPPUNIT_TEST(new_version_replaces_the_busy_adapter_and_drops_the_idle_one);
@@ -194,6 +195,21 @@
     }
 
     /// Such an order may be carried out seconds later.
+    /// Guards against a new holder whose first orders an engine refuses: records are not renewed
+    /// when adapters change, so this one still shows the engine as it began.
+    void new_holder_asks_for_a_report_before_its_first_order() {
+        planner_->on_demand(waiting_for("x"), now_);
+        planner_->begin_term();
+        const auto order = planner_->plan(now_).at(0);
+        CPPUNIT_ASSERT(order.kind == planned_kind::report);
+        engine_report report;
+        report.started_ms = 1;
+        report.orders_accepted = 12;
+        report.models = {{"base", 1, {{"y", 1}}}};
+        planner_->on_report("a", report, now_);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, planner_->plan(now_).at(0).orders_accepted);
+    }
+
     void order_without_answer_asks_for_a_report() {
         planner_->on_demand(waiting_for("x"), now_);
         planner_->on_outcome(planner_->plan(now_).at(0), order_outcome::unknown, now_);
--- a/unittests/gateway/platform_stand_in.h
+++ b/unittests/gateway/platform_stand_in.h
@@ -205,9 +205,15 @@
 
 private:
     net::awaitable<void> serve(net::http_exchange& exchange) {
-        if (exchange.request().target.ends_with("/order")) {
+        const auto& target = exchange.request().target;
+        if (target.ends_with("/order") || target.ends_with("/report")) {
             net::http_response response;
-            response.status = order_status_;
+            if (target.ends_with("/order")) {
+                response.status = order_status_;
+            } else {
+                response.body =
+                    R"({"seq":0,"models":[{"name":"base","version":1,"adapters":["known@1"]}]})";
+            }
             co_await exchange.respond(std::move(response));
             co_return;
         }
--- a/unittests/soak/soak_endpoint.cpp
+++ b/unittests/soak/soak_endpoint.cpp
@@ -169,11 +169,17 @@
     return status_only(202);
 }
 
-int soak_endpoint::rejection(const net::http_request& request) {
+/// Whether a request is meant for another start of this endpoint.
+bool soak_endpoint::misdirected(const net::http_request& request) {
     const std::lock_guard lock(mutex_);
-    if (net::header(request.headers, platform::expected_endpoint_header) != id_) {
+    return net::header(request.headers, platform::expected_endpoint_header) != id_;
+}
+
+int soak_endpoint::rejection(const net::http_request& request) {
+    if (misdirected(request)) {
         return 421;
     }
+    const std::lock_guard lock(mutex_);
     if (is_engine()) {
         const auto held = adapters_.find(adapter_of(request));
         if (held == adapters_.end() || held->second.ready_at > support::boot_clock::now()) {
@@ -186,7 +192,11 @@
 net::awaitable<void> soak_endpoint::serve(net::http_exchange& exchange) {
     const auto& request = exchange.request();
     net::http_response response;
-    if (request.target == platform::order_path) {
+    const bool to_engine =
+        request.target == platform::order_path || request.target == platform::report_path;
+    if (to_engine && misdirected(request)) {
+        response.status = 421;
+    } else if (request.target == platform::order_path) {
         response = take_order(json::parse(request.body));
     } else if (request.target == platform::report_path) {
         response = report();
--- a/unittests/soak/soak_endpoint.h
+++ b/unittests/soak/soak_endpoint.h
@@ -58,6 +58,7 @@
     net::awaitable<void> serve_stream(net::http_exchange& exchange, const std::string& id);
     net::http_response take_order(const support::json& order);
     net::http_response report();
+    bool misdirected(const net::http_request& request);
     /// Why a call is not run: an HTTP status, or 0.
     int rejection(const net::http_request& request);
     void publish_record(const std::string& state);
--- a/unittests/soak/soak_gateway.cpp
+++ b/unittests/soak/soak_gateway.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <cstdint>
 #include <fstream>
+#include <set>
 #include <unistd.h>
 #include <utility>
 
@@ -25,9 +26,16 @@
     const auto process = static_cast<std::uint32_t>(::getpid());
     const auto host = fmt::format("127.{}.{}.{}", 64 + (process >> 16U) % 64,
                                   (process >> 8U) % 256, process % 256);
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address(host), 0});
-    return fmt::format("{}:{}", host, acceptor.local_endpoint().port());
+    // The system may name a port again once it is free.
+    static std::set<std::uint16_t> taken;
+    for (;;) {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address(host), 0});
+        const auto port = acceptor.local_endpoint().port();
+        if (taken.insert(port).second) {
+            return fmt::format("{}:{}", host, port);
+        }
+    }
 }
 
 } // namespace
