Hold calls back from engines with two fifths of the objective of prompts to read

Calls were sent to an engine that had up to 0.6 of their objective (300 ms, as long as the pause aim) to read. Change: 0.4, which leaves the pauses at 200 ms. Ruled out: full batches (no_capacity is below 1 in 100).

--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -35,7 +35,7 @@
 
 /// Prompt reading ahead of a call that keeps it in the node's queue, where urgent calls can still
 /// pass, as a share of its objective.
-constexpr double held_back_share = 0.6;
+constexpr double held_back_share = 0.4;
 
 /// Bounds of Retry-After. Below the first a caller would come back into the same queue.
 constexpr milliseconds least_retry_after{150};
