Serve latencies as histograms

Operators asked for latency histograms; the quantiles of single nodes could not be added up. Ruled out: prometheus-cpp-dev, which brings a stand-alone web server and two clients as dependencies onto each VM for what are two small text formats. Test: cumulative buckets and samples beyond both ends.

--- a/lib/fleet/adapter_planner_impl.h
+++ b/lib/fleet/adapter_planner_impl.h
@@ -40,7 +40,7 @@
     time_point check_at;
     /// Unknown for a load that only a report told of.
     std::optional<time_point> ordered_at;
-    bool replaces = false; ///< It waits for calls on the former version.
+    bool replaces = false;  ///< It waits for calls on the former version.
     bool from_store = true; ///< The engine did not have it recently.
 };
 
--- a/lib/fleet/adapter_planner_orders.cpp
+++ b/lib/fleet/adapter_planner_orders.cpp
@@ -188,10 +188,11 @@
 std::size_t adapter_planner::impl::loads_from_store() const {
     std::size_t count = 0;
     for (const auto& [id, item] : engines) {
-        count += static_cast<std::size_t>(std::ranges::count_if(item.adapters, [](const auto& held) {
-            return held.second.from_store && (held.second.state == slot_state::loading ||
-                                              held.second.state == slot_state::ordered);
-        }));
+        count +=
+            static_cast<std::size_t>(std::ranges::count_if(item.adapters, [](const auto& held) {
+                return held.second.from_store && (held.second.state == slot_state::loading ||
+                                                  held.second.state == slot_state::ordered);
+            }));
     }
     return count;
 }
@@ -226,9 +227,9 @@
     // Waiting calls drive out anything idle; a copy for convenience only what is less popular.
     constexpr double any_rate = 1e9;
     const double worth = demand.waiting > 0 ? any_rate : popular.rate(key_of(what), now);
-    const bool may_fetch = loads_from_store() < window.limit() &&
-                           (now - demand.waiting_since >= former_engine_patience ||
-                            !had_recently(what));
+    const bool may_fetch =
+        loads_from_store() < window.limit() &&
+        (now - demand.waiting_since >= former_engine_patience || !had_recently(what));
     auto order = support::rendezvous_order(key_of(what), names);
     std::ranges::stable_partition(
         order, [&](const auto& id) { return engines.at(id).recent.contains(what); });
--- a/lib/fleet/adapter_planner_outcomes.cpp
+++ b/lib/fleet/adapter_planner_outcomes.cpp
@@ -47,10 +47,10 @@
     }
     held.version = order.version.value_or(held.version);
     held.check_at =
-        now + (item.recent.contains(order.what)
-                   ? support::duration(recent_load_time)
-                   : std::chrono::duration_cast<support::duration>(window.expected() *
-                                                                   first_check_part));
+        now +
+        (item.recent.contains(order.what)
+             ? support::duration(recent_load_time)
+             : std::chrono::duration_cast<support::duration>(window.expected() * first_check_part));
     change(item, order.what, residency::loading, held.version);
 }
 
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -6,7 +6,7 @@
 #include "dragonflystair/net/http_server.h"
 #include "dragonflystair/net/peer_network.h"
 #include "dragonflystair/support/counters.h"
-#include "dragonflystair/support/latency_summary.h"
+#include "dragonflystair/support/latency_histogram.h"
 
 #include "call_relay.h"
 #include "node_view.h"
@@ -104,7 +104,7 @@
     boost::asio::io_context io_;
     settings_source reload_;
     support::counters counters_;
-    support::latency_summary first_byte_latency_;
+    support::latency_histogram first_byte_latency_;
     node_view view_;
     net::http_client http_;
     platform::store_client store_;
--- a/lib/gateway/node_view.h
+++ b/lib/gateway/node_view.h
@@ -8,7 +8,7 @@
 #include "dragonflystair/net/awaitable.h"
 #include "dragonflystair/net/exchange_client.h"
 #include "dragonflystair/support/counters.h"
-#include "dragonflystair/support/latency_summary.h"
+#include "dragonflystair/support/latency_histogram.h"
 
 #include <functional>
 #include <map>
@@ -25,7 +25,7 @@
     net::executor executor;
     fleet::topology topology;
     support::counters& counters;
-    support::latency_summary& first_byte_latency;
+    support::latency_histogram& first_byte_latency;
 
     std::shared_ptr<const fleet::configuration> configuration; ///< Null until one is known.
     fleet::dispatcher dispatcher;
--- a/lib/node/node_context.h
+++ b/lib/node/node_context.h
@@ -3,7 +3,7 @@
 #include "dragonflystair/config/settings.h"
 #include "dragonflystair/net/awaitable.h"
 #include "dragonflystair/support/counters.h"
-#include "dragonflystair/support/latency_summary.h"
+#include "dragonflystair/support/latency_histogram.h"
 #include "dragonflystair/support/time.h"
 
 #include <atomic>
@@ -17,8 +17,8 @@
     std::string incarnation;
     net::executor executor;
     support::counters counters;
-    support::latency_summary first_token_latency;
-    support::latency_summary plain_call_latency;
+    support::latency_histogram first_token_latency;
+    support::latency_histogram plain_call_latency;
     /// Set when the node stops; background loops end at their next turn.
     std::atomic<bool> stopping = false;
 
--- a/unittests/policy/endpoint_loads_test.cpp
+++ b/unittests/policy/endpoint_loads_test.cpp
@@ -192,8 +192,8 @@
         CPPUNIT_ASSERT(!driver_.submit(make_request("3", "b")).has_value());
     }
 
-    /// Guards against callers who are refused right after an outage of the store: permits come again,
-    /// only not yet for the adapter that has waited the longest.
+    /// Guards against callers who are refused right after an outage of the store: permits come
+    /// again, only not yet for the adapter that has waited the longest.
     void store_that_grants_slowly_refuses_no_newcomer() {
         driver_.submit(make_request("1", "a"));
         driver_.submit(make_request("2", "b"));
--- a/unittests/scenarios/tcp_relay.cpp
+++ b/unittests/scenarios/tcp_relay.cpp
@@ -119,9 +119,7 @@
         }
         asio::co_spawn(
             io,
-            [this, link] {
-                return pump(link, link->far, link->near, link->silent_answers, mode);
-            },
+            [this, link] { return pump(link, link->far, link->near, link->silent_answers, mode); },
             asio::detached);
         co_await pump(link, link->near, link->far, link->silent, mode);
     }
--- a/unittests/scenarios/tcp_relay.h
+++ b/unittests/scenarios/tcp_relay.h
@@ -8,8 +8,8 @@
 /// What a relay does with its connections.
 enum class relay_mode {
     pass,
-    silence_open, ///< Connections open now carry nothing any more, for good; new ones work.
-    cut,          ///< Open connections are closed and new ones are closed at once.
+    silence_open,    ///< Connections open now carry nothing any more, for good; new ones work.
+    cut,             ///< Open connections are closed and new ones are closed at once.
     reset_open,      ///< Connections open now are reset; new ones work.
     silence_answers, ///< Like `silence_open`, but only for what the target sends.
     delay,           ///< Everything arrives late, on connections old and new.
--- a/unittests/soak/main.cpp
+++ b/unittests/soak/main.cpp
@@ -1,6 +1,5 @@
-#include "net/test_context.h"
-
 #include "fault_plan.h"
+#include "net/test_context.h"
 #include "promises.h"
 #include "soak_callers.h"
 #include "soak_cluster.h"
--- a/unittests/soak/soak_callers.cpp
+++ b/unittests/soak/soak_callers.cpp
@@ -1,9 +1,9 @@
 #include "soak_callers.h"
 
-#include "platform/names.h"
-
 #include "dragonflystair/support/json.h"
 
+#include "platform/names.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -78,9 +78,9 @@
     for (std::size_t step = 0; step < 3; ++step) {
         const auto& asked = *gateways[(number + step) % gateways.size()];
         net::http_request request;
-        request.target = fmt::format("{}?name=desk&region={}&zone={}", platform::resolve_path,
-                                     number % 2 == 0 ? "n" : "s",
-                                     number % 2 == 0 ? "north" : "south");
+        request.target =
+            fmt::format("{}?name=desk&region={}&zone={}", platform::resolve_path,
+                        number % 2 == 0 ? "n" : "s", number % 2 == 0 ? "north" : "south");
         const auto answer =
             co_await client_.request(asked.resolve_address(), request, resolve_time);
         if (!answer || answer.value().status != 200) {
@@ -125,9 +125,9 @@
         co_return;
     }
     const auto& response = answer.value();
-    const auto end = response.status == 200           ? call_end::served
+    const auto end = response.status == 200        ? call_end::served
                      : is_refusal(response.status) ? call_end::refused
-                                                      : call_end::failed;
+                                                   : call_end::failed;
     checked_.note_end(id, end, net::header(response.headers, platform::signature_header),
                       response.body);
 }
--- a/unittests/soak/soak_cluster.cpp
+++ b/unittests/soak/soak_cluster.cpp
@@ -17,9 +17,9 @@
 constexpr double usual_retry_slack = 50;
 
 json route(const std::string& name, const std::string& kind, const std::string& service) {
-    return {{"name", name},       {"host", "desk"}, {"path-prefix", "/" + name + "/"},
-            {"kind", kind},       {"service", service}, {"timeout-ms", 5'000},
-            {"slo-ms", 1'000},    {"gap-aim-ms", 500},  {"attempts", 3}};
+    return {{"name", name},    {"host", "desk"},     {"path-prefix", "/" + name + "/"},
+            {"kind", kind},    {"service", service}, {"timeout-ms", 5'000},
+            {"slo-ms", 1'000}, {"gap-aim-ms", 500},  {"attempts", 3}};
 }
 
 /// Sets a link's mode; the end of the fault opens it again.
@@ -62,11 +62,11 @@
 void soak_cluster::add_endpoint(const net::executor& context, const std::string& service,
                                 const std::string& name, const std::string& data_centre) {
     linked_endpoint item;
-    item.self = std::make_unique<soak_endpoint>(
-        context, checked_, service, name, data_centre,
-        [this](const std::string& id, const std::string& record) {
-            store_.put("keyed.servers", id, record);
-        });
+    item.self =
+        std::make_unique<soak_endpoint>(context, checked_, service, name, data_centre,
+                                        [this](const std::string& id, const std::string& record) {
+                                            store_.put("keyed.servers", id, record);
+                                        });
     item.link = std::make_unique<scenarios::tcp_relay>(item.self->address());
     item.self->enter(item.link->address());
     endpoints_.push_back(std::move(item));
@@ -83,19 +83,18 @@
 /// Versions increase; each moves time-outs and adds a route.
 void soak_cluster::publish_configuration() {
     version_ += 3;
-    auto routes = json::array({route("stamp", "unsafe", "register"),
-                               route("lookup", "safe", "register"),
-                               route("draft", "stream", "assistant")});
+    auto routes =
+        json::array({route("stamp", "unsafe", "register"), route("lookup", "safe", "register"),
+                     route("draft", "stream", "assistant")});
     auto pattern = route("pattern", "stream", "assistant");
     pattern["resumable"] = true;
     routes.push_back(pattern);
     routes.push_back(route(fmt::format("added-{}", version_), "safe", "register"));
-    const json engine{{"slots", soak_endpoint::slots},
-                      {"weights-mb", 100},
-                      {"adapter-slots", soak_endpoint::adapter_slots},
-                      {"models", json::array({{{"name", "base"},
-                                               {"weights-mb", 50},
-                                               {"adapter-mb", 1}}})}};
+    const json engine{
+        {"slots", soak_endpoint::slots},
+        {"weights-mb", 100},
+        {"adapter-slots", soak_endpoint::adapter_slots},
+        {"models", json::array({{{"name", "base"}, {"weights-mb", 50}, {"adapter-mb", 1}}})}};
     const json text{{"version", version_},
                     {"routes", routes},
                     {"services", json::array({{{"name", "register"}},
--- a/unittests/soak/soak_cluster.h
+++ b/unittests/soak/soak_cluster.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "gateway/platform_stand_in.h"
-
 #include "fault_plan.h"
+#include "gateway/platform_stand_in.h"
 #include "promises.h"
 #include "soak_endpoint.h"
 #include "soak_gateway.h"
--- a/unittests/soak/soak_endpoint.cpp
+++ b/unittests/soak/soak_endpoint.cpp
@@ -100,10 +100,9 @@
     {
         const std::lock_guard lock(mutex_);
         id = id_;
-        record = {{"service", service_},      {"addr", advertised_},
-                  {"zone", data_centre_},     {"slots", slots},
-                  {"state", state},           {"seq", orders_accepted_},
-                  {"born", starts_},          {"models", models_locked()}};
+        record = {{"service", service_}, {"addr", advertised_},      {"zone", data_centre_},
+                  {"slots", slots},      {"state", state},           {"seq", orders_accepted_},
+                  {"born", starts_},     {"models", models_locked()}};
     }
     publish_(id, record.dump());
 }
@@ -219,8 +218,8 @@
     }
     checked_.note_run(id, service_, first_event_of(request));
     if (!request.target.ends_with(id) || request.body != request_body(id)) {
-        checked_.broken(fmt::format("{} was changed on its way: {} {}", id, request.target,
-                                    request.body));
+        checked_.broken(
+            fmt::format("{} was changed on its way: {} {}", id, request.target, request.body));
     }
     {
         const std::lock_guard lock(mutex_);
--- a/unittests/soak/soak_gateway.cpp
+++ b/unittests/soak/soak_gateway.cpp
@@ -24,8 +24,8 @@
 /// begins.
 std::string free_address() {
     const auto process = static_cast<std::uint32_t>(::getpid());
-    const auto host = fmt::format("127.{}.{}.{}", 64 + (process >> 16U) % 64,
-                                  (process >> 8U) % 256, process % 256);
+    const auto host = fmt::format("127.{}.{}.{}", 64 + (process >> 16U) % 64, (process >> 8U) % 256,
+                                  process % 256);
     // The system may name a port again once it is free.
     static std::set<std::uint16_t> taken;
     for (;;) {
@@ -72,8 +72,8 @@
     stopping_ = false;
     const std::array<std::string, 4> arguments{program_, "gateway", "--settings",
                                                folder_ + "/" + where_.name + ".ini"};
-    process_ = std::make_unique<scenarios::child_process>(arguments,
-                                                          folder_ + "/" + where_.name + ".log");
+    process_ =
+        std::make_unique<scenarios::child_process>(arguments, folder_ + "/" + where_.name + ".log");
 }
 
 void soak_gateway::kill() {
--- a/unittests/support/support_test.cpp
+++ b/unittests/support/support_test.cpp
@@ -1,11 +1,14 @@
 #include "dragonflystair/support/counters.h"
 #include "dragonflystair/support/finding.h"
 #include "dragonflystair/support/hash.h"
+#include "dragonflystair/support/latency_histogram.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace {
@@ -17,6 +20,7 @@
     CPPUNIT_TEST(findings_out_of_order_are_rendered_by_place);
     CPPUNIT_TEST(counter_with_reason_is_rendered_as_label);
     CPPUNIT_TEST(rendezvous_order_after_member_leaves_keeps_the_rest);
+    CPPUNIT_TEST(latencies_are_rendered_as_cumulative_buckets);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -35,6 +39,24 @@
             std::string::npos);
     }
 
+    /// Guards against buckets that are not cumulative, and samples beyond the last that are lost.
+    void latencies_are_rendered_as_cumulative_buckets() {
+        latency_histogram latencies;
+        latencies.record(std::chrono::microseconds{100});
+        latencies.record(std::chrono::milliseconds{3});
+        latencies.record(std::chrono::minutes{2});
+        std::string text;
+        latencies.render("call_seconds", text);
+        const auto has = [&](std::string_view line) {
+            return text.find(std::string(line) + "\n") != std::string::npos;
+        };
+        CPPUNIT_ASSERT(has("dragonflystair_call_seconds_bucket{le=\"0.002\"} 1"));
+        CPPUNIT_ASSERT(has("dragonflystair_call_seconds_bucket{le=\"0.004\"} 2"));
+        CPPUNIT_ASSERT(has("dragonflystair_call_seconds_bucket{le=\"32.768\"} 2"));
+        CPPUNIT_ASSERT(has("dragonflystair_call_seconds_bucket{le=\"+Inf\"} 3"));
+        CPPUNIT_ASSERT(has("dragonflystair_call_seconds_count 3"));
+    }
+
     /// Guards against an owner change for endpoints whose owner did not leave.
     void rendezvous_order_after_member_leaves_keeps_the_rest() {
         const std::vector<std::string> members{"a", "b", "c", "d"};
