--- /dev/null
+++ b/lib/gateway/call_attempt.cpp
@@ -0,0 +1,218 @@
+#include "dragonflystair/support/log.h"
+
+#include "call_relay.h"
+#include "platform/call_headers.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflystair::gateway {
+
+using std::chrono::milliseconds;
+using support::boot_clock;
+using support::time_point;
+
+namespace {
+
+/// An endpoint that refused a connection is left alone this long.
+constexpr milliseconds refused_connection_pause{400};
+
+bool is_success(int status) {
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+net::awaitable<call_relay::attempt_end>
+call_relay::run_attempt(net::http_exchange& exchange, open_call& call, resume_filter& events) {
+    const auto now = boot_clock::now();
+    const auto* record = view_.dispatcher.find(call.decision->endpoint);
+    if (record == nullptr) {
+        co_return attempt_end::not_run;
+    }
+    platform::forwarding added;
+    added.endpoint = record->id;
+    added.remaining =
+        std::max(std::chrono::duration_cast<milliseconds>(call.answer_by - now), milliseconds{1});
+    added.version = call.decision->version;
+    if (!call.request.model.model.empty()) {
+        added.urgency = std::clamp(call.route->priority, 0, 9);
+    }
+    added.resume_after = events.last_id();
+    ++call.sends;
+    call.exchange =
+        view_.endpoints.send(record->address, platform::render_call(exchange.request(), added),
+                             call.request.id, [&call] { call.changed.notify(); });
+    while (!call.exchange->head && !call.exchange->end) {
+        if (call.caller_gone || boot_clock::now() >= call.answer_by) {
+            ++call.runs;
+            co_return attempt_end::given_up;
+        }
+        co_await call.changed.wait_until(call.answer_by);
+    }
+    const auto end = classify(call);
+    if (end != attempt_end::answered) {
+        co_return end;
+    }
+    co_return co_await relay_answer(exchange, call, events);
+}
+
+/// What the head of an answer, or the lack of one, means; `answered` if it is to be passed on.
+call_relay::attempt_end call_relay::classify(open_call& call) {
+    const auto& exchange = *call.exchange;
+    const auto endpoint = call.decision->endpoint;
+    if (!exchange.head) {
+        if (exchange.end == net::exchange_end::not_sent) {
+            view_.dispatcher.suspend(endpoint, boot_clock::now() + refused_connection_pause);
+            view_.counters.increment("endpoint_failures_total", "not_sent");
+            return attempt_end::not_run;
+        }
+        ++call.runs;
+        return after_failure(call, exchange.fault);
+    }
+    const auto marks = platform::marks_of(exchange.head->status, exchange.head->headers);
+    if (marks.not_run) {
+        view_.counters.increment("endpoint_refusals_total", std::to_string(exchange.head->status));
+        if (exchange.head->status == 421 && !call.request.model.adapter.empty()) {
+            view_.dispatcher.set_residency(endpoint, call.request.model, fleet::residency::absent,
+                                           0);
+        }
+        return attempt_end::not_run;
+    }
+    ++call.runs;
+    if (is_success(exchange.head->status) && !marks.has_signature) {
+        return after_failure(call, "the answer has no signature");
+    }
+    if (exchange.head->status == 429 || exchange.head->status == 503 ||
+        exchange.head->status == 408) {
+        return after_failure(call, "a refusal without a promise");
+    }
+    if (!marks.has_signature && exchange.head->status >= 500) {
+        return after_failure(call, "an error without a signature");
+    }
+    if (exchange.head->status >= 500) {
+        view_.dispatcher.on_failed(endpoint, boot_clock::now());
+        view_.counters.increment("endpoint_failures_total", "error_status");
+        if (call.route->idempotent() && call.runs < call.route->attempts) {
+            return attempt_end::failed;
+        }
+    }
+    return attempt_end::answered;
+}
+
+/// The endpoint may have run the call and gave no usable answer.
+call_relay::attempt_end call_relay::after_failure(open_call& call, std::string_view fault) {
+    view_.dispatcher.on_failed(call.decision->endpoint, boot_clock::now());
+    if (call.exchange->end == net::exchange_end::broken) {
+        on_.on_connection_lost(call.fingerprint);
+    }
+    view_.counters.increment("endpoint_failures_total", "broken");
+    support::log_request("endpoint_failed", {{"request", call.request.id},
+                                             {"endpoint", call.decision->endpoint},
+                                             {"fault", std::string(fault)}});
+    return attempt_end::failed;
+}
+
+net::awaitable<call_relay::attempt_end>
+call_relay::relay_answer(net::http_exchange& exchange, open_call& call, resume_filter& events) {
+    const int status = call.exchange->head->status;
+    if (call.route->kind == fleet::call_kind::stream && is_success(status)) {
+        if (!events.started() && !call.exchange->body.empty()) {
+            view_.dispatcher.on_started(call.number, boot_clock::now());
+        }
+        const bool complete = co_await relay_stream(exchange, call, events);
+        if (complete) {
+            finish(call, "served", status);
+            co_return attempt_end::answered;
+        }
+        if (call.caller_gone || boot_clock::now() >= call.answer_by) {
+            co_return attempt_end::given_up;
+        }
+        co_return after_failure(call, call.exchange->fault);
+    }
+    while (!call.exchange->end) {
+        if (call.caller_gone || boot_clock::now() >= call.answer_by) {
+            co_return attempt_end::given_up;
+        }
+        co_await call.changed.wait_until(call.answer_by);
+    }
+    if (*call.exchange->end != net::exchange_end::complete) {
+        co_return after_failure(call, call.exchange->fault);
+    }
+    view_.dispatcher.on_started(call.number, boot_clock::now());
+    net::http_response response;
+    response.status = status;
+    response.headers = platform::forwarded_headers(call.exchange->head->headers);
+    response.body = std::move(call.exchange->body);
+    call.first_after = boot_clock::now() - call.arrived;
+    view_.first_byte_latency.record(call.first_after);
+    finish(call, is_success(status) ? "served" : "endpoint_error", status);
+    co_await exchange.respond(std::move(response));
+    co_return attempt_end::answered;
+}
+
+/// Passes events on as they arrive; false if the stream broke off, or the caller went or its time
+/// ended.
+net::awaitable<bool> call_relay::relay_stream(net::http_exchange& exchange, open_call& call,
+                                              resume_filter& events) {
+    const auto item = call.exchange;
+    const bool resumed = events.started();
+    if (!resumed) {
+        net::http_response head;
+        head.status = item->head->status;
+        head.headers = platform::forwarded_headers(item->head->headers);
+        co_await exchange.begin_stream(std::move(head));
+    }
+    bool first = true;
+    while (true) {
+        if (!item->body.empty()) {
+            if (std::exchange(first, false)) {
+                view_.dispatcher.on_started(call.number, boot_clock::now());
+                if (!resumed) {
+                    call.first_after = boot_clock::now() - call.arrived;
+                    view_.first_byte_latency.record(call.first_after);
+                }
+            }
+            note_piece(call);
+            const auto bytes = events.feed(std::exchange(item->body, {}));
+            const bool written = co_await exchange.write(bytes);
+            if (!written) {
+                call.caller_gone = true;
+                co_return false;
+            }
+            continue;
+        }
+        if (item->end) {
+            break;
+        }
+        if (call.caller_gone || boot_clock::now() >= call.answer_by) {
+            co_return false;
+        }
+        co_await call.changed.wait_until(call.answer_by);
+    }
+    if (*item->end != net::exchange_end::complete) {
+        co_return false;
+    }
+    const auto rest = events.rest();
+    co_await exchange.write(rest);
+    co_await exchange.end_stream();
+    co_return true;
+}
+
+void call_relay::note_piece(open_call& call) {
+    const auto now = boot_clock::now();
+    if (call.last_piece != time_point{}) {
+        call.longest_pause = std::max(call.longest_pause, now - call.last_piece);
+    }
+    call.last_piece = now;
+}
+
+void call_relay::end_attempt(open_call& call) {
+    if (!call.exchange) {
+        return;
+    }
+    view_.endpoints.cancel(call.exchange);
+    call.exchange.reset();
+}
+
+} // namespace dragonflystair::gateway
