--- a/unittests/soak/soak_cluster.cpp
+++ b/unittests/soak/soak_cluster.cpp
@@ -74,6 +74,7 @@
 
 void soak_cluster::write_settings(soak_gateway& item, double retry_slack) {
     std::vector<std::string> peers;
+    peers.reserve(gateways_.size());
     for (const auto& other : gateways_) {
         peers.push_back(other->peer_address());
     }
