--- a/unittests/fleet/adapter_planner_test.cpp
+++ b/unittests/fleet/adapter_planner_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(adapter_is_ready_when_the_repeated_order_holds);
     CPPUNIT_TEST(full_engine_drops_the_adapter_that_nothing_uses);
     CPPUNIT_TEST(engine_whose_adapters_are_all_in_use_drops_none);
+    CPPUNIT_TEST(adapter_without_use_in_a_whole_report_period_makes_room);
     CPPUNIT_TEST(busy_engine_that_had_the_adapter_is_waited_for_a_moment);
     CPPUNIT_TEST(new_holder_knows_which_engine_had_an_adapter);
     CPPUNIT_TEST(burst_of_rare_adapters_never_exceeds_the_places);
@@ -112,6 +113,23 @@
         CPPUNIT_ASSERT(planner_->plan(now_).empty());
     }
 
+    /// Guards against places that idle adapters keep while calls for others give up: nodes report
+    /// use each 200 ms, so 300 ms without a report show that no call uses one.
+    void adapter_without_use_in_a_whole_report_period_makes_room() {
+        load("x");
+        load("y");
+        load("z");
+        for (const auto* name : {"x", "y", "z"}) {
+            planner_->on_used({"base", name}, now_);
+        }
+        now_ += milliseconds{250};
+        planner_->on_demand(waiting_for("w"), now_);
+        CPPUNIT_ASSERT(planner_->plan(now_).empty());
+        now_ += milliseconds{50};
+        planner_->on_demand(waiting_for("w"), now_);
+        CPPUNIT_ASSERT(planner_->plan(now_).at(0).kind == planned_kind::unload);
+    }
+
     /// Guards against adapters that wander from engine to engine: half of the loads of a day with
     /// shifts of demand fetched from the store what another engine would have loaded in a tenth of
     /// the time a few milliseconds later.
--- a/unittests/fleet/dispatcher_test.cpp
+++ b/unittests/fleet/dispatcher_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(call_with_free_places_goes_to_the_own_data_centre);
     CPPUNIT_TEST(adapter_ready_elsewhere_only_is_used_there);
     CPPUNIT_TEST(short_call_avoids_the_endpoint_that_reads_a_long_prompt);
+    CPPUNIT_TEST(burst_of_prompts_on_one_engine_keeps_the_pauses_of_its_streams_short);
     CPPUNIT_TEST(full_service_makes_calls_wait_for_the_next_free_place);
     CPPUNIT_TEST(burst_on_full_service_keeps_urgent_calls_first);
     CPPUNIT_TEST(call_behind_too_long_a_queue_is_refused_on_arrival);
@@ -117,6 +118,22 @@
         CPPUNIT_ASSERT(busy != place(generation(2)));
     }
 
+    /// Replays a burst of new calls on an engine whose streams pause while it reads their prompts.
+    /// With 300 ms of reading ahead, as long as the route allows a pause, one stream in ten paused
+    /// for too long; calls now wait once 200 ms are ahead.
+    void burst_of_prompts_on_one_engine_keeps_the_pauses_of_its_streams_short() {
+        constexpr std::size_t tokens = 3'000;
+        dispatcher_->update(engine("a", "north"));
+        std::size_t placed = 0;
+        for (std::uint64_t number = 1; number <= 4; ++number) {
+            dispatcher_->submit(generation(number, tokens));
+            placed += dispatcher_->pump(start).size();
+        }
+        // At 38 tokens in a millisecond three such prompts take 237 ms to read.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, placed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatcher_->waiting());
+    }
+
     void full_service_makes_calls_wait_for_the_next_free_place() {
         dispatcher_->update(plain("a", "north"));
         for (std::uint64_t number = 1; number <= 4; ++number) {
