--- a/unittests/fleet/adapter_planner_test.cpp
+++ b/unittests/fleet/adapter_planner_test.cpp
@@ -130,7 +130,7 @@
         CPPUNIT_ASSERT(planner_->plan(now_).at(0).kind == planned_kind::unload);
     }
 
-    /// Guards against adapters that wander from engine to engine: half of the loads of a day with
+    /// Guards against adapters that move from engine to engine: half of the loads of a day with
     /// shifts of demand fetched from the store what another engine would have loaded in a tenth of
     /// the time a few milliseconds later.
     void busy_engine_that_had_the_adapter_is_waited_for_a_moment() {
