--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -187,6 +187,8 @@
     holder->second->pump();
 }
 
+/// Takes over what lease holders say of engines. The planner of a lease that this node does not
+/// hold remembers which engine had what, in case the node wins it.
 void gateway::impl::apply_residency(std::span<const fleet::residency_change> changes) {
     for (const auto& item : changes) {
         view_.dispatcher.set_residency(item.endpoint, item.what, item.state, item.version);
