Do not call a request not sent that was written as its connect time-out expired

Cause: a held-up node finds the made connection and the expired connect time-out in one look. The connection's handler wrote the request and cancelled the timer, too late: the timer's handler was queued already, closed the connection and reported not_sent. The call was then sent again or refused with a promise that it had not run. Ruled out: the engine's own Not-Run (it ran the call to its end). Before: the new test, which blocks the thread until both are due, fails. After: passes.

--- a/lib/net/exchange_connection.cpp
+++ b/lib/net/exchange_connection.cpp
@@ -71,25 +71,30 @@
     }
     set_options();
     connect_timer_.expires_after(limits_.connect_timeout);
-    connect_timer_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
-        const auto self = weak.lock();
-        if (self && !error) {
-            self->fail(exchange_end::not_sent, "connect: timed out");
-        }
-    });
-    socket_.async_connect(address,
-                          [self = shared_from_this()](const boost::system::error_code& error) {
-                              self->connect_timer_.cancel();
-                              if (!self->socket_.is_open()) {
-                                  return;
-                              }
-                              if (error) {
-                                  self->fail(exchange_end::not_sent, "connect: " + error.message());
-                                  return;
-                              }
-                              self->read();
-                              self->write();
-                          });
+    // The timer may have expired when the connection is made and can then no longer be cancelled;
+    // the request has been written by the time its handler runs.
+    const auto connecting = std::make_shared<bool>(true);
+    connect_timer_.async_wait(
+        [weak = weak_from_this(), connecting](const boost::system::error_code& error) {
+            const auto self = weak.lock();
+            if (self && !error && *connecting) {
+                self->fail(exchange_end::not_sent, "connect: timed out");
+            }
+        });
+    socket_.async_connect(
+        address, [self = shared_from_this(), connecting](const boost::system::error_code& error) {
+            *connecting = false;
+            self->connect_timer_.cancel();
+            if (!self->socket_.is_open()) {
+                return;
+            }
+            if (error) {
+                self->fail(exchange_end::not_sent, "connect: " + error.message());
+                return;
+            }
+            self->read();
+            self->write();
+        });
 }
 
 void exchange_connection::set_options() {
--- a/unittests/net/exchange_client_test.cpp
+++ b/unittests/net/exchange_client_test.cpp
@@ -6,8 +6,10 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 
 namespace {
 
@@ -25,6 +27,7 @@
     CPPUNIT_TEST_SUITE(exchange_client_test);
     CPPUNIT_TEST(whole_answer_completes_and_its_connection_is_reused);
     CPPUNIT_TEST(closed_port_is_not_sent);
+    CPPUNIT_TEST(connection_made_as_its_timeout_expires_is_used);
     CPPUNIT_TEST(answer_cut_off_is_broken);
     CPPUNIT_TEST(extra_answer_to_an_earlier_request_is_skipped);
     CPPUNIT_TEST(bytes_after_a_whole_answer_end_the_connection);
@@ -56,6 +59,26 @@
         CPPUNIT_ASSERT(run_at(address, "1")->end == exchange_end::not_sent);
     }
 
+    /// Guards against a request that was written and is then called not sent, which lets it run
+    /// twice or be refused after it has run: on a node that was held up, the connection and the
+    /// expiry of its time-out are found in the same look.
+    void connection_made_as_its_timeout_expires_is_used() {
+        scripted_server server({[](raw_connection& connection) {
+            connection.read_until("\r\n\r\n");
+            connection.write(answer("1", "ok"));
+        }});
+        exchange_limits limits;
+        limits.connect_timeout = std::chrono::milliseconds{1};
+        exchange_client client(context_.get_executor(), "Request-Id", limits);
+        const auto item = client.send(server.address(), std::string(request), "1", {});
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        while (!item->end) {
+            context_.run_one();
+        }
+        CPPUNIT_ASSERT(item->end == exchange_end::complete);
+        client.cancel(item);
+    }
+
     void answer_cut_off_is_broken() {
         scripted_server server({[](raw_connection& connection) {
             connection.read_until("\r\n\r\n");
