Learn how fast engines read prompts, and limit prompts by the pauses that streams allow

Cause: the dispatcher held the figures of the first two sites: 38 tokens read in a millisecond, 25 ms to the first event, 3,000 tokens as a long prompt, and only the call's own objective as the limit on prompts ahead of it. On engines that read 19 tokens in a millisecond half of the streams were late by a pause alone, since up to 800 ms of prompts were put between their events. Change: fleet::engine_speed fits a line to the times of first events, per service, with a slow engine as its first belief. Prompts ahead may take half of the shortest pause that a route of the service allows. What peers told of is taken as read at the learned speed since then. Ruled out: constants by site or by the configuration, which names no speed.

--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -99,7 +99,8 @@
     /// Calls for the adapter run on this version or a newer one.
     void require_version(const model_name& what, std::uint64_t version);
 
-    void set_peer_load(std::string_view peer, std::string_view endpoint, endpoint_load load);
+    void set_peer_load(std::string_view peer, std::string_view endpoint, endpoint_load load,
+                       support::time_point now);
     void forget_peer(std::string_view peer);
 
     /// Whether some node gives orders to engines; without one no adapter can be loaded.
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -12,6 +12,9 @@
 /// Weight of a new sample in a running mean; about the last ten samples count.
 constexpr double sample_weight = 0.1;
 
+/// Endpoints with a lower weight are slow or fail, so that they tell nothing of the others' speed.
+constexpr double least_weight_to_learn = 0.5;
+
 /// Less urgent calls wait as if they had come this much later per step of priority. It is a fifth
 /// of a usual objective, so that they are delayed and not starved.
 constexpr milliseconds priority_step{150};
@@ -42,6 +45,17 @@
         auto& state = impl_->services[name];
         state.has_engines = item.has_engines;
         state.batch_slots = item.engines.batch_slots;
+        state.longest_pause_ms = 0;
+    }
+    for (const auto& item : current.routes) {
+        const double pause_ms = to_ms(item.longest_pause);
+        for (const auto& target : item.services) {
+            auto& state = impl_->services[target.service];
+            if (pause_ms > 0 &&
+                (state.longest_pause_ms == 0 || pause_ms < state.longest_pause_ms)) {
+                state.longest_pause_ms = pause_ms;
+            }
+        }
     }
 }
 
@@ -123,8 +137,8 @@
     required = std::max(required, version);
 }
 
-void dispatcher::set_peer_load(std::string_view peer, std::string_view endpoint,
-                               endpoint_load load) {
+void dispatcher::set_peer_load(std::string_view peer, std::string_view endpoint, endpoint_load load,
+                               time_point now) {
     const auto found = impl_->endpoints.find(endpoint);
     if (found == impl_->endpoints.end()) {
         return;
@@ -136,7 +150,7 @@
         }
         return;
     }
-    peers.insert_or_assign(std::string(peer), load);
+    peers.insert_or_assign(std::string(peer), told_load{load, now});
 }
 
 void dispatcher::forget_peer(std::string_view peer) {
@@ -202,7 +216,15 @@
     if (const auto place = impl_->endpoints.find(open.endpoint); place != impl_->endpoints.end()) {
         auto& own = place->second.own;
         own.unread_tokens -= std::min(own.unread_tokens, open.unread_tokens);
-        impl_->health.on_sample(open.endpoint, to_ms(now - open.placed_at) / open.expected_ms, now);
+        const double took_ms = to_ms(now - open.placed_at);
+        impl_->health.on_sample(open.endpoint, took_ms / open.expected_ms, now);
+        auto& service = impl_->services[open.call.service];
+        if (service.has_engines &&
+            impl_->health.weight(open.endpoint, now) >= least_weight_to_learn) {
+            const double travel_ms = impl_->distance_ms(place->second);
+            service.speed.on_first_event(open.unread_tokens, open.tokens_ahead,
+                                         std::max(took_ms - travel_ms, 0.0));
+        }
     }
 }
 
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -16,13 +16,8 @@
 /// Added to another region's cost, since bytes between regions are paid by volume.
 constexpr double other_region_penalty_ms = 40;
 
-/// Prompt tokens that an engine reads in a millisecond; the deployments state 38 to 44.
-constexpr double prefill_tokens_per_ms = 38;
-/// Time to the first event beside the reading of prompts, with few calls in the batch.
-constexpr double first_event_ms = 25;
-
-/// A prompt of this many tokens takes longer to read than the pause between two events may be.
-constexpr std::size_t long_prompt_tokens = 3'000;
+/// A prompt that takes this part of the allowed pause between two events to read is long.
+constexpr double long_prompt_share = 0.25;
 /// Added to the cost of an engine that is reading one, since events come late there.
 constexpr double long_prompt_penalty_ms = 80;
 /// Added to the cost of a long prompt for each running call, whose events it delays.
@@ -36,6 +31,10 @@
 /// Prompt reading ahead of a call that keeps it in the node's queue, where urgent calls can still
 /// pass, as a share of its objective.
 constexpr double held_back_share = 0.4;
+/// The same as a share of the pause that the streams which run there allow: an engine reads prompts
+/// between the events of its streams, which all pause for it. The rest is left to prompts that
+/// arrive meanwhile and to the events' own time.
+constexpr double reading_pause_share = 0.5;
 
 /// Bounds of Retry-After. Below the first a caller would come back into the same queue.
 constexpr milliseconds least_retry_after{150};
@@ -76,6 +75,19 @@
     return other_region_ms;
 }
 
+/// Longest that an engine may be reading prompts when it is sent another one.
+double dispatcher::impl::longest_reading_ms(const pending_call& call, const service_state& state) {
+    const double for_call = held_back_share * to_ms(call.objective_at - call.arrived);
+    return state.longest_pause_ms > 0
+               ? std::min(for_call, reading_pause_share * state.longest_pause_ms)
+               : for_call;
+}
+
+bool dispatcher::impl::is_long(std::size_t tokens, const service_state& state) {
+    return state.longest_pause_ms > 0 && state.speed.reading_ms(static_cast<double>(tokens)) >=
+                                             long_prompt_share * state.longest_pause_ms;
+}
+
 /// Cost of sending a call to an endpoint; nothing if it cannot or should not go there now.
 std::optional<choice> dispatcher::impl::evaluate(endpoint& item, const open_call& open,
                                                  const service_state& state, time_point now) {
@@ -85,7 +97,7 @@
         !item.serves_model(call.model)) {
         return std::nullopt;
     }
-    const auto load = item.total();
+    const auto load = item.total(now, state.speed.tokens_per_ms());
     const auto slots =
         state.has_engines && state.batch_slots > 0 ? state.batch_slots : item.record.slots;
     if (load.calls >= slots) {
@@ -98,15 +110,15 @@
     if (state.has_engines) {
         const auto kept = item.prompts.kept_tokens(call.model, call.prompt);
         out.unread_tokens = call.prompt_tokens - std::min(kept, call.prompt_tokens);
+        out.tokens_ahead = load.unread_tokens;
         const double ahead_ms =
-            static_cast<double>(load.unread_tokens) / prefill_tokens_per_ms / weight;
-        const double objective_ms = to_ms(call.objective_at - call.arrived);
-        if (load.unread_tokens > 0 && ahead_ms > held_back_share * objective_ms) {
+            state.speed.reading_ms(static_cast<double>(load.unread_tokens)) / weight;
+        if (load.unread_tokens > 0 && ahead_ms > longest_reading_ms(call, state)) {
             return std::nullopt;
         }
-        out.expected_ms = first_event_ms + (static_cast<double>(load.unread_tokens) +
-                                            static_cast<double>(out.unread_tokens)) /
-                                               prefill_tokens_per_ms;
+        out.expected_ms =
+            state.speed.first_event_ms() +
+            state.speed.reading_ms(static_cast<double>(load.unread_tokens + out.unread_tokens));
     } else {
         out.expected_ms = state.work_ms;
     }
@@ -115,10 +127,10 @@
         state.has_engines ? out.expected_ms * (1 + 0.5 * fill) : out.expected_ms * (1 + fill);
     out.cost_ms = distance + work_ms / weight;
     out.expected_ms += distance;
-    if (load.unread_tokens >= long_prompt_tokens) {
+    if (is_long(load.unread_tokens, state)) {
         out.cost_ms += long_prompt_penalty_ms;
     }
-    if (out.unread_tokens >= long_prompt_tokens) {
+    if (is_long(out.unread_tokens, state)) {
         out.cost_ms += disturbance_ms * static_cast<double>(load.calls);
     }
     if (places.distance_to(item.record.data_centre) == topology::distance::other_region) {
@@ -169,6 +181,7 @@
     open.endpoint = item.record.id;
     open.placed_at = now;
     open.unread_tokens = chosen.unread_tokens;
+    open.tokens_ahead = chosen.tokens_ahead;
     open.expected_ms = chosen.expected_ms;
     ++item.own.calls;
     item.own.unread_tokens += chosen.unread_tokens;
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "dragonflystair/fleet/dispatcher.h"
+#include "dragonflystair/fleet/engine_speed.h"
 #include "dragonflystair/policy/endpoint_health.h"
 
 #include "prompt_cache.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -34,6 +36,12 @@
     std::uint64_t version = 0;
 };
 
+/// What a peer last said of its calls at an endpoint.
+struct told_load {
+    endpoint_load load;
+    time_point told_at;
+};
+
 /// One endpoint as this node knows it.
 struct endpoint {
     endpoint_record record;
@@ -42,18 +50,22 @@
     std::map<model_name, resident> adapters;
     std::set<std::string, std::less<>> models;
     endpoint_load own;
-    std::map<std::string, endpoint_load, std::less<>> peers;
+    std::map<std::string, told_load, std::less<>> peers;
     prompt_cache prompts;
 
     [[nodiscard]] bool serves_model(const model_name& what) const {
         return what.model.empty() || models.contains(what.model);
     }
 
-    [[nodiscard]] endpoint_load total() const {
+    /// Own calls and those of peers, whose prompts the endpoint has gone on reading since they
+    /// told of them.
+    [[nodiscard]] endpoint_load total(time_point now, double tokens_per_ms) const {
         endpoint_load sum = own;
-        for (const auto& [peer, load] : peers) {
-            sum.calls += load.calls;
-            sum.unread_tokens += load.unread_tokens;
+        for (const auto& [peer, told] : peers) {
+            const double read = to_ms(now - told.told_at) * tokens_per_ms;
+            const auto unread = static_cast<double>(told.load.unread_tokens);
+            sum.calls += told.load.calls;
+            sum.unread_tokens += static_cast<std::size_t>(std::max(unread - read, 0.0));
         }
         return sum;
     }
@@ -64,6 +76,9 @@
     bool has_engines = false;
     std::size_t batch_slots = 0;
     double work_ms = plain_work_ms;
+    engine_speed speed;
+    /// Shortest pause between events that any of its streams allows; 0 if none names one.
+    double longest_pause_ms = 0;
     time_point window_start;
     std::size_t placed = 0;
     double placed_per_s = 0; ///< 0 until a whole window was measured.
@@ -77,7 +92,8 @@
     call_state state = call_state::waiting;
     std::string endpoint;
     time_point placed_at;
-    std::size_t unread_tokens = 0;
+    std::size_t unread_tokens = 0; ///< Of its prompt, when it was placed.
+    std::size_t tokens_ahead = 0;  ///< Unread tokens of other calls, when it was placed.
     double expected_ms = 0;
     bool fresh = true;    ///< Not looked at yet.
     bool missing = false; ///< It waits for its adapter rather than for a place.
@@ -89,6 +105,7 @@
     double cost_ms = 0;
     double expected_ms = 0;
     std::size_t unread_tokens = 0;
+    std::size_t tokens_ahead = 0;
     bool crowded = false; ///< An endpoint without the adapter would have cost much less.
 };
 
@@ -101,6 +118,9 @@
     }
     [[nodiscard]] bool holds(const endpoint& item, const model_name& what) const;
     [[nodiscard]] double distance_ms(const endpoint& item) const;
+    [[nodiscard]] static double longest_reading_ms(const pending_call& call,
+                                                   const service_state& state);
+    [[nodiscard]] static bool is_long(std::size_t tokens, const service_state& state);
     std::optional<choice> evaluate(endpoint& item, const open_call& open,
                                    const service_state& state, time_point now);
     std::optional<choice> choose(const open_call& open, const service_state& state, time_point now);
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -150,14 +150,15 @@
         return;
     }
     const auto loads = decode_loads(frame);
+    const auto now = boot_clock::now();
     for (const auto& endpoint : found->second.loaded_endpoints) {
         if (!loads.contains(endpoint)) {
-            view_.dispatcher.set_peer_load(peer, endpoint, {});
+            view_.dispatcher.set_peer_load(peer, endpoint, {}, now);
         }
     }
     found->second.loaded_endpoints.clear();
     for (const auto& [endpoint, load] : loads) {
-        view_.dispatcher.set_peer_load(peer, endpoint, load);
+        view_.dispatcher.set_peer_load(peer, endpoint, load, now);
         found->second.loaded_endpoints.push_back(endpoint);
     }
     if (view_.dispatcher.waiting() > 0) {
