Let the lead of a data centre place all calls for its engines

Cause: each node sent calls to engines by its own counts and what nodes of its data centre had told up to 200 ms before; nodes of other data centres told nothing. Change: the holder of a data centre's placement lease places the calls for its engines; nodes ask it and tell it when a generation begins and ends. A call that cannot start soon passes on to a data centre that has its adapter. A lead that does not answer within 120 ms (180 ms between regions) or is lost leaves the call to its own node, which dispatches as before. fleet::delegated_calls holds the times, gateway::call_placer both sides, placement_frames the frames. Ruled out: more frequent counts (195 nodes would receive some hundred frames a second each); counts told at once to all (bytes between regions). Tests: call_placer_test replays a burst through two nodes on an engine of four places, a silent, lost and late lead, a lost node and damaged frames; delegated_calls_test; four tests of passing on in dispatcher_test.

--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -42,6 +42,10 @@
     support::time_point objective_at;  ///< An answer or first event until then is on time.
     support::time_point give_up_at;    ///< Refused if it has no endpoint until then.
     std::vector<std::string> excluded; ///< Endpoints that it was sent to.
+    /// Only endpoints there are considered, as by its lead; empty for those of all data centres.
+    std::string data_centre;
+    /// Another data centre may be asked in place of waiting here.
+    bool may_pass = false;
 };
 
 enum class refusal {
@@ -49,6 +53,7 @@
     overloaded,   ///< The calls ahead of it take longer than it can wait.
     no_capacity,  ///< Nothing became free in time.
     no_adapter,   ///< Its adapter was not loaded in time.
+    elsewhere,    ///< Another data centre has its adapter; that one is to be asked.
 };
 
 std::string_view to_string(refusal reason);
@@ -115,6 +120,15 @@
     void on_started(std::uint64_t number, support::time_point now);
     void on_failed(std::string_view endpoint, support::time_point now);
 
+    /// Data centre whose lead should place a call for an engine: one that has the adapter ready,
+    /// the nearest first, or the one that should load it. `passed` is left out if it can be.
+    [[nodiscard]] std::string lead_data_centre(const pending_call& call,
+                                               std::string_view passed) const;
+    /// Whether the service's endpoints are engines.
+    [[nodiscard]] bool has_engines(std::string_view service) const;
+    /// Another data centre was asked to place a call for the adapter.
+    void note_diverted(const model_name& what);
+
     /// Places and refuses waiting calls. Cheap while nothing has changed.
     std::vector<dispatch_decision> pump(support::time_point now);
 
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -15,6 +15,10 @@
 /// Endpoints with a lower weight are slow or fail, so that they tell nothing of the others' speed.
 constexpr double least_weight_to_learn = 0.5;
 
+/// Part of its objective after which a waiting call goes to another data centre that has its
+/// adapter.
+constexpr double pass_share = 0.15;
+
 /// Less urgent calls wait as if they had come this much later per step of priority. It is a fifth
 /// of a usual objective, so that they are delayed and not starved.
 constexpr milliseconds priority_step{150};
@@ -31,6 +35,8 @@
         return "no_capacity";
     case refusal::no_adapter:
         return "no_adapter";
+    case refusal::elsewhere:
+        return "elsewhere";
     }
     return "no_capacity";
 }
@@ -171,6 +177,11 @@
     const auto number = call.number;
     open_call open;
     open.call = std::move(call);
+    if (open.call.may_pass) {
+        const auto wait = (open.call.objective_at - open.call.arrived) * pass_share;
+        open.passes_at = std::min(open.call.arrived + std::chrono::duration_cast<duration>(wait),
+                                  open.call.give_up_at);
+    }
     impl_->calls.insert_or_assign(number, std::move(open));
     impl_->queue.push_back(number);
     impl_->has_fresh = true;
@@ -272,7 +283,8 @@
 std::optional<time_point> dispatcher::next_deadline() const {
     std::optional<time_point> earliest;
     for (const auto number : impl_->queue) {
-        const auto at = impl_->calls.at(number).call.give_up_at;
+        const auto& open = impl_->calls.at(number);
+        const auto at = open.passes_at ? *open.passes_at : open.call.give_up_at;
         earliest = earliest ? std::min(*earliest, at) : at;
     }
     return earliest;
@@ -290,7 +302,9 @@
             auto& item = demand[open.call.model];
             if (item.waiting == 0) {
                 item.what = open.call.model;
-                item.data_centre = impl_->loading_place(open.call.model);
+                item.data_centre = open.call.data_centre.empty()
+                                       ? impl_->loading_place(open.call.model)
+                                       : open.call.data_centre;
             }
             ++item.waiting;
         }
@@ -348,6 +362,17 @@
     return impl_->has_endpoint(service);
 }
 
+bool dispatcher::has_engines(std::string_view service) const {
+    const auto found = impl_->services.find(service);
+    return found != impl_->services.end() && found->second.has_engines;
+}
+
+void dispatcher::note_diverted(const model_name& what) {
+    if (!what.adapter.empty()) {
+        ++impl_->diverted[what];
+    }
+}
+
 std::size_t dispatcher::waiting() const {
     return impl_->queue.size();
 }
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -1,6 +1,8 @@
 #include "dispatcher_impl.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 
 namespace dragonflystair::fleet {
 
@@ -75,6 +77,12 @@
     return other_region_ms;
 }
 
+/// Whether the endpoint belongs to those that calls of this kind may go to at all.
+bool dispatcher::impl::considers(const endpoint& item, const pending_call& call) const {
+    return !item.leaving && item.record.service == call.service &&
+           (call.data_centre.empty() || item.record.data_centre == call.data_centre);
+}
+
 /// Longest that an engine may be reading prompts when it is sent another one.
 double dispatcher::impl::longest_reading_ms(const pending_call& call, const service_state& state) {
     const double for_call = held_back_share * to_ms(call.objective_at - call.arrived);
@@ -92,7 +100,7 @@
 std::optional<choice> dispatcher::impl::evaluate(endpoint& item, const open_call& open,
                                                  const service_state& state, time_point now) {
     const auto& call = open.call;
-    if (item.leaving || item.suspended_until > now || item.record.service != call.service ||
+    if (!considers(item, call) || item.suspended_until > now ||
         std::ranges::find(call.excluded, item.record.id) != call.excluded.end() ||
         !item.serves_model(call.model)) {
         return std::nullopt;
@@ -246,11 +254,37 @@
         return false;
     }
     return std::ranges::none_of(endpoints, [&](const auto& item) {
-        return !item.second.leaving && item.second.record.service == open.call.service &&
-               holds(item.second, open.call.model);
+        return considers(item.second, open.call) && holds(item.second, open.call.model);
     });
 }
 
+/// Whether an endpoint of a data centre that was not asked could run the call.
+bool dispatcher::impl::ready_elsewhere(const pending_call& call) const {
+    return std::ranges::any_of(endpoints, [&](const auto& item) {
+        return !item.second.leaving && item.second.record.service == call.service &&
+               item.second.record.data_centre != call.data_centre && holds(item.second, call.model);
+    });
+}
+
+std::string dispatcher::lead_data_centre(const pending_call& call, std::string_view passed) const {
+    const auto& places = impl_->places;
+    std::map<topology::distance, std::set<std::string_view>> ready;
+    for (const auto& [id, item] : impl_->endpoints) {
+        const auto& place = item.record.data_centre;
+        if (!item.leaving && item.record.service == call.service && place != passed &&
+            impl_->holds(item, call.model)) {
+            ready[places.distance_to(place)].insert(place);
+        }
+    }
+    if (!ready.empty()) {
+        const auto& nearest = ready.begin()->second;
+        // Spreads the calls over data centres that are equally near.
+        const auto step = static_cast<std::ptrdiff_t>(call.number % nearest.size());
+        return std::string(*std::next(nearest.begin(), step));
+    }
+    return passed.empty() ? impl_->loading_place(call.model) : std::string(passed);
+}
+
 /// An endpoint on which the adapter is being loaded, or null.
 const endpoint* dispatcher::impl::loading(const model_name& what) const {
     for (const auto& [id, item] : endpoints) {
@@ -292,6 +326,14 @@
         return place(open, *chosen, state, now);
     }
     open.missing = adapter_missing(open);
+    if (open.passes_at && (open.missing || now >= *open.passes_at)) {
+        open.passes_at.reset();
+        if (ready_elsewhere(open.call)) {
+            auto decision = refuse(open, state, ahead, open.missing);
+            decision.reason = refusal::elsewhere;
+            return decision;
+        }
+    }
     if (!has_endpoint(open.call.service)) {
         auto decision = refuse(open, state, ahead, open.missing);
         decision.reason = refusal::no_endpoints;
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -95,8 +95,9 @@
     std::size_t unread_tokens = 0; ///< Of its prompt, when it was placed.
     std::size_t tokens_ahead = 0;  ///< Unread tokens of other calls, when it was placed.
     double expected_ms = 0;
-    bool fresh = true;    ///< Not looked at yet.
-    bool missing = false; ///< It waits for its adapter rather than for a place.
+    bool fresh = true;                   ///< Not looked at yet.
+    std::optional<time_point> passes_at; ///< Another data centre is asked then.
+    bool missing = false;                ///< It waits for its adapter rather than for a place.
 };
 
 /// An endpoint that a call could go to, and what that would cost.
@@ -132,7 +133,9 @@
     void release(open_call& open);
     void note_use(const choice& chosen, const model_name& what);
     [[nodiscard]] bool has_endpoint(std::string_view service) const;
+    [[nodiscard]] bool considers(const endpoint& item, const pending_call& call) const;
     [[nodiscard]] bool adapter_missing(const open_call& open) const;
+    [[nodiscard]] bool ready_elsewhere(const pending_call& call) const;
     [[nodiscard]] const endpoint* loading(const model_name& what) const;
     [[nodiscard]] std::string loading_place(const model_name& what) const;
 
--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -40,6 +40,7 @@
     }
     added.resume_after = events.last_id();
     ++call.sends;
+    call.last_send = send_outcome::none;
     call.exchange =
         view_.endpoints.send(record->address, platform::render_call(exchange.request(), added),
                              call.request.id, [&call] { call.changed.notify(); });
@@ -64,6 +65,7 @@
     if (!exchange.head) {
         if (exchange.end == net::exchange_end::not_sent) {
             view_.dispatcher.suspend(endpoint, boot_clock::now() + refused_connection_pause);
+            call.last_send = send_outcome::unreachable;
             view_.counters.increment("endpoint_failures_total", "not_sent");
             return attempt_end::not_run;
         }
@@ -74,6 +76,7 @@
     if (marks.not_run) {
         view_.counters.increment("endpoint_refusals_total", std::to_string(exchange.head->status));
         if (exchange.head->status == 421 && !call.request.model.adapter.empty()) {
+            call.last_send = send_outcome::not_resident;
             view_.dispatcher.set_residency(endpoint, call.request.model, fleet::residency::absent,
                                            0);
         }
@@ -91,6 +94,7 @@
         return after_failure(call, "an error without a signature");
     }
     if (exchange.head->status >= 500) {
+        call.last_send = send_outcome::failed;
         view_.dispatcher.on_failed(endpoint, boot_clock::now());
         view_.counters.increment("endpoint_failures_total", "error_status");
         if (call.route->idempotent() && call.runs < call.route->attempts) {
@@ -102,6 +106,7 @@
 
 /// The endpoint may have run the call and gave no usable answer.
 call_relay::attempt_end call_relay::after_failure(open_call& call, std::string_view fault) {
+    call.last_send = send_outcome::failed;
     view_.dispatcher.on_failed(call.decision->endpoint, boot_clock::now());
     if (call.exchange->end == net::exchange_end::broken) {
         on_.on_connection_lost(call.fingerprint);
@@ -118,7 +123,7 @@
     const int status = call.exchange->head->status;
     if (call.route->kind == fleet::call_kind::stream && is_success(status)) {
         if (!events.started() && !call.exchange->body.empty()) {
-            view_.dispatcher.on_started(call.number, boot_clock::now());
+            placer_.on_started(call.number);
         }
         const bool complete = co_await relay_stream(exchange, call, events);
         if (complete) {
@@ -139,7 +144,7 @@
     if (*call.exchange->end != net::exchange_end::complete) {
         co_return after_failure(call, call.exchange->fault);
     }
-    view_.dispatcher.on_started(call.number, boot_clock::now());
+    placer_.on_started(call.number);
     net::http_response response;
     response.status = status;
     response.headers = platform::forwarded_headers(call.exchange->head->headers);
@@ -167,7 +172,7 @@
     while (true) {
         if (!item->body.empty()) {
             if (std::exchange(first, false)) {
-                view_.dispatcher.on_started(call.number, boot_clock::now());
+                placer_.on_started(call.number);
                 if (!resumed) {
                     call.first_after = boot_clock::now() - call.arrived;
                     view_.first_byte_latency.record(call.first_after);
--- a/lib/gateway/call_relay.cpp
+++ b/lib/gateway/call_relay.cpp
@@ -110,8 +110,7 @@
     const auto wait = std::chrono::duration_cast<support::duration>(objective * wait_objectives);
     pending.give_up_at = std::min(call.arrived + wait, call.answer_by);
     view_.retries.on_call(call.service, call.arrived);
-    view_.dispatcher.submit(std::move(pending));
-    on_.pump();
+    placer_.submit(std::move(pending));
 }
 
 void call_relay::decide(const fleet::dispatch_decision& decision) {
@@ -147,9 +146,8 @@
     });
     co_await serve_admitted(exchange, *call);
     end_attempt(*call);
-    view_.dispatcher.finish(call->number, boot_clock::now());
     calls_.erase(call->number);
-    on_.pump();
+    placer_.finish(call->number, call->last_send);
 }
 
 net::awaitable<void> call_relay::serve_admitted(net::http_exchange& exchange, open_call& call) {
@@ -196,8 +194,7 @@
                                      end == attempt_end::not_run ? "not_run" : "failed");
             call.decision.reset();
             events.drop_partial();
-            view_.dispatcher.retry(call.number);
-            on_.pump();
+            placer_.retry(call.number, call.last_send);
             continue;
         }
         if (events.started()) {
--- a/lib/gateway/call_relay.h
+++ b/lib/gateway/call_relay.h
@@ -3,6 +3,7 @@
 #include "dragonflystair/net/http_server.h"
 #include "dragonflystair/net/problem.h"
 
+#include "call_placer.h"
 #include "node_view.h"
 #include "open_call.h"
 #include "resume_filter.h"
@@ -21,12 +22,12 @@
 class call_relay {
 public:
     struct hooks {
-        std::function<void()> pump; ///< Lets the dispatcher place calls.
         /// A call lost its connection to an endpoint; peers should know its fingerprint.
         std::function<void(std::uint64_t fingerprint)> on_connection_lost;
     };
 
-    call_relay(node_view& view, hooks callbacks) : view_(view), on_(std::move(callbacks)) {}
+    call_relay(node_view& view, call_placer& placer, hooks callbacks)
+        : view_(view), placer_(placer), on_(std::move(callbacks)) {}
 
     net::awaitable<void> serve(net::http_exchange& exchange);
 
@@ -60,6 +61,7 @@
     void finish(open_call& call, std::string_view outcome, int status);
 
     node_view& view_;
+    call_placer& placer_;
     hooks on_;
     std::uint64_t last_number_ = 0;
     std::map<std::uint64_t, std::shared_ptr<open_call>> calls_;
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -68,11 +68,16 @@
             1,
             false},
       http_(io_.get_executor()), store_(http_, settings.store_address), engines_(http_),
-      relay_(view_, {[this] { pump(); },
-                     [this](std::uint64_t fingerprint) {
-                         ++view_.lost_connections[fingerprint];
-                         network_.broadcast(lost_connection_frame(fingerprint));
-                     }}),
+      placer_(view_, {[this](std::string_view peer, const support::json& frame) {
+                          return network_.send(peer, frame);
+                      },
+                      [this](std::string_view data_centre) { return lead_of(data_centre); },
+                      [this](const auto& decision) { relay_.decide(decision); }, [this] { pump(); },
+                      [] { return boot_clock::now(); }}),
+      relay_(view_, placer_, {[this](std::uint64_t fingerprint) {
+                 ++view_.lost_connections[fingerprint];
+                 network_.broadcast(lost_connection_frame(fingerprint));
+             }}),
       operator_records_(io_.get_executor(), store_, std::string(platform::operator_topic),
                         milliseconds{0},
                         follower_hooks([this](auto records) { on_operator_records(records); })),
@@ -175,6 +180,7 @@
             holder->tick();
             holder->pump();
         }
+        placer_.tick();
         watch_.on_store(endpoint_records_.reads() || has_reader(), boot_clock::now());
         remove_gone_endpoints();
         view_.dispatcher.set_loads_possible(loads_possible());
@@ -206,8 +212,13 @@
     if (std::exchange(pumping_, true)) {
         return;
     }
-    for (const auto& decision : view_.dispatcher.pump(boot_clock::now())) {
-        relay_.decide(decision);
+    // A call that its lead passes on comes back to the dispatcher at once.
+    for (bool decided = true; decided;) {
+        decided = false;
+        for (const auto& decision : view_.dispatcher.pump(boot_clock::now())) {
+            placer_.on_decision(decision);
+            decided = true;
+        }
     }
     pumping_ = false;
     schedule_pump();
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -8,6 +8,7 @@
 #include "dragonflystair/support/counters.h"
 #include "dragonflystair/support/latency_histogram.h"
 
+#include "call_placer.h"
 #include "call_relay.h"
 #include "node_view.h"
 #include "peer_frames.h"
@@ -83,6 +84,7 @@
     [[nodiscard]] node_status own_status();
     [[nodiscard]] std::size_t rank_for(const std::string& data_centre) const;
     [[nodiscard]] bool loads_possible() const;
+    [[nodiscard]] std::string lead_of(std::string_view data_centre) const;
     [[nodiscard]] std::string lease_holder(const std::string& data_centre) const;
 
     // Calls and the rest (gateway_impl.cpp).
@@ -110,6 +112,7 @@
     platform::store_client store_;
     platform::endpoint_client engines_;
     fleet::endpoint_watch watch_;
+    call_placer placer_;
     call_relay relay_;
     store_follower operator_records_;
     store_follower endpoint_records_;
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -54,6 +54,14 @@
         apply_residency(changes);
         relay_residency(peer, frame);
         pump();
+    } else if (kind == "p") {
+        placer_.on_asked(peer, frame);
+    } else if (kind == "g") {
+        placer_.on_answer(frame);
+    } else if (kind == "b") {
+        placer_.on_peer_started(peer, frame);
+    } else if (kind == "f") {
+        placer_.on_peer_end(peer, frame);
     } else if (kind == "d") {
         on_demand(decode_demand(frame));
     } else if (kind == "q") {
@@ -140,6 +148,7 @@
         }
     }
     peers_.erase(found);
+    placer_.on_peer_down(peer);
     view_.dispatcher.forget_peer(peer);
     pump();
 }
@@ -299,6 +308,24 @@
            !lease_holder(view_.settings.data_centre).empty();
 }
 
+/// Node that gives orders to the engines of a data centre, which may be this one; empty if none is
+/// in touch.
+std::string gateway::impl::lead_of(std::string_view data_centre) const {
+    if (const auto own = holders_.find(data_centre);
+        own != holders_.end() && own->second->active()) {
+        return view_.incarnation;
+    }
+    for (const auto& [incarnation, peer] : peers_) {
+        const bool leads = std::ranges::any_of(peer.status.leases, [&](const auto& lease) {
+            return lease.active && lease.data_centre == data_centre;
+        });
+        if (leads) {
+            return incarnation;
+        }
+    }
+    return {};
+}
+
 /// Peer that gives orders to the engines of a data centre, or if there is none, to others.
 std::string gateway::impl::lease_holder(const std::string& data_centre) const {
     std::string other;
--- a/lib/gateway/open_call.h
+++ b/lib/gateway/open_call.h
@@ -6,6 +6,7 @@
 #include "dragonflystair/net/exchange_client.h"
 #include "dragonflystair/support/time.h"
 
+#include "placement_frames.h"
 #include "wakeup.h"
 
 #include <cstdint>
@@ -35,6 +36,7 @@
     std::shared_ptr<net::exchange> exchange;
     std::size_t sends = 0; ///< Endpoints that it was sent to.
     std::size_t runs = 0;  ///< Of these, those that may have run it.
+    send_outcome last_send = send_outcome::none;
     bool caller_gone = false;
     wakeup changed;
 };
--- /dev/null
+++ b/unittests/fleet/delegated_calls_test.cpp
@@ -0,0 +1,93 @@
+#include "dragonflystair/fleet/delegated_calls.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::fleet;
+using std::chrono::milliseconds;
+
+constexpr support::time_point start{std::chrono::hours{1}};
+
+pending_call generation(std::uint64_t number) {
+    pending_call call;
+    call.number = number;
+    call.service = "assistant";
+    call.arrived = start;
+    call.objective_at = start + milliseconds{600};
+    call.give_up_at = call.objective_at;
+    return call;
+}
+
+/// Calls whose placement another node was asked for.
+class delegated_calls_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(delegated_calls_test);
+    CPPUNIT_TEST(call_whose_lead_is_silent_comes_back_well_before_its_objective);
+    CPPUNIT_TEST(call_that_waits_at_its_lead_stays_there);
+    CPPUNIT_TEST(waiting_call_without_a_last_word_comes_back_after_its_time);
+    CPPUNIT_TEST(call_to_a_lead_that_is_lost_comes_back_at_once);
+    CPPUNIT_TEST(placed_call_does_not_come_back);
+    CPPUNIT_TEST(late_placement_of_a_call_that_came_back_is_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Replays a lead that is frozen while its links stay open.
+    void call_whose_lead_is_silent_comes_back_well_before_its_objective() {
+        calls_.add(generation(1), "lead", "north", true, start);
+        CPPUNIT_ASSERT(calls_.take_overdue(start).empty());
+        CPPUNIT_ASSERT(*calls_.next_due() <= start + milliseconds{200});
+        const auto back = calls_.take_overdue(*calls_.next_due());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, back.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("lead"), back.front().lead);
+        CPPUNIT_ASSERT(!calls_.contains(1));
+    }
+
+    void call_that_waits_at_its_lead_stays_there() {
+        calls_.add(generation(1), "lead", "north", false, start);
+        calls_.on_waiting(1);
+        CPPUNIT_ASSERT(calls_.take_overdue(start + milliseconds{599}).empty());
+    }
+
+    void waiting_call_without_a_last_word_comes_back_after_its_time() {
+        calls_.add(generation(1), "lead", "north", false, start);
+        calls_.on_waiting(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, calls_.take_overdue(start + milliseconds{700}).size());
+    }
+
+    void call_to_a_lead_that_is_lost_comes_back_at_once() {
+        calls_.add(generation(1), "lead", "north", false, start);
+        calls_.add(generation(2), "other", "south", false, start);
+        const auto back = calls_.take_lost("lead");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, back.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, back.front().call.number);
+        CPPUNIT_ASSERT(calls_.contains(2));
+    }
+
+    /// A call that was sent must not be placed a second time when its lead ends.
+    void placed_call_does_not_come_back() {
+        calls_.add(generation(1), "lead", "north", false, start);
+        CPPUNIT_ASSERT(calls_.on_placed(1, "engine"));
+        CPPUNIT_ASSERT(calls_.take_lost("lead").empty());
+        CPPUNIT_ASSERT(calls_.take_overdue(start + std::chrono::hours{1}).empty());
+        CPPUNIT_ASSERT(!calls_.next_due());
+        CPPUNIT_ASSERT_EQUAL(std::string("engine"), calls_.endpoint_of(1));
+    }
+
+    /// Guards against a call that runs twice, at the endpoint of a late lead and at its own node's.
+    void late_placement_of_a_call_that_came_back_is_refused() {
+        calls_.add(generation(1), "lead", "north", false, start);
+        calls_.take_overdue(start + milliseconds{500});
+        CPPUNIT_ASSERT(!calls_.on_placed(1, "engine"));
+    }
+
+private:
+    delegated_calls calls_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(delegated_calls_test);
+
+} // namespace
--- a/unittests/fleet/dispatcher_test.cpp
+++ b/unittests/fleet/dispatcher_test.cpp
@@ -73,6 +73,10 @@
     CPPUNIT_TEST(short_call_avoids_the_endpoint_that_reads_a_long_prompt);
     CPPUNIT_TEST(burst_of_prompts_on_one_engine_keeps_the_pauses_of_its_streams_short);
     CPPUNIT_TEST(prompts_of_peers_are_read_between_their_reports);
+    CPPUNIT_TEST(lead_places_calls_in_its_own_data_centre_only);
+    CPPUNIT_TEST(call_waiting_at_a_full_lead_passes_to_one_that_has_its_adapter);
+    CPPUNIT_TEST(call_waiting_at_a_full_lead_stays_if_no_other_has_its_adapter);
+    CPPUNIT_TEST(call_goes_to_the_nearest_lead_that_has_its_adapter);
     CPPUNIT_TEST(full_service_makes_calls_wait_for_the_next_free_place);
     CPPUNIT_TEST(burst_on_full_service_keeps_urgent_calls_first);
     CPPUNIT_TEST(call_behind_too_long_a_queue_is_refused_on_arrival);
@@ -164,6 +168,45 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatcher_->pump(start + milliseconds{200}).size());
     }
 
+    void lead_places_calls_in_its_own_data_centre_only() {
+        dispatcher_->update(engine("far", "south"));
+        auto call = generation(1);
+        call.data_centre = "north";
+        dispatcher_->submit(call);
+        CPPUNIT_ASSERT(dispatcher_->pump(start).empty());
+    }
+
+    /// Replays a wave on one data centre while the other one's engines are free.
+    void call_waiting_at_a_full_lead_passes_to_one_that_has_its_adapter() {
+        dispatcher_->update(engine("near", "north"));
+        dispatcher_->update(engine("far", "south"));
+        CPPUNIT_ASSERT(fill_as_lead().reason == refusal::elsewhere);
+    }
+
+    void call_waiting_at_a_full_lead_stays_if_no_other_has_its_adapter() {
+        dispatcher_->update(engine("near", "north"));
+        auto far = engine("far", "south");
+        far.models = {{"base", 1, {}}};
+        dispatcher_->update(far);
+        CPPUNIT_ASSERT(fill_as_lead().reason != refusal::elsewhere);
+    }
+
+    void call_goes_to_the_nearest_lead_that_has_its_adapter() {
+        auto near = engine("near", "north");
+        near.models = {{"base", 1, {}}};
+        dispatcher_->update(near);
+        CPPUNIT_ASSERT_EQUAL(std::string("north"),
+                             dispatcher_->lead_data_centre(generation(1), {}));
+        dispatcher_->update(engine("far", "south"));
+        CPPUNIT_ASSERT_EQUAL(std::string("south"),
+                             dispatcher_->lead_data_centre(generation(1), {}));
+        dispatcher_->set_residency("near", patterns, residency::ready, 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("north"),
+                             dispatcher_->lead_data_centre(generation(1), {}));
+        CPPUNIT_ASSERT_EQUAL(std::string("south"),
+                             dispatcher_->lead_data_centre(generation(1), "north"));
+    }
+
     void full_service_makes_calls_wait_for_the_next_free_place() {
         dispatcher_->update(plain("a", "north"));
         for (std::uint64_t number = 1; number <= 4; ++number) {
@@ -360,6 +403,25 @@
         }
     }
 
+    /// Takes all places of the own data centre and returns what becomes of one more call.
+    dispatch_decision fill_as_lead() {
+        for (std::uint64_t number = 1; number <= 5; ++number) {
+            auto call = generation(number, 10);
+            call.data_centre = "north";
+            call.may_pass = true;
+            dispatcher_->submit(call);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, dispatcher_->pump(start).size());
+        const auto due = dispatcher_->next_deadline();
+        CPPUNIT_ASSERT(due.has_value());
+        auto decisions = dispatcher_->pump(*due);
+        if (decisions.empty()) {
+            decisions = dispatcher_->pump(start + milliseconds{500});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
+        return decisions.front();
+    }
+
     std::string place(pending_call call) {
         const auto number = call.number;
         dispatcher_->submit(std::move(call));
--- /dev/null
+++ b/unittests/gateway/call_placer_test.cpp
@@ -0,0 +1,290 @@
+#include "call_placer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::gateway;
+using std::chrono::milliseconds;
+
+constexpr std::size_t engine_slots = 4;
+const fleet::model_name patterns{"base", "patterns"};
+
+fleet::configuration sample_configuration() {
+    fleet::configuration current;
+    fleet::service assistant;
+    assistant.name = "assistant";
+    assistant.has_engines = true;
+    assistant.engines.batch_slots = engine_slots;
+    current.services = {{"assistant", assistant}};
+    return current;
+}
+
+fleet::endpoint_record sample_engine(const std::string& id, const std::string& data_centre) {
+    fleet::endpoint_record record;
+    record.id = id;
+    record.service = "assistant";
+    record.address = "10.0.0.1:80";
+    record.data_centre = data_centre;
+    record.slots = engine_slots;
+    record.started_ms = 1;
+    record.models = {{"base", 1, {{"patterns", 1}}}};
+    return record;
+}
+
+config::gateway_settings settings_of(const std::string& name, const std::string& data_centre) {
+    config::gateway_settings settings;
+    settings.name = name;
+    settings.data_centre = data_centre;
+    settings.data_centres = {{"north", "n"}, {"south", "s"}};
+    return settings;
+}
+
+/// Frames between nodes that were not delivered yet.
+struct frame_on_its_way {
+    std::string from;
+    std::string to;
+    support::json frame;
+};
+
+/// One node with its placer; frames go through the fixture.
+class placing_node {
+public:
+    placing_node(boost::asio::io_context& io, const std::string& name,
+                 const std::string& data_centre, std::deque<frame_on_its_way>& frames,
+                 const std::map<std::string, std::string>& leads, const support::time_point& now)
+        : places_(data_centre, {{"north", "n"}, {"south", "s"}}),
+          view_{settings_of(name, data_centre),
+                name,
+                io.get_executor(),
+                places_,
+                counters_,
+                latency_,
+                nullptr,
+                fleet::dispatcher(places_),
+                fleet::retry_allowance({0.2, 50, milliseconds{10'000}}),
+                net::exchange_client(io.get_executor(), "Request-Id"),
+                {},
+                1,
+                false},
+          placer_(view_, {[&frames, name](std::string_view peer, const support::json& frame) {
+                              frames.push_back({name, std::string(peer), frame});
+                              return true;
+                          },
+                          [&leads](std::string_view place) {
+                              const auto found = leads.find(std::string(place));
+                              return found == leads.end() ? std::string{} : found->second;
+                          },
+                          [this](const auto& decision) { decisions.push_back(decision); },
+                          [this, &now] { pump(now); }, [&now] { return now; }}) {
+        view_.dispatcher.configure(sample_configuration());
+        view_.dispatcher.update(sample_engine("engine", "north"));
+    }
+
+    void pump(support::time_point now) {
+        for (auto found = view_.dispatcher.pump(now); !found.empty();
+             found = view_.dispatcher.pump(now)) {
+            for (const auto& decision : found) {
+                placer_.on_decision(decision);
+            }
+        }
+    }
+
+    call_placer& placer() { return placer_; }
+    fleet::dispatcher& dispatcher() { return view_.dispatcher; }
+    support::counters& counters() { return counters_; }
+
+    /// Endpoints that calls of this node were sent to.
+    [[nodiscard]] std::size_t placed() const {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            decisions, [](const auto& item) { return !item.endpoint.empty(); }));
+    }
+
+    std::vector<fleet::dispatch_decision> decisions;
+
+private:
+    fleet::topology places_;
+    support::counters counters_;
+    support::latency_histogram latency_;
+    node_view view_;
+    call_placer placer_;
+};
+
+/// Who places calls: nodes that ask the lead of a data centre.
+class call_placer_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(call_placer_test);
+    CPPUNIT_TEST(burst_through_two_nodes_never_overfills_the_engine_of_their_lead);
+    CPPUNIT_TEST(place_of_an_ended_call_goes_to_the_next_one);
+    CPPUNIT_TEST(silent_lead_leaves_the_call_to_its_own_node);
+    CPPUNIT_TEST(lost_node_frees_its_places_at_the_lead);
+    CPPUNIT_TEST(lost_lead_leaves_waiting_calls_to_their_own_node);
+    CPPUNIT_TEST(late_answer_of_a_silent_lead_sends_no_call_twice);
+    CPPUNIT_TEST(node_without_a_lead_places_calls_itself);
+    CPPUNIT_TEST(damaged_frames_are_counted_and_change_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override {
+        now_ = support::time_point{std::chrono::hours{1}};
+        leads_ = {{"north", "lead"}};
+        frames_.clear();
+        for (const std::string name : {"lead", "one", "two"}) {
+            nodes_[name] =
+                std::make_unique<placing_node>(io_, name, "north", frames_, leads_, now_);
+        }
+    }
+
+    /// Replays the load that stale counts cannot serve: two nodes get calls in the same moment for
+    /// an engine with four places.
+    void burst_through_two_nodes_never_overfills_the_engine_of_their_lead() {
+        for (std::uint64_t number = 1; number <= engine_slots; ++number) {
+            submit("one", number);
+            submit("two", number);
+        }
+        deliver();
+        CPPUNIT_ASSERT_EQUAL(engine_slots, node("one").placed() + node("two").placed());
+        CPPUNIT_ASSERT_EQUAL(engine_slots, node("lead").dispatcher().waiting());
+    }
+
+    void place_of_an_ended_call_goes_to_the_next_one() {
+        for (std::uint64_t number = 1; number <= engine_slots; ++number) {
+            submit("one", number);
+        }
+        submit("two", 1);
+        deliver();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, node("two").placed());
+        node("one").placer().on_started(1);
+        node("one").placer().finish(1, send_outcome::none);
+        deliver();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node("two").placed());
+    }
+
+    /// Replays a lead that is frozen while its links stay open.
+    void silent_lead_leaves_the_call_to_its_own_node() {
+        submit("one", 1);
+        frames_.clear();
+        now_ += milliseconds{300};
+        node("one").placer().tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node("one").placed());
+    }
+
+    void lost_node_frees_its_places_at_the_lead() {
+        for (std::uint64_t number = 1; number <= engine_slots; ++number) {
+            submit("one", number);
+        }
+        submit("two", 1);
+        deliver();
+        node("lead").placer().on_peer_down("one");
+        node("lead").pump(now_);
+        deliver();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node("two").placed());
+    }
+
+    void lost_lead_leaves_waiting_calls_to_their_own_node() {
+        submit("one", 1);
+        frames_.clear();
+        node("one").placer().on_peer_down("lead");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node("one").placed());
+    }
+
+    void late_answer_of_a_silent_lead_sends_no_call_twice() {
+        submit("one", 1);
+        const auto asked = std::exchange(frames_, {});
+        now_ += milliseconds{300};
+        node("one").placer().tick();
+        frames_.insert(frames_.begin(), asked.begin(), asked.end());
+        deliver();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node("one").decisions.size());
+        CPPUNIT_ASSERT(node("lead").dispatcher().own_loads().empty());
+    }
+
+    void node_without_a_lead_places_calls_itself() {
+        leads_.clear();
+        submit("one", 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node("one").placed());
+        CPPUNIT_ASSERT(frames_.empty());
+    }
+
+    void damaged_frames_are_counted_and_change_nothing() {
+        auto& placer = node("lead").placer();
+        using support::json;
+        const auto whole = placement_frame(generation(1), now_);
+        for (const auto& [name, value] : whole.items()) {
+            auto damaged = whole;
+            damaged[name] = json::array({nullptr, -1});
+            placer.on_asked("one", damaged);
+            damaged.erase(name);
+            placer.on_asked("one", damaged);
+            placer.on_answer(damaged);
+            placer.on_peer_started("one", damaged);
+            placer.on_peer_end("one", damaged);
+        }
+        placer.on_answer(json::array());
+        placer.on_asked("one", json("text"));
+        placer.on_peer_down("one");
+        CPPUNIT_ASSERT(node("lead").dispatcher().own_loads().empty());
+        CPPUNIT_ASSERT(node("lead").counters().render().find("peer_frames_damaged_total") !=
+                       std::string::npos);
+    }
+
+private:
+    fleet::pending_call generation(std::uint64_t number) const {
+        fleet::pending_call call;
+        call.number = number;
+        call.service = "assistant";
+        call.model = patterns;
+        call.data_centre = "north";
+        call.prompt_tokens = 10;
+        call.arrived = now_;
+        call.objective_at = now_ + milliseconds{600};
+        call.give_up_at = call.objective_at;
+        return call;
+    }
+
+    void submit(const std::string& name, std::uint64_t number) {
+        node(name).placer().submit(generation(number));
+    }
+
+    placing_node& node(const std::string& name) { return *nodes_.at(name); }
+
+    /// Delivers frames until none is on its way.
+    void deliver() {
+        while (!frames_.empty()) {
+            const auto item = frames_.front();
+            frames_.pop_front();
+            auto& placer = node(item.to).placer();
+            const auto kind = item.frame.at("type").get<std::string>();
+            if (kind == "p") {
+                placer.on_asked(item.from, item.frame);
+            } else if (kind == "g") {
+                placer.on_answer(item.frame);
+            } else if (kind == "b") {
+                placer.on_peer_started(item.from, item.frame);
+            } else {
+                placer.on_peer_end(item.from, item.frame);
+            }
+        }
+    }
+
+    boost::asio::io_context io_{1};
+    support::time_point now_;
+    std::map<std::string, std::string> leads_;
+    std::deque<frame_on_its_way> frames_;
+    std::map<std::string, std::unique_ptr<placing_node>> nodes_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(call_placer_test);
+
+} // namespace
