--- a/include/dragonflystair/net/exchange_client.h
+++ b/include/dragonflystair/net/exchange_client.h
@@ -40,11 +40,18 @@
     /// Kept connections close after this, unless the peer names a time of its own.
     std::chrono::milliseconds idle_timeout{4'000};
     std::size_t idle_connections = 64; ///< Kept for one address.
+    /// Bytes before the head of the request's own answer: interim answers and late copies of
+    /// others. A peer that sends more sends no answer.
+    std::size_t skipped_bytes = std::size_t{256} * 1024;
+    /// Bytes of a body that were not taken yet, as large as a request may be by default. An answer
+    /// that exceeds this is given up, since its reader is slower than its peer or it has no end.
+    std::size_t unread_bytes = std::size_t{4} * 1024 * 1024;
 };
 
 /// HTTP/1.1 client that hands on an answer while it arrives and keeps connections for reuse. It
-/// never repeats a request. Answers to another request id on a kept connection are skipped: a peer
-/// may send an extra answer late. Everything runs on one thread, the context's.
+/// never repeats a request. A peer may send an extra answer late: answers to another request id are
+/// skipped, and one that names no id ends a kept connection, since it may belong to an earlier
+/// request. Everything runs on one thread, the context's.
 class exchange_client {
 public:
     /// `id_header` names the header by which a peer repeats the request's id.
--- a/include/dragonflystair/net/peer_network.h
+++ b/include/dragonflystair/net/peer_network.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,6 +66,8 @@
     /// Queues a frame; false if there is no link to the peer or the frame is over the size limit.
     /// Frames to one peer keep their order. True does not mean that the peer has received it.
     bool send(std::string_view peer, const support::json& frame);
+    /// Queues one frame for several peers; those without a link are left out.
+    void send_each(std::span<const std::string> peers, const support::json& frame);
     void broadcast(const support::json& frame);
 
     /// Incarnations of the peers with a proven link.
--- a/include/dragonflystair/stream/sse.h
+++ b/include/dragonflystair/stream/sse.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <deque>
 #include <optional>
 #include <string>
@@ -28,6 +29,11 @@
     /// The next complete event. Comments and events without data are skipped.
     std::optional<sse_event> next();
 
+    /// Bytes kept of the event that is not complete.
+    [[nodiscard]] std::size_t unfinished_bytes() const {
+        return line_.size() + current_.data.size() + current_.id.size() + current_.event.size();
+    }
+
 private:
     void end_line();
     void add_field(std::string_view name, std::string_view value);
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -15,6 +15,10 @@
 /// Endpoints with a lower weight are slow or fail, so that they tell nothing of the others' speed.
 constexpr double least_weight_to_learn = 0.5;
 
+/// Calls that wait for a place are looked at this often even if no place was freed, since what
+/// peers told of is read meanwhile and suspended endpoints come back.
+constexpr milliseconds longest_unlooked{20};
+
 /// Part of its objective after which a waiting call goes to another data centre that has its
 /// adapter.
 constexpr double pass_share = 0.15;
@@ -79,6 +83,7 @@
     const bool older = !restarted && record.orders_accepted < item.record.orders_accepted;
     item.leaving = record.draining;
     item.record = record;
+    impl_->member_index.clear();
     if (older) {
         return;
     }
@@ -102,6 +107,7 @@
         return;
     }
     found->second.leaving = true;
+    impl_->member_index.clear();
     if (found->second.own.calls == 0) {
         impl_->endpoints.erase(found);
     }
@@ -157,6 +163,7 @@
         return;
     }
     peers.insert_or_assign(std::string(peer), told_load{load, now});
+    impl_->changed = true;
 }
 
 void dispatcher::forget_peer(std::string_view peer) {
@@ -227,6 +234,7 @@
     if (const auto place = impl_->endpoints.find(open.endpoint); place != impl_->endpoints.end()) {
         auto& own = place->second.own;
         own.unread_tokens -= std::min(own.unread_tokens, open.unread_tokens);
+        impl_->changed = true;
         const double took_ms = to_ms(now - open.placed_at);
         impl_->health.on_sample(open.endpoint, took_ms / open.expected_ms, now);
         auto& service = impl_->services[open.call.service];
@@ -247,10 +255,14 @@
     std::vector<dispatch_decision> decisions;
     const auto due = next_deadline();
     // Calls that wait for an adapter need no new look unless something has changed.
-    const bool all = impl_->changed || impl_->waiting_for_place > 0 || (due && now >= *due);
+    const bool stale = impl_->waiting_for_place > 0 && now - impl_->looked_at >= longest_unlooked;
+    const bool all = impl_->changed || stale || (due && now >= *due);
     if (!all && !impl_->has_fresh) {
         return decisions;
     }
+    if (all) {
+        impl_->looked_at = now;
+    }
     impl_->changed = false;
     impl_->has_fresh = false;
     impl_->waiting_for_place = 0;
@@ -359,7 +371,7 @@
 }
 
 bool dispatcher::serves(std::string_view service) const {
-    return impl_->has_endpoint(service);
+    return !impl_->members(service).empty();
 }
 
 bool dispatcher::has_engines(std::string_view service) const {
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -78,8 +78,8 @@
 }
 
 /// Whether the endpoint belongs to those that calls of this kind may go to at all.
-bool dispatcher::impl::considers(const endpoint& item, const pending_call& call) const {
-    return !item.leaving && item.record.service == call.service &&
+bool dispatcher::impl::considers(const endpoint& item, const pending_call& call) {
+    return !item.leaving &&
            (call.data_centre.empty() || item.record.data_centre == call.data_centre);
 }
 
@@ -100,7 +100,7 @@
 std::optional<choice> dispatcher::impl::evaluate(endpoint& item, const open_call& open,
                                                  const service_state& state, time_point now) {
     const auto& call = open.call;
-    if (!considers(item, call) || item.suspended_until > now ||
+    if (item.suspended_until > now ||
         std::ranges::find(call.excluded, item.record.id) != call.excluded.end() ||
         !item.serves_model(call.model)) {
         return std::nullopt;
@@ -147,25 +147,40 @@
     return out;
 }
 
+std::span<endpoint* const> dispatcher::impl::members(std::string_view service) {
+    if (member_index.empty()) {
+        for (auto& [id, item] : endpoints) {
+            if (!item.leaving) {
+                member_index[item.record.service].push_back(&item);
+            }
+        }
+    }
+    const auto found = member_index.find(service);
+    return found == member_index.end() ? std::span<endpoint* const>{} : found->second;
+}
+
 std::optional<choice> dispatcher::impl::choose(const open_call& open, const service_state& state,
                                                time_point now) {
     std::optional<choice> best;
-    std::optional<double> least_ms;
-    for (auto& [id, item] : endpoints) {
-        const auto candidate = evaluate(item, open, state, now);
-        if (!candidate) {
+    for (auto* item : members(open.call.service)) {
+        if (!considers(*item, open.call) || !holds(*item, open.call.model)) {
             continue;
         }
-        if (!least_ms || candidate->cost_ms < *least_ms) {
-            least_ms = candidate->cost_ms;
-        }
-        if (holds(item, open.call.model) && (!best || candidate->cost_ms < best->cost_ms)) {
+        const auto candidate = evaluate(*item, open, state, now);
+        if (candidate && (!best || candidate->cost_ms < best->cost_ms)) {
             best = candidate;
         }
     }
-    if (best && best->cost_ms > *least_ms + crowded_ms) {
-        best->crowded = true;
+    if (!best) {
+        return best;
     }
+    best->crowded = std::ranges::any_of(members(open.call.service), [&](auto* item) {
+        if (!considers(*item, open.call) || holds(*item, open.call.model)) {
+            return false;
+        }
+        const auto other = evaluate(*item, open, state, now);
+        return other && best->cost_ms > other->cost_ms + crowded_ms;
+    });
     return best;
 }
 
@@ -228,6 +243,7 @@
         std::erase(queue, open.call.number);
         return;
     }
+    changed = true;
     const auto found = endpoints.find(open.endpoint);
     if (found == endpoints.end()) {
         return;
@@ -239,40 +255,33 @@
     }
     if (found->second.leaving && own.calls == 0) {
         endpoints.erase(found);
+        member_index.clear();
     }
 }
 
-bool dispatcher::impl::has_endpoint(std::string_view service) const {
-    return std::ranges::any_of(endpoints, [&](const auto& item) {
-        return !item.second.leaving && item.second.record.service == service;
-    });
-}
-
 /// Whether every usable endpoint lacks the call's adapter, rather than being full.
-bool dispatcher::impl::adapter_missing(const open_call& open) const {
+bool dispatcher::impl::adapter_missing(const open_call& open) {
     if (open.call.model.model.empty()) {
         return false;
     }
-    return std::ranges::none_of(endpoints, [&](const auto& item) {
-        return considers(item.second, open.call) && holds(item.second, open.call.model);
+    return std::ranges::none_of(members(open.call.service), [&](const auto* item) {
+        return considers(*item, open.call) && holds(*item, open.call.model);
     });
 }
 
 /// Whether an endpoint of a data centre that was not asked could run the call.
-bool dispatcher::impl::ready_elsewhere(const pending_call& call) const {
-    return std::ranges::any_of(endpoints, [&](const auto& item) {
-        return !item.second.leaving && item.second.record.service == call.service &&
-               item.second.record.data_centre != call.data_centre && holds(item.second, call.model);
+bool dispatcher::impl::ready_elsewhere(const pending_call& call) {
+    return std::ranges::any_of(members(call.service), [&](const auto* item) {
+        return item->record.data_centre != call.data_centre && holds(*item, call.model);
     });
 }
 
 std::string dispatcher::lead_data_centre(const pending_call& call, std::string_view passed) const {
     const auto& places = impl_->places;
     std::map<topology::distance, std::set<std::string_view>> ready;
-    for (const auto& [id, item] : impl_->endpoints) {
-        const auto& place = item.record.data_centre;
-        if (!item.leaving && item.record.service == call.service && place != passed &&
-            impl_->holds(item, call.model)) {
+    for (const auto* item : impl_->members(call.service)) {
+        const auto& place = item->record.data_centre;
+        if (place != passed && impl_->holds(*item, call.model)) {
             ready[places.distance_to(place)].insert(place);
         }
     }
@@ -334,7 +343,7 @@
             return decision;
         }
     }
-    if (!has_endpoint(open.call.service)) {
+    if (members(open.call.service).empty()) {
         auto decision = refuse(open, state, ahead, open.missing);
         decision.reason = refusal::no_endpoints;
         return decision;
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -124,6 +125,8 @@
     [[nodiscard]] static bool is_long(std::size_t tokens, const service_state& state);
     std::optional<choice> evaluate(endpoint& item, const open_call& open,
                                    const service_state& state, time_point now);
+    /// Endpoints of a service that are not leaving.
+    std::span<endpoint* const> members(std::string_view service);
     std::optional<choice> choose(const open_call& open, const service_state& state, time_point now);
     dispatch_decision place(open_call& open, const choice& chosen, service_state& state,
                             time_point now);
@@ -132,16 +135,17 @@
     std::optional<dispatch_decision> decide(open_call& open, std::size_t ahead, time_point now);
     void release(open_call& open);
     void note_use(const choice& chosen, const model_name& what);
-    [[nodiscard]] bool has_endpoint(std::string_view service) const;
-    [[nodiscard]] bool considers(const endpoint& item, const pending_call& call) const;
-    [[nodiscard]] bool adapter_missing(const open_call& open) const;
-    [[nodiscard]] bool ready_elsewhere(const pending_call& call) const;
+    [[nodiscard]] static bool considers(const endpoint& item, const pending_call& call);
+    [[nodiscard]] bool adapter_missing(const open_call& open);
+    [[nodiscard]] bool ready_elsewhere(const pending_call& call);
     [[nodiscard]] const endpoint* loading(const model_name& what) const;
     [[nodiscard]] std::string loading_place(const model_name& what) const;
 
     topology places;
     bool loads_possible = true;
     std::map<std::string, endpoint, std::less<>> endpoints;
+    /// Endpoints by service; emptied when an endpoint comes, leaves or goes.
+    std::map<std::string, std::vector<endpoint*>, std::less<>> member_index;
     std::map<std::string, service_state, std::less<>> services;
     std::map<model_name, std::uint64_t> required;
     std::map<std::uint64_t, open_call> calls;
@@ -149,6 +153,7 @@
     bool changed = false;              ///< Something that calls may wait for, since the last pump.
     bool has_fresh = false;            ///< The queue has calls that were not looked at.
     std::size_t waiting_for_place = 0; ///< Calls whose adapter is ready somewhere.
+    time_point looked_at;              ///< When all waiting calls were looked at last.
     bool new_demand = false;           ///< A call began to wait for an adapter.
     policy::endpoint_health health;
     std::map<model_name, std::string> last_holders;
--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "call_relay.h"
 #include "platform/call_headers.h"
+#include "stream_progress.h"
 
 #include <algorithm>
 #include <utility>
@@ -44,12 +45,19 @@
     call.exchange =
         view_.endpoints.send(record->address, platform::render_call(exchange.request(), added),
                              call.request.id, [&call] { call.changed.notify(); });
+    const auto stalls_at = call.route->kind == fleet::call_kind::stream
+                               ? now + stall_limit(*call.route)
+                               : call.answer_by;
     while (!call.exchange->head && !call.exchange->end) {
         if (call.caller_gone || boot_clock::now() >= call.answer_by) {
             ++call.runs;
             co_return attempt_end::given_up;
         }
-        co_await call.changed.wait_until(call.answer_by);
+        if (boot_clock::now() >= stalls_at) {
+            ++call.runs;
+            co_return after_failure(call, "no answer begins");
+        }
+        co_await call.changed.wait_until(std::min(call.answer_by, stalls_at));
     }
     const auto end = classify(call);
     if (end != attempt_end::answered) {
@@ -133,7 +141,8 @@
         if (call.caller_gone || boot_clock::now() >= call.answer_by) {
             co_return attempt_end::given_up;
         }
-        co_return after_failure(call, call.exchange->fault);
+        co_return after_failure(call, call.exchange->end ? call.exchange->fault
+                                                         : "no event comes to its end");
     }
     while (!call.exchange->end) {
         if (call.caller_gone || boot_clock::now() >= call.answer_by) {
@@ -169,7 +178,12 @@
         co_await exchange.begin_stream(std::move(head));
     }
     bool first = true;
+    stream_progress progress(stall_limit(*call.route), boot_clock::now());
     while (true) {
+        // Bytes may come without a pause and without an end; what is complete is still delivered.
+        if (!item->end && (progress.overlong() || boot_clock::now() >= call.answer_by)) {
+            co_return false;
+        }
         if (!item->body.empty()) {
             if (std::exchange(first, false)) {
                 placer_.on_started(call.number);
@@ -179,6 +193,7 @@
                 }
             }
             note_piece(call);
+            progress.feed(item->body, boot_clock::now());
             const auto bytes = events.feed(std::exchange(item->body, {}));
             const bool written = co_await exchange.write(bytes);
             if (!written) {
@@ -190,10 +205,11 @@
         if (item->end) {
             break;
         }
-        if (call.caller_gone || boot_clock::now() >= call.answer_by) {
+        const auto until = std::min(call.answer_by, progress.stalls_at());
+        if (call.caller_gone || boot_clock::now() >= until) {
             co_return false;
         }
-        co_await call.changed.wait_until(call.answer_by);
+        co_await call.changed.wait_until(until);
     }
     if (*item->end != net::exchange_end::complete) {
         co_return false;
--- a/lib/gateway/call_placer.cpp
+++ b/lib/gateway/call_placer.cpp
@@ -24,22 +24,35 @@
         return;
     }
     call.may_pass = true;
-    place(std::move(call), {});
+    const auto lead = on_.nearest_lead();
+    if (lead == view_.incarnation) {
+        place(std::move(call), {});
+        return;
+    }
+    call.data_centre.clear();
+    ask(std::move(call), lead, view_.settings.data_centre);
 }
 
-/// Asks the lead of the data centre where the call should run. `passed` is one that had no room.
+/// Places a call as its lead: in a data centre that this node leads, or by asking the lead of
+/// another. `passed` is a data centre that had no room.
 void call_placer::place(fleet::pending_call call, std::string_view passed) {
-    const auto data_centre = view_.dispatcher.lead_data_centre(call, passed);
-    const auto lead = on_.lead(data_centre);
-    if (data_centre != view_.settings.data_centre) {
+    call.data_centre = view_.dispatcher.lead_data_centre(call, passed);
+    if (call.data_centre != view_.settings.data_centre) {
         view_.dispatcher.note_diverted(call.model);
     }
+    const auto lead = on_.lead(call.data_centre);
     if (lead == view_.incarnation) {
+        const auto data_centre = call.data_centre;
         submit_here(std::move(call), data_centre);
         return;
     }
+    const auto data_centre = call.data_centre;
+    ask(std::move(call), lead, data_centre);
+}
+
+void call_placer::ask(fleet::pending_call call, const std::string& lead,
+                      const std::string& data_centre) {
     const auto now = on_.now();
-    call.data_centre = data_centre;
     if (lead.empty() || !on_.send(lead, placement_frame(call, now))) {
         view_.counters.increment("placements_total", "without_lead");
         submit_here(std::move(call), {});
@@ -74,8 +87,7 @@
     auto call = delegated_.take(number);
     on_.send(lead, placement_end_frame({number, outcome}));
     call->excluded.push_back(endpoint);
-    call->may_pass = true;
-    place(std::move(*call), {});
+    submit(std::move(*call));
 }
 
 void call_placer::on_started(std::uint64_t number) {
@@ -97,9 +109,10 @@
     on_.pump();
 }
 
-void call_placer::on_decision(const fleet::dispatch_decision& decision) {
+/// Hands a final decision to the call, whose caller is served by this node or by a peer.
+void call_placer::decide(const fleet::dispatch_decision& decision) {
     if ((decision.number & served_bit) == 0) {
-        decide_own(decision);
+        on_.decide(decision);
         return;
     }
     if (const auto found = served_.find(decision.number); found != served_.end()) {
@@ -107,7 +120,7 @@
     }
 }
 
-void call_placer::decide_own(const fleet::dispatch_decision& decision) {
+void call_placer::on_decision(const fleet::dispatch_decision& decision) {
     auto passing = passing_.extract(decision.number);
     if (decision.endpoint.empty() && decision.reason == fleet::refusal::elsewhere &&
         !passing.empty()) {
@@ -118,7 +131,7 @@
         place(std::move(call), passed);
         return;
     }
-    on_.decide(decision);
+    decide(decision);
 }
 
 void call_placer::decide_for_peer(peer_call& item, const fleet::dispatch_decision& decision) {
@@ -149,8 +162,12 @@
     waiting.decision.number = item.number;
     waiting.waiting = true;
     served_.emplace(number, std::move(item));
-    view_.dispatcher.submit(std::move(*call));
-    on_.pump();
+    if (call->data_centre.empty()) {
+        place(std::move(*call), {});
+    } else {
+        const auto data_centre = call->data_centre;
+        submit_here(std::move(*call), data_centre);
+    }
     if (const auto found = served_.find(number); found != served_.end() && !found->second.decided) {
         on_.send(peer, placement_answer_frame(waiting));
     }
@@ -169,7 +186,7 @@
     }
     if (!answer->decision.endpoint.empty()) {
         if (delegated_.on_placed(number, answer->decision.endpoint)) {
-            on_.decide(answer->decision);
+            decide(answer->decision);
         }
         return;
     }
@@ -183,7 +200,7 @@
         place(std::move(*call), data_centre);
         return;
     }
-    on_.decide(answer->decision);
+    decide(answer->decision);
 }
 
 std::optional<std::uint64_t> call_placer::served_number(std::string_view peer,
@@ -198,7 +215,7 @@
 
 void call_placer::on_peer_started(std::string_view peer, const support::json& frame) {
     if (const auto number = served_number(peer, frame)) {
-        view_.dispatcher.on_started(*number, on_.now());
+        on_started(*number);
     }
 }
 
@@ -207,7 +224,6 @@
     const auto number = served_number(peer, frame);
     if (end && number) {
         end_served(*number, end->outcome);
-        on_.pump();
     }
 }
 
@@ -232,8 +248,8 @@
         view_.dispatcher.set_residency(item.endpoint, item.model, fleet::residency::absent, 0);
         break;
     }
-    view_.dispatcher.finish(number, now);
     served_numbers_.erase({item.peer, item.number});
+    finish(number, outcome);
 }
 
 void call_placer::on_peer_down(std::string_view peer) {
--- a/lib/gateway/call_placer.h
+++ b/lib/gateway/call_placer.h
@@ -17,16 +17,18 @@
 
 namespace dragonflystair::gateway {
 
-/// Finds an endpoint for each call. Calls for engines are placed by the lead of the data centre
-/// that has their adapter, the holder of its placement lease, which may be this node; others, and
-/// those whose lead does not answer, by this node's own dispatcher. Also the lead's side: it places
-/// the calls of its peers with its own.
+/// Finds an endpoint for each call. Calls for engines go to the lead of the own data centre, the
+/// holder of its placement lease, which may be this node. A lead places them itself, with its own,
+/// or asks the lead of a data centre that has their adapter. Calls for plain services, and those
+/// whose lead does not answer, are placed by this node's own dispatcher.
 class call_placer {
 public:
     struct hooks {
         std::function<bool(std::string_view peer, const support::json& frame)> send;
         /// Incarnation of the node that leads a data centre; empty if none is known to.
         std::function<std::string(std::string_view data_centre)> lead;
+        /// Incarnation of the lead that calls of this node go to; empty if none is in touch.
+        std::function<std::string()> nearest_lead;
         /// Hands a decision to one of this node's own calls.
         std::function<void(const fleet::dispatch_decision& decision)> decide;
         std::function<void()> pump; ///< Lets the dispatcher place calls.
@@ -66,8 +68,9 @@
     };
 
     void place(fleet::pending_call call, std::string_view passed);
+    void ask(fleet::pending_call call, const std::string& lead, const std::string& data_centre);
     void submit_here(fleet::pending_call call, const std::string& data_centre);
-    void decide_own(const fleet::dispatch_decision& decision);
+    void decide(const fleet::dispatch_decision& decision);
     void decide_for_peer(peer_call& item, const fleet::dispatch_decision& decision);
     void take_back(std::vector<fleet::delegated_calls::returned_call> calls);
     [[nodiscard]] std::optional<std::uint64_t> served_number(std::string_view peer,
@@ -77,7 +80,7 @@
     node_view& view_;
     hooks on_;
     fleet::delegated_calls delegated_;
-    /// Own calls that this node's dispatcher places as a lead and that may pass on.
+    /// Calls that this node's dispatcher places as a lead and that may pass on.
     std::map<std::uint64_t, fleet::pending_call> passing_;
     std::map<std::uint64_t, peer_call> served_;
     std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> served_numbers_;
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -1,5 +1,6 @@
 #include "gateway_impl.h"
 
+#include "dragonflystair/net/spawn.h"
 #include "dragonflystair/support/hash.h"
 #include "dragonflystair/support/log.h"
 
@@ -7,10 +8,8 @@
 #include "platform/directory.h"
 #include "platform/names.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <csignal>
+#include <exception>
 #include <utility>
 
 namespace dragonflystair::gateway {
@@ -72,11 +71,16 @@
                           return network_.send(peer, frame);
                       },
                       [this](std::string_view data_centre) { return lead_of(data_centre); },
+                      [this] { return nearest_lead(); },
                       [this](const auto& decision) { relay_.decide(decision); }, [this] { pump(); },
                       [] { return boot_clock::now(); }}),
       relay_(view_, placer_, {[this](std::uint64_t fingerprint) {
                  ++view_.lost_connections[fingerprint];
-                 network_.broadcast(lost_connection_frame(fingerprint));
+                 const auto frame = lost_connection_frame(fingerprint);
+                 send_nearby(frame);
+                 if (holds_lease()) {
+                     send_to_leads(frame);
+                 }
              }}),
       operator_records_(io_.get_executor(), store_, std::string(platform::operator_topic),
                         milliseconds{0},
@@ -125,7 +129,7 @@
 store_follower::hooks gateway::impl::follower_hooks(
     std::function<void(std::span<const fleet::keyed_record>)> on_records) {
     return {std::move(on_records), [this] { return view_.stopping; },
-            [this] { return has_reader(); },
+            [this] { return has_reader(); }, [this] { return reader_rank(); },
             [this](const std::string& topic, const fleet::keyed_page& page) {
                 pass_on_records(topic, page);
             }};
@@ -153,56 +157,69 @@
                                   {"incarnation", view_.incarnation},
                                   {"data_centre", view_.settings.data_centre},
                                   {"store", view_.settings.store_address}});
-    const auto spawn = [this](auto work) {
-        boost::asio::co_spawn(io_, std::move(work), boost::asio::detached);
+    const auto spawn = [this](std::string task, auto work) {
+        net::spawn(io_.get_executor(), std::move(task), std::move(work));
     };
     network_.start();
     dial_peers();
-    spawn([this] { return register_node(); });
-    spawn([this] { return operator_records_.run(); });
-    spawn([this] { return endpoint_records_.run(); });
-    spawn([this] { return node_records_.run(); });
-    spawn([this] { return tick_loop(); });
+    spawn("register_node", [this] { return register_node(); });
+    spawn("operator_records", [this] { return operator_records_.run(); });
+    spawn("endpoint_records", [this] { return endpoint_records_.run(); });
+    spawn("node_records", [this] { return node_records_.run(); });
+    spawn("tick_loop", [this] { return tick_loop(); });
     caller_server_.start();
     ready_server_.start();
     resolve_server_.start();
     metrics_server_.start();
     wait_for_signal();
-    io_.run();
+    net::run_handlers(io_);
     support::log_change("stop", {{"node", view_.settings.name}});
     return 0;
 }
 
+/// A fault in one turn must not end the loop, without which the node would be there and do nothing.
 net::awaitable<void> gateway::impl::tick_loop() {
     while (true) {
-        ++ticks_;
-        for (const auto& [name, holder] : holders_) {
-            holder->tick();
-            holder->pump();
-        }
-        placer_.tick();
-        watch_.on_store(endpoint_records_.reads() || has_reader(), boot_clock::now());
-        remove_gone_endpoints();
-        view_.dispatcher.set_loads_possible(loads_possible());
-        send_demand(ticks_ % ticks_per_load == 0);
-        if (ticks_ % ticks_per_load == 0) {
-            send_loads();
+        try {
+            tick();
+        } catch (...) {
+            counters_.increment("turns_failed_total");
+            net::log_unhandled("tick", std::current_exception());
         }
-        if (ticks_ % ticks_per_status == 0) {
-            send_status(holds_lease() && ticks_ % ticks_per_far_status == 0);
-            dial_peers();
-        }
-        if (ticks_ % ticks_per_reload == 0) {
-            reload_settings();
-        }
-        if (ticks_ % ticks_per_summary == 0) {
-            for (const auto& [name, holder] : holders_) {
-                if (holder->active()) {
-                    network_.broadcast(residency_frame(holder->planner().all()));
-                }
+        co_await pause_for(io_.get_executor(), tick_period);
+    }
+}
+
+void gateway::impl::tick() {
+    ++ticks_;
+    for (const auto& [name, holder] : holders_) {
+        holder->tick();
+        holder->pump();
+    }
+    placer_.tick();
+    if (view_.dispatcher.waiting() > 0) {
+        pump();
+    }
+    watch_.on_store(endpoint_records_.reads() || has_reader(), boot_clock::now());
+    remove_gone_endpoints();
+    view_.dispatcher.set_loads_possible(loads_possible());
+    send_demand(ticks_ % ticks_per_load == 0);
+    if (ticks_ % ticks_per_load == 0) {
+        send_loads();
+    }
+    if (ticks_ % ticks_per_status == 0) {
+        send_status(holds_lease() && ticks_ % ticks_per_far_status == 0);
+        dial_peers();
+    }
+    if (ticks_ % ticks_per_reload == 0) {
+        reload_settings();
+    }
+    if (ticks_ % ticks_per_summary == 0) {
+        for (const auto& [name, holder] : holders_) {
+            if (holder->active()) {
+                send_residency(holder->planner().all());
             }
         }
-        co_await pause_for(io_.get_executor(), tick_period);
     }
 }
 
@@ -311,8 +328,7 @@
             reload_settings();
         } else if (!view_.stopping) {
             view_.stopping = true;
-            boost::asio::co_spawn(
-                io_, [this] { return shut_down(); }, boost::asio::detached);
+            net::spawn(io_.get_executor(), "shut_down", [this] { return shut_down(); });
         }
         wait_for_signal();
     });
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -31,6 +31,7 @@
 struct peer_state {
     node_status status;
     std::vector<std::string> loaded_endpoints; ///< Named in its last loads frame.
+    support::time_point heard;                 ///< When the status came.
 };
 
 /// A node of the system as it registered in the store.
@@ -72,11 +73,16 @@
     /// Sends to peers of the own data centre.
     void send_nearby(const support::json& frame);
     [[nodiscard]] bool has_reader() const;
+    [[nodiscard]] std::size_t reader_rank() const;
     [[nodiscard]] bool holds_lease() const;
     [[nodiscard]] bool is_near(const peer_state& peer) const {
         return peer.status.data_centre == view_.settings.data_centre;
     }
     void send_loads();
+    void on_lost_connection(std::string_view peer, const support::json& frame);
+    void send_to_leads(const support::json& frame);
+    [[nodiscard]] std::vector<held_lease> heard_leases() const;
+    [[nodiscard]] std::string lead_name() const;
     void send_demand(bool with_used);
     void send_notice(const demand_notice& notice);
     void apply_residency(std::span<const fleet::residency_change> changes);
@@ -84,6 +90,7 @@
     [[nodiscard]] node_status own_status();
     [[nodiscard]] std::size_t rank_for(const std::string& data_centre) const;
     [[nodiscard]] bool loads_possible() const;
+    [[nodiscard]] std::string nearest_lead() const;
     [[nodiscard]] std::string lead_of(std::string_view data_centre) const;
     [[nodiscard]] std::string lease_holder(const std::string& data_centre) const;
 
@@ -91,6 +98,7 @@
     void pump();
     void schedule_pump();
     net::awaitable<void> tick_loop();
+    void tick();
     net::awaitable<void> serve_ready(net::http_exchange& exchange);
     net::awaitable<void> serve_resolve(net::http_exchange& exchange);
     net::awaitable<void> serve_metrics(net::http_exchange& exchange);
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -19,20 +19,53 @@
 constexpr std::size_t foreign_holder_rank = 3;
 constexpr std::size_t foreign_rank = 20;
 
+/// Nodes of another data centre that a lead dials to learn who leads there: rank decides, and two
+/// of the first ones may have failed at once.
+constexpr std::size_t lead_candidates = 3;
+
+/// A lease that was not heard of for this long is not passed on; leads tell each other each second.
+constexpr milliseconds heard_lifetime{2'500};
+
 /// A peer is asked again for records that it has and this node lacks after this time.
 constexpr milliseconds records_pause{400};
 
 } // namespace
 
-/// Every node is linked to those of its data centre and to all lease holders, which dial everyone:
-/// a full mesh would grow with the square of the nodes.
+/// Every node is linked to those of its data centre. Leads are linked to each other and, as one may
+/// have changed, to a few candidates of each data centre, and so are nodes whose own data centre
+/// has no lead; one that leads another data centre also to the nodes there. Links between regions
+/// so grow with the data centres and not with the nodes.
 void gateway::impl::dial_peers() {
     std::vector<std::string> addresses;
-    const bool everyone = holds_lease();
+    std::map<std::string, std::vector<std::string>> others;
+    const bool looks_for_leads = holds_lease() || lead_of(view_.settings.data_centre).empty();
     for (const auto& [name, node] : registered_) {
-        if (name != view_.settings.name &&
-            (everyone || node.data_centre == view_.settings.data_centre)) {
+        const auto holder = holders_.find(node.data_centre);
+        const bool led = holder != holders_.end() && holder->second->lease().holds();
+        if (name == view_.settings.name) {
+            continue;
+        }
+        if (node.data_centre == view_.settings.data_centre || led) {
             addresses.push_back(node.peer_address);
+        } else if (looks_for_leads) {
+            others[node.data_centre].push_back(name);
+        }
+    }
+    std::set<std::string> contacts;
+    for (auto& [data_centre, names] : others) {
+        auto order = support::rendezvous_order(data_centre, names);
+        order.resize(std::min(order.size(), lead_candidates));
+        contacts.insert(order.begin(), order.end());
+    }
+    if (looks_for_leads) {
+        for (const auto& [incarnation, peer] : peers_) {
+            contacts.insert(peer.status.lead);
+        }
+    }
+    for (const auto& name : contacts) {
+        if (const auto node = registered_.find(name);
+            node != registered_.end() && name != view_.settings.name) {
+            addresses.push_back(node->second.peer_address);
         }
     }
     if (registered_.empty()) {
@@ -78,10 +111,65 @@
         if (view_.lost_connections.size() >= max_fingerprints) {
             view_.lost_connections.clear();
         }
-        ++view_.lost_connections[frame.value("f", std::uint64_t{0})];
+        on_lost_connection(peer, frame);
+    }
+}
+
+/// Counts a call's lost connection, and passes on what came from the own data centre to the other
+/// leads, and what came from those to the own data centre.
+void gateway::impl::on_lost_connection(std::string_view peer, const support::json& frame) {
+    const auto fingerprint = frame.find("f");
+    if (fingerprint == frame.end() || !fingerprint->is_number_unsigned()) {
+        counters_.increment("peer_frames_damaged_total", "lost_connection");
+        return;
+    }
+    ++view_.lost_connections[fingerprint->get<std::uint64_t>()];
+    const auto sender = peers_.find(peer);
+    if (sender == peers_.end() || !holds_lease()) {
+        return;
+    }
+    if (is_near(sender->second)) {
+        send_to_leads(frame);
+    } else {
+        send_nearby(frame);
+    }
+}
+
+/// Sends to the leads of other data centres.
+void gateway::impl::send_to_leads(const support::json& frame) {
+    for (const auto& [incarnation, peer] : peers_) {
+        if (!is_near(peer) && !peer.status.leases.empty()) {
+            network_.send(incarnation, frame);
+        }
     }
 }
 
+/// Leases of others, so that nodes which are not linked to their holders do not take them for
+/// vacant.
+std::vector<held_lease> gateway::impl::heard_leases() const {
+    std::vector<held_lease> leases;
+    if (!holds_lease()) {
+        return leases;
+    }
+    const auto now = boot_clock::now();
+    for (const auto& [incarnation, peer] : peers_) {
+        if (!is_near(peer) && now - peer.heard <= heard_lifetime) {
+            leases.insert(leases.end(), peer.status.leases.begin(), peer.status.leases.end());
+        }
+    }
+    return leases;
+}
+
+/// Name of the node that leads the own data centre, or none.
+std::string gateway::impl::lead_name() const {
+    const auto lead = lead_of(view_.settings.data_centre);
+    if (lead == view_.incarnation) {
+        return view_.settings.name;
+    }
+    const auto peer = peers_.find(lead);
+    return peer == peers_.end() ? std::string{} : peer->second.status.name;
+}
+
 void gateway::impl::on_status(std::string_view peer, const node_status& status) {
     const auto now = boot_clock::now();
     auto& known = peers_[std::string(peer)];
@@ -89,6 +177,12 @@
         support::log_change("peer_regained", {{"peer", status.name}});
     }
     known.status = status;
+    known.heard = now;
+    for (const auto& lease : status.heard_leases) {
+        if (const auto holder = holders_.find(lease.data_centre); holder != holders_.end()) {
+            holder->second->lease().on_holder_heard(lease.fence, now);
+        }
+    }
     view_.live_nodes = std::max(registered_.size(), peers_.size() + 1);
     for (const auto& lease : status.leases) {
         if (const auto holder = holders_.find(lease.data_centre); holder != holders_.end()) {
@@ -226,6 +320,8 @@
             status.leases.push_back({name, holder->lease().fence(), holder->active()});
         }
     }
+    status.heard_leases = heard_leases();
+    status.lead = lead_name();
     for (const auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
         status.topic_ends.emplace(follower->topic(), follower->mirror().next());
     }
@@ -263,6 +359,14 @@
     });
 }
 
+/// Nodes of the data centre that come before this one as its reader.
+std::size_t gateway::impl::reader_rank() const {
+    return static_cast<std::size_t>(std::ranges::count_if(peers_, [this](const auto& item) {
+        const auto& status = item.second.status;
+        return is_near(item.second) && !status.leaving && status.name < view_.settings.name;
+    }));
+}
+
 void gateway::impl::pass_on_records(const std::string& topic, const fleet::keyed_page& page) {
     send_nearby(records_frame(topic, page));
 }
@@ -326,6 +430,19 @@
     return {};
 }
 
+/// Lead of the own data centre, or while that has none, of another one.
+std::string gateway::impl::nearest_lead() const {
+    if (auto lead = lead_of(view_.settings.data_centre); !lead.empty()) {
+        return lead;
+    }
+    for (const auto& [incarnation, peer] : peers_) {
+        if (std::ranges::any_of(peer.status.leases, &held_lease::active)) {
+            return incarnation;
+        }
+    }
+    return {};
+}
+
 /// Peer that gives orders to the engines of a data centre, or if there is none, to others.
 std::string gateway::impl::lease_holder(const std::string& data_centre) const {
     std::string other;
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -31,6 +31,15 @@
     return rows;
 }
 
+std::vector<held_lease> leases_of(const json& frame, const char* name) {
+    std::vector<held_lease> leases;
+    for (const auto& row : rows_of(frame, name)) {
+        leases.push_back({text_at(row, 0), number_at(row, 1),
+                          row.size() > 2 && row[2].is_boolean() && row[2].get<bool>()});
+    }
+    return leases;
+}
+
 } // namespace
 
 json status_frame(const node_status& status) {
@@ -38,6 +47,10 @@
     for (const auto& lease : status.leases) {
         leases.push_back(json::array({lease.data_centre, lease.fence, lease.active}));
     }
+    json heard = json::array();
+    for (const auto& lease : status.heard_leases) {
+        heard.push_back(json::array({lease.data_centre, lease.fence, lease.active}));
+    }
     json ends = json::array();
     for (const auto& [topic, end] : status.topic_ends) {
         ends.push_back(json::array({topic, end}));
@@ -50,6 +63,8 @@
             {"x", status.leaving},
             {"b", status.reads_store},
             {"l", std::move(leases)},
+            {"k", std::move(heard)},
+            {"p", status.lead},
             {"e", std::move(ends)}};
 }
 
@@ -65,9 +80,10 @@
     status.ready = frame.value("r", false);
     status.leaving = frame.value("x", false);
     status.reads_store = frame.value("b", false);
-    for (const auto& row : rows_of(frame, "l")) {
-        status.leases.push_back({text_at(row, 0), number_at(row, 1),
-                                 row.size() > 2 && row[2].is_boolean() && row[2].get<bool>()});
+    status.leases = leases_of(frame, "l");
+    status.heard_leases = leases_of(frame, "k");
+    if (const auto lead = frame.find("p"); lead != frame.end() && lead->is_string()) {
+        status.lead = lead->get<std::string>();
     }
     for (const auto& row : rows_of(frame, "e")) {
         status.topic_ends.emplace(text_at(row, 0), number_at(row, 1));
--- a/lib/gateway/peer_frames.h
+++ b/lib/gateway/peer_frames.h
@@ -30,6 +30,10 @@
     bool leaving = false;
     bool reads_store = false; ///< It reads the store itself and gets answers.
     std::vector<held_lease> leases;
+    /// Leases that other nodes hold, as this one heard lately; told within the data centre.
+    std::vector<held_lease> heard_leases;
+    /// Name of the node that leads this node's data centre, for nodes of others; empty if unknown.
+    std::string lead;
     std::map<std::string, std::uint64_t> topic_ends; ///< How far its copies of topics reach.
 };
 
--- a/lib/gateway/placement_frames.cpp
+++ b/lib/gateway/placement_frames.cpp
@@ -80,7 +80,6 @@
     json frame{{"type", "p"},
                {"n", call.number},
                {"s", call.service},
-               {"d", call.data_centre},
                {"m", call.model.model},
                {"a", call.model.adapter},
                {"v", std::move(parts)},
@@ -90,6 +89,9 @@
                {"b", ms_between(now, call.objective_at)},
                {"g", ms_between(now, call.give_up_at)},
                {"f", call.may_pass}};
+    if (!call.data_centre.empty()) {
+        frame["d"] = call.data_centre;
+    }
     if (!call.excluded.empty()) {
         frame["x"] = call.excluded;
     }
@@ -101,7 +103,7 @@
     fleet::pending_call call;
     call.service = text_of(frame, "s");
     call.data_centre = text_of(frame, "d");
-    if (!number || call.service.empty() || call.data_centre.empty()) {
+    if (!number || call.service.empty()) {
         return std::nullopt;
     }
     call.number = *number;
--- a/lib/gateway/placement_frames.h
+++ b/lib/gateway/placement_frames.h
@@ -30,8 +30,10 @@
     send_outcome outcome = send_outcome::none;
 };
 
-/// Frames between a node and the lead of a data centre. Times are told as what is left of them,
-/// since the nodes' clocks differ. Decoders return nothing for a damaged frame.
+/// Frames between a node and the lead of a data centre, and between leads. A node asks its lead for
+/// any endpoint; a lead asks another for one of the data centre that the call names. Times are told
+/// as what is left of them, since the nodes' clocks differ. Decoders return nothing for a damaged
+/// frame.
 support::json placement_frame(const fleet::pending_call& call, support::time_point now);
 std::optional<fleet::pending_call> decode_placement(const support::json& frame,
                                                     support::time_point now);
--- a/lib/gateway/placement_holder.cpp
+++ b/lib/gateway/placement_holder.cpp
@@ -1,10 +1,8 @@
 #include "placement_holder.h"
 
+#include "dragonflystair/net/spawn.h"
 #include "dragonflystair/support/log.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <utility>
 
 namespace dragonflystair::gateway {
@@ -74,18 +72,15 @@
     const auto now = boot_clock::now();
     lease_.on_tick(now);
     if (lease_.take_leave_due()) {
-        boost::asio::co_spawn(
-            view_.executor, [self = shared_from_this()] { return self->leave_group(); },
-            boost::asio::detached);
+        net::spawn(view_.executor, "leave_lease",
+                   [self = shared_from_this()] { return self->leave_group(); });
     }
     if (joining_ || view_.stopping || !lease_.join_due(on_.rank(), now)) {
         return;
     }
     joining_ = true;
     lease_.on_join_sent(now);
-    boost::asio::co_spawn(
-        view_.executor, [self = shared_from_this()] { return self->join(); },
-        boost::asio::detached);
+    net::spawn(view_.executor, "join_lease", [self = shared_from_this()] { return self->join(); });
 }
 
 net::awaitable<void> placement_holder::join() {
@@ -142,13 +137,10 @@
     }
     for (auto& order : planner_.plan(boot_clock::now())) {
         auto self = shared_from_this();
-        boost::asio::co_spawn(
-            view_.executor,
-            [self, order] {
-                return order.kind == fleet::planned_kind::report ? self->ask(order)
-                                                                 : self->carry_out(order);
-            },
-            boost::asio::detached);
+        net::spawn(view_.executor, "order", [self, order] {
+            return order.kind == fleet::planned_kind::report ? self->ask(order)
+                                                             : self->carry_out(order);
+        });
     }
     publish();
     schedule_pump();
--- a/lib/gateway/store_follower.cpp
+++ b/lib/gateway/store_follower.cpp
@@ -1,5 +1,6 @@
 #include "store_follower.h"
 
+#include "dragonflystair/fleet/reader_pacing.h"
 #include "dragonflystair/support/log.h"
 
 #include "pause.h"
@@ -17,8 +18,6 @@
 constexpr milliseconds longest_wait{2'000};
 /// How often a node that does not read looks whether its reader is still there.
 constexpr milliseconds passive_pause{100};
-/// Pause after a call that failed; every call is paid for.
-constexpr milliseconds failure_pause{300};
 
 } // namespace
 
@@ -28,11 +27,17 @@
       on_(std::move(callbacks)) {}
 
 net::awaitable<void> store_follower::run() {
+    bool followed_peer = false;
     while (!on_.stopping()) {
         if (synchronised_ && on_.passive()) {
+            followed_peer = true;
             co_await pause_for(context_, passive_pause);
             continue;
         }
+        if (std::exchange(followed_peer, false)) {
+            co_await pause_for(context_, fleet::pause_before_takeover(on_.reader_rank()));
+            continue;
+        }
         bool done = false;
         if (synchronised_) {
             done = co_await read();
@@ -40,7 +45,7 @@
             done = co_await resynchronise();
         }
         if (!done) {
-            co_await pause_for(context_, failure_pause);
+            co_await pause_for(context_, fleet::pause_after_failed_read(on_.reader_rank()));
         }
     }
 }
--- a/lib/gateway/store_follower.h
+++ b/lib/gateway/store_follower.h
@@ -22,6 +22,9 @@
         std::function<bool()> stopping;
         /// Whether a peer reads the store and passes on what it reads, so that this node need not.
         std::function<bool()> passive;
+        /// This node's place among those of its data centre that could read the store. The first
+        /// ones try sooner, so that not all call a store at once that has just failed or returned.
+        std::function<std::size_t()> reader_rank;
         /// This node has read a page that peers may lack.
         std::function<void(const std::string& topic, const fleet::keyed_page&)> on_page;
     };
--- a/lib/net/exchange_connection.cpp
+++ b/lib/net/exchange_connection.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::size_t read_bytes = std::size_t{8} * 1024;
 
+/// Bytes that the parser may leave for later: the head of a chunk with its extensions, or trailers.
+constexpr std::size_t max_unparsed_bytes = std::size_t{64} * 1024;
+
 /// Keep-alive probes: a peer that does not answer two in a row, one second apart, is gone.
 constexpr int probe_seconds = 1;
 constexpr int probe_count = 2;
@@ -47,6 +50,8 @@
                                 const std::shared_ptr<exchange>& item) {
     serving_ = true;
     written_ = false;
+    skipped_bytes_ = 0;
+    used_before_ = socket_.is_open();
     text_ = std::move(text);
     id_ = std::move(id);
     held_ = item;
@@ -138,7 +143,8 @@
                 return;
             }
             if (error == boost::asio::error::eof && self->serving_ && self->parser_ &&
-                self->parser_->is_header_done() && self->parser_->need_eof()) {
+                self->parser_->is_header_done() && self->parser_->need_eof() &&
+                self->own_answer() && !self->nameless_answer()) {
                 boost::system::error_code code;
                 self->parser_->put_eof(code);
                 if (!code) {
@@ -173,6 +179,7 @@
         boost::system::error_code code;
         const auto used = parser_->put(buffer_.data(), code);
         buffer_.consume(used);
+        skipped_bytes_ += held->head ? 0 : used;
         if (code == http::error::need_more) {
             break;
         }
@@ -183,17 +190,23 @@
         if (parser_->is_header_done() && !parser_->is_done() && used == 0) {
             break;
         }
-        if (parser_->is_done()) {
-            const auto echoed = header(parser_->head().headers, id_header_);
-            const bool interim = parser_->head().status / 100 == 1;
-            if (interim || (!echoed.empty() && echoed != id_)) {
-                skip_answer();
-            }
+        if (parser_->is_done() && !own_answer()) {
+            skip_answer();
         }
     }
-    const auto echoed = header(parser_->head().headers, id_header_);
-    if (!parser_->is_header_done() || parser_->head().status / 100 == 1 ||
-        (!echoed.empty() && echoed != id_)) {
+    if (buffer_.size() > max_unparsed_bytes) {
+        fail(exchange_end::broken, "answer: the head of a chunk or a trailer is over the limit");
+        return;
+    }
+    if (!parser_->is_header_done() || !own_answer()) {
+        parser_->body().clear();
+        if (skipped_bytes_ > limits_.skipped_bytes) {
+            fail(exchange_end::broken, "answer: too many bytes before it");
+        }
+        return;
+    }
+    if (nameless_answer()) {
+        fail(exchange_end::broken, "answer: names no request on a connection used before");
         return;
     }
     const bool news = !held->head || !parser_->body().empty() || parser_->is_done();
@@ -202,6 +215,10 @@
     }
     held->body += parser_->body();
     parser_->body().clear();
+    if (held->body.size() > limits_.unread_bytes) {
+        fail(exchange_end::broken, "answer: more bytes than its reader takes");
+        return;
+    }
     if (parser_->is_done()) {
         finish();
     } else if (news) {
@@ -209,6 +226,18 @@
     }
 }
 
+bool exchange_connection::own_answer() {
+    const auto& head = parser_->head();
+    const auto echoed = header(head.headers, id_header_);
+    const bool interim = head.status / 100 == 1;
+    return !interim && (echoed.empty() || echoed == id_);
+}
+
+/// Whether the answer names no request although an earlier one on the connection may have got it.
+bool exchange_connection::nameless_answer() {
+    return used_before_ && !id_.empty() && header(parser_->head().headers, id_header_).empty();
+}
+
 /// Makes ready for the next answer on the connection.
 void exchange_connection::skip_answer() {
     parser_.emplace();
--- a/lib/net/exchange_connection.h
+++ b/lib/net/exchange_connection.h
@@ -47,6 +47,9 @@
     void received(std::size_t bytes);
     void parse();
     void skip_answer();
+    /// Whether the answer that is being read belongs to the request.
+    [[nodiscard]] bool own_answer();
+    [[nodiscard]] bool nameless_answer();
     void finish();
     void fail(exchange_end end, std::string fault);
     void notify(const std::shared_ptr<exchange>& held);
@@ -64,6 +67,8 @@
     bool head_request_ = false;
     bool serving_ = false;
     bool written_ = false;
+    bool used_before_ = false;      ///< It has carried an earlier request.
+    std::size_t skipped_bytes_ = 0; ///< Before the head of the request's own answer.
     std::weak_ptr<exchange> held_;
     const exchange* item_ = nullptr; ///< Identity only; `held_` keeps access safe.
     std::chrono::steady_clock::time_point idle_until_;
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -23,8 +23,8 @@
 /// As for the server's requests.
 constexpr std::uint32_t max_header_bytes = 16 * 1024;
 
-/// Above a log page of 1,000 appends of 16 KiB outcomes.
-constexpr std::uint64_t max_body_bytes = std::uint64_t{64} * 1024 * 1024;
+/// Above a log page of 1,000 appends of 16 KiB outcomes, and well below the memory of a small VM.
+constexpr std::uint64_t max_body_bytes = std::uint64_t{32} * 1024 * 1024;
 
 /// A request in the form that is sent, or the reason why it cannot be.
 struct prepared_request {
--- a/lib/net/http_connection.h
+++ b/lib/net/http_connection.h
@@ -49,7 +49,8 @@
     executor strand;
     tcp::socket socket;
     deadline timer;
-    boost::beast::flat_buffer buffer;
+    /// Holds heads, chunk heads and trailers; a longer one ends the connection.
+    boost::beast::flat_buffer buffer{std::size_t{128} * 1024};
     bool kept = false;         ///< The connection has carried an exchange before.
     bool write_failed = false; ///< The request was written in part; never kept again.
 };
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -1,10 +1,11 @@
 #include "dragonflystair/net/http_server.h"
 
+#include "dragonflystair/net/spawn.h"
+
 #include "http_session.h"
 #include "run_on.h"
 #include "socket_address.h"
 
-#include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
 
@@ -139,8 +140,7 @@
 }
 
 void http_server::start() {
-    boost::asio::co_spawn(
-        impl_->strand, [self = impl_] { return self->accept_loop(); }, boost::asio::detached);
+    spawn(impl_->strand, "accept_callers", [self = impl_] { return self->accept_loop(); });
 }
 
 void http_server::set_limits(const http_server_limits& limits) {
--- a/lib/net/http_session.cpp
+++ b/lib/net/http_session.cpp
@@ -1,12 +1,12 @@
 #include "http_session.h"
 
 #include "dragonflystair/net/problem.h"
+#include "dragonflystair/net/spawn.h"
 
 #include "http_session_exchange.h"
 #include "run_on.h"
 
 #include <boost/asio/bind_executor.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
@@ -16,6 +16,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <exception>
 #include <utility>
 
 namespace dragonflystair::net {
@@ -59,8 +60,7 @@
 void http_session::start() {
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
-    boost::asio::co_spawn(
-        strand_, [self = shared_from_this()] { return self->run(); }, boost::asio::detached);
+    spawn(strand_, "caller_session", [self = shared_from_this()] { return self->run(); });
 }
 
 void http_session::begin_shutdown() {
@@ -203,6 +203,7 @@
     try {
         co_await state_->handler(exchange);
     } catch (...) {
+        log_unhandled("request", std::current_exception());
         exchange.set_failed();
     }
     watch_disconnect({});
--- a/lib/net/http_session.h
+++ b/lib/net/http_session.h
@@ -92,7 +92,8 @@
     tcp::socket socket_;
     std::shared_ptr<http_server_state> state_;
     deadline timer_;
-    boost::beast::flat_buffer buffer_;
+    /// Holds heads, chunk heads, trailers and what a caller sends ahead; more is refused.
+    boost::beast::flat_buffer buffer_{std::size_t{256} * 1024};
     bool idle_ = true;
     bool keep_alive_ = true;
     bool version_1_0_ = false;
--- a/lib/net/peer_network.cpp
+++ b/lib/net/peer_network.cpp
@@ -1,11 +1,12 @@
 #include "dragonflystair/net/peer_network.h"
 
+#include "dragonflystair/net/spawn.h"
+
 #include "peer_handshake.h"
 #include "peer_table.h"
 #include "run_on.h"
 #include "socket_address.h"
 
-#include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -252,9 +253,8 @@
 void peer_network::impl::dial(const std::vector<std::string>& addresses) {
     // A dialler may run at once on this thread and needs the mutex, so it starts without it.
     for (const auto& item : update_diallers(addresses)) {
-        boost::asio::co_spawn(
-            item->strand, [self = shared_from_this(), item] { return self->dial_loop(item); },
-            boost::asio::detached);
+        spawn(item->strand, "dial_peer",
+              [self = shared_from_this(), item] { return self->dial_loop(item); });
     }
 }
 
@@ -314,8 +314,7 @@
 }
 
 void peer_network::start() {
-    boost::asio::co_spawn(
-        impl_->strand, [self = impl_] { return self->accept_loop(); }, boost::asio::detached);
+    spawn(impl_->strand, "accept_peers", [self = impl_] { return self->accept_loop(); });
 }
 
 void peer_network::stop() {
@@ -339,17 +338,23 @@
     return link->enqueue(std::move(bytes));
 }
 
-void peer_network::broadcast(const json& frame) {
+void peer_network::send_each(std::span<const std::string> peers, const json& frame) {
     const auto bytes = std::make_shared<const std::string>(encode_frame(frame));
     if (bytes->size() > impl_->settings->max_frame_bytes) {
         impl_->counters.increment("peer_frames_too_large_total");
         return;
     }
-    for (const auto& link : impl_->table.links()) {
-        link->enqueue(bytes);
+    for (const auto& peer : peers) {
+        if (const auto link = impl_->table.find(peer)) {
+            link->enqueue(bytes);
+        }
     }
 }
 
+void peer_network::broadcast(const json& frame) {
+    send_each(connected(), frame);
+}
+
 std::vector<std::string> peer_network::connected() const {
     return impl_->table.peers();
 }
--- /dev/null
+++ b/lib/net/spawn.cpp
@@ -0,0 +1,46 @@
+#include "dragonflystair/net/spawn.h"
+
+#include "dragonflystair/support/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <exception>
+#include <utility>
+
+namespace dragonflystair::net {
+
+void log_unhandled(std::string_view task, const std::exception_ptr& error) {
+    std::string why = "unknown exception";
+    try {
+        std::rethrow_exception(error);
+    } catch (const std::exception& known) {
+        why = known.what();
+    } catch (...) { // NOLINT(bugprone-empty-catch): its reason stays "unknown exception".
+    }
+    support::log_change("task_failed", {{"task", std::string(task)}, {"why", why}});
+}
+
+std::function<void(std::exception_ptr)> logged(std::string task) {
+    return [task = std::move(task)](const std::exception_ptr& error) {
+        if (error) {
+            log_unhandled(task, error);
+        }
+    };
+}
+
+void spawn(executor context, std::string task, std::function<awaitable<void>()> work) {
+    boost::asio::co_spawn(std::move(context), std::move(work), logged(std::move(task)));
+}
+
+void run_handlers(boost::asio::io_context& context) {
+    while (!context.stopped()) {
+        try {
+            context.run();
+        } catch (...) {
+            log_unhandled("handler", std::current_exception());
+        }
+    }
+}
+
+} // namespace dragonflystair::net
--- a/lib/node/log_follower.cpp
+++ b/lib/node/log_follower.cpp
@@ -1,11 +1,11 @@
 #include "log_follower.h"
 
+#include "dragonflystair/net/spawn.h"
 #include "dragonflystair/support/log.h"
 
 #include "sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <utility>
 
@@ -17,7 +17,7 @@
 
 void log_follower::start() {
     boost::asio::co_spawn(
-        context_.executor, [this] { return run(); }, boost::asio::detached);
+        context_.executor, [this] { return run(); }, net::logged("log_follower"));
 }
 
 void log_follower::on_forwarded(std::span<const ledger::stream_entry> entries) {
--- a/lib/node/log_writer.cpp
+++ b/lib/node/log_writer.cpp
@@ -1,11 +1,11 @@
 #include "log_writer.h"
 
+#include "dragonflystair/net/spawn.h"
 #include "dragonflystair/support/log.h"
 
 #include "sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/experimental/concurrent_channel.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -34,7 +34,7 @@
 void log_writer::start() {
     boost::asio::co_spawn(
         context_.executor, [self = shared_from_this()] { return self->run(); },
-        boost::asio::detached);
+        net::logged("log_writer"));
 }
 
 net::awaitable<std::optional<ledger::position>>
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -1,12 +1,12 @@
 #include "node_impl.h"
 
+#include "dragonflystair/net/spawn.h"
 #include "dragonflystair/support/hash.h"
 #include "dragonflystair/support/log.h"
 
 #include "sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <csignal>
 #include <cstdlib>
@@ -331,7 +331,7 @@
         }
         support::log_change("stop_requested", {{"signal", std::to_string(number)}});
         boost::asio::co_spawn(
-            io, [this] { return shut_down(); }, boost::asio::detached);
+            io, [this] { return shut_down(); }, net::logged("node_impl"));
         signals.async_wait([this](const boost::system::error_code& again, int) {
             if (!again) {
                 was_cut_off = true;
@@ -398,15 +398,15 @@
     member_follower.start();
     claim_follower.start();
     agent.start();
-    boost::asio::co_spawn(io, fast_loop(), boost::asio::detached);
-    boost::asio::co_spawn(io, slow_loop(), boost::asio::detached);
-    boost::asio::co_spawn(io, vm_list_loop(), boost::asio::detached);
+    boost::asio::co_spawn(io, fast_loop(), net::logged("node_impl"));
+    boost::asio::co_spawn(io, slow_loop(), net::logged("node_impl"));
+    boost::asio::co_spawn(io, vm_list_loop(), net::logged("node_impl"));
     wait_for_signal();
     std::vector<std::thread> workers;
     for (unsigned count = 1; count < context.settings.threads; ++count) {
-        workers.emplace_back([this] { io.run(); });
+        workers.emplace_back([this] { net::run_handlers(io); });
     }
-    io.run();
+    net::run_handlers(io);
     for (auto& worker : workers) {
         worker.join();
     }
--- a/lib/node/owned_endpoint_attempts.cpp
+++ b/lib/node/owned_endpoint_attempts.cpp
@@ -1,7 +1,8 @@
+#include "dragonflystair/net/spawn.h"
+
 #include "owned_endpoint.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <cstdlib>
 #include <utility>
@@ -68,7 +69,7 @@
             [[maybe_unused]] const auto answer =
                 co_await self->services_.engines.cancel(self->setup_.address, id, state_timeout);
         },
-        boost::asio::detached);
+        net::logged("owned_endpoint_attempts"));
 }
 
 void owned_endpoint::refuse(const std::string& id, const policy::refusal& why) {
--- a/lib/node/session_agent.cpp
+++ b/lib/node/session_agent.cpp
@@ -1,11 +1,11 @@
 #include "session_agent.h"
 
+#include "dragonflystair/net/spawn.h"
 #include "dragonflystair/support/log.h"
 
 #include "sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include <utility>
@@ -28,7 +28,7 @@
 
 void session_agent::start() {
     boost::asio::co_spawn(
-        context_.executor, [this] { return run(); }, boost::asio::detached);
+        context_.executor, [this] { return run(); }, net::logged("session_agent"));
 }
 
 net::awaitable<void> session_agent::run() {
--- a/unittests/gateway/call_placer_test.cpp
+++ b/unittests/gateway/call_placer_test.cpp
@@ -87,6 +87,10 @@
                               const auto found = leads.find(std::string(place));
                               return found == leads.end() ? std::string{} : found->second;
                           },
+                          [&leads, data_centre] {
+                              const auto found = leads.find(data_centre);
+                              return found == leads.end() ? std::string{} : found->second;
+                          },
                           [this](const auto& decision) { decisions.push_back(decision); },
                           [this, &now] { pump(now); }, [&now] { return now; }}) {
         view_.dispatcher.configure(sample_configuration());
@@ -131,6 +135,8 @@
     CPPUNIT_TEST(lost_node_frees_its_places_at_the_lead);
     CPPUNIT_TEST(lost_lead_leaves_waiting_calls_to_their_own_node);
     CPPUNIT_TEST(late_answer_of_a_silent_lead_sends_no_call_twice);
+    CPPUNIT_TEST(lead_asks_the_lead_of_the_data_centre_that_has_the_adapter);
+    CPPUNIT_TEST(end_of_a_call_reaches_the_lead_that_placed_it);
     CPPUNIT_TEST(node_without_a_lead_places_calls_itself);
     CPPUNIT_TEST(damaged_frames_are_counted_and_change_nothing);
     CPPUNIT_TEST_SUITE_END();
@@ -210,6 +216,32 @@
         CPPUNIT_ASSERT(node("lead").dispatcher().own_loads().empty());
     }
 
+    void lead_asks_the_lead_of_the_data_centre_that_has_the_adapter() {
+        move_adapter_south();
+        submit("one", 1);
+        deliver();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node("one").placed());
+        CPPUNIT_ASSERT_EQUAL(std::string("southern"), node("one").decisions.front().endpoint);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             node("far").dispatcher().own_loads().at("southern").calls);
+    }
+
+    /// Guards against places that stay taken at the other data centre for good.
+    void end_of_a_call_reaches_the_lead_that_placed_it() {
+        move_adapter_south();
+        submit("one", 1);
+        submit("one", 2);
+        deliver();
+        node("one").placer().on_started(1);
+        node("one").placer().finish(1, send_outcome::none);
+        deliver();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             node("far").dispatcher().own_loads().at("southern").calls);
+        node("lead").placer().on_peer_down("one");
+        deliver();
+        CPPUNIT_ASSERT(node("far").dispatcher().own_loads().empty());
+    }
+
     void node_without_a_lead_places_calls_itself() {
         leads_.clear();
         submit("one", 1);
@@ -245,7 +277,6 @@
         call.number = number;
         call.service = "assistant";
         call.model = patterns;
-        call.data_centre = "north";
         call.prompt_tokens = 10;
         call.arrived = now_;
         call.objective_at = now_ + milliseconds{600};
@@ -253,6 +284,17 @@
         return call;
     }
 
+    /// Another data centre has the only engine with the adapter, and a lead of its own.
+    void move_adapter_south() {
+        leads_["south"] = "far";
+        nodes_["far"] = std::make_unique<placing_node>(io_, "far", "south", frames_, leads_, now_);
+        for (const std::string name : {"lead", "far"}) {
+            auto& known = node(name).dispatcher();
+            known.update(sample_engine("southern", "south"));
+            known.set_residency("engine", patterns, fleet::residency::absent, 0);
+        }
+    }
+
     void submit(const std::string& name, std::uint64_t number) {
         node(name).placer().submit(generation(number));
     }
--- a/unittests/net/exchange_client_test.cpp
+++ b/unittests/net/exchange_client_test.cpp
@@ -10,6 +10,8 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace {
 
@@ -33,6 +35,11 @@
     CPPUNIT_TEST(bytes_after_a_whole_answer_end_the_connection);
     CPPUNIT_TEST(answer_without_length_completes_with_its_connection);
     CPPUNIT_TEST(cancelled_exchange_closes_its_connection);
+    CPPUNIT_TEST(late_copy_before_the_next_request_ends_the_connection);
+    CPPUNIT_TEST(late_copy_without_an_id_reaches_no_other_request);
+    CPPUNIT_TEST(late_copy_without_length_reaches_no_other_request);
+    CPPUNIT_TEST(half_a_late_copy_reaches_no_other_request);
+    CPPUNIT_TEST(bytes_without_end_are_broken_within_bounds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -137,7 +144,92 @@
         server.wait_for_closed(1);
     }
 
+    void late_copy_before_the_next_request_ends_the_connection() {
+        scripted_server server({[](raw_connection& connection) {
+                                    connection.read_until("\r\n\r\n");
+                                    connection.write(answer("1", "ok"));
+                                    connection.write(answer("1", "copy"));
+                                    connection.read_until("\r\n\r\n");
+                                    connection.write(answer("1", "copy"));
+                                },
+                                [](raw_connection& connection) {
+                                    connection.read_until("\r\n\r\n");
+                                    connection.write(answer("2", "own"));
+                                }});
+        run(server, "1");
+        // The copy may come with the answer, after it, or with the next request under way.
+        const auto second = run(server, "2");
+        CPPUNIT_ASSERT(second->end != exchange_end::complete || second->body == "own");
+        CPPUNIT_ASSERT(second->body != "copy");
+    }
+
+    /// Guards against a copy whose head looks like the next answer.
+    void late_copy_without_an_id_reaches_no_other_request() {
+        expect_broken_second("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy");
+    }
+
+    /// Guards against a copy that ends with its connection and so seems to be the whole answer.
+    void late_copy_without_length_reaches_no_other_request() {
+        expect_broken_second("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\ncopy");
+    }
+
+    void half_a_late_copy_reaches_no_other_request() {
+        expect_broken_second("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 300\r\n\r\nhal" +
+                             answer("2", "own"));
+    }
+
+    /// Bytes that are no answer come until the connection is closed: in a head, before the answer,
+    /// in bodies of every framing, in the head of a chunk and in a trailer.
+    void bytes_without_end_are_broken_within_bounds() {
+        const std::string chunked =
+            "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::string long_line(8'000, 'x');
+        const std::vector<std::pair<std::string, std::string>> kinds{
+            {"HTTP/1.1 200 OK\r\nX: ", long_line},
+            {"HTTP/1.1 200 OK\r\n", "X-Name: value\r\n"},
+            {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"", answer("0", "another's")},
+            {"HTTP/1.1 200 OK\r\nRequest-Id: 0\r\n\r\n", long_line},
+            {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n", long_line},
+            {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 99999999999\r\n\r\n", long_line},
+            {chunked, "5\r\nbytes\r\n"},
+            {chunked + "5;x=", long_line},
+            {chunked + "0\r\nX: ", long_line},
+            {chunked + "0\r\n", "X-Name: value\r\n"}};
+        for (const auto& [begin, again] : kinds) {
+            scripted_server server({[&](raw_connection& connection) {
+                connection.read_until("\r\n\r\n");
+                connection.write(begin);
+                constexpr std::size_t plenty = std::size_t{64} * 1024 * 1024;
+                std::string block;
+                while (block.size() < 64'000) {
+                    block += again;
+                }
+                for (std::size_t sent = 0; sent < plenty; sent += block.size()) {
+                    connection.write(block);
+                }
+            }});
+            const auto item = run(server, "1");
+            CPPUNIT_ASSERT_MESSAGE(begin + again.substr(0, 20), item->end == exchange_end::broken);
+            CPPUNIT_ASSERT(item->body.size() <= std::size_t{5} * 1024 * 1024);
+        }
+    }
+
 private:
+    /// The server sends `late` in place of the answer to a second request on the connection.
+    void expect_broken_second(const std::string& late) {
+        scripted_server server({[&](raw_connection& connection) {
+            connection.read_until("\r\n\r\n");
+            connection.write(answer("1", "ok"));
+            connection.read_until("\r\n\r\n");
+            connection.write(late);
+        }});
+        run(server, "1");
+        const auto second = run(server, "2");
+        CPPUNIT_ASSERT(second->reused_connection);
+        CPPUNIT_ASSERT(second->end == exchange_end::broken);
+    }
+
     std::shared_ptr<exchange> run(const scripted_server& server, const std::string& id) {
         return run_at(server.address(), id);
     }
