--- a/include/dragonflystair/config/gateway_settings.h
+++ b/include/dragonflystair/config/gateway_settings.h
@@ -24,6 +24,7 @@
     std::string store_address;
     std::string peer_secret;
     std::map<std::string, std::string, std::less<>> data_centres; ///< Region of each.
+    double cores = 1; ///< Share of processors that this VM gives the process.
     double retry_ratio = 0.2;
     double retry_slack = 50;
     std::chrono::milliseconds retry_window{10'000};
--- a/include/dragonflystair/fleet/adapter_planner.h
+++ b/include/dragonflystair/fleet/adapter_planner.h
@@ -70,7 +70,9 @@
     void remove(std::string_view endpoint);
 
     void on_demand(const adapter_demand& demand, support::time_point now);
-    void on_used(const model_name& what, support::time_point now);
+    /// So many calls were sent to engines with the adapter since the last time; 0 if calls that
+    /// were sent before still run.
+    void on_used(const model_name& what, support::time_point now, std::size_t calls = 1);
     void require_version(const model_name& what, std::uint64_t version);
 
     /// The holder of the lease said that an engine has an adapter; for a node that may succeed it.
--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -140,9 +140,9 @@
     /// Demand that the holder of the placement lease should know.
     std::vector<adapter_demand> take_demand();
 
-    /// Adapters with calls under way or started since the last time, by the data centre of the
-    /// endpoint.
-    std::map<std::string, std::set<model_name>> take_used();
+    /// Adapters with calls under way or sent since the last time, by the data centre of the
+    /// endpoint, with the number of those sent.
+    std::map<std::string, std::map<model_name, std::size_t>> take_used();
 
     [[nodiscard]] std::map<std::string, endpoint_load> own_loads() const;
     /// The endpoint's last record, or null.
--- a/include/dragonflystair/policy/popularity.h
+++ b/include/dragonflystair/policy/popularity.h
@@ -15,7 +15,8 @@
     static constexpr std::chrono::seconds short_constant{2};
     static constexpr std::chrono::seconds long_constant{60};
 
-    void on_request(std::string_view adapter, support::time_point now);
+    /// `count` requests that came since the last look.
+    void on_request(std::string_view adapter, support::time_point now, double count = 1);
 
     /// Requests a second; the larger of the two rates, where the short one leaves out one request.
     [[nodiscard]] double rate(std::string_view adapter, support::time_point now) const;
--- a/lib/config/gateway_settings.cpp
+++ b/lib/config/gateway_settings.cpp
@@ -52,6 +52,7 @@
 }
 
 void read_limits(section_reader& reader, gateway_settings& values) {
+    reader.number("cores", values.cores);
     reader.number("retry_ratio", values.retry_ratio);
     reader.number("retry_slack", values.retry_slack);
     reader.duration("retry_window", values.retry_window);
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -64,7 +64,10 @@
 
 void adapter_planner::on_demand(const adapter_demand& demand, time_point now) {
     auto& item = impl_->demands[demand.what];
-    if (demand.waiting > item.waiting || demand.diverted > 0 || demand.crowded > 0) {
+    if (demand.waiting > item.waiting) {
+        impl_->popular.on_request(key_of(demand.what), now,
+                                  static_cast<double>(demand.waiting - item.waiting));
+    } else if (demand.diverted > 0 || demand.crowded > 0) {
         impl_->popular.on_request(key_of(demand.what), now);
     }
     if (now - item.first_diverted > diverted_window) {
@@ -81,8 +84,10 @@
     item.asked = now;
 }
 
-void adapter_planner::on_used(const model_name& what, time_point now) {
-    impl_->popular.on_request(key_of(what), now);
+void adapter_planner::on_used(const model_name& what, time_point now, std::size_t calls) {
+    // A call that still runs counts too, since its adapter is worth its place as long.
+    impl_->popular.on_request(key_of(what), now,
+                              static_cast<double>(std::max<std::size_t>(calls, 1)));
     for (auto& [id, item] : impl_->engines) {
         if (const auto held = item.adapters.find(what); held != item.adapters.end()) {
             held->second.last_used = now;
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -218,6 +218,9 @@
     auto& open = found->second;
     impl_->release(open);
     open.call.excluded.push_back(open.endpoint);
+    // Only the endpoint that it was sent to is known to fail, so any data centre will do.
+    open.call.data_centre.clear();
+    open.passes_at.reset();
     open.state = call_state::waiting;
     open.fresh = true;
     impl_->queue.push_back(number);
@@ -343,13 +346,13 @@
     return out;
 }
 
-std::map<std::string, std::set<model_name>> dispatcher::take_used() {
+std::map<std::string, std::map<model_name, std::size_t>> dispatcher::take_used() {
     auto used = std::exchange(impl_->used, {});
     for (const auto& [number, open] : impl_->calls) {
         const auto place = impl_->endpoints.find(open.endpoint);
         if (open.state != call_state::waiting && !open.call.model.adapter.empty() &&
             place != impl_->endpoints.end()) {
-            used[place->second.record.data_centre].insert(open.call.model);
+            used[place->second.record.data_centre].try_emplace(open.call.model, 0);
         }
     }
     return used;
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -189,7 +189,7 @@
         return;
     }
     const auto& item = *chosen.place;
-    used[item.record.data_centre].insert(what);
+    ++used[item.record.data_centre][what];
     if (places.distance_to(item.record.data_centre) == topology::distance::other_region) {
         ++diverted[what];
     } else if (chosen.crowded) {
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -159,7 +159,7 @@
     std::map<model_name, std::string> last_holders;
     std::map<model_name, std::size_t> diverted;
     std::map<model_name, std::size_t> crowded;
-    std::map<std::string, std::set<model_name>> used;
+    std::map<std::string, std::map<model_name, std::size_t>> used;
 };
 
 } // namespace dragonflystair::fleet
--- a/lib/gateway/gateway_beliefs.cpp
+++ b/lib/gateway/gateway_beliefs.cpp
@@ -20,7 +20,9 @@
 
 /// What a node writes about itself for the others.
 support::json node_value(const config::gateway_settings& settings) {
-    return {{"peer", settings.peer_address}, {"data_centre", settings.data_centre}};
+    return {{"peer", settings.peer_address},
+            {"data_centre", settings.data_centre},
+            {"cores", settings.cores}};
 }
 
 fleet::keyed_record node_record(const config::gateway_settings& settings) {
@@ -157,9 +159,16 @@
             registered_.erase(record.key);
             continue;
         }
-        registered_.insert_or_assign(record.key,
-                                     registered_node{value["peer"].get<std::string>(),
-                                                     value.value("data_centre", std::string())});
+        registered_node node;
+        node.peer_address = value["peer"].get<std::string>();
+        if (const auto place = value.find("data_centre");
+            place != value.end() && place->is_string()) {
+            node.data_centre = place->get<std::string>();
+        }
+        if (const auto cores = value.find("cores"); cores != value.end() && cores->is_number()) {
+            node.cores = cores->get<double>();
+        }
+        registered_.insert_or_assign(record.key, std::move(node));
     }
     dial_peers();
 }
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -38,6 +38,7 @@
 struct registered_node {
     std::string peer_address;
     std::string data_centre;
+    double cores = 0; ///< Its share of processors; those with more lead first.
 };
 
 struct gateway::impl {
@@ -88,8 +89,11 @@
     void apply_residency(std::span<const fleet::residency_change> changes);
     void ask_for_records(std::string_view peer, const node_status& status);
     [[nodiscard]] node_status own_status();
+    [[nodiscard]] std::vector<std::string> lead_order(const std::string& data_centre,
+                                                      std::span<const std::string> names) const;
     [[nodiscard]] std::size_t rank_for(const std::string& data_centre) const;
     [[nodiscard]] bool loads_possible() const;
+    [[nodiscard]] bool leads_place() const;
     [[nodiscard]] std::string nearest_lead() const;
     [[nodiscard]] std::string lead_of(std::string_view data_centre) const;
     [[nodiscard]] std::string lease_holder(const std::string& data_centre) const;
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -4,6 +4,8 @@
 #include "gateway_impl.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <functional>
 #include <set>
 #include <utility>
 
@@ -26,6 +28,10 @@
 /// A lease that was not heard of for this long is not passed on; leads tell each other each second.
 constexpr milliseconds heard_lifetime{2'500};
 
+/// Nodes of a data centre up to which each places its own calls. On sites with three nodes each,
+/// that served more than leads did (docs/experiments.md).
+constexpr std::ptrdiff_t most_direct_nodes = 4;
+
 /// A peer is asked again for records that it has and this node lacks after this time.
 constexpr milliseconds records_pause{400};
 
@@ -45,7 +51,8 @@
         if (name == view_.settings.name) {
             continue;
         }
-        if (node.data_centre == view_.settings.data_centre || led) {
+        const bool all = holds_lease() && !leads_place();
+        if (node.data_centre == view_.settings.data_centre || led || all) {
             addresses.push_back(node.peer_address);
         } else if (looks_for_leads) {
             others[node.data_centre].push_back(name);
@@ -53,7 +60,7 @@
     }
     std::set<std::string> contacts;
     for (auto& [data_centre, names] : others) {
-        auto order = support::rendezvous_order(data_centre, names);
+        auto order = lead_order(data_centre, names);
         order.resize(std::min(order.size(), lead_candidates));
         contacts.insert(order.begin(), order.end());
     }
@@ -282,8 +289,8 @@
         return;
     }
     auto& planner = holder->second->planner();
-    for (const auto& item : notice.used) {
-        planner.on_used(item, now);
+    for (const auto& [item, calls] : notice.used) {
+        planner.on_used(item, now, calls);
     }
     for (const auto& item : notice.demand) {
         planner.on_demand(item, now);
@@ -329,11 +336,13 @@
 }
 
 void gateway::impl::send_nearby(const support::json& frame) {
+    std::vector<std::string> near;
     for (const auto& [incarnation, peer] : peers_) {
         if (is_near(peer)) {
-            network_.send(incarnation, frame);
+            near.push_back(incarnation);
         }
     }
+    network_.send_each(near, frame);
 }
 
 void gateway::impl::send_status(bool to_all) {
@@ -430,8 +439,19 @@
     return {};
 }
 
+/// Whether leads place calls. With few nodes each sees most of an engine's calls itself, and asking
+/// a lead in another region costs more than it gains.
+bool gateway::impl::leads_place() const {
+    return std::ranges::count_if(registered_, [this](const auto& item) {
+               return item.second.data_centre == view_.settings.data_centre;
+           }) > most_direct_nodes;
+}
+
 /// Lead of the own data centre, or while that has none, of another one.
 std::string gateway::impl::nearest_lead() const {
+    if (!leads_place()) {
+        return {};
+    }
     if (auto lead = lead_of(view_.settings.data_centre); !lead.empty()) {
         return lead;
     }
@@ -467,8 +487,8 @@
         notices[item.data_centre].demand.push_back(std::move(item));
     }
     if (with_used) {
-        for (const auto& [data_centre, used] : view_.dispatcher.take_used()) {
-            notices[data_centre].used.assign(used.begin(), used.end());
+        for (auto& [data_centre, used] : view_.dispatcher.take_used()) {
+            notices[data_centre].used = std::move(used);
         }
     }
     for (auto& [data_centre, notice] : notices) {
@@ -491,6 +511,18 @@
     network_.send(receiver, demand_frame(notice));
 }
 
+/// Nodes in the order in which they would lead a data centre: a lead places all calls there, so
+/// that those with more processor time come first.
+std::vector<std::string> gateway::impl::lead_order(const std::string& data_centre,
+                                                   std::span<const std::string> names) const {
+    auto order = support::rendezvous_order(data_centre, names);
+    std::ranges::stable_sort(order, std::greater{}, [this](const std::string& name) {
+        const auto node = registered_.find(name);
+        return node == registered_.end() ? 0.0 : node->second.cores;
+    });
+    return order;
+}
+
 /// Place of this node among those that would take over a data centre's lease.
 std::size_t gateway::impl::rank_for(const std::string& data_centre) const {
     const bool near = data_centre == view_.settings.data_centre;
@@ -503,7 +535,7 @@
             candidates.push_back(peer.status.name);
         }
     }
-    const auto order = support::rendezvous_order(data_centre, candidates);
+    const auto order = lead_order(data_centre, candidates);
     const auto place = std::ranges::find(order, view_.settings.name) - order.begin();
     return static_cast<std::size_t>(place) + (near ? 0 : foreign_holder_rank);
 }
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -114,8 +114,8 @@
             {item.what.model, item.what.adapter, item.waiting, item.diverted, item.crowded}));
     }
     json names = json::array();
-    for (const auto& item : notice.used) {
-        names.push_back(json::array({item.model, item.adapter}));
+    for (const auto& [item, calls] : notice.used) {
+        names.push_back(json::array({item.model, item.adapter, calls}));
     }
     return {{"type", "d"},
             {"d", notice.data_centre},
@@ -134,7 +134,7 @@
                                  number_at(row, 4)});
     }
     for (const auto& row : rows_of(frame, "u")) {
-        notice.used.push_back({text_at(row, 0), text_at(row, 1)});
+        notice.used.insert_or_assign({text_at(row, 0), text_at(row, 1)}, number_at(row, 2));
     }
     return notice;
 }
--- a/lib/gateway/peer_frames.h
+++ b/lib/gateway/peer_frames.h
@@ -49,7 +49,7 @@
 struct demand_notice {
     std::string data_centre;
     std::vector<fleet::adapter_demand> demand;
-    std::vector<fleet::model_name> used;
+    std::map<fleet::model_name, std::size_t> used; ///< With the calls sent since the last time.
 };
 
 support::json demand_frame(const demand_notice& notice);
--- a/lib/policy/popularity.cpp
+++ b/lib/policy/popularity.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-void popularity::on_request(std::string_view adapter, support::time_point now) {
+void popularity::on_request(std::string_view adapter, support::time_point now, double count) {
     auto place = records_.find(adapter);
     if (place == records_.end()) {
         place = records_.emplace(std::string(adapter), record{0, 0, now}).first;
@@ -23,9 +23,9 @@
     auto& known = place->second;
     const auto elapsed = now - known.updated;
     known.short_rate = known.short_rate * decay(elapsed, short_constant) +
-                       1.0 / static_cast<double>(short_constant.count());
+                       count / static_cast<double>(short_constant.count());
     known.long_rate = known.long_rate * decay(elapsed, long_constant) +
-                      1.0 / static_cast<double>(long_constant.count());
+                      count / static_cast<double>(long_constant.count());
     known.updated = now;
 }
 
