--- a/include/dragonflystair/net/spawn.h
+++ b/include/dragonflystair/net/spawn.h
@@ -14,11 +14,11 @@
 namespace dragonflystair::net {
 
 /// Completion handler of a coroutine that runs on its own: logs an exception that left it.
-std::function<void(std::exception_ptr)> logged(std::string task);
+std::function<void(std::exception_ptr)> logged(std::string_view task);
 
 /// Runs a coroutine on its own. An exception that leaves it ends only it and is logged under the
 /// task's name, `event=task_failed`.
-void spawn(executor context, std::string task, std::function<awaitable<void>()> work);
+void spawn(const executor& context, std::string_view task, std::function<awaitable<void>()> work);
 
 /// Logs an exception that a task did not handle, once each time.
 void log_unhandled(std::string_view task, const std::exception_ptr& error);
--- a/lib/gateway/call_placer.cpp
+++ b/lib/gateway/call_placer.cpp
@@ -1,6 +1,7 @@
 #include "call_placer.h"
 
 #include <chrono>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -273,11 +274,11 @@
 }
 
 /// Places calls by what this node knows itself. Their lead, if it lives, is told that it is not to.
-void call_placer::take_back(std::vector<fleet::delegated_calls::returned_call> calls) {
-    for (auto& [call, lead] : calls) {
+void call_placer::take_back(std::span<const fleet::delegated_calls::returned_call> calls) {
+    for (const auto& [call, lead] : calls) {
         view_.counters.increment("placements_total", "lead_silent");
         on_.send(lead, placement_end_frame({call.number, send_outcome::none}));
-        submit_here(std::move(call), {});
+        submit_here(call, {});
     }
 }
 
--- a/lib/gateway/call_placer.h
+++ b/lib/gateway/call_placer.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -72,7 +73,7 @@
     void submit_here(fleet::pending_call call, const std::string& data_centre);
     void decide(const fleet::dispatch_decision& decision);
     void decide_for_peer(peer_call& item, const fleet::dispatch_decision& decision);
-    void take_back(std::vector<fleet::delegated_calls::returned_call> calls);
+    void take_back(std::span<const fleet::delegated_calls::returned_call> calls);
     [[nodiscard]] std::optional<std::uint64_t> served_number(std::string_view peer,
                                                              const support::json& frame) const;
     void end_served(std::uint64_t number, send_outcome outcome);
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -157,8 +157,8 @@
                                   {"incarnation", view_.incarnation},
                                   {"data_centre", view_.settings.data_centre},
                                   {"store", view_.settings.store_address}});
-    const auto spawn = [this](std::string task, auto work) {
-        net::spawn(io_.get_executor(), std::move(task), std::move(work));
+    const auto spawn = [this](std::string_view task, auto work) {
+        net::spawn(io_.get_executor(), task, std::move(work));
     };
     network_.start();
     dial_peers();
--- a/lib/net/spawn.cpp
+++ b/lib/net/spawn.cpp
@@ -21,16 +21,16 @@
     support::log_change("task_failed", {{"task", std::string(task)}, {"why", why}});
 }
 
-std::function<void(std::exception_ptr)> logged(std::string task) {
-    return [task = std::move(task)](const std::exception_ptr& error) {
+std::function<void(std::exception_ptr)> logged(std::string_view task) {
+    return [task = std::string(task)](const std::exception_ptr& error) {
         if (error) {
             log_unhandled(task, error);
         }
     };
 }
 
-void spawn(executor context, std::string task, std::function<awaitable<void>()> work) {
-    boost::asio::co_spawn(std::move(context), std::move(work), logged(std::move(task)));
+void spawn(const executor& context, std::string_view task, std::function<awaitable<void>()> work) {
+    boost::asio::co_spawn(context, std::move(work), logged(task));
 }
 
 void run_handlers(boost::asio::io_context& context) {
--- a/unittests/gateway/stream_progress_test.cpp
+++ b/unittests/gateway/stream_progress_test.cpp
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace {
 
@@ -47,7 +49,8 @@
 
     void bytes_that_complete_no_event_are_no_progress() {
         const auto limit = stall_limit(draft_route(false));
-        for (const std::string piece : {"d", ": comment\n\n", "\n", "id: 7\n\n", "event: x\n\n"}) {
+        for (const std::string_view piece :
+             {"d", ": comment\n\n", "\n", "id: 7\n\n", "event: x\n\n"}) {
             stream_progress progress(limit, start);
             for (int i = 1; i < 100; ++i) {
                 progress.feed(piece, start + i * milliseconds{100});
@@ -68,8 +71,9 @@
     }
 
     void event_without_end_is_overlong() {
-        for (const std::string piece :
-             {std::string(1'000, 'x'), "data: " + std::string(1'000, 'x') + "\n"}) {
+        const std::string line(1'000, 'x');
+        const std::vector<std::string> pieces{line, "data: " + line + "\n"};
+        for (const auto& piece : pieces) {
             stream_progress progress(milliseconds{2'000}, start);
             progress.feed(piece, start);
             CPPUNIT_ASSERT(!progress.overlong());
