Stop the fixture's threads before what their handlers use

Under the address sanitizer 10 of 40 runs, eight at a time, report a use after free: tearDown destroyed the stand-ins of the store and the endpoint while threads of the test context still ran their handlers. Ruled out: the gateway itself; no report names a frame of lib/gateway, and each freed block belongs to a stand-in. Change: the context's threads are joined first. Conclusion: a fault of the fixture; no check is changed.

--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -125,10 +125,11 @@
             running_.join();
         }
         release_.set_value();
+        // Handlers of the stand-ins may still run, so the threads end before what they use.
+        context_->stop();
         client_.reset();
         endpoint_.reset();
         store_.reset();
-        context_->stop();
         context_.reset();
         output_.reset();
         release_ = {};
