Answer requests that are half read when a stopping node closes

Cause: after it stopped accepting, a stopping node ended as soon as no call was under way. A request whose first bytes had been read, and connections taken from the backlog at that moment, are no calls yet, so they were cut off without an answer. Ruled out: answers being written; they count as calls under way until they are whole. A line 'closing' says how many calls and connections there are.

Tell loads of a data centre through its lead

Change: fleet::load_reports decides who is told what. Under a lead each node tells the lead, which tells each the sum of all others: frames grow with the nodes and not with their square.

Also moves what decides who leads into a file of its own.

--- a/include/dragonflystair/net/http_server.h
+++ b/include/dragonflystair/net/http_server.h
@@ -77,6 +77,9 @@
     /// Number of exchanges under way, from the first byte of the request to the end of the answer.
     [[nodiscard]] std::size_t open_exchanges() const;
 
+    /// Number of connections, idle ones among them.
+    [[nodiscard]] std::size_t open_connections() const;
+
     /// Closes everything.
     void stop();
 
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -21,8 +21,9 @@
 
 /// Period of the control loop; leases, demand and loads are looked at in its multiples.
 constexpr milliseconds tick_period{50};
-constexpr std::uint64_t ticks_per_load{4};    ///< 200 ms: the length of half a short generation.
-constexpr std::uint64_t ticks_per_status{10}; ///< 500 ms.
+constexpr std::uint64_t ticks_per_load{4};     ///< 200 ms: the length of half a short generation.
+constexpr std::uint64_t ticks_per_led_load{2}; ///< Where leads pass loads on, which delays them.
+constexpr std::uint64_t ticks_per_status{10};  ///< 500 ms.
 constexpr std::uint64_t ticks_per_far_status{20}; ///< 1 s: bytes between regions are paid for.
 constexpr std::uint64_t ticks_per_reload{100};    ///< 5 s.
 constexpr std::uint64_t ticks_per_summary{200};   ///< 10 s: repairs what frames have missed.
@@ -204,7 +205,7 @@
     remove_gone_endpoints();
     view_.dispatcher.set_loads_possible(loads_possible());
     send_demand(ticks_ % ticks_per_load == 0);
-    if (ticks_ % ticks_per_load == 0) {
+    if (ticks_ % (leads_place() ? ticks_per_led_load : ticks_per_load) == 0) {
         send_loads();
     }
     if (ticks_ % ticks_per_status == 0) {
@@ -372,11 +373,16 @@
         }
         co_await pause_for(io_.get_executor(), tick_period);
     }
+    support::log_change("closing",
+                        {{"open_calls", std::to_string(relay_.open_calls())},
+                         {"open_connections", std::to_string(caller_server_.open_connections())}});
     caller_server_.begin_shutdown();
     const auto end = began + view_.settings.shutdown_timeout - shutdown_margin / 3;
-    while (relay_.open_calls() > 0 && boot_clock::now() < end) {
+    // Connections of the backlog and those whose request is half read count, too.
+    do {
         co_await pause_for(io_.get_executor(), tick_period);
-    }
+    } while ((relay_.open_calls() > 0 || caller_server_.open_connections() > 0) &&
+             boot_clock::now() < end);
     io_.stop();
 }
 
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflystair/fleet/endpoint_watch.h"
+#include "dragonflystair/fleet/load_reports.h"
 #include "dragonflystair/gateway/gateway.h"
 #include "dragonflystair/net/http_client.h"
 #include "dragonflystair/net/http_server.h"
@@ -75,20 +76,22 @@
     void send_nearby(const support::json& frame);
     [[nodiscard]] bool has_reader() const;
     [[nodiscard]] std::size_t reader_rank() const;
-    [[nodiscard]] bool holds_lease() const;
     [[nodiscard]] bool is_near(const peer_state& peer) const {
         return peer.status.data_centre == view_.settings.data_centre;
     }
     void send_loads();
     void on_lost_connection(std::string_view peer, const support::json& frame);
     void send_to_leads(const support::json& frame);
-    [[nodiscard]] std::vector<held_lease> heard_leases() const;
-    [[nodiscard]] std::string lead_name() const;
     void send_demand(bool with_used);
     void send_notice(const demand_notice& notice);
     void apply_residency(std::span<const fleet::residency_change> changes);
     void ask_for_records(std::string_view peer, const node_status& status);
     [[nodiscard]] node_status own_status();
+
+    // Who leads (gateway_leads.cpp).
+    [[nodiscard]] bool holds_lease() const;
+    [[nodiscard]] std::vector<held_lease> heard_leases() const;
+    [[nodiscard]] std::string lead_name() const;
     [[nodiscard]] std::vector<std::string> lead_order(const std::string& data_centre,
                                                       std::span<const std::string> names) const;
     [[nodiscard]] std::size_t rank_for(const std::string& data_centre) const;
@@ -133,7 +136,7 @@
     std::map<std::string, peer_state, std::less<>> peers_; ///< By incarnation.
     std::map<std::string, registered_node> registered_;
     std::map<std::string, std::shared_ptr<placement_holder>, std::less<>> holders_;
-    std::map<std::string, fleet::endpoint_load> sent_loads_;
+    fleet::load_reports load_reports_;
     std::map<std::string, support::time_point> asked_records_;
     net::http_server caller_server_;
     net::http_server ready_server_;
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -91,20 +91,27 @@
     return status;
 }
 
-json loads_frame(const std::map<std::string, fleet::endpoint_load>& loads) {
+json loads_frame(const fleet::load_report& report) {
     json rows = json::array();
-    for (const auto& [endpoint, load] : loads) {
+    for (const auto& [endpoint, load] : report.loads) {
         rows.push_back(json::array({endpoint, load.calls, load.unread_tokens}));
     }
-    return {{"type", "l"}, {"e", std::move(rows)}};
+    json frame{{"type", "l"}, {"e", std::move(rows)}};
+    if (report.sum) {
+        frame["s"] = true;
+    }
+    return frame;
 }
 
-std::map<std::string, fleet::endpoint_load> decode_loads(const json& frame) {
-    std::map<std::string, fleet::endpoint_load> loads;
+fleet::load_report decode_loads(const json& frame) {
+    fleet::load_report report;
     for (const auto& row : rows_of(frame, "e")) {
-        loads.emplace(text_at(row, 0), fleet::endpoint_load{number_at(row, 1), number_at(row, 2)});
+        report.loads.emplace(text_at(row, 0),
+                             fleet::endpoint_load{number_at(row, 1), number_at(row, 2)});
     }
-    return loads;
+    const auto sum = frame.find("s");
+    report.sum = sum != frame.end() && *sum == true;
+    return report;
 }
 
 json demand_frame(const demand_notice& notice) {
--- a/lib/gateway/peer_frames.h
+++ b/lib/gateway/peer_frames.h
@@ -3,6 +3,7 @@
 #include "dragonflystair/fleet/adapter_planner.h"
 #include "dragonflystair/fleet/dispatcher.h"
 #include "dragonflystair/fleet/keyed_record.h"
+#include "dragonflystair/fleet/load_reports.h"
 #include "dragonflystair/support/json.h"
 
 #include <cstdint>
@@ -42,8 +43,8 @@
 support::json status_frame(const node_status& status);
 std::optional<node_status> decode_status(const support::json& frame);
 
-support::json loads_frame(const std::map<std::string, fleet::endpoint_load>& loads);
-std::map<std::string, fleet::endpoint_load> decode_loads(const support::json& frame);
+support::json loads_frame(const fleet::load_report& report);
+fleet::load_report decode_loads(const support::json& frame);
 
 /// What the holder of a data centre's lease should know of the calls of a node.
 struct demand_notice {
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -160,6 +160,10 @@
     return impl_->state->open_exchanges;
 }
 
+std::size_t http_server::open_connections() const {
+    return impl_->open_sessions().size();
+}
+
 void http_server::stop() {
     {
         const std::lock_guard lock(impl_->mutex);
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -1,5 +1,6 @@
 #include "dragonflystair/gateway/gateway.h"
 
+#include "net/scripted_peer.h"
 #include "net/test_context.h"
 #include "platform_stand_in.h"
 
@@ -108,6 +109,7 @@
     CPPUNIT_TEST(node_without_the_store_learns_from_its_peer_that_an_endpoint_is_gone);
     CPPUNIT_TEST(hangup_signal_reloads_the_settings_and_ends_nothing);
     CPPUNIT_TEST(call_under_way_at_the_stop_signal_is_answered);
+    CPPUNIT_TEST(call_half_read_when_a_stopping_node_closes_is_answered);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -267,6 +269,21 @@
         running_.join();
     }
 
+    /// Guards against a node that ends as soon as no call is under way, while one is being read.
+    void call_half_read_when_a_stopping_node_closes_is_answered() {
+        shutdown_timeout_ = ample;
+        start("register", 6, answer_with("stamped"));
+        auto caller = net::raw_connection::to(address_);
+        caller.write("POST /stamps/1 HTTP/1.1\r\nHost: desk\r\nRequest-Id: id-9\r\n");
+        ::kill(::getpid(), SIGTERM);
+        output_->expect({"event=closing"});
+        caller.write("Deadline-Ms: 9000\r\nContent-Length: 0\r\n\r\n");
+        const auto answer = caller.read_until("stamped");
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("stamped"));
+        running_.join();
+    }
+
 private:
     static endpoint_stand_in::call_handler answer_with(std::string body) {
         return [body = std::move(body)](net::http_exchange& exchange) -> net::awaitable<void> {
