Tell residency in batches, and to nodes under a lead only twice a second

Nodes whose lead places calls need residency only if that lead is lost. Change: fleet::residency_batch keeps the last state of each adapter of an engine; leads are told at the next turn (50 ms), nodes under a lead each 500 ms. Where nodes place their own calls all are told at once, as before. Frames are encoded once for all receivers.

--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -21,9 +21,10 @@
 
 /// Period of the control loop; leases, demand and loads are looked at in its multiples.
 constexpr milliseconds tick_period{50};
-constexpr std::uint64_t ticks_per_load{4};     ///< 200 ms: the length of half a short generation.
-constexpr std::uint64_t ticks_per_led_load{2}; ///< Where leads pass loads on, which delays them.
-constexpr std::uint64_t ticks_per_status{10};  ///< 500 ms.
+constexpr std::uint64_t ticks_per_load{4};       ///< 200 ms: the length of half a short generation.
+constexpr std::uint64_t ticks_per_led_load{2};   ///< Where leads pass loads on, which delays them.
+constexpr std::uint64_t ticks_per_residency{10}; ///< 500 ms, for nodes whose lead places calls.
+constexpr std::uint64_t ticks_per_status{10};    ///< 500 ms.
 constexpr std::uint64_t ticks_per_far_status{20}; ///< 1 s: bytes between regions are paid for.
 constexpr std::uint64_t ticks_per_reload{100};    ///< 5 s.
 constexpr std::uint64_t ticks_per_summary{200};   ///< 10 s: repairs what frames have missed.
@@ -208,6 +209,10 @@
     if (ticks_ % (leads_place() ? ticks_per_led_load : ticks_per_load) == 0) {
         send_loads();
     }
+    tell_leads();
+    if (ticks_ % ticks_per_residency == 0) {
+        tell_nodes();
+    }
     if (ticks_ % ticks_per_status == 0) {
         send_status(holds_lease() && ticks_ % ticks_per_far_status == 0);
         dial_peers();
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -2,6 +2,7 @@
 
 #include "dragonflystair/fleet/endpoint_watch.h"
 #include "dragonflystair/fleet/load_reports.h"
+#include "dragonflystair/fleet/residency_batch.h"
 #include "dragonflystair/gateway/gateway.h"
 #include "dragonflystair/net/http_client.h"
 #include "dragonflystair/net/http_server.h"
@@ -70,7 +71,9 @@
     /// Tells the nodes of the data centre, or all, how this node is.
     void send_status(bool to_all);
     void send_residency(std::span<const fleet::residency_change> changes);
-    void relay_residency(std::string_view peer, const support::json& frame);
+    void relay_residency(std::string_view peer, std::span<const fleet::residency_change> changes);
+    void tell_leads();
+    void tell_nodes();
     void pass_on_records(const std::string& topic, const fleet::keyed_page& page);
     /// Sends to peers of the own data centre.
     void send_nearby(const support::json& frame);
@@ -137,6 +140,8 @@
     std::map<std::string, registered_node> registered_;
     std::map<std::string, std::shared_ptr<placement_holder>, std::less<>> holders_;
     fleet::load_reports load_reports_;
+    fleet::residency_batch news_for_leads_;
+    fleet::residency_batch news_for_nodes_;
     std::map<std::string, support::time_point> asked_records_;
     net::http_server caller_server_;
     net::http_server ready_server_;
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -79,7 +79,7 @@
     } else if (kind == "h") {
         const auto changes = decode_residency(frame);
         apply_residency(changes);
-        relay_residency(peer, frame);
+        relay_residency(peer, changes);
         pump();
     } else if (kind == "p") {
         placer_.on_asked(peer, frame);
@@ -338,28 +338,57 @@
     send_nearby(records_frame(topic, page));
 }
 
-/// Tells the own data centre, and of the others the lease holder, which passes it on, or everyone
-/// where there is none.
+/// Tells what engines have, to leads at the next turn and to the other nodes more seldom: where
+/// leads place calls, those need it only if their lead is lost. Elsewhere all are told at once.
 void gateway::impl::send_residency(std::span<const fleet::residency_change> changes) {
-    const auto frame = residency_frame(changes);
+    news_for_leads_.add(changes);
+    news_for_nodes_.add(changes);
+    if (!leads_place()) {
+        tell_leads();
+        tell_nodes();
+    }
+}
+
+/// Passes on to the own data centre what the lead of another tells.
+void gateway::impl::relay_residency(std::string_view peer,
+                                    std::span<const fleet::residency_change> changes) {
+    const auto sender = peers_.find(peer);
+    if (sender == peers_.end() || is_near(sender->second) || !holds_lease()) {
+        return;
+    }
+    news_for_nodes_.add(changes);
+    if (!leads_place()) {
+        tell_nodes();
+    }
+}
+
+/// Tells the lease holders of other data centres, which pass it on, or everyone where there is
+/// none.
+void gateway::impl::tell_leads() {
+    const auto changes = news_for_leads_.take();
+    if (changes.empty()) {
+        return;
+    }
     std::set<std::string_view> led;
     for (const auto& [incarnation, peer] : peers_) {
         if (!peer.status.leases.empty()) {
             led.insert(peer.status.data_centre);
         }
     }
+    std::vector<std::string> receivers;
     for (const auto& [incarnation, peer] : peers_) {
-        if (is_near(peer) || !peer.status.leases.empty() ||
-            !led.contains(peer.status.data_centre)) {
-            network_.send(incarnation, frame);
+        if (!is_near(peer) &&
+            (!peer.status.leases.empty() || !led.contains(peer.status.data_centre))) {
+            receivers.push_back(incarnation);
         }
     }
+    network_.send_each(receivers, residency_frame(changes));
 }
 
-void gateway::impl::relay_residency(std::string_view peer, const support::json& frame) {
-    const auto sender = peers_.find(peer);
-    if (sender != peers_.end() && !is_near(sender->second) && holds_lease()) {
-        send_nearby(frame);
+void gateway::impl::tell_nodes() {
+    const auto changes = news_for_nodes_.take();
+    if (!changes.empty()) {
+        send_nearby(residency_frame(changes));
     }
 }
 
