Tell other leads at once, new leads all, and split the gateway's fixture

What other leads hear 50 ms late is what they place and load by; what a new lead hears only in part stays wrong for it. Change: leads are told at once again, nodes under a lead each 200 ms, and a node that wins a lease is told all that other leads' engines have. Loads go through the lead only if it is of the data centre. Tests: lost_answer_test plays fifteen ways to lose the answer of work that ran. The gateway's fixture has a file of its own, and a test that fails no longer ends its program by a signal.

--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -21,10 +21,10 @@
 
 /// Period of the control loop; leases, demand and loads are looked at in its multiples.
 constexpr milliseconds tick_period{50};
-constexpr std::uint64_t ticks_per_load{4};       ///< 200 ms: the length of half a short generation.
-constexpr std::uint64_t ticks_per_led_load{2};   ///< Where leads pass loads on, which delays them.
-constexpr std::uint64_t ticks_per_residency{10}; ///< 500 ms, for nodes whose lead places calls.
-constexpr std::uint64_t ticks_per_status{10};    ///< 500 ms.
+constexpr std::uint64_t ticks_per_load{4};      ///< 200 ms: the length of half a short generation.
+constexpr std::uint64_t ticks_per_led_load{2};  ///< Where leads pass loads on, which delays them.
+constexpr std::uint64_t ticks_per_residency{4}; ///< 200 ms, for nodes whose lead places calls.
+constexpr std::uint64_t ticks_per_status{10};   ///< 500 ms.
 constexpr std::uint64_t ticks_per_far_status{20}; ///< 1 s: bytes between regions are paid for.
 constexpr std::uint64_t ticks_per_reload{100};    ///< 5 s.
 constexpr std::uint64_t ticks_per_summary{200};   ///< 10 s: repairs what frames have missed.
@@ -98,11 +98,7 @@
           {[this](std::string_view peer, const support::json& frame) { on_frame(peer, frame); },
            [this](std::string_view peer) {
                network_.send(peer, status_frame(own_status()));
-               for (const auto& [name, holder] : holders_) {
-                   if (holder->lease().holds()) {
-                       network_.send(peer, residency_frame(holder->planner().all()));
-                   }
-               }
+               send_all_residency(peer);
            },
            [this](std::string_view peer) { on_peer_down(peer); }},
           counters_),
@@ -209,7 +205,6 @@
     if (ticks_ % (leads_place() ? ticks_per_led_load : ticks_per_load) == 0) {
         send_loads();
     }
-    tell_leads();
     if (ticks_ % ticks_per_residency == 0) {
         tell_nodes();
     }
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -72,7 +72,8 @@
     void send_status(bool to_all);
     void send_residency(std::span<const fleet::residency_change> changes);
     void relay_residency(std::string_view peer, std::span<const fleet::residency_change> changes);
-    void tell_leads();
+    void tell_leads(std::span<const fleet::residency_change> changes);
+    void send_all_residency(std::string_view peer);
     void tell_nodes();
     void pass_on_records(const std::string& topic, const fleet::keyed_page& page);
     /// Sends to peers of the own data centre.
@@ -140,7 +141,6 @@
     std::map<std::string, registered_node> registered_;
     std::map<std::string, std::shared_ptr<placement_holder>, std::less<>> holders_;
     fleet::load_reports load_reports_;
-    fleet::residency_batch news_for_leads_;
     fleet::residency_batch news_for_nodes_;
     std::map<std::string, support::time_point> asked_records_;
     net::http_server caller_server_;
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -144,8 +144,12 @@
     if (known.status.name.empty()) {
         support::log_change("peer_regained", {{"peer", status.name}});
     }
+    const bool leads_now = known.status.leases.empty() && !status.leases.empty();
     known.status = status;
     known.heard = now;
+    if (leads_now) {
+        send_all_residency(peer);
+    }
     for (const auto& lease : status.heard_leases) {
         if (const auto holder = holders_.find(lease.data_centre); holder != holders_.end()) {
             holder->second->lease().on_holder_heard(lease.fence, now);
@@ -338,17 +342,26 @@
     send_nearby(records_frame(topic, page));
 }
 
-/// Tells what engines have, to leads at the next turn and to the other nodes more seldom: where
-/// leads place calls, those need it only if their lead is lost. Elsewhere all are told at once.
+/// Tells other leads at once what engines have, and the nodes of the own data centre in batches:
+/// where leads place calls, those need it only if their lead is lost.
 void gateway::impl::send_residency(std::span<const fleet::residency_change> changes) {
-    news_for_leads_.add(changes);
+    tell_leads(changes);
     news_for_nodes_.add(changes);
     if (!leads_place()) {
-        tell_leads();
         tell_nodes();
     }
 }
 
+/// Tells a peer all that the engines of this node's leases have: a new lead knows it only as its
+/// former one passed it on.
+void gateway::impl::send_all_residency(std::string_view peer) {
+    for (const auto& [name, holder] : holders_) {
+        if (holder->lease().holds()) {
+            network_.send(peer, residency_frame(holder->planner().all()));
+        }
+    }
+}
+
 /// Passes on to the own data centre what the lead of another tells.
 void gateway::impl::relay_residency(std::string_view peer,
                                     std::span<const fleet::residency_change> changes) {
@@ -364,11 +377,7 @@
 
 /// Tells the lease holders of other data centres, which pass it on, or everyone where there is
 /// none.
-void gateway::impl::tell_leads() {
-    const auto changes = news_for_leads_.take();
-    if (changes.empty()) {
-        return;
-    }
+void gateway::impl::tell_leads(std::span<const fleet::residency_change> changes) {
     std::set<std::string_view> led;
     for (const auto& [incarnation, peer] : peers_) {
         if (!peer.status.leases.empty()) {
@@ -401,8 +410,12 @@
         }
     }
     if (leads_place()) {
-        audience.lead = lead_of(view_.settings.data_centre);
-        audience.leads = audience.lead == view_.incarnation;
+        const auto lead = lead_of(view_.settings.data_centre);
+        audience.leads = lead == view_.incarnation;
+        // A lead of another data centre, which holds this one's lease too, passes no loads on.
+        if (std::ranges::find(audience.peers, lead) != audience.peers.end()) {
+            audience.lead = lead;
+        }
     }
     const auto own = view_.dispatcher.own_loads();
     for (const auto& [receivers, report] : load_reports_.take_due(own, audience)) {
--- /dev/null
+++ b/unittests/gateway/gateway_fixture.h
@@ -0,0 +1,177 @@
+#pragma once
+
+#include "dragonflystair/gateway/gateway.h"
+
+#include "net/test_context.h"
+#include "platform_stand_in.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <initializer_list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <unistd.h>
+
+namespace dragonflystair::gateway {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds ample{20'000};
+/// Keeps the ends of tests short: little more than the margin that a node leaves for last answers.
+constexpr milliseconds short_shutdown{1'600};
+
+/// Sends everything that the process writes to standard output to a file while it lives.
+class captured_output {
+public:
+    captured_output() : saved_(::dup(STDOUT_FILENO)) {
+        std::fflush(stdout);
+        const int file = ::mkstemp(path_.data());
+        ::dup2(file, STDOUT_FILENO);
+        ::close(file);
+    }
+    ~captured_output() {
+        std::fflush(stdout);
+        ::dup2(saved_, STDOUT_FILENO);
+        ::close(saved_);
+        ::unlink(path_.c_str());
+    }
+    captured_output(const captured_output&) = delete;
+    captured_output& operator=(const captured_output&) = delete;
+
+    /// Number of lines with all words so far.
+    int count(std::initializer_list<std::string_view> words) const {
+        std::fflush(stdout);
+        std::ifstream file(path_);
+        int lines = 0;
+        for (std::string line; std::getline(file, line);) {
+            const bool all = std::ranges::all_of(
+                words, [&](auto word) { return line.find(word) != std::string::npos; });
+            lines += all ? 1 : 0;
+        }
+        return lines;
+    }
+
+    /// Waits for so many lines and fails the test if they never come.
+    void expect(std::initializer_list<std::string_view> words, int lines = 1) const {
+        for (int look = 0; look < 2'000; ++look) {
+            if (count(words) >= lines) {
+                return;
+            }
+            std::this_thread::sleep_for(milliseconds{10});
+        }
+        CPPUNIT_FAIL("no log line with " + std::string(*words.begin()));
+    }
+
+private:
+    std::string path_ = "/tmp/gateway_test_XXXXXX";
+    int saved_;
+};
+
+/// One gateway as a whole before a stand-in of the platform's store.
+class gateway_fixture : public CppUnit::TestFixture {
+public:
+    void setUp() override {
+        output_ = std::make_unique<captured_output>();
+        context_ = std::make_unique<net::test_context>();
+        store_ = std::make_unique<store_stand_in>(context_->get());
+        client_ = std::make_unique<net::http_client>(context_->get());
+    }
+
+    void tearDown() override {
+        stop_threads();
+        client_.reset();
+        store_.reset();
+        context_.reset();
+        output_.reset();
+        reloaded_.reset();
+        ended_ = false;
+        shutdown_timeout_ = short_shutdown;
+    }
+
+protected:
+    /// Ends the gateway, and the threads that may still run handlers of stand-ins.
+    void stop_threads() {
+        if (running_.joinable()) {
+            if (!ended_) {
+                ::kill(::getpid(), SIGTERM);
+            }
+            running_.join();
+        }
+        context_->stop();
+    }
+
+    config::gateway_settings settings_of(const std::string& name) const {
+        config::gateway_settings settings;
+        settings.name = name;
+        settings.data_centre = "north";
+        settings.region = "n";
+        settings.data_centres = {{"north", "n"}};
+        settings.store_address = store_->address();
+        settings.peer_secret = "secret";
+        settings.engines_check_fencing = true;
+        settings.shutdown_timeout = shutdown_timeout_;
+        for (auto* address :
+             {&settings.caller_address, &settings.ready_address, &settings.resolve_address,
+              &settings.peer_address, &settings.metrics_address}) {
+            *address = "127.0.0.1:0";
+        }
+        return settings;
+    }
+
+    /// Starts the gateway with what the store has.
+    void start_gateway() {
+        const auto settings = settings_of("node-1");
+        auto node = std::make_shared<dragonflystair::gateway::gateway>(
+            settings, [this] { return reloaded_; });
+        address_ = node->caller_address();
+        peer_address_ = node->peer_address();
+        running_ = std::thread([this, node] {
+            node->run();
+            ended_ = true;
+        });
+    }
+
+    net::async_result<net::http_response> send(const std::string& path, const std::string& id,
+                                               const std::string& model = {},
+                                               milliseconds patience = milliseconds{9'000}) {
+        net::http_request request;
+        request.method = "POST";
+        request.target = path;
+        request.headers = {{"Host", "desk"},
+                           {"Request-Id", id},
+                           {"Deadline-Ms", std::to_string(patience.count())}};
+        if (!model.empty()) {
+            request.headers["Model"] = model;
+        }
+        return context_->run(client_->request(address_, request, ample, false));
+    }
+
+    net::http_response call(const std::string& path, const std::string& id,
+                            const std::string& model = {}) {
+        const auto answer = send(path, id, model);
+        CPPUNIT_ASSERT(answer);
+        return answer.value();
+    }
+
+    std::unique_ptr<captured_output> output_;
+    std::unique_ptr<net::test_context> context_;
+    std::unique_ptr<store_stand_in> store_;
+    std::unique_ptr<net::http_client> client_;
+    std::string address_;
+    std::string peer_address_;
+    std::optional<config::gateway_settings> reloaded_; ///< What a reload finds.
+    milliseconds shutdown_timeout_ = short_shutdown;
+    std::thread running_;
+    std::atomic<bool> ended_{false}; ///< A signal would now end the test itself.
+};
+
+} // namespace dragonflystair::gateway
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -1,38 +1,21 @@
-#include "dragonflystair/gateway/gateway.h"
-
+#include "gateway_fixture.h"
 #include "net/scripted_peer.h"
-#include "net/test_context.h"
-#include "platform_stand_in.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <cppunit/TestFixture.h>
-#include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
-#include <csignal>
-#include <cstdio>
-#include <fstream>
 #include <future>
-#include <initializer_list>
 #include <memory>
 #include <optional>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <tuple>
-#include <unistd.h>
 
 namespace {
 
 using namespace dragonflystair;
 using namespace dragonflystair::gateway;
-using std::chrono::milliseconds;
-
-constexpr milliseconds ample{20'000};
-/// Keeps the ends of tests short: little more than the margin that a node leaves for last answers.
-constexpr milliseconds short_shutdown{1'600};
 
 const std::string configuration = R"({"version":3,"routes":[
     {"name":"stamps","host":"desk","path-prefix":"/stamps/","kind":"unsafe","timeout-ms":9000,
@@ -50,56 +33,9 @@
                                    : "[]}");
 }
 
-/// Sends everything that the process writes to standard output to a file while it lives.
-class captured_output {
-public:
-    captured_output() : saved_(::dup(STDOUT_FILENO)) {
-        std::fflush(stdout);
-        const int file = ::mkstemp(path_.data());
-        ::dup2(file, STDOUT_FILENO);
-        ::close(file);
-    }
-    ~captured_output() {
-        std::fflush(stdout);
-        ::dup2(saved_, STDOUT_FILENO);
-        ::close(saved_);
-        ::unlink(path_.c_str());
-    }
-    captured_output(const captured_output&) = delete;
-    captured_output& operator=(const captured_output&) = delete;
-
-    /// Number of lines with all words so far.
-    int count(std::initializer_list<std::string_view> words) const {
-        std::fflush(stdout);
-        std::ifstream file(path_);
-        int lines = 0;
-        for (std::string line; std::getline(file, line);) {
-            const bool all = std::ranges::all_of(
-                words, [&](auto word) { return line.find(word) != std::string::npos; });
-            lines += all ? 1 : 0;
-        }
-        return lines;
-    }
-
-    /// Waits for so many lines and fails the test if they never come.
-    void expect(std::initializer_list<std::string_view> words, int lines = 1) const {
-        for (int look = 0; look < 2'000; ++look) {
-            if (count(words) >= lines) {
-                return;
-            }
-            std::this_thread::sleep_for(milliseconds{10});
-        }
-        CPPUNIT_FAIL("no log line with " + std::string(*words.begin()));
-    }
-
-private:
-    std::string path_ = "/tmp/gateway_test_XXXXXX";
-    int saved_;
-};
-
-/// One gateway as a whole before stand-ins of the platform. The log lines are those that
+/// The gateway before stand-ins of the store and an endpoint. The log lines are those that
 /// docs/OPERATIONS.md follows from a request's id to its cause.
-class gateway_test : public CppUnit::TestFixture {
+class gateway_test : public gateway_fixture {
     CPPUNIT_TEST_SUITE(gateway_test);
     CPPUNIT_TEST(stamp_is_answered_by_the_register_once);
     CPPUNIT_TEST(stream_is_passed_on_with_its_end);
@@ -114,29 +50,16 @@
 
 public:
     void setUp() override {
-        output_ = std::make_unique<captured_output>();
-        context_ = std::make_unique<net::test_context>();
-        store_ = std::make_unique<store_stand_in>(context_->get());
-        client_ = std::make_unique<net::http_client>(context_->get());
+        gateway_fixture::setUp();
         store_->put("keyed.op", "config", configuration);
     }
 
     void tearDown() override {
-        if (running_.joinable()) {
-            ::kill(::getpid(), SIGTERM);
-            running_.join();
-        }
         release_.set_value();
-        // Handlers of the stand-ins may still run, so the threads end before what they use.
-        context_->stop();
-        client_.reset();
+        stop_threads();
         endpoint_.reset();
-        store_.reset();
-        context_.reset();
-        output_.reset();
+        gateway_fixture::tearDown();
         release_ = {};
-        reloaded_.reset();
-        shutdown_timeout_ = short_shutdown;
     }
 
     void stamp_is_answered_by_the_register_once() {
@@ -306,67 +229,16 @@
         };
     }
 
-    config::gateway_settings settings_of(const std::string& name) const {
-        config::gateway_settings settings;
-        settings.name = name;
-        settings.data_centre = "north";
-        settings.region = "n";
-        settings.data_centres = {{"north", "n"}};
-        settings.store_address = store_->address();
-        settings.peer_secret = "secret";
-        settings.engines_check_fencing = true;
-        settings.shutdown_timeout = shutdown_timeout_;
-        for (auto* address :
-             {&settings.caller_address, &settings.ready_address, &settings.resolve_address,
-              &settings.peer_address, &settings.metrics_address}) {
-            *address = "127.0.0.1:0";
-        }
-        return settings;
-    }
-
     /// Starts the endpoint and the gateway, and waits until it is ready and its lease is won.
     void start(const std::string& service, int slots, endpoint_stand_in::call_handler on_call) {
         endpoint_ = std::make_unique<endpoint_stand_in>(context_->get(), std::move(on_call));
         store_->put("keyed.servers", "endpoint-1", record(service, endpoint_->address(), slots));
-        const auto settings = settings_of("node-1");
-        auto node = std::make_shared<dragonflystair::gateway::gateway>(
-            settings, [this] { return reloaded_; });
-        address_ = node->caller_address();
-        peer_address_ = node->peer_address();
-        running_ = std::thread([node] { node->run(); });
+        start_gateway();
         output_->expect({"event=endpoint ", "endpoint=endpoint-1"});
         output_->expect({"event=lease_won"});
     }
 
-    net::async_result<net::http_response> send(const std::string& path, const std::string& id,
-                                               const std::string& model = {}) {
-        net::http_request request;
-        request.method = "POST";
-        request.target = path;
-        request.headers = {{"Host", "desk"}, {"Request-Id", id}, {"Deadline-Ms", "9000"}};
-        if (!model.empty()) {
-            request.headers["Model"] = model;
-        }
-        return context_->run(client_->request(address_, request, ample, false));
-    }
-
-    net::http_response call(const std::string& path, const std::string& id,
-                            const std::string& model = {}) {
-        const auto answer = send(path, id, model);
-        CPPUNIT_ASSERT(answer);
-        return answer.value();
-    }
-
-    std::unique_ptr<captured_output> output_;
-    std::unique_ptr<net::test_context> context_;
-    std::unique_ptr<store_stand_in> store_;
     std::unique_ptr<endpoint_stand_in> endpoint_;
-    std::unique_ptr<net::http_client> client_;
-    std::string address_;
-    std::string peer_address_;
-    std::optional<config::gateway_settings> reloaded_; ///< What a reload finds.
-    milliseconds shutdown_timeout_ = short_shutdown;
-    std::thread running_;
     std::promise<void> release_;
 };
 
--- /dev/null
+++ b/unittests/gateway/lost_answer_test.cpp
@@ -0,0 +1,130 @@
+#include "gateway_fixture.h"
+#include "net/scripted_peer.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::gateway;
+
+constexpr std::string_view end_of_head = "\r\n\r\n";
+
+/// A script that reads the request of `id` and answers with `text`, in which ID stands for that id.
+net::scripted_server::script answers(std::string text, std::string id) {
+    if (const auto place = text.find("ID"); place != std::string::npos) {
+        text.replace(place, 2, id);
+    }
+    return [text = std::move(text)](net::raw_connection& connection) {
+        connection.read_until(end_of_head);
+        connection.write(text);
+    };
+}
+
+/// What a caller of a plain service hears when its work ran and the answer was lost: never that it
+/// has not run, and the work runs once.
+class lost_answer_test : public gateway_fixture {
+    CPPUNIT_TEST_SUITE(lost_answer_test);
+    CPPUNIT_TEST(work_with_a_lost_answer_runs_once_and_is_never_said_not_to_have_run);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void work_with_a_lost_answer_runs_once_and_is_never_said_not_to_have_run() {
+        const std::map<std::string, net::scripted_server::script> losses{
+            {"closed", answers("", "closed")},
+            {"reset",
+             [](net::raw_connection& connection) {
+                 connection.read_until(end_of_head);
+                 connection.reset();
+             }},
+            {"half-head", answers("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n", "half-head")},
+            {"half-body", answers("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+                                  "Content-Length: 9\r\n\r\nhalf",
+                                  "half-body")},
+            {"half-chunk", answers("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf",
+                                   "half-chunk")},
+            {"no-signature", answers("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n"
+                                     "Content-Length: 4\r\n\r\ntext",
+                                     "no-signature")},
+            {"another-id", answers("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\n"
+                                   "Content-Length: 4\r\n\r\ntext",
+                                   "another-id")},
+            {"no-http", answers("\x01\x02 this is no answer\r\n\r\n", "no-http")},
+            {"only-continue", answers("HTTP/1.1 100 Continue\r\n\r\n", "only-continue")},
+            {"status-408", answers("HTTP/1.1 408 Request Timeout\r\nRequest-Id: ID\r\n"
+                                   "Content-Length: 0\r\n\r\n",
+                                   "status-408")},
+            {"status-429", answers("HTTP/1.1 429 Too Many Requests\r\nRequest-Id: ID\r\n"
+                                   "Content-Length: 0\r\n\r\n",
+                                   "status-429")},
+            {"status-500", answers("HTTP/1.1 500 Internal Server Error\r\nRequest-Id: ID\r\n"
+                                   "Content-Length: 0\r\n\r\n",
+                                   "status-500")},
+            {"status-502", answers("HTTP/1.1 502 Bad Gateway\r\nRequest-Id: ID\r\n"
+                                   "Content-Length: 0\r\n\r\n",
+                                   "status-502")},
+            {"status-503", answers("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: ID\r\n"
+                                   "Retry-After: 1\r\nContent-Length: 0\r\n\r\n",
+                                   "status-503")},
+            {"silent", [](net::raw_connection& connection) { connection.read_all(); }}};
+        std::map<std::string, std::unique_ptr<net::scripted_server>> endpoints;
+        for (const auto& [loss, script] : losses) {
+            // A second send of the call would be accepted, and counted.
+            endpoints[loss] = std::make_unique<net::scripted_server>(
+                std::vector<net::scripted_server::script>{script, script});
+        }
+        serve(endpoints);
+        for (const auto& [loss, endpoint] : endpoints) {
+            const auto answer = send("/" + loss + "/1", loss, {}, milliseconds{2'000});
+            CPPUNIT_ASSERT_MESSAGE(loss, answer);
+            CPPUNIT_ASSERT_MESSAGE(loss + ": " + std::to_string(answer.value().status),
+                                   answer.value().status == 502 || answer.value().status == 504);
+            const auto said = support::json::parse(answer.value().body).at("outcome");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(loss, std::string("unknown"), said.get<std::string>());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(loss, 1, endpoint->accepted());
+        }
+        stop_threads();
+    }
+
+private:
+    /// Starts the gateway with a route and a service for each endpoint.
+    void serve(const std::map<std::string, std::unique_ptr<net::scripted_server>>& endpoints) {
+        auto routes = support::json::array();
+        auto services = support::json::array();
+        for (const auto& [name, endpoint] : endpoints) {
+            routes.push_back({{"name", name},
+                              {"host", "desk"},
+                              {"path-prefix", "/" + name + "/"},
+                              {"kind", "unsafe"},
+                              {"timeout-ms", 9000},
+                              {"slo-ms", 2000},
+                              {"service", name}});
+            services.push_back({{"name", name}});
+            store_->put("keyed.servers", "at-" + name,
+                        support::json{{"service", name},
+                                      {"addr", endpoint->address()},
+                                      {"zone", "north"},
+                                      {"slots", 4},
+                                      {"state", "ready"},
+                                      {"seq", 0},
+                                      {"born", 1},
+                                      {"models", support::json::array()}}
+                            .dump());
+        }
+        store_->put(
+            "keyed.op", "config",
+            support::json{{"version", 3}, {"routes", routes}, {"services", services}}.dump());
+        start_gateway();
+        output_->expect({"event=configuration"});
+        output_->expect({"event=endpoint ", "state=ready"}, static_cast<int>(endpoints.size()));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(lost_answer_test);
+
+} // namespace
