Refuse deeply nested texts and frames, and survive damaged lists of the store

Cause: texts of the platform and records were read by the JSON library directly, which copies values by calling itself, and peers' frames by its msgpack reader, which calls itself for each level. A text of a million brackets (an endpoint's report, an answer of the store) or a frame of nested lists overflowed the stack: the process ended. Conclusion: one malformed message could take a process down; these ways are closed.

--- a/lib/gateway/gateway_beliefs.cpp
+++ b/lib/gateway/gateway_beliefs.cpp
@@ -1,3 +1,4 @@
+#include "dragonflystair/net/json_text.h"
 #include "dragonflystair/support/log.h"
 
 #include "gateway_impl.h"
@@ -153,8 +154,7 @@
 
 void gateway::impl::on_node_records(std::span<const fleet::keyed_record> records) {
     for (const auto& record : records) {
-        const auto value =
-            record.value ? support::json::parse(*record.value, nullptr, false) : support::json();
+        const auto value = record.value ? net::decoded(*record.value) : support::json();
         if (!value.is_object() || !value.contains("peer") || !value["peer"].is_string()) {
             registered_.erase(record.key);
             continue;
--- a/lib/gateway/store_follower.cpp
+++ b/lib/gateway/store_follower.cpp
@@ -1,10 +1,12 @@
 #include "store_follower.h"
 
 #include "dragonflystair/fleet/reader_pacing.h"
+#include "dragonflystair/net/spawn.h"
 #include "dragonflystair/support/log.h"
 
 #include "pause.h"
 
+#include <exception>
 #include <utility>
 
 namespace dragonflystair::gateway {
@@ -39,10 +41,15 @@
             continue;
         }
         bool done = false;
-        if (synchronised_) {
-            done = co_await read();
-        } else {
-            done = co_await resynchronise();
+        // A fault in taking records must not end the reading of all later ones.
+        try {
+            if (synchronised_) {
+                done = co_await read();
+            } else {
+                done = co_await resynchronise();
+            }
+        } catch (...) {
+            net::log_unhandled(topic_, std::current_exception());
         }
         if (!done) {
             co_await pause_for(context_, fleet::pause_after_failed_read(on_.reader_rank()));
--- a/lib/net/peer_frame.cpp
+++ b/lib/net/peer_frame.cpp
@@ -1,5 +1,7 @@
 #include "peer_frame.h"
 
+#include "dragonflystair/net/json_text.h"
+
 #include <boost/endian/conversion.hpp>
 
 #include <cassert>
@@ -18,6 +20,50 @@
 /// A link that has carried a large frame gives its memory back.
 constexpr std::size_t max_kept_bytes = std::size_t{64} * 1024;
 
+/// Frames up to this size cannot nest deep enough to matter, which spares most frames the check.
+constexpr std::size_t max_unchecked_bytes = 1024;
+
+/// Stops the msgpack reader, which calls itself for each level, at the depth that texts may have.
+class depth_check : public nlohmann::json_sax<json> {
+public:
+    bool null() override { return true; }
+    bool boolean(bool /*value*/) override { return true; }
+    bool number_integer(number_integer_t /*value*/) override { return true; }
+    bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
+    bool number_float(number_float_t /*value*/, const string_t& /*text*/) override { return true; }
+    bool string(string_t& /*value*/) override { return true; }
+    bool binary(binary_t& /*value*/) override { return true; }
+    bool key(string_t& /*value*/) override { return true; }
+    bool start_object(std::size_t /*elements*/) override { return enter(); }
+    bool end_object() override { return leave(); }
+    bool start_array(std::size_t /*elements*/) override { return enter(); }
+    bool end_array() override { return leave(); }
+    bool parse_error(std::size_t /*position*/, const std::string& /*last_token*/,
+                     const nlohmann::detail::exception& /*fault*/) override {
+        return false;
+    }
+
+private:
+    bool enter() { return ++depth_ <= max_json_depth; }
+    bool leave() {
+        --depth_;
+        return true;
+    }
+
+    std::size_t depth_ = 0;
+};
+
+json decoded_frame(std::string_view content) {
+    if (content.size() > max_unchecked_bytes) {
+        depth_check check;
+        if (!json::sax_parse(content.begin(), content.end(), &check, json::input_format_t::msgpack,
+                             true)) {
+            return json(json::value_t::discarded);
+        }
+    }
+    return json::from_msgpack(content.begin(), content.end(), true, false);
+}
+
 } // namespace
 
 std::string encode_frame(const json& frame) {
@@ -46,7 +92,7 @@
         return verdict::incomplete;
     }
     const auto content = rest.substr(prefix_bytes, size);
-    out = json::from_msgpack(content.begin(), content.end(), true, false);
+    out = decoded_frame(content);
     start_ += prefix_bytes + size;
     if (!out.is_object()) {
         return verdict::malformed;
