--- a/unittests/gateway/gateway_fixture.h
+++ b/unittests/gateway/gateway_fixture.h
@@ -119,10 +119,10 @@
         settings.peer_secret = "secret";
         settings.engines_check_fencing = true;
         settings.shutdown_timeout = shutdown_timeout;
-        for (auto* address :
+        for (auto* place :
              {&settings.caller_address, &settings.ready_address, &settings.resolve_address,
               &settings.peer_address, &settings.metrics_address}) {
-            *address = "127.0.0.1:0";
+            *place = "127.0.0.1:0";
         }
         return settings;
     }
--- a/unittests/platform/damaged_input_test.cpp
+++ b/unittests/platform/damaged_input_test.cpp
@@ -114,6 +114,7 @@
     /// Asks a store that gives these bodies, one a connection.
     net::async_result<fleet::keyed_page> newest(const std::vector<std::string>& bodies) {
         std::vector<net::scripted_server::script> scripts;
+        scripts.reserve(bodies.size());
         for (const auto& body : bodies) {
             scripts.emplace_back([body](net::raw_connection& connection) {
                 connection.read_until("\r\n\r\n");
