Tell why no load was ordered for an adapter that calls waited for

Change: the planner notes what held demand back when it ends (adapter_not_loaded, counter adapters_not_loaded_total by reason).

--- a/include/dragonflystair/fleet/adapter_planner.h
+++ b/include/dragonflystair/fleet/adapter_planner.h
@@ -40,6 +40,24 @@
     unknown,  ///< It may be carried out, also later.
 };
 
+/// Why calls that waited for an adapter brought no load of it.
+enum class hold_back {
+    none,
+    engines_busy,    ///< Every engine has an order or as many loads under way as it takes.
+    store_busy,      ///< As many loads come from the store as it serves at full speed.
+    adapters_in_use, ///< No engine has an adapter that could make room.
+};
+
+std::string_view to_string(hold_back reason);
+
+/// Calls that gave up waiting for an adapter that no order was given for.
+struct unmet_demand {
+    model_name what;
+    std::size_t waiting = 0;
+    support::duration waited{};
+    hold_back reason = hold_back::none;
+};
+
 /// What the holder of the placement lease tells all nodes about an engine.
 struct residency_change {
     std::string endpoint;
@@ -92,6 +110,8 @@
 
     /// Changes since the last time.
     std::vector<residency_change> take_changes();
+    /// Demand that ended without a load since the last time, for logs and metrics.
+    std::vector<unmet_demand> take_unmet();
     /// Everything that is held.
     [[nodiscard]] std::vector<residency_change> all() const;
 
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -28,6 +28,20 @@
 
 } // namespace
 
+std::string_view to_string(hold_back reason) {
+    switch (reason) {
+    case hold_back::none:
+        return "none";
+    case hold_back::engines_busy:
+        return "engines_busy";
+    case hold_back::store_busy:
+        return "store_busy";
+    case hold_back::adapters_in_use:
+        return "adapters_in_use";
+    }
+    return "none";
+}
+
 adapter_planner::adapter_planner() : impl_(std::make_unique<impl>()) {}
 
 adapter_planner::~adapter_planner() = default;
@@ -114,13 +128,25 @@
     }
 }
 
+/// Forgets demand that was not repeated and notes that which no order was given for.
+void adapter_planner::impl::drop_ended_demand(time_point now) {
+    std::erase_if(demands, [&](const auto& item) {
+        const auto& [what, demand] = item;
+        const auto lifetime = demand.waiting > 0 ? demand_lifetime : milliseconds(diverted_window);
+        if (now - demand.asked <= lifetime) {
+            return false;
+        }
+        if (demand.waiting > 0 && demand.held_back != hold_back::none) {
+            unmet.push_back(
+                {what, demand.waiting, demand.asked - demand.waiting_since, demand.held_back});
+        }
+        return true;
+    });
+}
+
 std::vector<planned_order> adapter_planner::plan(time_point now) {
     std::vector<planned_order> orders;
-    std::erase_if(impl_->demands, [&](const auto& item) {
-        const auto lifetime =
-            item.second.waiting > 0 ? demand_lifetime : milliseconds(diverted_window);
-        return now - item.second.asked > lifetime;
-    });
+    impl_->drop_ended_demand(now);
     for (auto& [id, item] : impl_->engines) {
         if (item.order_under_way || item.paused_until > now || item.record.draining) {
             continue;
@@ -137,8 +163,8 @@
             orders.push_back(std::move(*order));
         }
     }
-    std::vector<const std::pair<const model_name, wanted>*> by_age;
-    for (const auto& item : impl_->demands) {
+    std::vector<std::pair<const model_name, wanted>*> by_age;
+    for (auto& item : impl_->demands) {
         by_age.push_back(&item);
     }
     // Oldest first, so that no adapter is passed over again and again, but those whose calls are
@@ -154,10 +180,7 @@
             names.push_back(id);
         }
     }
-    for (const auto* item : by_age) {
-        if (names.empty()) {
-            break;
-        }
+    for (auto* item : by_age) {
         if (auto order = impl_->demand_order(now, item->first, item->second, names)) {
             std::erase(names, order->endpoint);
             if (order->kind == planned_kind::load) {
@@ -197,6 +220,10 @@
     return std::exchange(impl_->changes, {});
 }
 
+std::vector<unmet_demand> adapter_planner::take_unmet() {
+    return std::exchange(impl_->unmet, {});
+}
+
 std::vector<residency_change> adapter_planner::all() const {
     std::vector<residency_change> out;
     for (const auto& [id, item] : impl_->engines) {
--- a/lib/fleet/adapter_planner_impl.h
+++ b/lib/fleet/adapter_planner_impl.h
@@ -75,6 +75,7 @@
     time_point asked;
     time_point waiting_since;
     time_point first_diverted;
+    hold_back held_back = hold_back::none; ///< Why the last plan gave no order.
 };
 
 inline std::string key_of(const model_name& what) {
@@ -98,8 +99,8 @@
     [[nodiscard]] bool had_recently(const model_name& what) const;
     [[nodiscard]] bool takes_load(const engine& item, time_point now) const;
     std::optional<planned_order> demand_order(time_point now, const model_name& what,
-                                              const wanted& demand,
-                                              std::span<const std::string> names);
+                                              wanted& demand, std::span<const std::string> names);
+    void drop_ended_demand(time_point now);
     std::optional<model_name> victim(const engine& item, double worth, time_point now) const;
     [[nodiscard]] bool fits(const engine& item, const model_name& what) const;
     [[nodiscard]] bool is_due(const model_name& what, const wanted& demand) const;
@@ -117,6 +118,7 @@
     policy::popularity popular;
     load_window window;
     std::vector<residency_change> changes;
+    std::vector<unmet_demand> unmet;
 };
 
 } // namespace dragonflystair::fleet
--- a/lib/fleet/adapter_planner_orders.cpp
+++ b/lib/fleet/adapter_planner_orders.cpp
@@ -219,17 +219,23 @@
 
 /// Loads a wanted adapter on the engine that it belongs to, or makes room there.
 std::optional<planned_order>
-adapter_planner::impl::demand_order(time_point now, const model_name& what, const wanted& demand,
+adapter_planner::impl::demand_order(time_point now, const model_name& what, wanted& demand,
                                     std::span<const std::string> names) {
+    demand.held_back = hold_back::none;
     if (!is_due(what, demand)) {
         return std::nullopt;
     }
+    if (names.empty()) {
+        demand.held_back = hold_back::engines_busy;
+        return std::nullopt;
+    }
     // Waiting calls drive out anything idle; a copy for convenience only what is less popular.
     constexpr double any_rate = 1e9;
     const double worth = demand.waiting > 0 ? any_rate : popular.rate(key_of(what), now);
     const bool may_fetch =
         loads_from_store() < window.limit() &&
         (now - demand.waiting_since >= former_engine_patience || !had_recently(what));
+    demand.held_back = may_fetch ? hold_back::adapters_in_use : hold_back::store_busy;
     auto order = support::rendezvous_order(key_of(what), names);
     std::ranges::stable_partition(
         order, [&](const auto& id) { return engines.at(id).recent.contains(what); });
@@ -242,6 +248,7 @@
             continue;
         }
         if (fits(item, what)) {
+            demand.held_back = hold_back::none;
             return order_for(item, planned_kind::load, what, false);
         }
         if (const auto out = victim(item, worth, now)) {
--- a/lib/gateway/placement_holder.cpp
+++ b/lib/gateway/placement_holder.cpp
@@ -143,6 +143,7 @@
         });
     }
     publish();
+    note_unmet();
     schedule_pump();
 }
 
@@ -190,6 +191,20 @@
                          {"result", std::string(result)}});
 }
 
+void placement_holder::note_unmet() {
+    for (const auto& item : planner_.take_unmet()) {
+        const auto reason = fleet::to_string(item.reason);
+        view_.counters.increment("adapters_not_loaded_total", reason);
+        const auto waited = std::chrono::duration_cast<milliseconds>(item.waited);
+        support::log_request("adapter_not_loaded",
+                             {{"data_centre", data_centre_},
+                              {"adapter", item.what.model + "/" + item.what.adapter},
+                              {"calls", std::to_string(item.waiting)},
+                              {"waited_ms", std::to_string(waited.count())},
+                              {"reason", std::string(reason)}});
+    }
+}
+
 net::awaitable<void> placement_holder::ask(fleet::planned_order order) {
     const auto self = shared_from_this();
     const auto report = co_await engines_.report(order.address, order.endpoint, order_timeout);
--- a/lib/gateway/placement_holder.h
+++ b/lib/gateway/placement_holder.h
@@ -50,6 +50,7 @@
     void note_lease(bool held_before);
     void note_order(const fleet::planned_order& order, std::string_view result);
     void publish();
+    void note_unmet();
     void schedule_pump();
     [[nodiscard]] std::string group() const { return "placement." + data_centre_; }
 
