Do not skip records between a node's copy and the page of a reader that has just started

Ruled out: a call that its lead placed and that was sent late (the nodes' own dispatchers believed the endpoint ready), the store (every node that read it knew at 19.8 s). Fix: a page says where it begins; a copy that ends before that keeps its end and asks the sender for the rest. The same code carries the configuration and the list of nodes, which could be skipped too. The new test failed before: the asked page was empty, as the copy already ended at 8.

--- a/include/dragonflystair/fleet/keyed_record.h
+++ b/include/dragonflystair/fleet/keyed_record.h
@@ -18,6 +18,7 @@
 struct keyed_page {
     std::vector<keyed_record> records;
     std::uint64_t next = 0; ///< Offset after the last record that was looked at.
+    std::uint64_t from = 0; ///< Offset of the first one; a copy that ends before it lacks some.
 };
 
 } // namespace dragonflystair::fleet
--- a/include/dragonflystair/fleet/record_mirror.h
+++ b/include/dragonflystair/fleet/record_mirror.h
@@ -15,7 +15,8 @@
 /// store and from peers in any order and never goes back to an older value of a key.
 class record_mirror {
 public:
-    /// Records that changed the copy, in the order of their offsets.
+    /// Records that changed the copy, in the order of their offsets. A page that begins after the
+    /// end of the copy does not move that end, so that the records between are still asked for.
     std::vector<keyed_record> apply(const keyed_page& page);
 
     /// Replaces the copy by all newest records, as after a loss of history. Keys that are missing
--- a/lib/fleet/record_mirror.cpp
+++ b/lib/fleet/record_mirror.cpp
@@ -16,7 +16,9 @@
         newest_.insert_or_assign(record.key, record);
         changed.push_back(record);
     }
-    next_ = std::max(next_, page.next);
+    if (page.from <= next_) {
+        next_ = std::max(next_, page.next);
+    }
     return changed;
 }
 
@@ -42,6 +44,7 @@
 
 keyed_page record_mirror::since(std::uint64_t from) const {
     keyed_page page;
+    page.from = from;
     page.next = next_;
     for (const auto& [key, record] : newest_) {
         if (record.offset >= from) {
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -90,6 +90,8 @@
     void send_notice(const demand_notice& notice);
     void apply_residency(std::span<const fleet::residency_change> changes);
     void ask_for_records(std::string_view peer, const node_status& status);
+    void ask_for_records(std::string_view peer, const store_follower& follower);
+    void on_records(std::string_view peer, const support::json& frame);
     [[nodiscard]] node_status own_status();
 
     // Who leads (gateway_leads.cpp).
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -94,12 +94,7 @@
     } else if (kind == "q") {
         on_records_request(peer, frame);
     } else if (kind == "r") {
-        const auto topic = frame.value("k", std::string());
-        for (auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
-            if (follower->topic() == topic) {
-                follower->apply(decode_records(frame));
-            }
-        }
+        on_records(peer, frame);
     } else if (kind == "x") {
         constexpr std::size_t max_fingerprints = 10'000;
         if (view_.lost_connections.size() >= max_fingerprints) {
@@ -175,19 +170,37 @@
 
 /// While the store does not answer this node, peers that it does answer pass on what they read.
 void gateway::impl::ask_for_records(std::string_view peer, const node_status& status) {
+    for (const auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
+        const auto end = status.topic_ends.find(follower->topic());
+        if (end != status.topic_ends.end() && end->second > follower->mirror().next()) {
+            ask_for_records(peer, *follower);
+        }
+    }
+}
+
+void gateway::impl::ask_for_records(std::string_view peer, const store_follower& follower) {
     const auto now = boot_clock::now();
+    auto& asked = asked_records_[follower.topic()];
+    if (follower.reads() || now - asked < records_pause) {
+        return;
+    }
+    asked = now;
+    network_.send(peer, records_request(follower.topic(), follower.mirror().next()));
+}
+
+/// Takes over what a peer passes on, and asks for what lies between that and the own copy.
+void gateway::impl::on_records(std::string_view peer, const support::json& frame) {
+    const auto topic = frame.value("k", std::string());
+    const auto page = decode_records(frame);
     for (auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
-        const auto end = status.topic_ends.find(follower->topic());
-        if (follower->reads() || end == status.topic_ends.end() ||
-            end->second <= follower->mirror().next()) {
+        if (follower->topic() != topic) {
             continue;
         }
-        auto& asked = asked_records_[follower->topic()];
-        if (now - asked < records_pause) {
-            continue;
+        follower->apply(page);
+        if (follower->mirror().next() < page.next) {
+            counters_.increment("record_gaps_total", topic);
+            ask_for_records(peer, *follower);
         }
-        asked = now;
-        network_.send(peer, records_request(follower->topic(), follower->mirror().next()));
     }
 }
 
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -179,12 +179,18 @@
         rows.push_back(json::array(
             {record.key, record.offset, record.value.has_value(), record.value.value_or("")}));
     }
-    return {{"type", "r"}, {"k", topic}, {"e", page.next}, {"v", std::move(rows)}};
+    return {{"type", "r"},
+            {"k", topic},
+            {"f", page.from},
+            {"e", page.next},
+            {"v", std::move(rows)}};
 }
 
 fleet::keyed_page decode_records(const json& frame) {
     fleet::keyed_page page;
     page.next = frame.value("e", std::uint64_t{0});
+    // Without its beginning a page says nothing of the records before it.
+    page.from = frame.value("f", page.next);
     for (const auto& row : rows_of(frame, "v")) {
         fleet::keyed_record record;
         record.key = text_at(row, 0);
--- a/unittests/fleet/beliefs_test.cpp
+++ b/unittests/fleet/beliefs_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(resynchronisation_drops_keys_that_are_missing);
     CPPUNIT_TEST(list_older_than_the_copy_drops_nothing);
     CPPUNIT_TEST(peer_that_lags_gets_what_it_lacks);
+    CPPUNIT_TEST(page_of_a_reader_that_has_just_started_hides_no_record_before_it);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -65,6 +66,23 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, page.next);
     }
 
+    /// Guards against endpoints whose leaving a node never hears of: its reader restarts, reads the
+    /// newest records before it has links, and passes on only what comes after them.
+    void page_of_a_reader_that_has_just_started_hides_no_record_before_it() {
+        mirror_.apply({{record("endpoint-1", 4, "ready")}, 5});
+        record_mirror reader;
+        reader.resynchronise({{record("endpoint-1", 6, "leaving")}, 7});
+        keyed_page passed_on{{record("endpoint-2", 7, "ready")}, 8, 7};
+        reader.apply(passed_on);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mirror_.apply(passed_on).size());
+
+        const auto asked = reader.since(mirror_.next());
+        const auto changed = mirror_.apply(asked);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changed.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("leaving"), *changed.front().value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, mirror_.next());
+    }
+
 private:
     record_mirror mirror_;
 };
