Let no load of an adapter be in vain for the calls that asked for it

Cause: a call gave up at its objective even when its adapter was some milliseconds from ready, and the planner forgot a call that it had no adapter for, so that nothing held the adapter until the return. Fix: a call whose adapter is on its way waits for up to half an objective more; a refusal for a missing adapter is told to the planner with the time of the return, which loads the adapter until then, behind calls that wait now, and does not drop it before. Tests: missing_adapter_test (four of five fail without the wait and the note), adapter_planner_test (both new ones fail without returns_by).

--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -41,6 +41,7 @@
     support::time_point arrived;
     support::time_point objective_at;  ///< An answer or first event until then is on time.
     support::time_point give_up_at;    ///< Refused if it has no endpoint until then.
+    support::time_point loading_until; ///< The same while its adapter is being loaded.
     std::vector<std::string> excluded; ///< Endpoints that it was sent to.
     /// Only endpoints there are considered, as by its lead; empty for those of all data centres.
     std::string data_centre;
@@ -74,6 +75,8 @@
     std::size_t waiting = 0;  ///< Calls that wait for it now.
     std::size_t diverted = 0; ///< Calls sent to another data centre since the last time.
     std::size_t crowded = 0;  ///< Calls sent to a busy endpoint while another was less so.
+    /// Time after which refused calls were told to return; 0 if none was refused.
+    std::chrono::milliseconds returns_after{0};
 };
 
 /// Decides where calls run, in which order they wait and which are refused. Each node dispatches
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -13,6 +13,9 @@
 /// Calls that have waited longer give up before their adapter is there: the shortest objective of
 /// the deployments, 500 ms, less the time of a load.
 constexpr milliseconds hopeful_wait{250};
+/// A call that was told to come back is there this much later: new connection, round trip, and the
+/// time that the news of it takes to the planner.
+constexpr milliseconds return_margin{250};
 
 residency to_residency(slot_state state) {
     switch (state) {
@@ -98,6 +101,9 @@
     item.waiting = demand.waiting;
     item.diverted += static_cast<double>(demand.diverted);
     item.crowded += static_cast<double>(demand.crowded);
+    if (demand.returns_after.count() > 0) {
+        item.returns_by = now + demand.returns_after + return_margin;
+    }
     item.asked = now;
 }
 
@@ -146,7 +152,7 @@
         if (gave_up) {
             demand.waiting = 0; // Calls that come back wait anew.
         }
-        const bool ended = (gave_up || age > diverted_window);
+        const bool ended = (gave_up || age > diverted_window) && now >= demand.returns_by;
         item = ended ? demands.erase(item) : std::next(item);
     }
 }
--- a/lib/fleet/adapter_planner_impl.h
+++ b/lib/fleet/adapter_planner_impl.h
@@ -77,6 +77,7 @@
     time_point asked;
     time_point waiting_since;
     time_point first_diverted;
+    time_point returns_by; ///< Calls that were refused for want of it are back by then.
     hold_back held_back = hold_back::none; ///< Why the last plan gave no order.
 };
 
@@ -105,7 +106,8 @@
     void drop_ended_demand(time_point now);
     std::optional<model_name> victim(const engine& item, double worth, time_point now) const;
     [[nodiscard]] bool fits(const engine& item, const model_name& what) const;
-    [[nodiscard]] bool is_due(const model_name& what, const wanted& demand) const;
+    [[nodiscard]] bool is_due(const model_name& what, const wanted& demand, time_point now) const;
+    [[nodiscard]] bool awaits_return(const model_name& what, time_point now) const;
     [[nodiscard]] bool placed(const model_name& what) const;
     void begin(engine& item, const planned_order& order);
     void withdraw(engine& item, const planned_order& order);
--- a/lib/fleet/adapter_planner_orders.cpp
+++ b/lib/fleet/adapter_planner_orders.cpp
@@ -156,7 +156,8 @@
     std::optional<model_name> best;
     double least = 0;
     for (const auto& [what, held] : item.adapters) {
-        if (held.state != slot_state::ready || now - held.last_used < least_idle) {
+        if (held.state != slot_state::ready || now - held.last_used < least_idle ||
+            awaits_return(what, now)) {
             continue;
         }
         const double rate = popular.rate(key_of(what), now);
@@ -168,11 +169,20 @@
     return best;
 }
 
-bool adapter_planner::impl::is_due(const model_name& what, const wanted& demand) const {
+bool adapter_planner::impl::is_due(const model_name& what, const wanted& demand,
+                                   time_point now) const {
     if (demand.crowded >= crowded_worth_copy) {
         return true;
     }
-    return (demand.waiting > 0 || demand.diverted >= diverted_worth_copy) && !placed(what);
+    return (demand.waiting > 0 || demand.diverted >= diverted_worth_copy ||
+            demand.returns_by > now) &&
+           !placed(what);
+}
+
+/// Whether calls that were told to come back for the adapter are still to come.
+bool adapter_planner::impl::awaits_return(const model_name& what, time_point now) const {
+    const auto found = demands.find(what);
+    return found != demands.end() && found->second.returns_by > now;
 }
 
 /// Whether some engine holds the adapter in the version needed or is loading it.
@@ -222,7 +232,7 @@
 adapter_planner::impl::demand_order(time_point now, const model_name& what, wanted& demand,
                                     std::span<const std::string> names) {
     demand.held_back = hold_back::none;
-    if (!is_due(what, demand)) {
+    if (!is_due(what, demand, now)) {
         return std::nullopt;
     }
     if (names.empty()) {
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -121,7 +121,8 @@
 
 void dispatcher::set_residency(std::string_view endpoint, const model_name& what, residency state,
                                std::uint64_t version) {
-    impl_->changed = impl_->changed || state == residency::ready;
+    // An adapter that is no longer on its way ends the wait of calls whose time is over.
+    impl_->changed = impl_->changed || state != residency::loading;
     const auto found = impl_->endpoints.find(endpoint);
     if (found == impl_->endpoints.end()) {
         return;
@@ -221,6 +222,7 @@
     // Only the endpoint that it was sent to is known to fail, so any data centre will do.
     open.call.data_centre.clear();
     open.passes_at.reset();
+    open.awaits_load = false;
     open.state = call_state::waiting;
     open.fresh = true;
     impl_->queue.push_back(number);
@@ -299,7 +301,8 @@
     std::optional<time_point> earliest;
     for (const auto number : impl_->queue) {
         const auto& open = impl_->calls.at(number);
-        const auto at = open.passes_at ? *open.passes_at : open.call.give_up_at;
+        const auto ends_at = open.awaits_load ? open.call.loading_until : open.call.give_up_at;
+        const auto at = open.passes_at ? *open.passes_at : ends_at;
         earliest = earliest ? std::min(*earliest, at) : at;
     }
     return earliest;
@@ -338,6 +341,13 @@
     for (const auto& [what, count] : std::exchange(impl_->crowded, {})) {
         entry(what).crowded = count;
     }
+    for (const auto& [what, after] : std::exchange(impl_->returning, {})) {
+        auto& item = entry(what);
+        item.returns_after = after;
+        if (item.waiting == 0) {
+            item.data_centre = impl_->loading_place(what);
+        }
+    }
     std::vector<adapter_demand> out;
     out.reserve(demand.size());
     for (auto& [what, item] : demand) {
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -321,6 +321,12 @@
     return places.own();
 }
 
+/// Whether a call that should be refused waits on: its adapter is on its way, and coming back would
+/// cost it more time than the rest of the load.
+bool dispatcher::impl::awaits_load(const open_call& open, time_point now) const {
+    return open.missing && now < open.call.loading_until && loading(open.call.model) != nullptr;
+}
+
 /// Places or refuses a call if that can be decided now; nothing if it goes on waiting.
 std::optional<dispatch_decision> dispatcher::impl::decide(open_call& open, std::size_t ahead,
                                                           time_point now) {
@@ -360,9 +366,15 @@
     if (!too_long && now < open.call.give_up_at) {
         return std::nullopt;
     }
+    open.awaits_load = !too_long && awaits_load(open, now);
+    if (open.awaits_load) {
+        return std::nullopt;
+    }
     auto decision = refuse(open, state, ahead, open.missing);
     if (too_long) {
         decision.reason = refusal::overloaded;
+    } else if (open.missing) {
+        returning.insert_or_assign(open.call.model, decision.retry_after);
     }
     return decision;
 }
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -21,6 +21,7 @@
 
 namespace dragonflystair::fleet {
 
+using std::chrono::milliseconds;
 using support::duration;
 using support::time_point;
 
@@ -99,6 +100,7 @@
     bool fresh = true;                   ///< Not looked at yet.
     std::optional<time_point> passes_at; ///< Another data centre is asked then.
     bool missing = false;                ///< It waits for its adapter rather than for a place.
+    bool awaits_load = false;            ///< Its time is over, but its adapter is on its way.
 };
 
 /// An endpoint that a call could go to, and what that would cost.
@@ -133,6 +135,7 @@
     dispatch_decision refuse(const open_call& open, const service_state& state, std::size_t ahead,
                              bool adapter_missing) const;
     std::optional<dispatch_decision> decide(open_call& open, std::size_t ahead, time_point now);
+    [[nodiscard]] bool awaits_load(const open_call& open, time_point now) const;
     void release(open_call& open);
     void note_use(const choice& chosen, const model_name& what);
     [[nodiscard]] static bool considers(const endpoint& item, const pending_call& call);
@@ -159,6 +162,8 @@
     std::map<model_name, std::string> last_holders;
     std::map<model_name, std::size_t> diverted;
     std::map<model_name, std::size_t> crowded;
+    /// Adapters whose calls were refused, and when those were told to return.
+    std::map<model_name, milliseconds> returning;
     std::map<std::string, std::map<model_name, std::size_t>> used;
 };
 
--- a/lib/gateway/call_relay.cpp
+++ b/lib/gateway/call_relay.cpp
@@ -22,6 +22,9 @@
 /// Longest wait for an endpoint, as a multiple of the route's objective: beyond it an answer earns
 /// a fraction, and the caller does better to come back.
 constexpr double wait_objectives = 1.0;
+/// The same for a call whose adapter is being loaded: it would come back after a pause and a round
+/// trip only to find that adapter ready, or dropped again.
+constexpr double loading_wait_objectives = 1.5;
 
 /// Calls that lost this many connections probably crash what runs them.
 constexpr std::size_t crash_limit = 2;
@@ -107,8 +110,12 @@
     const auto objective =
         call.route->objective.count() > 0 ? call.route->objective : milliseconds(1'000);
     pending.objective_at = call.arrived + objective;
-    const auto wait = std::chrono::duration_cast<support::duration>(objective * wait_objectives);
-    pending.give_up_at = std::min(call.arrived + wait, call.answer_by);
+    const auto by = [&](double objectives) {
+        const auto wait = std::chrono::duration_cast<support::duration>(objective * objectives);
+        return std::min(call.arrived + wait, call.answer_by);
+    };
+    pending.give_up_at = by(wait_objectives);
+    pending.loading_until = by(loading_wait_objectives);
     view_.retries.on_call(call.service, call.arrived);
     placer_.submit(std::move(pending));
 }
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -40,6 +40,12 @@
     return leases;
 }
 
+std::chrono::milliseconds returns_after_of(const json& row) {
+    constexpr std::uint64_t most_ms = 60'000; // A longer one is damaged.
+    const auto ms = number_at(row, 5);
+    return std::chrono::milliseconds{ms > most_ms ? 0 : static_cast<std::int64_t>(ms)};
+}
+
 } // namespace
 
 json status_frame(const node_status& status) {
@@ -117,8 +123,8 @@
 json demand_frame(const demand_notice& notice) {
     json wanted = json::array();
     for (const auto& item : notice.demand) {
-        wanted.push_back(json::array(
-            {item.what.model, item.what.adapter, item.waiting, item.diverted, item.crowded}));
+        wanted.push_back(json::array({item.what.model, item.what.adapter, item.waiting,
+                                      item.diverted, item.crowded, item.returns_after.count()}));
     }
     json names = json::array();
     for (const auto& [item, calls] : notice.used) {
@@ -138,7 +144,8 @@
                                  notice.data_centre,
                                  number_at(row, 2),
                                  number_at(row, 3),
-                                 number_at(row, 4)});
+                                 number_at(row, 4),
+                                 returns_after_of(row)});
     }
     for (const auto& row : rows_of(frame, "u")) {
         notice.used.insert_or_assign({text_at(row, 0), text_at(row, 1)}, number_at(row, 2));
@@ -179,11 +186,8 @@
         rows.push_back(json::array(
             {record.key, record.offset, record.value.has_value(), record.value.value_or("")}));
     }
-    return {{"type", "r"},
-            {"k", topic},
-            {"f", page.from},
-            {"e", page.next},
-            {"v", std::move(rows)}};
+    return {
+        {"type", "r"}, {"k", topic}, {"f", page.from}, {"e", page.next}, {"v", std::move(rows)}};
 }
 
 fleet::keyed_page decode_records(const json& frame) {
--- a/lib/gateway/placement_frames.cpp
+++ b/lib/gateway/placement_frames.cpp
@@ -88,6 +88,7 @@
                {"w", ms_between(call.arrived, now)},
                {"b", ms_between(now, call.objective_at)},
                {"g", ms_between(now, call.give_up_at)},
+               {"h", ms_between(now, std::max(call.give_up_at, call.loading_until))},
                {"f", call.may_pass}};
     if (!call.data_centre.empty()) {
         frame["d"] = call.data_centre;
@@ -116,6 +117,7 @@
     call.arrived = now - (after_ms(now, frame, "w") - now);
     call.objective_at = after_ms(now, frame, "b");
     call.give_up_at = after_ms(now, frame, "g");
+    call.loading_until = after_ms(now, frame, "h");
     call.excluded = excluded_of(frame);
     const auto pass = frame.find("f");
     call.may_pass = pass != frame.end() && *pass == true;
--- a/unittests/fleet/adapter_planner_test.cpp
+++ b/unittests/fleet/adapter_planner_test.cpp
@@ -32,7 +32,12 @@
 }
 
 adapter_demand waiting_for(const std::string& adapter) {
-    return {{"base", adapter}, "north", 1, 0, 0};
+    return {{"base", adapter}, "north", 1, 0, 0, {}};
+}
+
+/// Calls for the adapter were refused and told to come back.
+adapter_demand refused_for(const std::string& adapter, milliseconds returns_after) {
+    return {{"base", adapter}, "north", 0, 0, 0, returns_after};
 }
 
 /// An engine that leaves each third order unanswered, and carries it out seconds later unless it
@@ -152,6 +157,8 @@
     CPPUNIT_TEST(new_version_replaces_the_busy_adapter_and_drops_the_idle_one);
     CPPUNIT_TEST(few_diverted_calls_bring_no_copy);
     CPPUNIT_TEST(many_diverted_calls_bring_a_copy);
+    CPPUNIT_TEST(adapter_stays_until_the_calls_that_were_refused_for_it_are_back);
+    CPPUNIT_TEST(adapter_is_loaded_for_calls_that_were_told_to_come_back);
     CPPUNIT_TEST(demand_that_no_order_met_is_told_with_its_reason);
     CPPUNIT_TEST_SUITE_END();
 
@@ -499,6 +506,37 @@
         CPPUNIT_ASSERT(planner_->plan(now_).at(0).kind == planned_kind::load);
     }
 
+    /// Guards against loads in vain: an adapter that came too late for its calls was dropped a few
+    /// milliseconds before they were back, and they were refused again.
+    void adapter_stays_until_the_calls_that_were_refused_for_it_are_back() {
+        load("x");
+        load("y");
+        load("z");
+        planner_->on_used({"base", "y"}, now_);
+        planner_->on_used({"base", "z"}, now_);
+        planner_->on_demand(refused_for("x", milliseconds{400}), now_);
+        now_ += milliseconds{400};
+        planner_->on_used({"base", "y"}, now_);
+        planner_->on_used({"base", "z"}, now_);
+        planner_->on_demand(waiting_for("w"), now_);
+        CPPUNIT_ASSERT(planner_->plan(now_).empty());
+
+        now_ += milliseconds{300};
+        planner_->on_used({"base", "y"}, now_);
+        planner_->on_used({"base", "z"}, now_);
+        planner_->on_demand(waiting_for("w"), now_);
+        CPPUNIT_ASSERT_EQUAL(std::string("x"), planner_->plan(now_).at(0).what.adapter);
+    }
+
+    void adapter_is_loaded_for_calls_that_were_told_to_come_back() {
+        planner_->on_demand(waiting_for("x"), now_);
+        planner_->on_demand(refused_for("x", milliseconds{400}), now_);
+        now_ += milliseconds{200};
+        const auto order = planner_->plan(now_).at(0);
+        CPPUNIT_ASSERT(order.kind == planned_kind::load);
+        CPPUNIT_ASSERT_EQUAL(std::string("x"), order.what.adapter);
+    }
+
     void demand_that_no_order_met_is_told_with_its_reason() {
         load("x");
         load("y");
--- /dev/null
+++ b/unittests/fleet/missing_adapter_test.cpp
@@ -0,0 +1,115 @@
+#include "dragonflystair/fleet/dispatcher.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <vector>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::fleet;
+using std::chrono::milliseconds;
+
+constexpr support::time_point start{std::chrono::hours{1}};
+constexpr milliseconds objective{600};
+/// A load that began late in a call's time ends after it, but before a refused caller is back.
+constexpr milliseconds late_load{750};
+
+const model_name rare{"base", "rare"};
+
+/// Calls whose adapter no engine has ready.
+class missing_adapter_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(missing_adapter_test);
+    CPPUNIT_TEST(call_whose_adapter_is_on_its_way_waits_for_it);
+    CPPUNIT_TEST(call_is_refused_when_its_load_takes_too_long);
+    CPPUNIT_TEST(call_is_refused_when_its_load_is_given_up);
+    CPPUNIT_TEST(call_without_a_load_is_refused_at_its_objective);
+    CPPUNIT_TEST(refusal_is_told_with_the_time_of_the_return);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override {
+        dispatcher_ = std::make_unique<dispatcher>(topology("north", {{"north", "n"}}));
+        configuration current;
+        service assistant;
+        assistant.name = "assistant";
+        assistant.has_engines = true;
+        assistant.engines.batch_slots = 4;
+        current.services = {{"assistant", assistant}};
+        dispatcher_->configure(current);
+        endpoint_record record;
+        record.id = "engine";
+        record.service = "assistant";
+        record.data_centre = "north";
+        record.slots = 4;
+        record.started_ms = 1;
+        record.models = {{"base", 1, {}}};
+        dispatcher_->update(record);
+
+        pending_call call;
+        call.number = 1;
+        call.service = "assistant";
+        call.model = rare;
+        call.arrived = start;
+        call.objective_at = start + objective;
+        call.give_up_at = call.objective_at;
+        call.loading_until = start + 3 * objective / 2;
+        dispatcher_->submit(call);
+    }
+
+    /// Guards against adapters that are ready some milliseconds after their calls were refused.
+    void call_whose_adapter_is_on_its_way_waits_for_it() {
+        CPPUNIT_ASSERT(dispatcher_->pump(start + objective / 2).empty());
+        set(residency::loading);
+        CPPUNIT_ASSERT(dispatcher_->pump(start + objective).empty());
+        set(residency::ready);
+        const auto decisions = dispatcher_->pump(start + late_load);
+        CPPUNIT_ASSERT_EQUAL(std::string("engine"), decisions.at(0).endpoint);
+    }
+
+    void call_is_refused_when_its_load_takes_too_long() {
+        set(residency::loading);
+        CPPUNIT_ASSERT(dispatcher_->pump(start + objective).empty());
+        CPPUNIT_ASSERT(start + 3 * objective / 2 == dispatcher_->next_deadline());
+        CPPUNIT_ASSERT(refused(start + 3 * objective / 2));
+    }
+
+    void call_is_refused_when_its_load_is_given_up() {
+        set(residency::loading);
+        CPPUNIT_ASSERT(dispatcher_->pump(start + objective).empty());
+        set(residency::absent);
+        CPPUNIT_ASSERT(refused(start + objective + milliseconds{1}));
+    }
+
+    void call_without_a_load_is_refused_at_its_objective() {
+        CPPUNIT_ASSERT(dispatcher_->pump(start + objective - milliseconds{1}).empty());
+        CPPUNIT_ASSERT(refused(start + objective));
+    }
+
+    void refusal_is_told_with_the_time_of_the_return() {
+        const auto decisions = dispatcher_->pump(start + objective);
+        const auto demand = dispatcher_->take_demand();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, demand.size());
+        CPPUNIT_ASSERT(demand.front().what == rare);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, demand.front().waiting);
+        CPPUNIT_ASSERT(demand.front().returns_after == decisions.at(0).retry_after);
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), demand.front().data_centre);
+    }
+
+private:
+    void set(residency state) { dispatcher_->set_residency("engine", rare, state, 1); }
+
+    bool refused(support::time_point now) {
+        const auto decisions = dispatcher_->pump(now);
+        return decisions.size() == 1 && decisions.front().endpoint.empty() &&
+               decisions.front().reason == refusal::no_adapter;
+    }
+
+    std::unique_ptr<dispatcher> dispatcher_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(missing_adapter_test);
+
+} // namespace
