Believe what endpoints say in their answers: that they leave, and when to come back

A node learnt of a leaving endpoint from the store only, and an endpoint that turned it away with a time got the next call at once. Change: any answer of an endpoint, to a call, an order or a question, is read for both. Leaving joins what the list says of that run of the endpoint (endpoint_watch) and never lapses; another start is not held by it. A pause is kept by endpoint_backoff, one for a node, asked before every send; while it lasts the room there does not count, adapters there are loaded elsewhere, and work returns within a second after it. Calls are refused at once, with the time of the first return, when all endpoints pause for longer than they can wait. A call that its lead placed there all the same is withheld and placed anew: nothing was sent, so it costs no retry. News and lost connections now pass through the lead of a data centre alone. A node that holds the lease of another one passed them on too, so that one lost connection could count twice and the request be refused as one that ends endpoints; found by reading, without a test of its own. Tests, each seen failing with its guard out: endpoint_notices_test (fleet, 11 of 19 with the decisions out), endpoint_notice_test (gateway, 5 of 5 without reading heads, 2 without news and pauses).

--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -54,6 +54,7 @@
     overloaded,   ///< The calls ahead of it take longer than it can wait.
     no_capacity,  ///< Nothing became free in time.
     no_adapter,   ///< Its adapter was not loaded in time.
+    paused,       ///< Every endpoint that could run it asked to be left alone for longer.
     elsewhere,    ///< Another data centre has its adapter; that one is to be asked.
 };
 
@@ -102,6 +103,12 @@
     void remove(std::string_view endpoint);
     /// Nothing is sent there until then, as after a refused connection.
     void suspend(std::string_view endpoint, support::time_point until);
+    /// The endpoint asked to be left alone until then. Its room does not count meanwhile, and after
+    /// it work returns gradually.
+    void pause(std::string_view endpoint, support::time_point until);
+    [[nodiscard]] support::time_point paused_until(std::string_view endpoint) const;
+    /// The endpoint said that it leaves; its record will say so later.
+    void set_leaving(std::string_view endpoint);
     void set_residency(std::string_view endpoint, const model_name& what, residency state,
                        std::uint64_t version);
     /// Calls for the adapter run on this version or a newer one.
--- a/include/dragonflystair/fleet/endpoint_watch.h
+++ b/include/dragonflystair/fleet/endpoint_watch.h
@@ -24,6 +24,9 @@
 
     /// The record as it is to be believed; nothing if it is not.
     std::optional<endpoint_record> on_listed(endpoint_record record);
+    /// The run of the endpoint that began then said in an answer that it leaves. Returns whether
+    /// that is news; the word of a former run is none.
+    bool on_said_leaving(std::string_view endpoint, std::uint64_t started_ms);
     void on_missing(std::string_view endpoint, support::time_point now);
     /// The store did not answer, or answers again.
     void on_store(bool reachable, support::time_point now);
@@ -36,8 +39,9 @@
     [[nodiscard]] support::time_point gone_at(support::time_point missing_since) const;
 
     std::map<std::string, support::time_point, std::less<>> missing_;
-    std::map<std::string, std::uint64_t> leaving_; ///< Start times of endpoints that leave.
-    std::map<std::string, std::uint64_t> gone_;    ///< The same of those that are gone.
+    /// Start times of endpoints that leave.
+    std::map<std::string, std::uint64_t, std::less<>> leaving_;
+    std::map<std::string, std::uint64_t> gone_; ///< The same of those that are gone.
     std::map<std::string, std::uint64_t, std::less<>> started_; ///< Of all that were listed.
     bool reachable_ = true;
     std::optional<support::time_point> returned_at_;
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -65,6 +65,7 @@
     item.models.clear();
     item.adapters.clear();
     item.recent.clear();
+    item.left_alone_until = {};
     item.orders_accepted = record.orders_accepted;
     item.order_under_way = false;
     item.unanswered = 0;
@@ -82,6 +83,18 @@
     }
 }
 
+void adapter_planner::pause(std::string_view endpoint, time_point until) {
+    if (const auto found = impl_->engines.find(endpoint); found != impl_->engines.end()) {
+        found->second.left_alone_until = until;
+    }
+}
+
+void adapter_planner::set_leaving(std::string_view endpoint) {
+    if (const auto found = impl_->engines.find(endpoint); found != impl_->engines.end()) {
+        found->second.record.draining = true;
+    }
+}
+
 void adapter_planner::on_demand(const adapter_demand& demand, time_point now) {
     auto& item = impl_->demands[demand.what];
     if (demand.waiting > item.waiting) {
@@ -161,7 +174,8 @@
     std::vector<planned_order> orders;
     impl_->drop_ended_demand(now);
     for (auto& [id, item] : impl_->engines) {
-        if (item.order_under_way || item.paused_until > now || item.record.draining) {
+        if (item.order_under_way || item.paused_until > now || item.left_alone_until > now ||
+            item.record.draining) {
             continue;
         }
         if (auto repeat = std::exchange(item.repeat, {}); repeat && !item.needs_report) {
@@ -222,12 +236,12 @@
         }
         for (const auto& [what, held] : item.adapters) {
             if (held.state == slot_state::loading || held.state == slot_state::unloading) {
-                consider(std::max(held.check_at, item.paused_until));
+                consider(std::max({held.check_at, item.paused_until, item.left_alone_until}));
             }
         }
         for (const auto& [name, held] : item.models) {
             if (held.state == slot_state::loading) {
-                consider(std::max(held.check_at, item.paused_until));
+                consider(std::max({held.check_at, item.paused_until, item.left_alone_until}));
             }
         }
     }
--- a/lib/fleet/adapter_planner_impl.h
+++ b/lib/fleet/adapter_planner_impl.h
@@ -63,7 +63,8 @@
     std::size_t conflicts = 0;           ///< In a row.
     std::size_t unanswered = 0;          ///< Orders in a row.
     std::optional<planned_order> repeat; ///< An order without an answer, to be given again.
-    time_point paused_until;
+    time_point paused_until;             ///< After an order that failed.
+    time_point left_alone_until;         ///< As it asked for.
     std::map<std::string, slot> models;
     std::map<model_name, slot> adapters;
     std::set<model_name> recent; ///< Adapters that it held since its start.
@@ -108,7 +109,7 @@
     [[nodiscard]] bool fits(const engine& item, const model_name& what) const;
     [[nodiscard]] bool is_due(const model_name& what, const wanted& demand, time_point now) const;
     [[nodiscard]] bool awaits_return(const model_name& what, time_point now) const;
-    [[nodiscard]] bool placed(const model_name& what) const;
+    [[nodiscard]] bool placed(const model_name& what, time_point now) const;
     void begin(engine& item, const planned_order& order);
     void withdraw(engine& item, const planned_order& order);
     void on_accepted(engine& item, const planned_order& order, time_point now);
--- a/lib/fleet/adapter_planner_orders.cpp
+++ b/lib/fleet/adapter_planner_orders.cpp
@@ -176,7 +176,7 @@
     }
     return (demand.waiting > 0 || demand.diverted >= diverted_worth_copy ||
             demand.returns_by > now) &&
-           !placed(what);
+           !placed(what, now);
 }
 
 /// Whether calls that were told to come back for the adapter are still to come.
@@ -185,12 +185,12 @@
     return found != demands.end() && found->second.returns_by > now;
 }
 
-/// Whether some engine holds the adapter in the version needed or is loading it.
-bool adapter_planner::impl::placed(const model_name& what) const {
+/// Whether some engine that takes calls holds the adapter in the version needed or is loading it.
+bool adapter_planner::impl::placed(const model_name& what, time_point now) const {
     return std::ranges::any_of(engines, [&](const auto& item) {
         const auto held = item.second.adapters.find(what);
         return held != item.second.adapters.end() && held->second.state != slot_state::unloading &&
-               !item.second.record.draining;
+               !item.second.record.draining && item.second.left_alone_until <= now;
     });
 }
 
@@ -218,7 +218,7 @@
 /// Whether the engine can be given an order to load an adapter now.
 bool adapter_planner::impl::takes_load(const engine& item, time_point now) const {
     if (item.order_under_way || item.record.draining || item.paused_until > now ||
-        item.models.empty() || class_of(item) == nullptr) {
+        item.left_alone_until > now || item.models.empty() || class_of(item) == nullptr) {
         return false;
     }
     const auto in_transit = std::ranges::count_if(item.adapters, [](const auto& held) {
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -39,6 +39,8 @@
         return "no_capacity";
     case refusal::no_adapter:
         return "no_adapter";
+    case refusal::paused:
+        return "endpoints_paused";
     case refusal::elsewhere:
         return "elsewhere";
     }
@@ -79,6 +81,7 @@
         item.models.clear();
         item.prompts.clear();
         item.suspended_until = {};
+        item.paused_until = {};
     }
     const bool older = !restarted && record.orders_accepted < item.record.orders_accepted;
     item.leaving = record.draining;
@@ -119,6 +122,27 @@
     }
 }
 
+void dispatcher::pause(std::string_view endpoint, time_point until) {
+    impl_->changed = true;
+    if (const auto found = impl_->endpoints.find(endpoint); found != impl_->endpoints.end()) {
+        found->second.paused_until = until;
+    }
+}
+
+time_point dispatcher::paused_until(std::string_view endpoint) const {
+    const auto found = impl_->endpoints.find(endpoint);
+    return found == impl_->endpoints.end() ? time_point{} : found->second.paused_until;
+}
+
+void dispatcher::set_leaving(std::string_view endpoint) {
+    if (const auto found = impl_->endpoints.find(endpoint); found != impl_->endpoints.end()) {
+        impl_->changed = true;
+        impl_->member_index.clear();
+        found->second.leaving = true;
+        found->second.record.draining = true;
+    }
+}
+
 void dispatcher::set_residency(std::string_view endpoint, const model_name& what, residency state,
                                std::uint64_t version) {
     // An adapter that is no longer on its way ends the wait of calls whose time is over.
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -45,9 +45,21 @@
 /// Retry-After while no node gives orders to engines, about as long as a new one takes to follow.
 constexpr milliseconds no_loads_retry_after{1'000};
 
+/// Time over which work returns to an endpoint that had asked for a pause.
+constexpr milliseconds return_time{1'000};
+
 /// Window over which the rate of placements is measured.
 constexpr milliseconds rate_window{1'000};
 
+/// Calls that an endpoint may have at once: all places, or a growing part after a pause.
+std::size_t places_after_pause(std::size_t slots, duration since_pause) {
+    if (since_pause >= return_time) {
+        return slots;
+    }
+    const double share = to_ms(since_pause) / to_ms(return_time);
+    return std::max<std::size_t>(static_cast<std::size_t>(static_cast<double>(slots) * share), 1);
+}
+
 } // namespace
 
 bool dispatcher::impl::holds(const endpoint& item, const model_name& what) const {
@@ -100,7 +112,7 @@
 std::optional<choice> dispatcher::impl::evaluate(endpoint& item, const open_call& open,
                                                  const service_state& state, time_point now) {
     const auto& call = open.call;
-    if (item.suspended_until > now ||
+    if (item.suspended_until > now || item.paused_until > now ||
         std::ranges::find(call.excluded, item.record.id) != call.excluded.end() ||
         !item.serves_model(call.model)) {
         return std::nullopt;
@@ -108,7 +120,7 @@
     const auto load = item.total(now, state.speed.tokens_per_ms());
     const auto slots =
         state.has_engines && state.batch_slots > 0 ? state.batch_slots : item.record.slots;
-    if (load.calls >= slots) {
+    if (load.calls >= places_after_pause(slots, now - item.paused_until)) {
         return std::nullopt;
     }
     const double weight = std::max(health.weight(item.record.id, now), least_weight);
@@ -265,7 +277,8 @@
         return false;
     }
     return std::ranges::none_of(members(open.call.service), [&](const auto* item) {
-        return considers(*item, open.call) && holds(*item, open.call.model);
+        return considers(*item, open.call) && holds(*item, open.call.model) &&
+               item->paused_until < open.call.give_up_at;
     });
 }
 
@@ -321,6 +334,22 @@
     return places.own();
 }
 
+/// When the first of the endpoints that a call could go to may be used again, if all of them are to
+/// be left alone for longer than the call can wait.
+std::optional<time_point> dispatcher::impl::paused_beyond(const open_call& open) {
+    std::optional<time_point> first;
+    for (const auto* item : members(open.call.service)) {
+        if (!considers(*item, open.call)) {
+            continue;
+        }
+        if (item->paused_until < open.call.give_up_at) {
+            return std::nullopt;
+        }
+        first = first ? std::min(*first, item->paused_until) : item->paused_until;
+    }
+    return first;
+}
+
 /// Whether a call that should be refused waits on: its adapter is on its way, and coming back would
 /// cost it more time than the rest of the load.
 bool dispatcher::impl::awaits_load(const open_call& open, time_point now) const {
@@ -354,6 +383,12 @@
         decision.reason = refusal::no_endpoints;
         return decision;
     }
+    if (const auto until = paused_beyond(open)) {
+        auto decision = refuse(open, state, ahead, open.missing);
+        decision.reason = refusal::paused;
+        decision.retry_after += std::chrono::ceil<milliseconds>(*until - now);
+        return decision;
+    }
     if (open.missing && !loads_possible && loading(open.call.model) == nullptr) {
         auto decision = refuse(open, state, ahead, open.missing);
         decision.retry_after = no_loads_retry_after;
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -49,6 +49,7 @@
     endpoint_record record;
     bool leaving = false;
     time_point suspended_until;
+    time_point paused_until; ///< As it asked for.
     std::map<model_name, resident> adapters;
     std::set<std::string, std::less<>> models;
     endpoint_load own;
@@ -135,6 +136,7 @@
     dispatch_decision refuse(const open_call& open, const service_state& state, std::size_t ahead,
                              bool adapter_missing) const;
     std::optional<dispatch_decision> decide(open_call& open, std::size_t ahead, time_point now);
+    [[nodiscard]] std::optional<time_point> paused_beyond(const open_call& open);
     [[nodiscard]] bool awaits_load(const open_call& open, time_point now) const;
     void release(open_call& open);
     void note_use(const choice& chosen, const model_name& what);
--- a/lib/fleet/endpoint_watch.cpp
+++ b/lib/fleet/endpoint_watch.cpp
@@ -27,6 +27,19 @@
     return record;
 }
 
+bool endpoint_watch::on_said_leaving(std::string_view endpoint, std::uint64_t started_ms) {
+    const auto started = started_.find(endpoint);
+    if (started != started_.end() && started->second > started_ms) {
+        return false;
+    }
+    const auto leaving = leaving_.find(endpoint);
+    if (leaving != leaving_.end() && leaving->second >= started_ms) {
+        return false;
+    }
+    leaving_.insert_or_assign(std::string(endpoint), started_ms);
+    return true;
+}
+
 void endpoint_watch::on_missing(std::string_view endpoint, time_point now) {
     missing_.try_emplace(std::string(endpoint), now);
 }
--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -31,6 +31,12 @@
     if (record == nullptr) {
         co_return attempt_end::not_run;
     }
+    // The lead that placed the call may not know yet what the endpoint told this node.
+    if (record->draining || !view_.may_send(record->id, now)) {
+        view_.counters.increment("calls_withheld_total", record->draining ? "leaving" : "paused");
+        call.last_send = send_outcome::none;
+        co_return attempt_end::withheld;
+    }
     platform::forwarding added;
     added.endpoint = record->id;
     added.remaining =
@@ -41,6 +47,8 @@
     }
     added.resume_after = events.last_id();
     ++call.sends;
+    call.sent_at = now;
+    call.endpoint_started = record->started_ms;
     call.last_send = send_outcome::none;
     call.exchange =
         view_.endpoints.send(record->address, platform::render_call(exchange.request(), added),
@@ -59,6 +67,7 @@
         }
         co_await call.changed.wait_until(std::min(call.answer_by, stalls_at));
     }
+    note_head(call);
     const auto end = classify(call);
     if (end != attempt_end::answered) {
         co_return end;
@@ -66,6 +75,14 @@
     co_return co_await relay_answer(exchange, call, events);
 }
 
+/// Takes what the head of an answer says about its endpoint.
+void call_relay::note_head(const open_call& call) {
+    if (const auto& head = call.exchange->head) {
+        on_.on_notice(call.decision->endpoint, call.endpoint_started,
+                      platform::notice_of(head->status, head->headers), call.sent_at);
+    }
+}
+
 /// What the head of an answer, or the lack of one, means; `answered` if it is to be passed on.
 call_relay::attempt_end call_relay::classify(open_call& call) {
     const auto& exchange = *call.exchange;
--- a/lib/gateway/call_relay.cpp
+++ b/lib/gateway/call_relay.cpp
@@ -188,6 +188,11 @@
         if (end == attempt_end::answered) {
             co_return;
         }
+        if (end == attempt_end::withheld) {
+            call.decision.reset();
+            placer_.retry(call.number, call.last_send);
+            continue;
+        }
         if (end == attempt_end::given_up || call.caller_gone) {
             if (!call.caller_gone && !events.started()) {
                 co_await refuse(exchange, call, give_up_problem());
--- a/lib/gateway/call_relay.h
+++ b/lib/gateway/call_relay.h
@@ -6,6 +6,7 @@
 #include "call_placer.h"
 #include "node_view.h"
 #include "open_call.h"
+#include "platform/call_headers.h"
 #include "resume_filter.h"
 
 #include <cstdint>
@@ -24,6 +25,10 @@
     struct hooks {
         /// A call lost its connection to an endpoint; peers should know its fingerprint.
         std::function<void(std::uint64_t fingerprint)> on_connection_lost;
+        /// What an answer says about the run of its endpoint that began then.
+        std::function<void(std::string_view endpoint, std::uint64_t started_ms,
+                           const platform::endpoint_notice&, support::time_point sent)>
+            on_notice;
     };
 
     call_relay(node_view& view, call_placer& placer, hooks callbacks)
@@ -37,7 +42,13 @@
     [[nodiscard]] std::size_t open_calls() const { return calls_.size(); }
 
 private:
-    enum class attempt_end { answered, not_run, failed, given_up };
+    enum class attempt_end {
+        answered,
+        not_run,
+        failed,
+        given_up,
+        withheld, ///< Nothing was sent, since the endpoint leaves or wants to be left alone.
+    };
 
     /// Fills in what the caller asked for; returns a problem if it cannot be served.
     std::optional<net::problem> admit(const net::http_exchange& exchange, open_call& call);
@@ -56,6 +67,7 @@
     static void note_piece(open_call& call);
     attempt_end after_failure(open_call& call, std::string_view fault);
     attempt_end classify(open_call& call);
+    void note_head(const open_call& call);
     bool may_retry(open_call& call, attempt_end end, bool started);
     void end_attempt(open_call& call);
     void finish(open_call& call, std::string_view outcome, int status);
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -64,11 +64,18 @@
             nullptr,
             fleet::dispatcher(fleet::topology(settings.data_centre, settings.data_centres)),
             fleet::retry_allowance(retry_limits_of(settings)),
+            fleet::endpoint_backoff(settings.name),
             net::exchange_client(io_.get_executor(), std::string(platform::request_id_header)),
             {},
             1,
             false},
-      http_(io_.get_executor()), store_(http_, settings.store_address), engines_(http_),
+      http_(io_.get_executor()), store_(http_, settings.store_address),
+      engines_(http_,
+               [this](std::string_view endpoint, const auto& notice, support::time_point sent) {
+                   if (const auto* record = view_.dispatcher.find(endpoint)) {
+                       on_notice(endpoint, record->started_ms, notice, sent);
+                   }
+               }),
       placer_(view_, {[this](std::string_view peer, const support::json& frame) {
                           return network_.send(peer, frame);
                       },
@@ -76,14 +83,13 @@
                       [this] { return nearest_lead(); },
                       [this](const auto& decision) { relay_.decide(decision); }, [this] { pump(); },
                       [] { return boot_clock::now(); }}),
-      relay_(view_, placer_, {[this](std::uint64_t fingerprint) {
-                 ++view_.lost_connections[fingerprint];
-                 const auto frame = lost_connection_frame(fingerprint);
-                 send_nearby(frame);
-                 if (holds_lease()) {
-                     send_to_leads(frame);
-                 }
-             }}),
+      relay_(view_, placer_,
+             {[this](std::uint64_t fingerprint) {
+                  ++view_.lost_connections[fingerprint];
+                  spread(lost_connection_frame(fingerprint));
+              },
+              [this](std::string_view endpoint, std::uint64_t started_ms, const auto& notice,
+                     support::time_point sent) { on_notice(endpoint, started_ms, notice, sent); }}),
       operator_records_(io_.get_executor(), store_, std::string(platform::operator_topic),
                         milliseconds{0},
                         follower_hooks([this](auto records) { on_operator_records(records); })),
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -85,6 +85,8 @@
     }
     void send_loads();
     void on_lost_connection(std::string_view peer, const support::json& frame);
+    void spread(const support::json& frame);
+    void pass_on(std::string_view peer, const support::json& frame);
     void send_to_leads(const support::json& frame);
     void send_demand(bool with_used);
     void send_notice(const demand_notice& notice);
@@ -94,8 +96,17 @@
     void on_records(std::string_view peer, const support::json& frame);
     [[nodiscard]] node_status own_status();
 
+    // What endpoints say about themselves in answers (gateway_notices.cpp).
+    void on_notice(std::string_view endpoint, std::uint64_t started_ms,
+                   const platform::endpoint_notice& notice, support::time_point sent);
+    void on_peer_notice(std::string_view peer, const support::json& frame);
+    bool take_leaving(std::string_view endpoint, std::uint64_t started_ms, std::string_view source);
+    void take_pause(std::string_view endpoint, support::time_point until, std::string_view source);
+
     // Who leads (gateway_leads.cpp).
     [[nodiscard]] bool holds_lease() const;
+    /// Whether this node holds the lease of its own data centre.
+    [[nodiscard]] bool leads_own() const;
     [[nodiscard]] std::vector<held_lease> heard_leases() const;
     [[nodiscard]] std::string lead_name() const;
     [[nodiscard]] std::vector<std::string> lead_order(const std::string& data_centre,
--- a/lib/gateway/gateway_leads.cpp
+++ b/lib/gateway/gateway_leads.cpp
@@ -58,6 +58,11 @@
                                [](const auto& item) { return item.second->lease().holds(); });
 }
 
+bool gateway::impl::leads_own() const {
+    const auto own = holders_.find(view_.settings.data_centre);
+    return own != holders_.end() && own->second->lease().holds();
+}
+
 /// Whether this node or a peer gives orders to engines.
 bool gateway::impl::loads_possible() const {
     return std::ranges::any_of(holders_, [](const auto& item) { return item.second->active(); }) ||
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -95,6 +95,8 @@
         on_records_request(peer, frame);
     } else if (kind == "r") {
         on_records(peer, frame);
+    } else if (kind == "n") {
+        on_peer_notice(peer, frame);
     } else if (kind == "x") {
         constexpr std::size_t max_fingerprints = 10'000;
         if (view_.lost_connections.size() >= max_fingerprints) {
@@ -113,8 +115,22 @@
         return;
     }
     ++view_.lost_connections[fingerprint->get<std::uint64_t>()];
+    pass_on(peer, frame);
+}
+
+/// Tells the own data centre, and those of other leads if this node leads its own.
+void gateway::impl::spread(const support::json& frame) {
+    send_nearby(frame);
+    if (leads_own()) {
+        send_to_leads(frame);
+    }
+}
+
+/// Passes what a peer spreads on to where it has not been: a lead tells the others what came from
+/// its own data centre, and its own data centre what came from the others.
+void gateway::impl::pass_on(std::string_view peer, const support::json& frame) {
     const auto sender = peers_.find(peer);
-    if (sender == peers_.end() || !holds_lease()) {
+    if (sender == peers_.end() || !leads_own()) {
         return;
     }
     if (is_near(sender->second)) {
@@ -124,10 +140,14 @@
     }
 }
 
-/// Sends to the leads of other data centres.
+/// Sends to the nodes that lead their own data centres, other than this one's. A node that holds
+/// the lease of another data centre is not one of them, or it would get everything twice.
 void gateway::impl::send_to_leads(const support::json& frame) {
     for (const auto& [incarnation, peer] : peers_) {
-        if (!is_near(peer) && !peer.status.leases.empty()) {
+        const auto& status = peer.status;
+        if (!is_near(peer) && std::ranges::any_of(status.leases, [&](const auto& lease) {
+                return lease.data_centre == status.data_centre;
+            })) {
             network_.send(incarnation, frame);
         }
     }
--- a/lib/gateway/open_call.h
+++ b/lib/gateway/open_call.h
@@ -34,8 +34,10 @@
     support::time_point last_piece;
     std::optional<fleet::dispatch_decision> decision;
     std::shared_ptr<net::exchange> exchange;
-    std::size_t sends = 0; ///< Endpoints that it was sent to.
-    std::size_t runs = 0;  ///< Of these, those that may have run it.
+    std::size_t sends = 0;              ///< Endpoints that it was sent to.
+    std::size_t runs = 0;               ///< Of these, those that may have run it.
+    support::time_point sent_at;        ///< The last send.
+    std::uint64_t endpoint_started = 0; ///< Start of the endpoint that it was sent to last.
     send_outcome last_send = send_outcome::none;
     bool caller_gone = false;
     wakeup changed;
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -207,6 +207,27 @@
     return page;
 }
 
+json endpoint_news_frame(const endpoint_news& news) {
+    return {{"type", "n"},
+            {"e", news.endpoint},
+            {"t", news.started_ms},
+            {"l", news.leaving},
+            {"p", news.pause.count()}};
+}
+
+std::optional<endpoint_news> decode_endpoint_news(const json& frame) {
+    const auto row = json::array({frame.value("e", json()), frame.value("t", json()),
+                                  frame.value("l", json()), frame.value("p", json())});
+    endpoint_news news;
+    news.endpoint = text_at(row, 0);
+    news.started_ms = number_at(row, 1);
+    news.leaving = row[2] == true;
+    constexpr std::uint64_t most_ms = 86'400'000; // A day, the longest pause there is.
+    news.pause =
+        std::chrono::milliseconds{static_cast<std::int64_t>(std::min(number_at(row, 3), most_ms))};
+    return news.endpoint.empty() ? std::nullopt : std::optional(std::move(news));
+}
+
 json lost_connection_frame(std::uint64_t fingerprint) {
     return {{"type", "x"}, {"f", fingerprint}};
 }
--- a/lib/gateway/peer_frames.h
+++ b/lib/gateway/peer_frames.h
@@ -6,6 +6,7 @@
 #include "dragonflystair/fleet/load_reports.h"
 #include "dragonflystair/support/json.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -63,6 +64,17 @@
 support::json records_frame(const std::string& topic, const fleet::keyed_page& page);
 fleet::keyed_page decode_records(const support::json& frame);
 
+/// What an endpoint said about itself in an answer to a peer.
+struct endpoint_news {
+    std::string endpoint;
+    std::uint64_t started_ms = 0; ///< Start of the run that said it.
+    bool leaving = false;
+    std::chrono::milliseconds pause{0}; ///< Left of the time that it wants to be left alone.
+};
+
+support::json endpoint_news_frame(const endpoint_news& news);
+std::optional<endpoint_news> decode_endpoint_news(const support::json& frame);
+
 support::json lost_connection_frame(std::uint64_t fingerprint);
 
 } // namespace dragonflystair::gateway
--- a/lib/gateway/placement_holder.cpp
+++ b/lib/gateway/placement_holder.cpp
@@ -164,6 +164,10 @@
 
 net::awaitable<void> placement_holder::carry_out(fleet::planned_order order) {
     const auto self = shared_from_this();
+    if (!view_.may_send(order.endpoint, boot_clock::now())) {
+        planner_.on_outcome(order, fleet::order_outcome::failed, boot_clock::now());
+        co_return;
+    }
     auto text = to_engine_order(order, view_.settings.name, lease_.fence());
     const auto result = co_await engines_.order(order.address, order.endpoint, std::move(text),
                                                 fleet::adapter_planner::answer_time);
@@ -208,6 +212,10 @@
 
 net::awaitable<void> placement_holder::ask(fleet::planned_order order) {
     const auto self = shared_from_this();
+    if (!view_.may_send(order.endpoint, boot_clock::now())) {
+        planner_.on_report_failed(order.endpoint, boot_clock::now());
+        co_return;
+    }
     const auto report = co_await engines_.report(order.address, order.endpoint, report_timeout);
     if (report) {
         planner_.on_report(order.endpoint, report.value(), boot_clock::now());
--- /dev/null
+++ b/unittests/fleet/endpoint_notices_test.cpp
@@ -0,0 +1,309 @@
+#include "dragonflystair/fleet/adapter_planner.h"
+#include "dragonflystair/fleet/dispatcher.h"
+#include "dragonflystair/fleet/endpoint_backoff.h"
+#include "dragonflystair/fleet/endpoint_watch.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::fleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr support::time_point start{std::chrono::hours{1}};
+constexpr std::uint64_t first_run = 1;
+constexpr std::uint64_t second_run = 2;
+/// From this time after its answer on, an endpoint counts what it gets.
+constexpr milliseconds grace{500};
+
+/// When endpoints that asked for a pause are sent something again.
+class endpoint_backoff_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(endpoint_backoff_test);
+    CPPUNIT_TEST(burst_of_calls_leaves_the_endpoint_alone_until_its_time);
+    CPPUNIT_TEST(longer_time_given_later_extends_the_pause);
+    CPPUNIT_TEST(shorter_time_of_an_older_answer_does_not_shorten_it);
+    CPPUNIT_TEST(shorter_time_of_a_later_request_shortens_it);
+    CPPUNIT_TEST(endpoint_that_started_again_is_not_held);
+    CPPUNIT_TEST(time_beyond_a_day_ends_after_a_day);
+    CPPUNIT_TEST(nodes_return_at_different_times);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Replays a call each 10 ms for five seconds to an endpoint that turns all away and asks for
+    /// two seconds each time. At most two may reach it between half a second after an answer and
+    /// the end of its time.
+    void burst_of_calls_leaves_the_endpoint_alone_until_its_time() {
+        std::optional<support::time_point> answered;
+        std::size_t within = 0;
+        std::size_t sent = 0;
+        for (auto now = start; now < start + seconds{5}; now += milliseconds{10}) {
+            if (!backoff_.allows("a", first_run, now)) {
+                continue;
+            }
+            ++sent;
+            if (answered && now >= *answered + grace && now < *answered + seconds{2}) {
+                ++within;
+            }
+            backoff_.on_refused("a", first_run, seconds{2}, now, now);
+            answered = now;
+        }
+        CPPUNIT_ASSERT(within <= 2);
+        CPPUNIT_ASSERT(sent >= 2);
+    }
+
+    void longer_time_given_later_extends_the_pause() {
+        backoff_.on_refused("a", first_run, seconds{1}, start, start);
+        CPPUNIT_ASSERT(backoff_.on_refused("a", first_run, seconds{4}, start, start));
+        CPPUNIT_ASSERT(!backoff_.allows("a", first_run, start + seconds{3}));
+    }
+
+    void shorter_time_of_an_older_answer_does_not_shorten_it() {
+        backoff_.on_refused("a", first_run, seconds{4}, start, start + milliseconds{50});
+        CPPUNIT_ASSERT(!backoff_.on_refused("a", first_run, seconds{1}, start + milliseconds{10},
+                                            start + milliseconds{60}));
+        CPPUNIT_ASSERT(!backoff_.allows("a", first_run, start + seconds{3}));
+    }
+
+    void shorter_time_of_a_later_request_shortens_it() {
+        backoff_.on_refused("a", first_run, seconds{4}, start, start);
+        CPPUNIT_ASSERT(backoff_.on_refused("a", first_run, seconds{1}, start + milliseconds{10},
+                                           start + milliseconds{20}));
+        CPPUNIT_ASSERT(backoff_.allows("a", first_run, start + seconds{2}));
+    }
+
+    void endpoint_that_started_again_is_not_held() {
+        backoff_.on_refused("a", first_run, seconds{4}, start, start);
+        CPPUNIT_ASSERT(backoff_.allows("a", second_run, start + milliseconds{1}));
+    }
+
+    void time_beyond_a_day_ends_after_a_day() {
+        backoff_.on_refused("a", first_run, std::chrono::hours{48}, start, start);
+        CPPUNIT_ASSERT(backoff_.allows("a", first_run, start + std::chrono::hours{25}));
+    }
+
+    void nodes_return_at_different_times() {
+        std::set<support::time_point> ends;
+        for (int node = 0; node < 20; ++node) {
+            endpoint_backoff other("node-" + std::to_string(node));
+            ends.insert(*other.on_refused("a", first_run, seconds{1}, start, start));
+        }
+        CPPUNIT_ASSERT(ends.size() >= 10);
+    }
+
+private:
+    endpoint_backoff backoff_{"node-1"};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_backoff_test);
+
+/// What an endpoint says of its leaving in an answer.
+class endpoint_leaving_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(endpoint_leaving_test);
+    CPPUNIT_TEST(answer_is_believed_whatever_the_list_says);
+    CPPUNIT_TEST(word_of_the_former_run_does_not_hold_the_next);
+    CPPUNIT_TEST(word_that_comes_before_the_entry_is_kept);
+    CPPUNIT_TEST(word_is_news_once);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void answer_is_believed_whatever_the_list_says() {
+        watch_.on_listed(listed(first_run));
+        CPPUNIT_ASSERT(watch_.on_said_leaving("a", first_run));
+        CPPUNIT_ASSERT(watch_.on_listed(listed(first_run))->draining);
+    }
+
+    void word_of_the_former_run_does_not_hold_the_next() {
+        watch_.on_listed(listed(second_run));
+        CPPUNIT_ASSERT(!watch_.on_said_leaving("a", first_run));
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(second_run))->draining);
+    }
+
+    void word_that_comes_before_the_entry_is_kept() {
+        CPPUNIT_ASSERT(watch_.on_said_leaving("a", first_run));
+        CPPUNIT_ASSERT(watch_.on_listed(listed(first_run))->draining);
+    }
+
+    void word_is_news_once() {
+        watch_.on_listed(listed(first_run));
+        CPPUNIT_ASSERT(watch_.on_said_leaving("a", first_run));
+        CPPUNIT_ASSERT(!watch_.on_said_leaving("a", first_run));
+    }
+
+private:
+    static endpoint_record listed(std::uint64_t started_ms) {
+        endpoint_record record;
+        record.id = "a";
+        record.started_ms = started_ms;
+        return record;
+    }
+
+    endpoint_watch watch_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_leaving_test);
+
+/// Calls and loads while an endpoint leaves or is to be left alone.
+class endpoint_notice_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(endpoint_notice_test);
+    CPPUNIT_TEST(leaving_endpoint_gets_no_new_call);
+    CPPUNIT_TEST(paused_endpoint_gets_no_call_and_the_other_all);
+    CPPUNIT_TEST(call_is_refused_at_once_when_all_pause_beyond_its_time);
+    CPPUNIT_TEST(call_waits_for_a_pause_that_ends_in_time);
+    CPPUNIT_TEST(work_returns_gradually_after_a_pause);
+    CPPUNIT_TEST(adapter_on_a_paused_engine_counts_as_missing);
+    CPPUNIT_TEST(planner_loads_elsewhere_what_a_paused_engine_holds);
+    CPPUNIT_TEST(planner_loads_elsewhere_what_a_leaving_engine_holds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override {
+        configuration current;
+        service assistant;
+        assistant.name = "assistant";
+        assistant.has_engines = true;
+        assistant.engines.batch_slots = slots;
+        assistant.engines.weights_mb = 100;
+        assistant.engines.adapter_slots = 3;
+        assistant.engines.models = {{"base", 50, 1, milliseconds{600}}};
+        current.services = {{"assistant", assistant}};
+        dispatcher_ = std::make_unique<dispatcher>(topology("north", {{"north", "n"}}));
+        dispatcher_->configure(current);
+        planner_ = std::make_unique<adapter_planner>();
+        planner_->configure(current);
+        for (const auto* name : {"a", "b"}) {
+            dispatcher_->update(engine(name));
+            planner_->update(engine(name));
+        }
+    }
+
+    void leaving_endpoint_gets_no_new_call() {
+        dispatcher_->set_leaving("a");
+        CPPUNIT_ASSERT(places(2, start) == std::vector<std::string>({"b", "b"}));
+        CPPUNIT_ASSERT(dispatcher_->find("a") == nullptr || dispatcher_->find("a")->draining);
+    }
+
+    void paused_endpoint_gets_no_call_and_the_other_all() {
+        dispatcher_->pause("a", start + seconds{5});
+        CPPUNIT_ASSERT(places(3, start) == std::vector<std::string>({"b", "b", "b"}));
+    }
+
+    /// What cannot be served is refused on arrival, with the time at which there is room.
+    void call_is_refused_at_once_when_all_pause_beyond_its_time() {
+        dispatcher_->pause("a", start + seconds{9});
+        dispatcher_->pause("b", start + seconds{5});
+        dispatcher_->submit(call(1));
+        const auto decisions = dispatcher_->pump(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
+        CPPUNIT_ASSERT(decisions.front().reason == refusal::paused);
+        CPPUNIT_ASSERT(decisions.front().retry_after >= seconds{5});
+    }
+
+    void call_waits_for_a_pause_that_ends_in_time() {
+        dispatcher_->pause("a", start + seconds{5});
+        dispatcher_->pause("b", start + milliseconds{300});
+        dispatcher_->submit(call(1));
+        CPPUNIT_ASSERT(dispatcher_->pump(start).empty());
+        const auto decisions = dispatcher_->pump(start + milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), decisions.at(0).endpoint);
+    }
+
+    /// Replays calls that wait for the end of an overloaded endpoint's pause.
+    void work_returns_gradually_after_a_pause() {
+        dispatcher_->set_leaving("b");
+        dispatcher_->pause("a", start + milliseconds{200});
+        const auto first = places(slots, start + milliseconds{200}).size();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first);
+        const auto next = dispatcher_->pump(start + milliseconds{450}).size();
+        CPPUNIT_ASSERT(first + next <= slots / 2);
+        const auto rest = dispatcher_->pump(start + seconds{2}).size();
+        CPPUNIT_ASSERT_EQUAL(slots, first + next + rest);
+    }
+
+    void adapter_on_a_paused_engine_counts_as_missing() {
+        dispatcher_->set_residency("a", rare, residency::ready, 1);
+        dispatcher_->pause("a", start + seconds{5});
+        auto wanted = call(1);
+        wanted.model = rare;
+        dispatcher_->submit(wanted);
+        CPPUNIT_ASSERT(dispatcher_->pump(start).empty());
+        CPPUNIT_ASSERT(dispatcher_->take_demand().at(0).what == rare);
+    }
+
+    void planner_loads_elsewhere_what_a_paused_engine_holds() {
+        planner_->update(engine("c", true));
+        planner_->pause("c", start + seconds{5});
+        CPPUNIT_ASSERT(load_order().endpoint != "c");
+    }
+
+    void planner_loads_elsewhere_what_a_leaving_engine_holds() {
+        planner_->update(engine("c", true));
+        planner_->set_leaving("c");
+        CPPUNIT_ASSERT(load_order().endpoint != "c");
+    }
+
+private:
+    static constexpr std::size_t slots = 8;
+    const model_name rare{"base", "rare"};
+
+    static endpoint_record engine(const std::string& id, bool has_rare = false) {
+        endpoint_record record;
+        record.id = id;
+        record.service = "assistant";
+        record.address = "10.0.0.1:80";
+        record.data_centre = "north";
+        record.slots = slots;
+        record.started_ms = first_run;
+        record.models = {{"base", 1, {}}};
+        if (has_rare) {
+            record.models.front().adapters = {{"rare", 1}};
+        }
+        return record;
+    }
+
+    static pending_call call(std::uint64_t number) {
+        pending_call made;
+        made.number = number;
+        made.service = "assistant";
+        made.model = {"base", {}};
+        made.arrived = start;
+        made.objective_at = start + seconds{3};
+        made.give_up_at = made.objective_at;
+        return made;
+    }
+
+    /// Endpoints of so many calls that come at once.
+    std::vector<std::string> places(std::size_t calls, support::time_point now) {
+        for (std::size_t number = 1; number <= calls; ++number) {
+            dispatcher_->submit(call(number));
+        }
+        std::vector<std::string> out;
+        for (const auto& decision : dispatcher_->pump(now)) {
+            out.push_back(decision.endpoint);
+        }
+        return out;
+    }
+
+    planned_order load_order() {
+        planner_->on_demand({rare, "north", 1, 0, 0, {}}, start);
+        const auto orders = planner_->plan(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT(orders.front().kind == planned_kind::load);
+        return orders.front();
+    }
+
+    std::unique_ptr<dispatcher> dispatcher_;
+    std::unique_ptr<adapter_planner> planner_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_notice_test);
+
+} // namespace
--- a/unittests/gateway/call_placer_test.cpp
+++ b/unittests/gateway/call_placer_test.cpp
@@ -75,6 +75,7 @@
                 nullptr,
                 fleet::dispatcher(places_),
                 fleet::retry_allowance({0.2, 50, milliseconds{10'000}}),
+                fleet::endpoint_backoff(name),
                 net::exchange_client(io.get_executor(), "Request-Id"),
                 {},
                 1,
--- /dev/null
+++ b/unittests/gateway/endpoint_notice_test.cpp
@@ -0,0 +1,167 @@
+#include "gateway_fixture.h"
+
+#include <array>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::gateway;
+
+const std::string configuration = R"({"version":3,"routes":[
+    {"name":"stamps","host":"desk","path-prefix":"/stamps/","kind":"unsafe","timeout-ms":9000,
+     "slo-ms":300,"attempts":2,"service":"register"}],"services":[{"name":"register"}]})";
+
+/// More calls than the two endpoints have places, so that each of them would get some.
+constexpr int many_calls = 20;
+constexpr int pause_s = 30;
+
+/// A second gateway in this process. It ends with the first one, as a signal reaches both.
+struct second_node {
+    second_node(const config::gateway_settings& settings, std::thread& first)
+        : node(settings, [] { return std::nullopt; }), first_run(first),
+          run([this] { node.run(); }) {}
+    ~second_node() {
+        ::kill(::getpid(), SIGTERM);
+        run.join();
+        first_run.join();
+    }
+    second_node(const second_node&) = delete;
+    second_node& operator=(const second_node&) = delete;
+
+    dragonflystair::gateway::gateway node;
+    std::thread& first_run;
+    std::thread run;
+};
+
+/// Gateways before two plain endpoints that say something about themselves in their answers.
+class endpoint_notice_test : public gateway_fixture {
+    CPPUNIT_TEST_SUITE(endpoint_notice_test);
+    CPPUNIT_TEST(endpoint_that_says_it_leaves_gets_no_later_call);
+    CPPUNIT_TEST(leaving_said_to_one_node_is_known_to_the_other);
+    CPPUNIT_TEST(endpoint_that_asks_for_a_pause_is_left_alone);
+    CPPUNIT_TEST(calls_are_refused_at_once_while_all_endpoints_pause);
+    CPPUNIT_TEST(damaged_notice_is_counted_and_changes_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void tearDown() override {
+        stop_threads();
+        endpoints_ = {};
+        gateway_fixture::tearDown();
+    }
+
+    void endpoint_that_says_it_leaves_gets_no_later_call() {
+        start({200, {{"Server-Leaving", "1"}}}, {200, {}});
+        call_until_first_is_met();
+        const int before = endpoints_[0]->calls();
+        for (int number = 0; number < many_calls; ++number) {
+            CPPUNIT_ASSERT_EQUAL(200, call("/stamps/1", "later-" + std::to_string(number)).status);
+        }
+        CPPUNIT_ASSERT_EQUAL(before, endpoints_[0]->calls());
+        output->expect(
+            {"event=endpoint ", "endpoint=endpoint-1", "state=leaving", "source=answer"});
+    }
+
+    void leaving_said_to_one_node_is_known_to_the_other() {
+        start({200, {{"Server-Leaving", "1"}}}, {200, {}});
+        auto settings = settings_of("node-2");
+        settings.store_address = "127.0.0.1:1"; // It knows only what its peer tells.
+        settings.peers = {peer_address};
+        second_node second(settings, running);
+        output->expect({"event=endpoint ", "endpoint=endpoint-1", "state=ready"}, 2);
+        call_until_first_is_met();
+        output->expect({"event=endpoint ", "endpoint=endpoint-1", "state=leaving", "source=peer"});
+        const int before = endpoints_[0]->calls();
+        address = second.node.caller_address();
+        for (int number = 0; number < many_calls; ++number) {
+            CPPUNIT_ASSERT_EQUAL(200, call("/stamps/1", "second-" + std::to_string(number)).status);
+        }
+        CPPUNIT_ASSERT_EQUAL(before, endpoints_[0]->calls());
+    }
+
+    /// The call that was turned away is served by the other endpoint, and so are all later ones.
+    void endpoint_that_asks_for_a_pause_is_left_alone() {
+        start(turned_away(), {200, {}});
+        for (int number = 0; number < many_calls; ++number) {
+            CPPUNIT_ASSERT_EQUAL(200, call("/stamps/1", "call-" + std::to_string(number)).status);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, endpoints_[0]->calls());
+        output->expect({"event=endpoint_paused", "endpoint=endpoint-1", "source=answer"});
+    }
+
+    void calls_are_refused_at_once_while_all_endpoints_pause() {
+        start(turned_away(), turned_away());
+        call("/stamps/1", "first");
+        call("/stamps/1", "second");
+        const int before = endpoints_[0]->calls() + endpoints_[1]->calls();
+        const auto answer = call("/stamps/1", "third");
+        CPPUNIT_ASSERT_EQUAL(503, answer.status);
+        CPPUNIT_ASSERT(std::stod(std::string(net::header(answer.headers, "Retry-After"))) >
+                       pause_s / 2);
+        CPPUNIT_ASSERT_EQUAL(before, endpoints_[0]->calls() + endpoints_[1]->calls());
+        CPPUNIT_ASSERT(before <= 2);
+        output->expect({"event=call_refused", "request=third", "reason=endpoints_paused"});
+    }
+
+    void damaged_notice_is_counted_and_changes_nothing() {
+        start({200, {{"Server-Leaving", "maybe"}}}, {200, {{"Server-Leaving", ""}}});
+        CPPUNIT_ASSERT_EQUAL(200, call("/stamps/1", "first").status);
+        output->expect({"event=endpoint_notice_damaged"});
+        CPPUNIT_ASSERT_EQUAL(200, call("/stamps/1", "second").status);
+        CPPUNIT_ASSERT_EQUAL(0, output->count({"state=leaving"}));
+    }
+
+private:
+    /// Status and headers of all answers of an endpoint.
+    struct manner {
+        int status = 200;
+        net::http_headers headers;
+    };
+
+    static manner turned_away() {
+        return {503, {{"Not-Run", "1"}, {"Retry-After", std::to_string(pause_s)}}};
+    }
+
+    static endpoint_stand_in::call_handler answer_as(manner how) {
+        return [how = std::move(how)](net::http_exchange& exchange) -> net::awaitable<void> {
+            auto response = endpoint_stand_in::signed_head(exchange);
+            response.status = how.status;
+            response.headers.insert(how.headers.begin(), how.headers.end());
+            co_await exchange.respond(std::move(response));
+        };
+    }
+
+    void start(manner first, manner second) {
+        store->put("keyed.op", "config", configuration);
+        std::size_t place = 0;
+        for (auto* how : {&first, &second}) {
+            auto& endpoint = endpoints_[place++];
+            endpoint = std::make_unique<endpoint_stand_in>(context->get(), answer_as(*how));
+            store->put("keyed.servers", "endpoint-" + std::to_string(place),
+                       R"({"service":"register","addr":")" + endpoint->address() +
+                           R"(","zone":"north","slots":6,"state":"ready","seq":0,"born":1,)"
+                           R"("models":[]})");
+        }
+        start_gateway();
+        output->expect({"event=endpoint ", "endpoint=endpoint-1"});
+        output->expect({"event=endpoint ", "endpoint=endpoint-2"});
+        output->expect({"event=configuration"});
+    }
+
+    void call_until_first_is_met() {
+        for (int number = 0; endpoints_[0]->calls() == 0 && number < many_calls; ++number) {
+            call("/stamps/1", "early-" + std::to_string(number));
+        }
+        CPPUNIT_ASSERT(endpoints_[0]->calls() > 0);
+    }
+
+    std::array<std::unique_ptr<endpoint_stand_in>, 2> endpoints_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_notice_test);
+
+} // namespace
