--- a/unittests/soak/soak_endpoint.cpp
+++ b/unittests/soak/soak_endpoint.cpp
@@ -77,6 +77,10 @@
 }
 
 void soak_endpoint::announce_leaving() {
+    {
+        const std::lock_guard lock(mutex_);
+        leaving_ = true;
+    }
     publish_record("draining");
 }
 
@@ -85,6 +89,7 @@
     {
         const std::lock_guard lock(mutex_);
         former = std::exchange(id_, fmt::format("{}-{}", name_, ++starts_));
+        leaving_ = false;
         adapters_.clear();
         holders_.clear();
         orders_accepted_ = 0;
@@ -168,6 +173,16 @@
     return status_only(202);
 }
 
+void soak_endpoint::add_notice(net::http_response& response) {
+    const std::lock_guard lock(mutex_);
+    if (leaving_) {
+        response.headers[std::string(platform::leaving_header)] = "1";
+    }
+    if (response.status == 503 && trouble_ == endpoint_trouble::full) {
+        response.headers[std::string(platform::retry_after_header)] = "1";
+    }
+}
+
 /// Whether a request is meant for another start of this endpoint.
 bool soak_endpoint::misdirected(const net::http_request& request) {
     const std::lock_guard lock(mutex_);
@@ -203,6 +218,7 @@
         co_await serve_call(exchange);
         co_return;
     }
+    add_notice(response);
     co_await exchange.respond(std::move(response));
 }
 
@@ -213,6 +229,7 @@
         auto response = status_only(status);
         response.headers[std::string(platform::request_id_header)] = id;
         response.headers[std::string(platform::not_run_header)] = "1";
+        add_notice(response);
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -245,6 +262,7 @@
     net::http_response response;
     response.headers[std::string(platform::request_id_header)] = id;
     response.headers[std::string(platform::signature_header)] = signature_of(id);
+    add_notice(response);
     if (trouble == endpoint_trouble::loses_answer) {
         // A stream that is not ended breaks the connection.
         co_await exchange.begin_stream(std::move(response));
@@ -261,6 +279,7 @@
     head.headers[std::string(platform::request_id_header)] = id;
     head.headers[std::string(platform::signature_header)] = signature_of(id);
     head.headers["Content-Type"] = "text/event-stream";
+    add_notice(head);
     const int first = first_event_of(exchange.request());
     co_await exchange.begin_stream(std::move(head));
     for (int number = first; number <= stream_events; ++number) {
--- a/unittests/soak/soak_endpoint.h
+++ b/unittests/soak/soak_endpoint.h
@@ -20,7 +20,7 @@
     none,
     fails,        ///< Runs a call and answers 500.
     loses_answer, ///< Runs a call and breaks its answer off.
-    full,         ///< Rejects calls without running them.
+    full,         ///< Rejects calls without running them and says when to come back.
 };
 
 /// An endpoint before which gateways stand: a plain one or an engine with adapters. It counts what
@@ -41,7 +41,7 @@
     /// Registers under the address by which gateways reach it.
     void enter(const std::string& advertised);
     void set_trouble(endpoint_trouble trouble);
-    /// Says that it leaves and goes on serving.
+    /// Says that it leaves, to the store and in all answers, and goes on serving.
     void announce_leaving();
     /// Starts again under a new id, with nothing loaded but the base model.
     void restart();
@@ -62,6 +62,8 @@
     /// Why a call is not run: an HTTP status, or 0.
     int rejection(const net::http_request& request);
     void publish_record(const std::string& state);
+    /// Adds what the endpoint says about itself in every answer.
+    void add_notice(net::http_response& response);
     [[nodiscard]] support::json models_locked() const;
     [[nodiscard]] bool is_engine() const { return service_ == "assistant"; }
 
@@ -75,6 +77,7 @@
     std::string advertised_;
     int starts_ = 0;
     std::size_t running_ = 0;
+    bool leaving_ = false;
     endpoint_trouble trouble_ = endpoint_trouble::none;
     std::uint64_t orders_accepted_ = 0;
     std::uint64_t highest_fence_ = 0;
