--- a/lib/gateway/call_relay.cpp
+++ b/lib/gateway/call_relay.cpp
@@ -163,11 +163,7 @@
     while (true) {
         const bool decided = co_await wait_for_decision(call);
         if (!decided) {
-            if (!call.caller_gone && !events.started()) {
-                co_await refuse(exchange, call, give_up_problem());
-            } else {
-                finish(call, call.caller_gone ? "caller_gone" : "deadline_passed", 0);
-            }
+            co_await give_up(exchange, call, events.started());
             co_return;
         }
         if (call.decision->endpoint.empty()) {
@@ -194,11 +190,7 @@
             continue;
         }
         if (end == attempt_end::given_up || call.caller_gone) {
-            if (!call.caller_gone && !events.started()) {
-                co_await refuse(exchange, call, give_up_problem());
-            } else {
-                finish(call, call.caller_gone ? "caller_gone" : "deadline_passed", 0);
-            }
+            co_await give_up(exchange, call, events.started());
             co_return;
         }
         if (may_retry(call, end, events.started())) {
@@ -222,6 +214,16 @@
     }
 }
 
+/// Ends a call whose caller has gone or whose time is over.
+net::awaitable<void> call_relay::give_up(net::http_exchange& exchange, open_call& call,
+                                         bool started) {
+    if (!call.caller_gone && !started) {
+        co_await refuse(exchange, call, give_up_problem());
+    } else {
+        finish(call, call.caller_gone ? "caller_gone" : "deadline_passed", 0);
+    }
+}
+
 /// False if the caller has gone or its time is over.
 net::awaitable<bool> call_relay::wait_for_decision(open_call& call) {
     while (!call.decision) {
--- a/lib/gateway/call_relay.h
+++ b/lib/gateway/call_relay.h
@@ -61,6 +61,7 @@
     net::awaitable<bool> relay_stream(net::http_exchange& exchange, open_call& call,
                                       resume_filter& events);
     net::awaitable<void> serve_admitted(net::http_exchange& exchange, open_call& call);
+    net::awaitable<void> give_up(net::http_exchange& exchange, open_call& call, bool started);
     net::awaitable<void> refuse(net::http_exchange& exchange, const open_call& call,
                                 net::problem item);
     void note_refusal(const open_call& call, const net::problem& item);
