Hold adapters for calls that return, but load none for them ahead of time

Cause: loads begun for calls that might come back took places that calls wanted at once, and the places were kept until the return. Change: only what is there is kept. With it: the end of a wait is noted also when its refusal comes first, which had hidden most reasons; a conflict after an unanswered order counts as its acceptance, as on links that lose packets the answer comes later than the repeat; a look whether a load is under way goes through all endpoints, so a call takes one in 20 ms.

--- a/include/dragonflystair/fleet/adapter_planner.h
+++ b/include/dragonflystair/fleet/adapter_planner.h
@@ -30,6 +30,7 @@
     std::optional<std::uint64_t> version;
     std::uint64_t orders_accepted = 0; ///< The engine's count that the order expects.
     bool check = false;                ///< The order was accepted before.
+    bool repeat = false;               ///< It was given before and got no answer.
 };
 
 /// How an engine answered an order.
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -108,7 +108,9 @@
         item.crowded = 0;
         item.first_diverted = now;
     }
-    if (item.waiting == 0) {
+    if (demand.waiting == 0) {
+        impl_->end_wait(demand.what, item);
+    } else if (item.waiting == 0) {
         item.waiting_since = now;
     }
     item.waiting = demand.waiting;
@@ -152,18 +154,23 @@
     }
 }
 
-/// Forgets demand that was not repeated and notes that which no order was given for.
+/// Notes calls that gave up without an order for their adapter. Those that come back wait anew.
+void adapter_planner::impl::end_wait(const model_name& what, wanted& demand) {
+    if (demand.waiting > 0 && demand.held_back != hold_back::none) {
+        unmet.push_back(
+            {what, demand.waiting, demand.asked - demand.waiting_since, demand.held_back});
+    }
+    demand.waiting = 0;
+}
+
+/// Forgets demand that was not repeated.
 void adapter_planner::impl::drop_ended_demand(time_point now) {
     for (auto item = demands.begin(); item != demands.end();) {
         auto& [what, demand] = *item;
         const auto age = now - demand.asked;
         const bool gave_up = demand.waiting > 0 && age > demand_lifetime;
-        if (gave_up && demand.held_back != hold_back::none) {
-            unmet.push_back(
-                {what, demand.waiting, demand.asked - demand.waiting_since, demand.held_back});
-        }
         if (gave_up) {
-            demand.waiting = 0; // Calls that come back wait anew.
+            end_wait(what, demand);
         }
         const bool ended = (gave_up || age > diverted_window) && now >= demand.returns_by;
         item = ended ? demands.erase(item) : std::next(item);
--- a/lib/fleet/adapter_planner_impl.h
+++ b/lib/fleet/adapter_planner_impl.h
@@ -104,6 +104,7 @@
     [[nodiscard]] bool takes_load(const engine& item, time_point now) const;
     std::optional<planned_order> demand_order(time_point now, const model_name& what,
                                               wanted& demand, std::span<const std::string> names);
+    void end_wait(const model_name& what, wanted& demand);
     void drop_ended_demand(time_point now);
     std::optional<model_name> victim(const engine& item, double worth, time_point now) const;
     [[nodiscard]] bool fits(const engine& item, const model_name& what) const;
--- a/lib/fleet/adapter_planner_orders.cpp
+++ b/lib/fleet/adapter_planner_orders.cpp
@@ -174,9 +174,7 @@
     if (demand.crowded >= crowded_worth_copy) {
         return true;
     }
-    return (demand.waiting > 0 || demand.diverted >= diverted_worth_copy ||
-            demand.returns_by > now) &&
-           !placed(what, now);
+    return (demand.waiting > 0 || demand.diverted >= diverted_worth_copy) && !placed(what, now);
 }
 
 /// Whether calls that were told to come back for the adapter are still to come.
--- a/lib/fleet/adapter_planner_outcomes.cpp
+++ b/lib/fleet/adapter_planner_outcomes.cpp
@@ -59,8 +59,7 @@
 /// What was ordered is so.
 void adapter_planner::impl::on_holds(engine& item, const planned_order& order, time_point now) {
     // A load that was not answered was carried out if its repeat already holds.
-    const bool repeated = item.unanswered > 0 && !order.check;
-    if (repeated && order.kind == planned_kind::load) {
+    if (order.repeat && order.kind == planned_kind::load) {
         ++item.orders_accepted;
     }
     if (order.what.adapter.empty()) {
@@ -102,13 +101,15 @@
     }
     if (!order.check) {
         item.repeat = order;
+        item.repeat->repeat = true;
     }
 }
 
 void adapter_planner::impl::on_conflict(engine& item, const planned_order& order, time_point now) {
-    if (item.unanswered > 0) {
-        // One of the tries was carried out after all.
-        ask_for_report(item, now);
+    if (order.repeat) {
+        // Only this node orders, so what changed the count was a try without an answer.
+        item.unanswered = 0;
+        on_accepted(item, order, now);
         return;
     }
     withdraw(item, order);
@@ -144,7 +145,7 @@
         impl_->on_conflict(item, order, now);
         return;
     case order_outcome::failed:
-        if (item.unanswered > 0) {
+        if (order.repeat) {
             impl_->ask_for_report(item, now);
             return;
         }
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -48,6 +48,10 @@
 /// Time over which work returns to an endpoint that had asked for a pause.
 constexpr milliseconds return_time{1'000};
 
+/// How often a call that waits for a load looks whether that is still under way, as each look goes
+/// through all endpoints.
+constexpr milliseconds load_look_period{20};
+
 /// Window over which the rate of placements is measured.
 constexpr milliseconds rate_window{1'000};
 
@@ -352,8 +356,15 @@
 
 /// Whether a call that should be refused waits on: its adapter is on its way, and coming back would
 /// cost it more time than the rest of the load.
-bool dispatcher::impl::awaits_load(const open_call& open, time_point now) const {
-    return open.missing && now < open.call.loading_until && loading(open.call.model) != nullptr;
+bool dispatcher::impl::awaits_load(open_call& open, time_point now) const {
+    if (!open.missing || now >= open.call.loading_until) {
+        return false;
+    }
+    if (!open.awaits_load || now - open.load_looked_at >= load_look_period) {
+        open.load_looked_at = now;
+        return loading(open.call.model) != nullptr;
+    }
+    return true;
 }
 
 /// Places or refuses a call if that can be decided now; nothing if it goes on waiting.
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -102,6 +102,7 @@
     std::optional<time_point> passes_at; ///< Another data centre is asked then.
     bool missing = false;                ///< It waits for its adapter rather than for a place.
     bool awaits_load = false;            ///< Its time is over, but its adapter is on its way.
+    time_point load_looked_at;           ///< When that was last seen to be so.
 };
 
 /// An endpoint that a call could go to, and what that would cost.
@@ -137,7 +138,7 @@
                              bool adapter_missing) const;
     std::optional<dispatch_decision> decide(open_call& open, std::size_t ahead, time_point now);
     [[nodiscard]] std::optional<time_point> paused_beyond(const open_call& open);
-    [[nodiscard]] bool awaits_load(const open_call& open, time_point now) const;
+    [[nodiscard]] bool awaits_load(open_call& open, time_point now) const;
     void release(open_call& open);
     void note_use(const choice& chosen, const model_name& what);
     [[nodiscard]] static bool considers(const endpoint& item, const pending_call& call);
