Count no load as under way whose end or begin was not seen

Cause: while engines leave orders unanswered the limit on loads from the store held them back: a load that had ended counted until a look was answered, one without an answer counted although it had not begun, and late looks made loads seem slow, which narrowed the limit. Fix: a load of twice the usual time counts as ended, an unanswered order as not begun, and the time of a load is not learnt while orders of its engine go unanswered. Tests: one each for the end and the time, seen failing without it; the begin has none.

--- a/lib/fleet/adapter_planner_impl.h
+++ b/lib/fleet/adapter_planner_impl.h
@@ -62,6 +62,7 @@
     bool needs_report = false;
     std::size_t conflicts = 0;           ///< In a row.
     std::size_t unanswered = 0;          ///< Orders in a row.
+    time_point unanswered_at;            ///< When that was last found.
     std::optional<planned_order> repeat; ///< An order without an answer, to be given again.
     time_point paused_until;             ///< After an order that failed.
     time_point left_alone_until;         ///< As it asked for.
@@ -99,7 +100,7 @@
     std::optional<planned_order> model_order(engine& item, time_point now);
     std::optional<planned_order> due_check(engine& item, time_point now);
     std::optional<planned_order> version_order(engine& item, time_point now);
-    [[nodiscard]] std::size_t loads_from_store() const;
+    [[nodiscard]] std::size_t loads_from_store(time_point now) const;
     [[nodiscard]] bool had_recently(const model_name& what) const;
     [[nodiscard]] bool takes_load(const engine& item, time_point now) const;
     std::optional<planned_order> demand_order(time_point now, const model_name& what,
--- a/lib/fleet/adapter_planner_orders.cpp
+++ b/lib/fleet/adapter_planner_orders.cpp
@@ -192,15 +192,19 @@
     });
 }
 
-/// Adapters that are on their way from the store to engines of the data centre.
-std::size_t adapter_planner::impl::loads_from_store() const {
+/// Adapters that are on their way from the store to engines of the data centre. A load that takes
+/// twice the usual time has probably ended and was not seen, and one whose order was not answered
+/// has not begun.
+std::size_t adapter_planner::impl::loads_from_store(time_point now) const {
+    const auto longest = 2 * window.expected();
     std::size_t count = 0;
     for (const auto& [id, item] : engines) {
-        count +=
-            static_cast<std::size_t>(std::ranges::count_if(item.adapters, [](const auto& held) {
-                return held.second.from_store && (held.second.state == slot_state::loading ||
-                                                  held.second.state == slot_state::ordered);
-            }));
+        for (const auto& [what, held] : item.adapters) {
+            const bool ordered = held.state == slot_state::ordered && item.unanswered == 0;
+            const bool loading = held.state == slot_state::loading &&
+                                 (!held.ordered_at || now - *held.ordered_at < longest);
+            count += held.from_store && (ordered || loading) ? 1 : 0;
+        }
     }
     return count;
 }
@@ -241,7 +245,7 @@
     constexpr double any_rate = 1e9;
     const double worth = demand.waiting > 0 ? any_rate : popular.rate(key_of(what), now);
     const bool may_fetch =
-        loads_from_store() < window.limit() &&
+        loads_from_store(now) < window.limit() &&
         (now - demand.waiting_since >= former_engine_patience || !had_recently(what));
     demand.held_back = may_fetch ? hold_back::adapters_in_use : hold_back::store_busy;
     auto order = support::rendezvous_order(key_of(what), names);
--- a/lib/fleet/adapter_planner_outcomes.cpp
+++ b/lib/fleet/adapter_planner_outcomes.cpp
@@ -75,7 +75,10 @@
         return;
     }
     auto& held = item.adapters[order.what];
-    if (order.check && held.ordered_at && !held.replaces && !item.recent.contains(order.what)) {
+    // While an order of the engine goes unanswered, the ends of its loads are seen late.
+    const bool seen_late = held.ordered_at && item.unanswered_at >= *held.ordered_at;
+    if (order.check && held.ordered_at && !seen_late && !held.replaces &&
+        !item.recent.contains(order.what)) {
         window.on_load_done(now - *held.ordered_at, now);
     }
     held.replaces = false;
@@ -95,6 +98,7 @@
 /// each order names the count that it expects. So it is given again at once.
 void adapter_planner::impl::on_unanswered(engine& item, const planned_order& order,
                                           time_point now) {
+    item.unanswered_at = now;
     if (++item.unanswered > max_repeats) {
         ask_for_report(item, now);
         return;
--- a/unittests/fleet/adapter_planner_test.cpp
+++ b/unittests/fleet/adapter_planner_test.cpp
@@ -158,6 +158,8 @@
     CPPUNIT_TEST(many_diverted_calls_bring_a_copy);
     CPPUNIT_TEST(adapter_stays_until_the_calls_that_were_refused_for_it_are_back);
     CPPUNIT_TEST(demand_that_no_order_met_is_told_with_its_reason);
+    CPPUNIT_TEST(load_whose_end_is_not_seen_holds_no_other_back_for_long);
+    CPPUNIT_TEST(loads_whose_ends_are_seen_late_do_not_narrow_the_window);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -549,6 +551,48 @@
         CPPUNIT_ASSERT(unmet.front().reason == hold_back::adapters_in_use);
     }
 
+    /// Guards against a store that counts as busy while looks at loads that have ended go
+    /// unanswered.
+    void load_whose_end_is_not_seen_holds_no_other_back_for_long() {
+        planner_->on_demand(waiting_for("x"), now_);
+        planner_->on_outcome(planner_->plan(now_).at(0), order_outcome::accepted, now_);
+        now_ += milliseconds{600};
+        planner_->on_outcome(planner_->plan(now_).at(0), order_outcome::unknown, now_);
+        planner_->on_demand(waiting_for("y"), now_);
+        const auto order = planner_->plan(now_).at(0);
+        CPPUNIT_ASSERT_EQUAL(std::string("y"), order.what.adapter);
+    }
+
+    /// Replays three loads whose looks go unanswered, then two adapters at once.
+    void loads_whose_ends_are_seen_late_do_not_narrow_the_window() {
+        for (const auto* name : {"x", "y", "z"}) {
+            load(name);
+        }
+        for (const auto* name : {"s", "v", "w"}) {
+            now_ += std::chrono::seconds{1};
+            planner_->on_demand(waiting_for(name), now_);
+            planner_->on_outcome(planner_->plan(now_).at(0), order_outcome::holds, now_);
+            planner_->on_outcome(planner_->plan(now_).at(0), order_outcome::accepted, now_);
+            now_ += milliseconds{600};
+            planner_->on_outcome(planner_->plan(now_).at(0), order_outcome::unknown, now_);
+            now_ += milliseconds{600};
+            planner_->on_outcome(planner_->plan(now_).at(0), order_outcome::holds, now_);
+        }
+        now_ += std::chrono::seconds{1};
+        std::set<std::string> loaded;
+        for (int step = 0; step < 4; ++step) {
+            planner_->on_demand(waiting_for("t"), now_);
+            planner_->on_demand(waiting_for("u"), now_);
+            for (const auto& order : planner_->plan(now_)) {
+                const bool loads = order.kind == planned_kind::load;
+                loaded.insert(loads ? order.what.adapter : "");
+                planner_->on_outcome(order, loads ? order_outcome::accepted : order_outcome::holds,
+                                     now_);
+            }
+        }
+        CPPUNIT_ASSERT(loaded.contains("t") && loaded.contains("u"));
+    }
+
 private:
     void load(const std::string& adapter) {
         planner_->on_demand(waiting_for(adapter), now_);
