Limit returning work only after a pause that there was; log faults of accepted links

The end of a pause that never was lay at the begin of the clock, so that a node that starts within a second of its VM would have used a part of the places. Faults in the links that peers open were dropped without a line; both found by reading, without a test of their own.

--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -106,6 +106,7 @@
     /// The endpoint asked to be left alone until then. Its room does not count meanwhile, and after
     /// it work returns gradually.
     void pause(std::string_view endpoint, support::time_point until);
+    /// When the pause ends or ended; long ago if there was none.
     [[nodiscard]] support::time_point paused_until(std::string_view endpoint) const;
     /// The endpoint said that it leaves; its record will say so later.
     void set_leaving(std::string_view endpoint);
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -81,7 +81,7 @@
         item.models.clear();
         item.prompts.clear();
         item.suspended_until = {};
-        item.paused_until = {};
+        item.paused_until.reset();
     }
     const bool older = !restarted && record.orders_accepted < item.record.orders_accepted;
     item.leaving = record.draining;
@@ -131,7 +131,8 @@
 
 time_point dispatcher::paused_until(std::string_view endpoint) const {
     const auto found = impl_->endpoints.find(endpoint);
-    return found == impl_->endpoints.end() ? time_point{} : found->second.paused_until;
+    return found == impl_->endpoints.end() ? time_point{}
+                                           : found->second.paused_until.value_or(time_point{});
 }
 
 void dispatcher::set_leaving(std::string_view endpoint) {
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -56,10 +56,11 @@
 constexpr milliseconds rate_window{1'000};
 
 /// Calls that an endpoint may have at once: all places, or a growing part after a pause.
-std::size_t places_after_pause(std::size_t slots, duration since_pause) {
-    if (since_pause >= return_time) {
+std::size_t places_after_pause(const endpoint& item, std::size_t slots, time_point now) {
+    if (!item.paused_until || now - *item.paused_until >= return_time) {
         return slots;
     }
+    const auto since_pause = now - *item.paused_until;
     const double share = to_ms(since_pause) / to_ms(return_time);
     return std::max<std::size_t>(static_cast<std::size_t>(static_cast<double>(slots) * share), 1);
 }
@@ -116,7 +117,7 @@
 std::optional<choice> dispatcher::impl::evaluate(endpoint& item, const open_call& open,
                                                  const service_state& state, time_point now) {
     const auto& call = open.call;
-    if (item.suspended_until > now || item.paused_until > now ||
+    if (item.suspended_until > now || item.pauses(now) ||
         std::ranges::find(call.excluded, item.record.id) != call.excluded.end() ||
         !item.serves_model(call.model)) {
         return std::nullopt;
@@ -124,7 +125,7 @@
     const auto load = item.total(now, state.speed.tokens_per_ms());
     const auto slots =
         state.has_engines && state.batch_slots > 0 ? state.batch_slots : item.record.slots;
-    if (load.calls >= places_after_pause(slots, now - item.paused_until)) {
+    if (load.calls >= places_after_pause(item, slots, now)) {
         return std::nullopt;
     }
     const double weight = std::max(health.weight(item.record.id, now), least_weight);
@@ -282,7 +283,7 @@
     }
     return std::ranges::none_of(members(open.call.service), [&](const auto* item) {
         return considers(*item, open.call) && holds(*item, open.call.model) &&
-               item->paused_until < open.call.give_up_at;
+               !item->pauses(open.call.give_up_at);
     });
 }
 
@@ -346,10 +347,10 @@
         if (!considers(*item, open.call)) {
             continue;
         }
-        if (item->paused_until < open.call.give_up_at) {
+        if (!item->pauses(open.call.give_up_at)) {
             return std::nullopt;
         }
-        first = first ? std::min(*first, item->paused_until) : item->paused_until;
+        first = first ? std::min(*first, *item->paused_until) : *item->paused_until;
     }
     return first;
 }
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -49,13 +49,16 @@
     endpoint_record record;
     bool leaving = false;
     time_point suspended_until;
-    time_point paused_until; ///< As it asked for.
+    std::optional<time_point> paused_until; ///< As it asked for, if it ever did.
     std::map<model_name, resident> adapters;
     std::set<std::string, std::less<>> models;
     endpoint_load own;
     std::map<std::string, told_load, std::less<>> peers;
     prompt_cache prompts;
 
+    /// Whether it is to be left alone at that time.
+    [[nodiscard]] bool pauses(time_point at) const { return paused_until && *paused_until > at; }
+
     [[nodiscard]] bool serves_model(const model_name& what) const {
         return what.model.empty() || models.contains(what.model);
     }
--- a/lib/net/peer_network.cpp
+++ b/lib/net/peer_network.cpp
@@ -101,7 +101,11 @@
             auto link = make_link(std::move(socket), link_side::acceptor);
             boost::asio::co_spawn(
                 link->strand(), [self, link] { return self->run_link(link); },
-                [](const std::exception_ptr&, const handshake_end&) {});
+                [](const std::exception_ptr& error, const handshake_end&) {
+                    if (error) {
+                        log_unhandled("peer_link", error);
+                    }
+                });
             continue;
         }
         if (!acceptor.is_open()) {
