--- a/unittests/fleet/endpoint_notices_test.cpp
+++ b/unittests/fleet/endpoint_notices_test.cpp
@@ -229,13 +229,13 @@
     }
 
     void adapter_on_a_paused_engine_counts_as_missing() {
-        dispatcher_->set_residency("a", rare, residency::ready, 1);
+        dispatcher_->set_residency("a", rare_, residency::ready, 1);
         dispatcher_->pause("a", start + seconds{5});
         auto wanted = call(1);
-        wanted.model = rare;
+        wanted.model = rare_;
         dispatcher_->submit(wanted);
         CPPUNIT_ASSERT(dispatcher_->pump(start).empty());
-        CPPUNIT_ASSERT(dispatcher_->take_demand().at(0).what == rare);
+        CPPUNIT_ASSERT(dispatcher_->take_demand().at(0).what == rare_);
     }
 
     void planner_loads_elsewhere_what_a_paused_engine_holds() {
@@ -252,7 +252,7 @@
 
 private:
     static constexpr std::size_t slots = 8;
-    const model_name rare{"base", "rare"};
+    const model_name rare_{"base", "rare"};
 
     static endpoint_record engine(const std::string& id, bool has_rare = false) {
         endpoint_record record;
@@ -293,7 +293,7 @@
     }
 
     planned_order load_order() {
-        planner_->on_demand({rare, "north", 1, 0, 0, {}}, start);
+        planner_->on_demand({rare_, "north", 1, 0, 0, {}}, start);
         const auto orders = planner_->plan(start);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
         CPPUNIT_ASSERT(orders.front().kind == planned_kind::load);
