--- a/unittests/gateway/endpoint_notice_test.cpp
+++ b/unittests/gateway/endpoint_notice_test.cpp
@@ -101,7 +101,7 @@
         const auto answer = call("/stamps/1", "third");
         CPPUNIT_ASSERT_EQUAL(503, answer.status);
         CPPUNIT_ASSERT(std::stod(std::string(net::header(answer.headers, "Retry-After"))) >
-                       pause_s / 2);
+                       0.5 * pause_s);
         CPPUNIT_ASSERT_EQUAL(before, endpoints_[0]->calls() + endpoints_[1]->calls());
         CPPUNIT_ASSERT(before <= 2);
         output->expect({"event=call_refused", "request=third", "reason=endpoints_paused"});
