Log and count the limits that endpoints name and what is sent to them

A value that is no number, zero, above a million or named twice is logged and counted as damaged and changes nothing. Each node logs every second what it sent to a limited endpoint, by kind, and counts it in endpoint_requests_total. No decision uses the limits yet.

--- /dev/null
+++ b/include/dragonflystair/fleet/announced_limits.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "dragonflystair/support/time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonflystair::fleet {
+
+/// Kinds of requests that a node sends to endpoints.
+enum class request_kind : std::uint8_t { first_try, retry, resumed_stream, order, check, report };
+
+inline constexpr std::size_t request_kinds = 6;
+
+std::string_view to_string(request_kind kind);
+
+/// What a response says about the rate limit of its endpoint. The endpoint wrote it at some moment
+/// between the sending of the request and the arrival of the response.
+struct limit_observation {
+    std::uint64_t started_ms = 0;    ///< Start time of the run of the endpoint.
+    std::optional<double> per_s;     ///< Requests a second; empty if no limit is in force.
+    support::time_point sent;        ///< When the request was sent, or earlier.
+    support::time_point received_at; ///< When the response arrived, or later.
+};
+
+/// Requests of each kind that this node sent to one endpoint that names a limit.
+struct limited_use {
+    std::string endpoint;
+    double per_s = 0;
+    std::array<std::size_t, request_kinds> sent{};
+};
+
+/// The rate limits that endpoints name in their responses, each for all nodes together. Responses
+/// overtake each other, and peers relay what they read: an observation replaces the current one if
+/// it is certainly newer, and also if the order is uncertain and it is the stricter of the two.
+/// Has no clock and does no I/O.
+class announced_limits {
+public:
+    /// Returns whether the limit that is in force for this run of the endpoint has changed.
+    bool observe(std::string_view endpoint, const limit_observation& observed);
+    void remove(std::string_view endpoint);
+
+    /// Returns the limit in force for this run of the endpoint in requests a second, if any.
+    [[nodiscard]] std::optional<double> per_s(std::string_view endpoint,
+                                              std::uint64_t started_ms) const;
+    /// Returns the latest observation; null if there is none.
+    [[nodiscard]] const limit_observation* find(std::string_view endpoint) const;
+    /// Returns the endpoints with a limit in force.
+    [[nodiscard]] std::vector<std::string> limited() const;
+
+    /// Counts a request to an endpoint, if it names a limit.
+    void on_sent(std::string_view endpoint, request_kind kind);
+    /// Returns the requests sent since the last call to endpoints that name limits.
+    std::vector<limited_use> take_use();
+
+private:
+    struct entry {
+        limit_observation latest;
+        std::array<std::size_t, request_kinds> sent{};
+    };
+    std::map<std::string, entry, std::less<>> entries_;
+};
+
+} // namespace dragonflystair::fleet
--- a/include/dragonflystair/net/http_message.h
+++ b/include/dragonflystair/net/http_message.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace dragonflystair::net {
 
@@ -26,6 +27,7 @@
     int status = 200;
     http_headers headers;
     std::string body;
+    std::vector<std::string> repeated_headers{}; ///< Names of headers that were received twice.
 };
 
 /// Returns the value of a header, or an empty view if it is absent.
--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -48,6 +48,9 @@
     }
     added.resume_after = events.last_id();
     ++call.sends;
+    view_.note_sent(record->id, !events.last_id().empty() ? fleet::request_kind::resumed_stream
+                                : call.sends > 1          ? fleet::request_kind::retry
+                                                          : fleet::request_kind::first_try);
     call.sent_at = now;
     call.endpoint_started = record->started_ms;
     call.last_send = send_outcome::none;
@@ -80,7 +83,8 @@
 void call_relay::report_notice(const open_call& call) {
     if (const auto& head = call.exchange->head) {
         on_.on_notice(call.decision->endpoint, call.endpoint_started,
-                      platform::notice_of(head->status, head->headers), call.sent_at);
+                      platform::notice_of(head->status, head->headers, head->repeated_headers),
+                      call.sent_at);
     }
 }
 
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -28,6 +28,7 @@
 constexpr std::uint64_t ticks_per_residency{4};      ///< 200 ms, for nodes whose lead places calls.
 constexpr std::uint64_t ticks_per_status{10};        ///< 500 ms.
 constexpr std::uint64_t ticks_per_remote_status{20}; ///< 1 s: traffic between regions is billed.
+constexpr std::uint64_t ticks_per_limited_use{20};   ///< 1 s, for the log.
 constexpr std::uint64_t ticks_per_reload{100};       ///< 5 s.
 constexpr std::uint64_t ticks_per_full_residency{200}; ///< 10 s: repairs state after lost frames.
 
@@ -221,6 +222,9 @@
         send_status(holds_lease() && ticks_ % ticks_per_remote_status == 0);
         dial_peers();
     }
+    if (ticks_ % ticks_per_limited_use == 0) {
+        log_limited_use();
+    }
     if (ticks_ % ticks_per_reload == 0) {
         reload_settings();
     }
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -101,6 +101,9 @@
     void on_notice(std::string_view endpoint, std::uint64_t started_ms,
                    const platform::endpoint_notice& notice, support::time_point sent);
     void on_peer_notice(std::string_view peer, const support::json& frame);
+    void on_limit(std::string_view endpoint, const fleet::limit_observation& observed,
+                  std::string_view source);
+    void log_limited_use();
     bool mark_leaving(std::string_view endpoint, std::uint64_t started_ms, std::string_view source);
     void apply_pause(std::string_view endpoint, support::time_point until, std::string_view source);
 
--- a/lib/gateway/gateway_notices.cpp
+++ b/lib/gateway/gateway_notices.cpp
@@ -14,17 +14,21 @@
 /// calls there: those of this data centre and the leads of others, which forward it.
 void gateway::impl::on_notice(std::string_view endpoint, std::uint64_t started_ms,
                               const platform::endpoint_notice& notice, support::time_point sent) {
+    const auto now = boot_clock::now();
     if (notice.malformed) {
         counters_.increment("endpoint_notices_damaged_total");
         support::log_request("endpoint_notice_damaged", {{"endpoint", std::string(endpoint)}});
     }
+    // A damaged value tells nothing: the limit that was named before stays in force.
+    if (!notice.limit_malformed) {
+        on_limit(endpoint, {started_ms, notice.limit, sent, now}, "answer");
+    }
     if (notice.leaving && mark_leaving(endpoint, started_ms, "answer")) {
         publish_frame(forwarded_notice_frame({std::string(endpoint), started_ms, true, {}}));
     }
     if (!notice.retry_after) {
         return;
     }
-    const auto now = boot_clock::now();
     if (const auto until =
             view_.backoff.on_refused(endpoint, started_ms, *notice.retry_after, sent, now)) {
         apply_pause(endpoint, *until, "answer");
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -146,6 +146,7 @@
             view_.endpoints.close_idle(record->address);
         }
         view_.dispatcher.remove(id);
+        view_.limits.remove(id);
         for (const auto& [name, holder] : holders_) {
             holder->planner().remove(id);
         }
--- a/lib/gateway/node_view.h
+++ b/lib/gateway/node_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflystair/config/gateway_settings.h"
+#include "dragonflystair/fleet/announced_limits.h"
 #include "dragonflystair/fleet/configuration.h"
 #include "dragonflystair/fleet/dispatcher.h"
 #include "dragonflystair/fleet/endpoint_backoff.h"
@@ -39,6 +40,7 @@
     /// Number of registered nodes, or of this node and its connected peers if that is larger.
     std::size_t live_nodes = 1;
     bool stopping = false;
+    fleet::announced_limits limits{}; ///< Rate limits that endpoints name.
 
     /// Returns whether the backoff of an endpoint allows sending to it, according to the responses
     /// that this node itself has received.
@@ -46,6 +48,12 @@
         const auto* record = dispatcher.find(endpoint);
         return record == nullptr || backoff.allows(endpoint, record->started_ms, now);
     }
+
+    /// Counts a request that this node sends to an endpoint.
+    void note_sent(std::string_view endpoint, fleet::request_kind kind) {
+        counters.increment("endpoint_requests_total", fleet::to_string(kind));
+        limits.on_sent(endpoint, kind);
+    }
 };
 
 } // namespace dragonflystair::gateway
--- a/lib/gateway/placement_holder.cpp
+++ b/lib/gateway/placement_holder.cpp
@@ -169,6 +169,8 @@
         planner_.on_outcome(order, fleet::order_outcome::failed, boot_clock::now());
         co_return;
     }
+    view_.note_sent(order.endpoint,
+                    order.check ? fleet::request_kind::check : fleet::request_kind::order);
     auto engine_order = to_engine_order(order, view_.settings.name, lease_.fence());
     const auto result =
         co_await engines_.order(order.address, order.endpoint, std::move(engine_order),
@@ -218,6 +220,7 @@
         planner_.on_report_failed(order.endpoint, boot_clock::now());
         co_return;
     }
+    view_.note_sent(order.endpoint, fleet::request_kind::report);
     const auto report = co_await engines_.report(order.address, order.endpoint, report_timeout);
     if (report) {
         planner_.on_report(order.endpoint, report.value(), boot_clock::now());
--- a/lib/net/beast_message.cpp
+++ b/lib/net/beast_message.cpp
@@ -29,6 +29,18 @@
     return out;
 }
 
+std::vector<std::string> repeated_headers_of(const http::fields& fields) {
+    std::vector<std::string> repeated;
+    http_headers known;
+    for (const auto& field : fields) {
+        const auto added = known.emplace(std::string(field.name_string()), std::string()).second;
+        if (!added) {
+            repeated.emplace_back(field.name_string());
+        }
+    }
+    return repeated;
+}
+
 bool valid_headers(const http_headers& headers) {
     return std::ranges::none_of(headers, [](const auto& item) {
         return item.first.find_first_of(std::string_view("\r\n:\0 ", 5)) != std::string::npos ||
--- a/lib/net/beast_message.h
+++ b/lib/net/beast_message.h
@@ -13,6 +13,9 @@
 /// Returns the headers of a parsed message.
 http_headers headers_of(const http::fields& fields);
 
+/// Returns the names of headers that occur more than once in a parsed message.
+std::vector<std::string> repeated_headers_of(const http::fields& fields);
+
 /// Returns false if a name or a value contains a character that would break the framing, such as a
 /// line break, which would inject headers.
 bool valid_headers(const http_headers& headers);
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -95,6 +95,7 @@
     http_response response;
     response.status = static_cast<int>(message.result_int());
     response.headers = headers_of(message);
+    response.repeated_headers = repeated_headers_of(message);
     response.body = std::move(message.body());
     co_return response;
 }
--- a/lib/net/response_parser.h
+++ b/lib/net/response_parser.h
@@ -38,7 +38,11 @@
     void on_field_impl(boost::beast::http::field /*field*/, string_view name, string_view value,
                        error_code& code) override {
         code = {};
-        head_.headers.insert_or_assign(std::string(name), std::string(value));
+        const auto added =
+            head_.headers.insert_or_assign(std::string(name), std::string(value)).second;
+        if (!added) {
+            head_.repeated_headers.emplace_back(name);
+        }
     }
     void on_header_impl(error_code& code) override { code = {}; }
     void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
--- /dev/null
+++ b/unittests/fleet/announced_limits_test.cpp
@@ -0,0 +1,109 @@
+#include "dragonflystair/fleet/announced_limits.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::fleet;
+using std::chrono::milliseconds;
+
+/// Limits that an endpoint names in its responses, with a manual clock.
+class announced_limits_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(announced_limits_test);
+    CPPUNIT_TEST(response_without_limit_leaves_endpoint_unlimited);
+    CPPUNIT_TEST(named_limit_is_in_force_until_later_response_omits_it);
+    CPPUNIT_TEST(response_to_earlier_request_does_not_end_limit);
+    CPPUNIT_TEST(lower_limit_replaces_higher_one_in_any_order);
+    CPPUNIT_TEST(higher_limit_replaces_lower_one_only_if_newer);
+    CPPUNIT_TEST(old_observation_of_peer_does_not_restore_ended_limit);
+    CPPUNIT_TEST(restart_ends_limit);
+    CPPUNIT_TEST(requests_are_counted_by_kind_while_limit_is_in_force);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void response_without_limit_leaves_endpoint_unlimited() {
+        CPPUNIT_ASSERT(!observe(0, 10, std::nullopt));
+        CPPUNIT_ASSERT(!per_s());
+        CPPUNIT_ASSERT(limits_.find("e") == nullptr);
+    }
+
+    void named_limit_is_in_force_until_later_response_omits_it() {
+        CPPUNIT_ASSERT(observe(0, 10, 2.5));
+        CPPUNIT_ASSERT(!observe(10, 20, 2.5));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2.5, *per_s(), 1e-9);
+        CPPUNIT_ASSERT(observe(20, 30, std::nullopt));
+        CPPUNIT_ASSERT(!per_s());
+    }
+
+    void response_to_earlier_request_does_not_end_limit() {
+        observe(0, 10, 2.5);
+        CPPUNIT_ASSERT(!observe(5, 30, std::nullopt));
+        CPPUNIT_ASSERT(per_s());
+    }
+
+    void lower_limit_replaces_higher_one_in_any_order() {
+        observe(0, 10, 2.5);
+        CPPUNIT_ASSERT(observe(5, 30, 1.5));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.5, *per_s(), 1e-9);
+    }
+
+    void higher_limit_replaces_lower_one_only_if_newer() {
+        observe(0, 10, 2.5);
+        CPPUNIT_ASSERT(!observe(5, 30, 4.0));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2.5, *per_s(), 1e-9);
+        CPPUNIT_ASSERT(observe(10, 40, 4.0));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(4.0, *per_s(), 1e-9);
+    }
+
+    void old_observation_of_peer_does_not_restore_ended_limit() {
+        observe(0, 10, 2.5);
+        observe(500, 510, std::nullopt);
+        CPPUNIT_ASSERT(!observe(100, 400, 2.5));
+        CPPUNIT_ASSERT(!per_s());
+    }
+
+    void restart_ends_limit() {
+        observe(0, 10, 2.5);
+        CPPUNIT_ASSERT(!limits_.per_s("e", first_start + 1));
+        CPPUNIT_ASSERT(limits_.observe("e", {first_start + 1, {}, at(20), at(30)}));
+        CPPUNIT_ASSERT(!observe(40, 50, 2.5)); // Of the previous run.
+        CPPUNIT_ASSERT(!limits_.per_s("e", first_start + 1));
+    }
+
+    void requests_are_counted_by_kind_while_limit_is_in_force() {
+        limits_.on_sent("e", request_kind::first_try);
+        CPPUNIT_ASSERT(limits_.take_use().empty());
+        observe(0, 10, 2.5);
+        limits_.on_sent("e", request_kind::first_try);
+        limits_.on_sent("e", request_kind::order);
+        limits_.on_sent("e", request_kind::order);
+        const auto use = limits_.take_use();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, use.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, use.front().sent.at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, use.front().sent.at(3));
+        CPPUNIT_ASSERT(limits_.take_use().empty());
+    }
+
+private:
+    static constexpr std::uint64_t first_start = 1;
+
+    static support::time_point at(int ms) {
+        return support::time_point{std::chrono::hours{1} + milliseconds{ms}};
+    }
+    bool observe(int sent_ms, int received_ms, std::optional<double> per_s) {
+        return limits_.observe("e", {first_start, per_s, at(sent_ms), at(received_ms)});
+    }
+    std::optional<double> per_s() const { return limits_.per_s("e", first_start); }
+
+    announced_limits limits_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(announced_limits_test);
+
+} // namespace
--- a/unittests/platform/endpoint_notice_headers_test.cpp
+++ b/unittests/platform/endpoint_notice_headers_test.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 namespace {
 
@@ -22,6 +23,9 @@
     CPPUNIT_TEST(retry_after_of_many_digits_stays_in_range);
     CPPUNIT_TEST(retry_after_of_date_sign_or_zero_is_malformed);
     CPPUNIT_TEST(retry_after_of_other_status_is_ignored);
+    CPPUNIT_TEST(limit_is_decimal_number_of_any_status);
+    CPPUNIT_TEST(limit_of_text_sign_zero_or_huge_number_is_malformed);
+    CPPUNIT_TEST(limit_that_is_named_twice_is_malformed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -64,6 +68,29 @@
         CPPUNIT_ASSERT(!notice_of(429, {{"Retry-After", "5"}}).retry_after);
     }
 
+    void limit_is_decimal_number_of_any_status() {
+        for (const int status : {200, 202, 409, 421, 500, 503}) {
+            const auto notice = notice_of(status, {{"server-limit", "2.3"}});
+            CPPUNIT_ASSERT(notice.limit && !notice.malformed && !notice.limit_malformed);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(2.3, *notice.limit, 1e-9);
+        }
+    }
+
+    void limit_of_text_sign_zero_or_huge_number_is_malformed() {
+        for (const auto* value : {"", "many", "-2", "+2", "0", "0.0", "nan", "inf", "1e3", "2 ",
+                                  "2;3", "2,3", "99999999", "1000000000000000000000000"}) {
+            const auto notice = notice_of(200, {{"Server-Limit", value}});
+            CPPUNIT_ASSERT_MESSAGE(value,
+                                   !notice.limit && notice.limit_malformed && notice.malformed);
+        }
+    }
+
+    void limit_that_is_named_twice_is_malformed() {
+        const std::vector<std::string> repeated{"server-limit"};
+        const auto notice = notice_of(200, {{"Server-Limit", "2"}}, repeated);
+        CPPUNIT_ASSERT(!notice.limit && notice.limit_malformed && notice.malformed);
+    }
+
 private:
     static endpoint_notice notice_of_503(const std::string& after) {
         return notice_of(503, {{"Retry-After", after}});
