--- a/unittests/gateway/endpoint_notice_test.cpp
+++ b/unittests/gateway/endpoint_notice_test.cpp
@@ -19,25 +19,6 @@
 constexpr int many_calls = 20;
 constexpr int pause_s = 30;
 
-/// A second gateway in this process. It stops together with the first one, since both get the
-/// signal.
-struct second_node {
-    second_node(const config::gateway_settings& settings, std::thread& first)
-        : node(settings, [] { return std::nullopt; }), first_run(first),
-          run([this] { node.run(); }) {}
-    ~second_node() {
-        ::kill(::getpid(), SIGTERM);
-        run.join();
-        first_run.join();
-    }
-    second_node(const second_node&) = delete;
-    second_node& operator=(const second_node&) = delete;
-
-    dragonflystair::gateway::gateway node;
-    std::thread& first_run;
-    std::thread run;
-};
-
 /// Gateways with two plain endpoints that include notices about themselves in their responses.
 class endpoint_notice_test : public gateway_fixture {
     CPPUNIT_TEST_SUITE(endpoint_notice_test);
--- a/unittests/gateway/gateway_fixture.h
+++ b/unittests/gateway/gateway_fixture.h
@@ -175,4 +175,23 @@
     std::atomic<bool> ended{false}; ///< Then a signal would end the test process itself.
 };
 
+/// A second gateway in this process. It stops together with the first one, since both get the
+/// signal.
+struct second_node {
+    second_node(const config::gateway_settings& settings, std::thread& first)
+        : node(settings, [] { return std::nullopt; }), first_run(first),
+          run([this] { node.run(); }) {}
+    ~second_node() {
+        ::kill(::getpid(), SIGTERM);
+        run.join();
+        first_run.join();
+    }
+    second_node(const second_node&) = delete;
+    second_node& operator=(const second_node&) = delete;
+
+    dragonflystair::gateway::gateway node;
+    std::thread& first_run;
+    std::thread run;
+};
+
 } // namespace dragonflystair::gateway
--- a/unittests/gateway/platform_stand_in.h
+++ b/unittests/gateway/platform_stand_in.h
@@ -194,6 +194,24 @@
     [[nodiscard]] std::string address() const { return server_.address(); }
     [[nodiscard]] int calls() const { return calls_; }
     void set_order_status(int status) { order_status_ = status; }
+    /// Sets the limit that responses name, no limit if it is empty. Handlers of calls add it by
+    /// `add_limit`.
+    void set_limit(const std::string& value) {
+        const std::lock_guard lock(mutex_);
+        limit_ = value;
+    }
+    /// Returns the times at which requests of any kind arrived, in order.
+    [[nodiscard]] std::vector<support::time_point> arrivals() const {
+        const std::lock_guard lock(mutex_);
+        return arrivals_;
+    }
+    /// Adds the limit, if any, to a response.
+    void add_limit(net::http_response& response) const {
+        const std::lock_guard lock(mutex_);
+        if (!limit_.empty()) {
+            response.headers["Server-Limit"] = limit_;
+        }
+    }
 
     /// Returns a response head that repeats the request id and has a signature.
     static net::http_response signed_head(const net::http_exchange& exchange) {
@@ -206,6 +224,10 @@
 
 private:
     net::awaitable<void> serve(net::http_exchange& exchange) {
+        {
+            const std::lock_guard lock(mutex_);
+            arrivals_.push_back(support::boot_clock::now());
+        }
         const auto& target = exchange.request().target;
         if (target.ends_with("/order") || target.ends_with("/report")) {
             net::http_response response;
@@ -215,6 +237,7 @@
                 response.body =
                     R"({"seq":0,"models":[{"name":"base","version":1,"adapters":["known@1"]}]})";
             }
+            add_limit(response);
             co_await exchange.respond(std::move(response));
             co_return;
         }
@@ -223,6 +246,9 @@
     }
 
     call_handler on_call_;
+    mutable std::mutex mutex_;
+    std::string limit_;
+    std::vector<support::time_point> arrivals_;
     std::atomic<int> order_status_{202};
     std::atomic<int> calls_{0};
     support::counters counters_;
--- /dev/null
+++ b/unittests/gateway_limits/endpoint_limit_test.cpp
@@ -0,0 +1,134 @@
+#include "gateway/gateway_fixture.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::gateway;
+
+const std::string configuration = R"({"version":3,"routes":[
+    {"name":"stamps","host":"desk","path-prefix":"/stamps/","kind":"unsafe","timeout-ms":9000,
+     "slo-ms":300,"attempts":2,"service":"register"},
+    {"name":"patterns","host":"desk","path-prefix":"/patterns/","kind":"stream","timeout-ms":9000,
+     "slo-ms":300,"gap-aim-ms":300,"service":"assistant"}],
+    "services":[{"name":"register"},{"name":"assistant","engine":{"slots":4,"weights-mb":100,
+     "adapter-slots":20,"models":[{"name":"base","weights-mb":50,"adapter-mb":1}]}}]})";
+
+/// Limit that the endpoints name, in requests a second for all nodes together.
+constexpr double limit_per_s = 2;
+constexpr std::chrono::seconds window{4};
+/// Requests that the platform's rule LIMIT allows in any window.
+constexpr std::size_t allowed = 1.5 * limit_per_s * window.count() + 5;
+
+/// Returns the largest number of arrivals in any window.
+std::size_t most_in_window(const std::vector<support::time_point>& arrivals) {
+    std::size_t most = 0;
+    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+        const auto end = std::ranges::find_if(first, arrivals.end(),
+                                              [&](auto at) { return at - *first >= window; });
+        most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    return most;
+}
+
+/// Gateways with endpoints that name a limit in their responses.
+class endpoint_limit_test : public gateway_fixture {
+    CPPUNIT_TEST_SUITE(endpoint_limit_test);
+    CPPUNIT_TEST(endpoint_gets_more_calls_of_two_nodes_than_its_limit);
+    CPPUNIT_TEST(engine_gets_more_orders_and_checks_than_its_limit);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override {
+        gateway_fixture::setUp();
+        store->put("keyed.op", "config", configuration);
+    }
+
+    void tearDown() override {
+        stop_threads();
+        endpoint_.reset();
+        gateway_fixture::tearDown();
+    }
+
+    /// The incident: eight nodes sent an endpoint 77 requests in 4 s; 33 were allowed.
+    void endpoint_gets_more_calls_of_two_nodes_than_its_limit() {
+        start("register", "2.0");
+        auto settings = settings_of("node-2");
+        settings.peers = {peer_address};
+        second_node second(settings, running);
+        output->expect({"event=endpoint ", "endpoint=endpoint-1", "state=ready"}, 2);
+        output->expect({"event=peer_regained"}, 2);
+        constexpr int many_calls = 30;
+        const std::array nodes{address, second.node.caller_address()};
+        for (int number = 0; number < many_calls; ++number) {
+            for (const auto& node : nodes) {
+                address = node;
+                call("/stamps/1", node + "-" + std::to_string(number));
+            }
+        }
+        output->expect({"event=endpoint_limit ", "endpoint=endpoint-1", "per_s=2.000"}, 2);
+        assert_within_limit();
+    }
+
+    /// The same incident: checks whether loads are complete were half of the requests.
+    void engine_gets_more_orders_and_checks_than_its_limit() {
+        start("assistant", "2.0");
+        // A new lease holder sends no orders for a short time; until then calls are refused
+        // immediately.
+        int calls = 0;
+        const auto call_for_another_adapter = [&] {
+            const auto number = std::to_string(++calls);
+            call("/patterns/1", "id-" + number, "base/a" + number);
+        };
+        do {
+            call_for_another_adapter();
+            CPPUNIT_ASSERT(calls < 2'000);
+            std::this_thread::sleep_for(milliseconds{10});
+        } while (output->count({"event=order "}) == 0);
+        constexpr int many_adapters = 12;
+        for (int number = 0; number < many_adapters; ++number) {
+            call_for_another_adapter();
+        }
+        output->expect({"event=endpoint_limit ", "endpoint=endpoint-1", "per_s=2.000"});
+        assert_within_limit();
+    }
+
+private:
+    void start(const std::string& service, const std::string& limit) {
+        endpoint_ = std::make_unique<endpoint_stand_in>(
+            context->get(), [this](net::http_exchange& exchange) -> net::awaitable<void> {
+                auto response = endpoint_stand_in::signed_head(exchange);
+                endpoint_->add_limit(response);
+                co_await exchange.respond(std::move(response));
+            });
+        endpoint_->set_limit(limit);
+        store->put("keyed.servers", "endpoint-1",
+                   R"({"service":")" + service + R"(","addr":")" + endpoint_->address() +
+                       R"(","zone":"north","slots":6,"state":"ready","seq":0,"born":1,"models":)" +
+                       (service == "assistant"
+                            ? R"([{"name":"base","version":1,"adapters":["known@1"]}]})"
+                            : "[]}"));
+        start_gateway();
+        output->expect({"event=endpoint ", "endpoint=endpoint-1"});
+        output->expect({"event=configuration"});
+    }
+
+    void assert_within_limit() {
+        const auto most = most_in_window(endpoint_->arrivals());
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most) + " requests in 4 s, allowed " +
+                                   std::to_string(allowed),
+                               most <= allowed);
+    }
+
+    std::unique_ptr<endpoint_stand_in> endpoint_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_limit_test);
+
+} // namespace
