Keep the rate limits that endpoints name for all nodes together

What callers and operators saw: two engines that named 2.4 and 4.6 requests a second got 51 and 77 in 4 s; the rule allows 19 and 33.

Ruled out: a limit kept by each node alone (no node had one), and orders alone (calls exceed 33 by themselves).

Now each request to an endpoint with a limit takes a permit: first tries, retries and resumed streams when the dispatcher places them, orders, checks and reports before they are sent. Leads place calls with their own permits. The confirmed holder of the data centre's lease divides the limit; others request permits from it, through their own lead where they have no link. What one node reads of a limit is told to all, and to new peers.

A limited endpoint is used only if no other is usable. A call that cannot get a permit in time is refused at once as endpoints_limited, with a Retry-After that follows from the queue. Adapters that only limited engines hold are loaded elsewhere; orders take at most half of a limit.

--- a/include/dragonflystair/fleet/adapter_planner.h
+++ b/include/dragonflystair/fleet/adapter_planner.h
@@ -99,6 +99,9 @@
     /// Applies a backoff that the engine asked for: it gets no order until then, and its adapters
     /// are loaded elsewhere for waiting calls.
     void pause(std::string_view endpoint, support::time_point until);
+    /// Sets the engine's rate limit for all nodes together, in requests a second. While it has one,
+    /// orders take at most half of it, and other engines load what is asked for.
+    void set_limit(std::string_view endpoint, std::optional<double> per_s);
     /// Marks the engine as draining before its record shows it.
     void set_draining(std::string_view endpoint);
 
--- a/include/dragonflystair/fleet/announced_limits.h
+++ b/include/dragonflystair/fleet/announced_limits.h
@@ -51,8 +51,8 @@
                                               std::uint64_t started_ms) const;
     /// Returns the latest observation; null if there is none.
     [[nodiscard]] const limit_observation* find(std::string_view endpoint) const;
-    /// Returns the endpoints with a limit in force.
-    [[nodiscard]] std::vector<std::string> limited() const;
+    /// Returns the endpoints that name a limit or did so before.
+    [[nodiscard]] std::vector<std::string> known() const;
 
     /// Counts a request to an endpoint, if it names a limit.
     void on_sent(std::string_view endpoint, request_kind kind);
--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -56,6 +56,7 @@
     no_adapter,   ///< Its adapter was not loaded before its deadline.
     paused,       ///< Every eligible endpoint has asked for a backoff beyond its deadline.
     elsewhere,    ///< Another data centre has its adapter ready and should be asked.
+    limited,      ///< No eligible endpoint accepts another request before its deadline.
 };
 
 std::string_view to_string(refusal reason);
@@ -82,6 +83,8 @@
     std::chrono::milliseconds retry_after{0};
 };
 
+class send_permits;
+
 /// Chooses endpoints for calls, orders the queue and rejects calls that cannot be served in time.
 /// Each node dispatches directly to the endpoints: it counts its own calls exactly and adds the
 /// loads that its peers last reported.
@@ -99,6 +102,15 @@
     dispatcher(const dispatcher&) = delete;
     dispatcher& operator=(const dispatcher&) = delete;
 
+    /// Sets the permits that calls to endpoints with a rate limit take, which must outlive the
+    /// dispatcher. Without them limits have no effect.
+    void use_permits(send_permits& permits);
+    /// Notes that permits have arrived or limits have changed.
+    void on_permits_changed();
+    /// Returns the number of waiting calls for which only a permit is missing, by endpoint. A call
+    /// that could go to several such endpoints counts at the best one.
+    [[nodiscard]] std::map<std::string, std::size_t, std::less<>> permit_demand() const;
+
     void configure(const configuration& current);
 
     void update(const endpoint_record& record);
--- a/include/dragonflystair/fleet/placement_lease.h
+++ b/include/dragonflystair/fleet/placement_lease.h
@@ -60,6 +60,9 @@
     /// Returns whether an order may be sent now. `linked` is whether some connected peer would
     /// report a newer holder.
     [[nodiscard]] bool may_order(bool linked, support::time_point now) const;
+    /// Returns whether the store confirms the lease, so that no other node can hold it: it was
+    /// renewed within its lifetime and former holders have had time to stop.
+    [[nodiscard]] bool confirmed(support::time_point now) const;
     /// Records that this node ran at `now`; a long gap means that it was suspended.
     void on_tick(support::time_point now);
 
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -1,3 +1,5 @@
+#include "dragonflystair/fleet/send_permits.h"
+
 #include "adapter_planner_impl.h"
 
 #include <algorithm>
@@ -66,6 +68,8 @@
     target.adapters.clear();
     target.recent_adapters.clear();
     target.backoff_until = {};
+    target.limit_per_s.reset();
+    target.limited_until = {};
     target.orders_accepted = record.orders_accepted;
     target.order_in_flight = false;
     target.unanswered = 0;
@@ -89,6 +93,18 @@
     }
 }
 
+void adapter_planner::set_limit(std::string_view endpoint, std::optional<double> per_s) {
+    const auto found = impl_->engines.find(endpoint);
+    if (found == impl_->engines.end()) {
+        return;
+    }
+    const auto rate = per_s ? std::optional(std::max(*per_s, min_endpoint_rate)) : std::nullopt;
+    if (found->second.limit_per_s != rate) {
+        found->second.limit_per_s = rate;
+        found->second.limited_until = {};
+    }
+}
+
 void adapter_planner::set_draining(std::string_view endpoint) {
     if (const auto found = impl_->engines.find(endpoint); found != impl_->engines.end()) {
         found->second.record.draining = true;
@@ -182,11 +198,12 @@
     impl_->expire_demand(now);
     for (auto& [id, target] : impl_->engines) {
         if (target.order_in_flight || target.paused_until > now || target.backoff_until > now ||
-            target.record.draining) {
+            target.limited_until > now || target.record.draining) {
             continue;
         }
         if (auto repeat = std::exchange(target.repeat, {}); repeat && !target.needs_report) {
             target.order_in_flight = true;
+            impl_->space_orders(target, now);
             orders.push_back(std::move(*repeat));
             continue;
         }
@@ -198,7 +215,7 @@
         order = order ? order : impl_->version_order(target, now);
         order = order ? order : impl_->model_order(target, now);
         if (order) {
-            impl_->begin_order(target, *order);
+            impl_->begin_order(target, *order, now);
             orders.push_back(std::move(*order));
         }
     }
@@ -225,7 +242,7 @@
             if (order->kind == order_kind::load) {
                 impl_->demands.at(entry->first).crowded = 0;
             }
-            impl_->begin_order(impl_->engines.at(order->endpoint), *order);
+            impl_->begin_order(impl_->engines.at(order->endpoint), *order, now);
             orders.push_back(std::move(*order));
         }
     }
@@ -243,12 +260,14 @@
         }
         for (const auto& [model, entry] : target.adapters) {
             if (entry.state == slot_state::loading || entry.state == slot_state::unloading) {
-                consider(std::max({entry.check_at, target.paused_until, target.backoff_until}));
+                consider(std::max({entry.check_at, target.paused_until, target.backoff_until,
+                                   target.limited_until}));
             }
         }
         for (const auto& [name, entry] : target.models) {
             if (entry.state == slot_state::loading) {
-                consider(std::max({entry.check_at, target.paused_until, target.backoff_until}));
+                consider(std::max({entry.check_at, target.paused_until, target.backoff_until,
+                                   target.limited_until}));
             }
         }
     }
--- a/lib/fleet/adapter_planner_impl.h
+++ b/lib/fleet/adapter_planner_impl.h
@@ -66,6 +66,8 @@
     std::optional<planned_order> repeat; ///< An unanswered order, to be sent again.
     time_point paused_until;             ///< End of the pause after a failed order or a conflict.
     time_point backoff_until;            ///< End of the backoff that the engine asked for.
+    std::optional<double> limit_per_s;   ///< Rate limit for all nodes together, if it names one.
+    time_point limited_until;            ///< Next order in view of the limit.
     std::map<std::string, slot> models;
     std::map<model_name, slot> adapters;
     std::set<model_name> recent_adapters; ///< Adapters that were resident since its start.
@@ -116,7 +118,9 @@
                                    time_point now) const;
     [[nodiscard]] bool awaits_retry(const model_name& model, time_point now) const;
     [[nodiscard]] bool is_placed(const model_name& model, time_point now) const;
-    void begin_order(engine& target, const planned_order& order);
+    [[nodiscard]] bool avoids(const engine& target) const;
+    static void space_orders(engine& target, time_point now);
+    void begin_order(engine& target, const planned_order& order, time_point now);
     void revert_order(engine& target, const planned_order& order);
     void on_accepted(engine& target, const planned_order& order, time_point now);
     void on_in_effect(engine& target, const planned_order& order, time_point now);
--- a/lib/fleet/adapter_planner_orders.cpp
+++ b/lib/fleet/adapter_planner_orders.cpp
@@ -193,7 +193,7 @@
         const auto entry = other.second.adapters.find(model);
         return entry != other.second.adapters.end() &&
                entry->second.state != slot_state::unloading && !other.second.record.draining &&
-               other.second.backoff_until <= now;
+               other.second.backoff_until <= now && !avoids(other.second);
     });
 }
 
@@ -222,10 +222,29 @@
     });
 }
 
+/// Returns whether adapters are loaded on other engines instead, since this one has a rate limit
+/// and some other engine of its service has none.
+bool adapter_planner::impl::avoids(const engine& target) const {
+    return target.limit_per_s && std::ranges::any_of(engines, [&](const auto& other) {
+               return !other.second.limit_per_s && !other.second.record.draining &&
+                      other.second.record.service == target.record.service;
+           });
+}
+
+/// Delays the next order to an engine with a rate limit, so that orders take at most half of it.
+void adapter_planner::impl::space_orders(engine& target, time_point now) {
+    constexpr double order_share = 0.5;
+    if (target.limit_per_s) {
+        const std::chrono::duration<double> gap(1 / (order_share * *target.limit_per_s));
+        target.limited_until = now + std::chrono::duration_cast<support::duration>(gap);
+    }
+}
+
 /// Returns whether the engine can be sent an order to load an adapter now.
 bool adapter_planner::impl::accepts_load(const engine& target, time_point now) const {
     if (target.order_in_flight || target.record.draining || target.paused_until > now ||
-        target.backoff_until > now || target.models.empty() || class_of(target) == nullptr) {
+        target.backoff_until > now || target.limited_until > now || target.models.empty() ||
+        class_of(target) == nullptr || avoids(target)) {
         return false;
     }
     const auto in_transit = std::ranges::count_if(target.adapters, [](const auto& entry) {
@@ -277,8 +296,10 @@
     return std::nullopt;
 }
 
-void adapter_planner::impl::begin_order(engine& target, const planned_order& order) {
+void adapter_planner::impl::begin_order(engine& target, const planned_order& order,
+                                        time_point now) {
     target.order_in_flight = true;
+    space_orders(target, now);
     if (order.check || order.model.adapter.empty()) {
         return;
     }
--- a/lib/fleet/announced_limits.cpp
+++ b/lib/fleet/announced_limits.cpp
@@ -85,12 +85,11 @@
     return found == entries_.end() ? nullptr : &found->second.latest;
 }
 
-std::vector<std::string> announced_limits::limited() const {
+std::vector<std::string> announced_limits::known() const {
     std::vector<std::string> names;
+    names.reserve(entries_.size());
     for (const auto& [endpoint, known] : entries_) {
-        if (known.latest.per_s) {
-            names.push_back(endpoint);
-        }
+        names.push_back(endpoint);
     }
     return names;
 }
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -42,6 +42,8 @@
         return "no_adapter";
     case refusal::paused:
         return "endpoints_paused";
+    case refusal::limited:
+        return "endpoints_limited";
     case refusal::elsewhere:
         return "elsewhere";
     }
@@ -52,6 +54,19 @@
 
 dispatcher::~dispatcher() = default;
 
+void dispatcher::use_permits(send_permits& permits) {
+    impl_->permits = &permits;
+}
+
+void dispatcher::on_permits_changed() {
+    impl_->changed = true;
+}
+
+std::map<std::string, std::size_t, std::less<>> dispatcher::permit_demand() const {
+    return impl_->queue.empty() ? std::map<std::string, std::size_t, std::less<>>{}
+                                : impl_->permit_demand;
+}
+
 void dispatcher::configure(const configuration& current) {
     impl_->changed = true;
     for (const auto& [name, definition] : current.services) {
@@ -295,8 +310,10 @@
     if (!all && !impl_->has_new_calls) {
         return decisions;
     }
+    impl_->pumped_at = now;
     if (all) {
         impl_->evaluated_at = now;
+        impl_->permit_demand.clear();
     }
     impl_->changed = false;
     impl_->has_new_calls = false;
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -139,6 +139,7 @@
     const double distance = distance_ms(target);
     choice result;
     result.target = &target;
+    result.awaits_permit = permits != nullptr && !permits->allows(target.record.id, now);
     if (state.has_engines) {
         const auto cached = target.prompts.cached_tokens(call.model, call.prompt);
         result.pending_prefill_tokens = call.prompt_tokens - std::min(cached, call.prompt_tokens);
@@ -183,6 +184,8 @@
     return found == member_index.end() ? std::span<endpoint* const>{} : found->second;
 }
 
+/// Returns the endpoint of least cost. One that needs a permit is returned only if no other is
+/// usable.
 std::optional<choice> dispatcher::impl::choose(const open_call& open, const service_state& state,
                                                time_point now) {
     std::optional<choice> best;
@@ -191,11 +194,12 @@
             continue;
         }
         const auto candidate = evaluate(*target, open, state, now);
-        if (candidate && (!best || candidate->cost_ms < best->cost_ms)) {
+        if (candidate && (!best || std::pair(candidate->awaits_permit, candidate->cost_ms) <
+                                       std::pair(best->awaits_permit, best->cost_ms))) {
             best = candidate;
         }
     }
-    if (!best) {
+    if (!best || best->awaits_permit) {
         return best;
     }
     best->crowded = std::ranges::any_of(members(open.call.service), [&](auto* target) {
@@ -203,7 +207,7 @@
             return false;
         }
         const auto other = evaluate(*target, open, state, now);
-        return other && best->cost_ms > other->cost_ms + crowded_margin_ms;
+        return other && !other->awaits_permit && best->cost_ms > other->cost_ms + crowded_margin_ms;
     });
     return best;
 }
@@ -230,6 +234,9 @@
     open.pending_prefill_tokens = chosen.pending_prefill_tokens;
     open.tokens_ahead = chosen.tokens_ahead;
     open.expected_ms = chosen.expected_ms;
+    if (permits != nullptr) {
+        permits->take(target.record.id, now);
+    }
     ++target.own.calls;
     target.own.pending_prefill_tokens += chosen.pending_prefill_tokens;
     target.prompts.add(open.call.model, open.call.prompt);
@@ -293,7 +300,7 @@
     }
     return std::ranges::none_of(members(open.call.service), [&](const auto* target) {
         return is_eligible(*target, open.call) && has_ready(*target, open.call.model) &&
-               !target->is_paused(open.call.queue_deadline);
+               available_at(*target, 0) <= open.call.queue_deadline;
     });
 }
 
@@ -350,22 +357,46 @@
     return layout.own();
 }
 
-/// Returns the earliest end of the backoffs of a call's eligible endpoints, if all of them are in
-/// backoff beyond its queue deadline; empty otherwise.
-std::optional<time_point> dispatcher::impl::paused_past_deadline(const open_call& open) {
+/// Returns when the endpoint accepts the next call, with `ahead` calls before it: when its backoff
+/// has ended and a permit can be expected. Returns a past time if that does not delay the call.
+time_point dispatcher::impl::available_at(const endpoint& target, std::size_t ahead) const {
+    const auto backoff_end = target.paused_until.value_or(time_point{});
+    if (permits == nullptr) {
+        return backoff_end;
+    }
+    const auto permit_at = permits->expected_at(target.record.id, ahead, pumped_at);
+    return permit_at > pumped_at ? std::max(backoff_end, permit_at) : backoff_end;
+}
+
+/// Returns the earliest time at which an eligible endpoint of the call accepts it, if that is
+/// beyond its queue deadline; empty otherwise.
+std::optional<time_point> dispatcher::impl::unavailable_past_deadline(const open_call& open,
+                                                                      std::size_t ahead) {
+    const auto endpoints_of_service = members(open.call.service);
+    const auto eligible = static_cast<std::size_t>(std::ranges::count_if(
+        endpoints_of_service, [&](const auto* target) { return is_eligible(*target, open.call); }));
     std::optional<time_point> first;
-    for (const auto* target : members(open.call.service)) {
+    for (const auto* target : endpoints_of_service) {
         if (!is_eligible(*target, open.call)) {
             continue;
         }
-        if (!target->is_paused(open.call.queue_deadline)) {
+        const auto available = available_at(*target, ahead / eligible);
+        if (available <= open.call.queue_deadline) {
             return std::nullopt;
         }
-        first = first ? std::min(*first, *target->paused_until) : *target->paused_until;
+        first = first ? std::min(*first, available) : available;
     }
     return first;
 }
 
+/// Returns why no endpoint accepts the call before its queue deadline.
+refusal dispatcher::impl::unavailability(const open_call& open) {
+    const bool limited = std::ranges::any_of(members(open.call.service), [&](const auto* target) {
+        return is_eligible(*target, open.call) && !target->is_paused(open.call.queue_deadline);
+    });
+    return limited ? refusal::limited : refusal::paused;
+}
+
 /// Returns whether a call past its queue deadline keeps waiting: its adapter is being loaded, and a
 /// retry would cost more time than the rest of the load.
 bool dispatcher::impl::awaits_load(open_call& open, time_point now) const {
@@ -389,9 +420,13 @@
         state.window_start = now;
         state.placed = 0;
     }
-    if (const auto chosen = choose(open, state, now)) {
+    const auto chosen = choose(open, state, now);
+    if (chosen && !chosen->awaits_permit) {
         return place(open, *chosen, state, now);
     }
+    if (chosen) {
+        ++permit_demand[chosen->target->record.id];
+    }
     open.adapter_missing = adapter_missing(open);
     if (open.diverts_at && (open.adapter_missing || now >= *open.diverts_at)) {
         open.diverts_at.reset();
@@ -406,9 +441,9 @@
         decision.reason = refusal::no_endpoints;
         return decision;
     }
-    if (const auto until = paused_past_deadline(open)) {
+    if (const auto until = unavailable_past_deadline(open, ahead)) {
         auto decision = refuse(open, state, ahead, open.adapter_missing);
-        decision.reason = refusal::paused;
+        decision.reason = unavailability(open);
         decision.retry_after += std::chrono::ceil<milliseconds>(*until - now);
         return decision;
     }
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -2,6 +2,7 @@
 
 #include "dragonflystair/fleet/dispatcher.h"
 #include "dragonflystair/fleet/engine_speed.h"
+#include "dragonflystair/fleet/send_permits.h"
 #include "dragonflystair/policy/endpoint_health.h"
 
 #include "prompt_cache.h"
@@ -115,7 +116,8 @@
     double expected_ms = 0;
     std::size_t pending_prefill_tokens = 0;
     std::size_t tokens_ahead = 0;
-    bool crowded = false; ///< An endpoint without the adapter would have cost much less.
+    bool crowded = false;       ///< An endpoint without the adapter would have cost much less.
+    bool awaits_permit = false; ///< The endpoint has a rate limit and no permit is left.
 };
 
 struct dispatcher::impl {
@@ -140,7 +142,10 @@
     dispatch_decision refuse(const open_call& open, const service_state& state, std::size_t ahead,
                              bool adapter_missing) const;
     std::optional<dispatch_decision> decide(open_call& open, std::size_t ahead, time_point now);
-    [[nodiscard]] std::optional<time_point> paused_past_deadline(const open_call& open);
+    [[nodiscard]] time_point available_at(const endpoint& target, std::size_t ahead) const;
+    [[nodiscard]] std::optional<time_point> unavailable_past_deadline(const open_call& open,
+                                                                      std::size_t ahead);
+    [[nodiscard]] refusal unavailability(const open_call& open);
     [[nodiscard]] bool awaits_load(open_call& open, time_point now) const;
     void release(open_call& open);
     void record_use(const choice& chosen, const model_name& model);
@@ -166,6 +171,9 @@
     time_point evaluated_at;          ///< When all waiting calls were last evaluated.
     bool new_demand = false;          ///< Whether a call began to wait for an adapter.
     policy::endpoint_health health;
+    send_permits* permits = nullptr; ///< For endpoints with a rate limit; null without limits.
+    std::map<std::string, std::size_t, std::less<>> permit_demand;
+    time_point pumped_at;
     std::map<model_name, std::string> last_holders;
     std::map<model_name, std::size_t> diverted;
     std::map<model_name, std::size_t> crowded;
--- a/lib/fleet/placement_lease.cpp
+++ b/lib/fleet/placement_lease.cpp
@@ -96,6 +96,10 @@
     return linked || now - renewed_ < limits_.lifetime;
 }
 
+bool placement_lease::confirmed(time_point now) const {
+    return may_order(false, now);
+}
+
 void placement_lease::on_tick(time_point now) {
     if (last_tick_ != time_point{} && now - last_tick_ > min_suspension_gap) {
         suspended_ = true;
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -108,6 +108,7 @@
           {[this](std::string_view peer, const support::json& frame) { on_frame(peer, frame); },
            [this](std::string_view peer) {
                network_.send(peer, status_frame(own_status()));
+               send_limits(peer);
                send_all_residency(peer);
            },
            [this](std::string_view peer) { on_peer_down(peer); }},
@@ -129,6 +130,8 @@
           io_.get_executor(), settings.metrics_address, {},
           [this](net::http_exchange& exchange) { return serve_metrics(exchange); }, counters_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), pump_timer_(io_) {
+    view_.permits = fleet::send_permits(settings.name);
+    view_.dispatcher.use_permits(view_.permits);
     for (const auto& [data_centre, region] : view_.settings.data_centres) {
         holder_for(data_centre);
     }
@@ -148,14 +151,15 @@
     if (!holder) {
         holder = std::make_shared<placement_holder>(
             view_, store_, engines_, data_centre,
-            placement_holder::hooks{[this](std::span<const fleet::residency_change> changes) {
-                                        apply_residency(changes);
-                                        send_residency(changes);
-                                        pump();
-                                    },
-                                    [this, data_centre] { return rank_for(data_centre); },
-                                    [this] { return !peers_.empty(); },
-                                    [this] { send_status(true); }});
+            placement_holder::hooks{
+                [this](std::span<const fleet::residency_change> changes) {
+                    apply_residency(changes);
+                    send_residency(changes);
+                    pump();
+                },
+                [this, data_centre] { return rank_for(data_centre); },
+                [this] { return !peers_.empty(); }, [this] { send_status(true); },
+                [this](std::string_view endpoint) { return take_order_permit(endpoint); }});
     }
     return *holder;
 }
@@ -205,8 +209,11 @@
         holder->pump();
     }
     placer_.tick();
+    view_.permits.set_nodes(view_.live_nodes);
     if (view_.dispatcher.waiting() > 0) {
         pump();
+    } else {
+        update_permits();
     }
     watch_.set_store_reachable(endpoint_records_.reads() || has_reader(), boot_clock::now());
     remove_gone_endpoints();
@@ -250,6 +257,7 @@
             placer_.on_decision(decision);
             decided = true;
         }
+        decided = update_permits() || decided;
     }
     pumping_ = false;
     schedule_pump();
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -2,6 +2,7 @@
 
 #include "dragonflystair/fleet/endpoint_watch.h"
 #include "dragonflystair/fleet/load_reports.h"
+#include "dragonflystair/fleet/permit_divider.h"
 #include "dragonflystair/fleet/residency_batch.h"
 #include "dragonflystair/gateway/gateway.h"
 #include "dragonflystair/net/http_client.h"
@@ -101,9 +102,26 @@
     void on_notice(std::string_view endpoint, std::uint64_t started_ms,
                    const platform::endpoint_notice& notice, support::time_point sent);
     void on_peer_notice(std::string_view peer, const support::json& frame);
-    void on_limit(std::string_view endpoint, const fleet::limit_observation& observed,
+
+    // Rate limits of endpoints (gateway_limits.cpp).
+    bool on_limit(std::string_view endpoint, const fleet::limit_observation& observed,
                   std::string_view source);
+    void on_peer_limit(std::string_view peer, const support::json& frame);
+    void apply_limit(std::string_view endpoint);
+    void send_limits(std::string_view peer);
     void log_limited_use();
+    bool update_permits();
+    void send_permit_requests(std::span<const fleet::permit_request> requests,
+                              support::time_point now);
+    void on_permit_requests(std::string_view peer, const support::json& frame);
+    void on_permit_answer(const support::json& frame);
+    bool send_grants();
+    bool take_order_permit(std::string_view endpoint);
+    [[nodiscard]] bool divides(std::string_view data_centre) const;
+    [[nodiscard]] std::string divider_for(std::string_view data_centre) const;
+    [[nodiscard]] std::string data_centre_of(std::string_view endpoint) const;
+
+    // Notices of endpoints in their responses (gateway_notices.cpp).
     bool mark_leaving(std::string_view endpoint, std::uint64_t started_ms, std::string_view source);
     void apply_pause(std::string_view endpoint, support::time_point until, std::string_view source);
 
@@ -157,6 +175,9 @@
     std::map<std::string, peer_state, std::less<>> peers_; ///< By incarnation.
     std::map<std::string, registered_node> registered_nodes_;
     std::map<std::string, std::shared_ptr<placement_holder>, std::less<>> holders_;
+    fleet::permit_divider divider_;
+    /// Peers over which requests for permits came, by the incarnation of the requesting node.
+    std::map<std::string, std::string, std::less<>> permit_routes_;
     fleet::load_reports load_reports_;
     fleet::residency_batch pending_residency_;
     std::map<std::string, support::time_point> records_requested_;
--- a/lib/gateway/gateway_notices.cpp
+++ b/lib/gateway/gateway_notices.cpp
@@ -21,7 +21,10 @@
     }
     // A damaged value tells nothing: the limit that was named before stays in force.
     if (!notice.limit_malformed) {
-        on_limit(endpoint, {started_ms, notice.limit, sent, now}, "answer");
+        const fleet::limit_observation observed{started_ms, notice.limit, sent, now};
+        if (on_limit(endpoint, observed, "answer")) {
+            publish_frame(limit_frame({std::string(endpoint), observed}, now));
+        }
     }
     if (notice.leaving && mark_leaving(endpoint, started_ms, "answer")) {
         publish_frame(forwarded_notice_frame({std::string(endpoint), started_ms, true, {}}));
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -99,6 +99,12 @@
         on_records(peer, frame);
     } else if (kind == "n") {
         on_peer_notice(peer, frame);
+    } else if (kind == "m") {
+        on_peer_limit(peer, frame);
+    } else if (kind == "a") {
+        on_permit_requests(peer, frame);
+    } else if (kind == "v") {
+        on_permit_answer(frame);
     } else if (kind == "x") {
         constexpr std::size_t max_fingerprints = 10'000;
         if (view_.lost_connections.size() >= max_fingerprints) {
@@ -252,6 +258,7 @@
         }
     }
     peers_.erase(found);
+    std::erase_if(permit_routes_, [&](const auto& route) { return route.second == peer; });
     placer_.on_peer_down(peer);
     load_reports_.remove_peer(peer);
     view_.dispatcher.remove_peer(peer);
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -134,6 +134,7 @@
                 holder->second->planner().update(*decoded);
             }
         }
+        apply_limit(decoded->id);
     }
     remove_gone_endpoints();
     pump();
@@ -147,6 +148,7 @@
         }
         view_.dispatcher.remove(id);
         view_.limits.remove(id);
+        apply_limit(id);
         for (const auto& [name, holder] : holders_) {
             holder->planner().remove(id);
         }
--- a/lib/gateway/node_view.h
+++ b/lib/gateway/node_view.h
@@ -6,6 +6,7 @@
 #include "dragonflystair/fleet/dispatcher.h"
 #include "dragonflystair/fleet/endpoint_backoff.h"
 #include "dragonflystair/fleet/retry_allowance.h"
+#include "dragonflystair/fleet/send_permits.h"
 #include "dragonflystair/fleet/topology.h"
 #include "dragonflystair/net/awaitable.h"
 #include "dragonflystair/net/exchange_client.h"
@@ -41,6 +42,7 @@
     std::size_t live_nodes = 1;
     bool stopping = false;
     fleet::announced_limits limits{}; ///< Rate limits that endpoints name.
+    fleet::send_permits permits{{}};  ///< Permits for those endpoints.
 
     /// Returns whether the backoff of an endpoint allows sending to it, according to the responses
     /// that this node itself has received.
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -1,5 +1,7 @@
 #include "peer_frames.h"
 
+#include "platform/call_headers.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -226,6 +228,106 @@
     return notice.endpoint.empty() ? std::nullopt : std::optional(std::move(notice));
 }
 
+namespace {
+
+/// Upper bound of the time that a frame takes on its way through two leads.
+constexpr std::chrono::milliseconds max_relay_time{500};
+constexpr std::uint64_t max_age_ms = 86'400'000;
+/// Bound of counts in damaged frames, far above what a node can have waiting.
+constexpr std::uint64_t max_permits = 1'000'000;
+
+std::uint64_t age_ms(support::time_point then, support::time_point now) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - then).count();
+    return std::clamp<std::uint64_t>(static_cast<std::uint64_t>(std::max<std::int64_t>(age, 0)), 0,
+                                     max_age_ms);
+}
+
+json limit_row(const forwarded_limit& limit, support::time_point now) {
+    const auto& observed = limit.observed;
+    return json::array({limit.endpoint, observed.started_ms, observed.per_s.value_or(0),
+                        age_ms(observed.sent, now), age_ms(observed.received_at, now)});
+}
+
+/// Reads a limit with its times widened by the time that the frame may have taken.
+std::optional<forwarded_limit> limit_of(const json& row, support::time_point now) {
+    using std::chrono::milliseconds;
+    forwarded_limit limit;
+    limit.endpoint = text_at(row, 0);
+    if (limit.endpoint.empty() || row.size() < 5 || !row[2].is_number()) {
+        return std::nullopt;
+    }
+    limit.observed.started_ms = number_at(row, 1);
+    const auto per_s = row[2].get<double>();
+    if (per_s < 0 || per_s > platform::max_endpoint_limit) {
+        return std::nullopt;
+    }
+    if (per_s > 0) {
+        limit.observed.per_s = per_s;
+    }
+    const auto age_at = [&](std::size_t index) {
+        return milliseconds{static_cast<std::int64_t>(std::min(number_at(row, index), max_age_ms))};
+    };
+    limit.observed.sent = now - age_at(3) - max_relay_time;
+    limit.observed.received_at = now - age_at(4);
+    return limit;
+}
+
+} // namespace
+
+json limit_frame(const forwarded_limit& limit, support::time_point now) {
+    return {{"type", "m"}, {"l", limit_row(limit, now)}};
+}
+
+std::optional<forwarded_limit> decode_limit(const json& frame, support::time_point now) {
+    const auto row = frame.find("l");
+    return row == frame.end() || !row->is_array() ? std::nullopt : limit_of(*row, now);
+}
+
+json permit_request_frame(const permit_requests& requests, support::time_point now) {
+    json rows = json::array();
+    for (const auto& row : requests.rows) {
+        auto cells = limit_row(row.limit, now);
+        cells.push_back(row.wanted);
+        rows.push_back(std::move(cells));
+    }
+    return {{"type", "a"}, {"o", requests.origin}, {"s", requests.request}, {"l", std::move(rows)}};
+}
+
+std::optional<permit_requests> decode_permit_requests(const json& frame, support::time_point now) {
+    const auto head = json::array({frame.value("o", json()), frame.value("s", json())});
+    permit_requests requests;
+    requests.origin = text_at(head, 0);
+    requests.request = number_at(head, 1);
+    for (const auto& row : rows_of(frame, "l")) {
+        if (auto limit = limit_of(row, now)) {
+            requests.rows.push_back({std::move(*limit), std::min(number_at(row, 5), max_permits)});
+        }
+    }
+    return requests.origin.empty() ? std::nullopt : std::optional(std::move(requests));
+}
+
+json permit_answer_frame(const permit_answer& answer) {
+    return {{"type", "v"},
+            {"l", json::array({answer.origin, answer.request, answer.endpoint, answer.count,
+                               static_cast<std::uint64_t>(answer.interval.count())})}};
+}
+
+std::optional<permit_answer> decode_permit_answer(const json& frame) {
+    const auto row = frame.find("l");
+    if (row == frame.end() || !row->is_array()) {
+        return std::nullopt;
+    }
+    permit_answer answer;
+    answer.origin = text_at(*row, 0);
+    answer.request = number_at(*row, 1);
+    answer.endpoint = text_at(*row, 2);
+    answer.count = std::min(number_at(*row, 3), max_permits);
+    answer.interval = std::chrono::milliseconds{
+        static_cast<std::int64_t>(std::min(number_at(*row, 4), max_age_ms))};
+    return answer.origin.empty() || answer.endpoint.empty() ? std::nullopt
+                                                            : std::optional(std::move(answer));
+}
+
 json lost_connection_frame(std::uint64_t fingerprint) {
     return {{"type", "x"}, {"f", fingerprint}};
 }
--- a/lib/gateway/peer_frames.h
+++ b/lib/gateway/peer_frames.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflystair/fleet/adapter_planner.h"
+#include "dragonflystair/fleet/announced_limits.h"
 #include "dragonflystair/fleet/dispatcher.h"
 #include "dragonflystair/fleet/keyed_record.h"
 #include "dragonflystair/fleet/load_reports.h"
@@ -79,6 +80,45 @@
 support::json forwarded_notice_frame(const forwarded_notice& notice);
 std::optional<forwarded_notice> decode_forwarded_notice(const support::json& frame);
 
+/// What a node knows of an endpoint's rate limit; relayed like a notice.
+struct forwarded_limit {
+    std::string endpoint;
+    fleet::limit_observation observed;
+};
+
+/// Times are sent relative to `now`, since the clocks of nodes differ.
+support::json limit_frame(const forwarded_limit& limit, support::time_point now);
+std::optional<forwarded_limit> decode_limit(const support::json& frame, support::time_point now);
+
+/// A node's requests for permits, sent to the divider of the endpoints' data centre, or to the lead
+/// of its own one, which forwards them.
+struct permit_requests {
+    std::string origin; ///< Incarnation of the requesting node.
+    /// When the origin sent them, in nanoseconds of its own clock; repeated in the answer.
+    std::uint64_t request = 0;
+    struct row {
+        forwarded_limit limit;
+        std::size_t wanted = 0;
+    };
+    std::vector<row> rows;
+};
+
+support::json permit_request_frame(const permit_requests& requests, support::time_point now);
+std::optional<permit_requests> decode_permit_requests(const support::json& frame,
+                                                      support::time_point now);
+
+/// A divider's answer to one row; relayed to the origin by the node that forwarded the request.
+struct permit_answer {
+    std::string origin;
+    std::uint64_t request = 0;
+    std::string endpoint;
+    std::size_t count = 0;
+    std::chrono::milliseconds interval{0}; ///< Between two permits for the origin.
+};
+
+support::json permit_answer_frame(const permit_answer& answer);
+std::optional<permit_answer> decode_permit_answer(const support::json& frame);
+
 support::json lost_connection_frame(std::uint64_t fingerprint);
 
 } // namespace dragonflystair::gateway
--- a/lib/gateway/placement_holder.cpp
+++ b/lib/gateway/placement_holder.cpp
@@ -165,7 +165,7 @@
 
 net::awaitable<void> placement_holder::send_order(fleet::planned_order order) {
     const auto self = shared_from_this();
-    if (!view_.may_send(order.endpoint, boot_clock::now())) {
+    if (!view_.may_send(order.endpoint, boot_clock::now()) || !on_.take_permit(order.endpoint)) {
         planner_.on_outcome(order, fleet::order_outcome::failed, boot_clock::now());
         co_return;
     }
@@ -216,7 +216,7 @@
 
 net::awaitable<void> placement_holder::request_report(fleet::planned_order order) {
     const auto self = shared_from_this();
-    if (!view_.may_send(order.endpoint, boot_clock::now())) {
+    if (!view_.may_send(order.endpoint, boot_clock::now()) || !on_.take_permit(order.endpoint)) {
         planner_.on_report_failed(order.endpoint, boot_clock::now());
         co_return;
     }
--- a/lib/gateway/placement_holder.h
+++ b/lib/gateway/placement_holder.h
@@ -25,6 +25,9 @@
         std::function<std::size_t()> rank; ///< Returns this node's rank among the candidates.
         std::function<bool()> linked;      ///< Returns whether a peer would report a newer holder.
         std::function<void()> lease_changed; ///< Called when the lease is acquired or lost.
+        /// Takes the permit for a request to an endpoint. Returns false if its rate limit does not
+        /// admit one now.
+        std::function<bool(std::string_view endpoint)> take_permit;
     };
 
     placement_holder(node_view& view, platform::store_client& store,
--- a/unittests/gateway_limits/endpoint_limit_test.cpp
+++ b/unittests/gateway_limits/endpoint_limit_test.cpp
@@ -42,6 +42,9 @@
     CPPUNIT_TEST_SUITE(endpoint_limit_test);
     CPPUNIT_TEST(endpoint_gets_more_calls_of_two_nodes_than_its_limit);
     CPPUNIT_TEST(engine_gets_more_orders_and_checks_than_its_limit);
+    CPPUNIT_TEST(limit_is_forwarded_to_peer_that_has_sent_nothing);
+    CPPUNIT_TEST(calls_are_served_again_after_limit_has_ended);
+    CPPUNIT_TEST(damaged_limit_is_logged_and_ignored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -99,6 +102,45 @@
         assert_within_limit();
     }
 
+    void limit_is_forwarded_to_peer_that_has_sent_nothing() {
+        start("register", "2.0");
+        auto settings = settings_of("node-2");
+        settings.peers = {peer_address};
+        second_node second(settings, running);
+        output->expect({"event=endpoint ", "endpoint=endpoint-1", "state=ready"}, 2);
+        output->expect({"event=peer_regained"}, 2);
+        call("/stamps/1", "first");
+        output->expect({"event=endpoint_limit ", "per_s=2.000", "source=peer"});
+    }
+
+    void calls_are_served_again_after_limit_has_ended() {
+        start("register", "2.0");
+        constexpr int many_calls = 30;
+        for (int number = 0; number < many_calls; ++number) {
+            call("/stamps/1", "limited-" + std::to_string(number));
+        }
+        endpoint_->set_limit("");
+        int served = 0;
+        for (int number = 0; served < many_calls && number < 2'000; ++number) {
+            const auto status = call("/stamps/1", "later-" + std::to_string(number)).status;
+            served = status == 200 ? served + 1 : 0;
+            // Stays below the rate limit of log lines, which the next test reads.
+            std::this_thread::sleep_for(milliseconds{10});
+        }
+        CPPUNIT_ASSERT_EQUAL(many_calls, served);
+        output->expect({"event=endpoint_limit ", "per_s=none", "source=answer"});
+    }
+
+    void damaged_limit_is_logged_and_ignored() {
+        start("register", "many");
+        constexpr int many_calls = 30;
+        for (int number = 0; number < many_calls; ++number) {
+            CPPUNIT_ASSERT_EQUAL(200, call("/stamps/1", "id-" + std::to_string(number)).status);
+        }
+        output->expect({"event=endpoint_notice_damaged", "endpoint=endpoint-1"});
+        CPPUNIT_ASSERT_EQUAL(0, output->count({"event=endpoint_limit "}));
+    }
+
 private:
     void start(const std::string& service, const std::string& limit) {
         endpoint_ = std::make_unique<endpoint_stand_in>(
