Use the whole limit of an endpoint, and load its adapters elsewhere in time

With 8 nodes, 2 requests a second and twice the demand none of the limit was used: the node refused a call as soon as it was told an interval between permits that was beyond its deadline, although its first permit came at once; its request stayed at the divider for half a second and took the permit that the next call needed.

A call behind others for the limited engine that alone has its adapter counted that as available, waited and was refused at its deadline. Its place in the line now counts, so that the adapter is loaded elsewhere (calls_behind_the_limit_of_the_only_holder_ask_for_their_adapter_elsewhere failed before).

--- a/include/dragonflystair/fleet/permit_divider.h
+++ b/include/dragonflystair/fleet/permit_divider.h
@@ -19,12 +19,14 @@
     std::string node;
     std::size_t count = 0;
     std::uint64_t request = 0;             ///< Identifier of the request, as chosen by the node.
-    std::chrono::milliseconds interval{0}; ///< Between two permits for the node.
+    std::chrono::milliseconds next_in{0};  ///< Expected time until its next permit.
+    std::chrono::milliseconds interval{0}; ///< Between its further permits.
 };
 
 /// Divides the rate limits of the endpoints of one data centre among all nodes. Run by the node
 /// whose placement lease of the data centre is confirmed by the store, so there is at most one.
-/// Permits are issued at the rate of the limit, one at a time to the node that has waited longest.
+/// Permits are issued at the rate of the limit, one at a time to the node that has waited longest,
+/// so a node's next permit can be predicted.
 /// Requests lapse unless they are repeated, so a node that stops or is cut off holds nothing back.
 ///
 /// The divider's own orders to engines need no request: they are charged afterwards, and nodes wait
@@ -45,13 +47,15 @@
     /// Returns the answers that are due: one for each new request, possibly without permits, and
     /// the permits that have become available since.
     std::vector<permit_grant> take_grants(support::time_point now);
+    /// Returns when a permit becomes available for which a node waits; empty if none waits.
+    [[nodiscard]] std::optional<support::time_point> next_due(support::time_point now) const;
 
 private:
     struct waiting_node {
         std::size_t wanted = 0;
         std::uint64_t request = 0;
         support::time_point expires;
-        support::time_point last_granted;
+        support::time_point waiting_since; ///< Since its last permit, if it has got one meanwhile.
         bool answer_due = false;
         std::size_t granted = 0; ///< Since the last answer.
     };
@@ -64,6 +68,8 @@
 
     static void fill(bucket& target, support::time_point now);
     static void grant(bucket& target, support::time_point now);
+    static void estimate(const bucket& target, const waiting_node& node, permit_grant& answer,
+                         support::time_point now);
 
     std::map<std::string, bucket, std::less<>> buckets_;
 };
--- a/include/dragonflystair/fleet/send_permits.h
+++ b/include/dragonflystair/fleet/send_permits.h
@@ -18,7 +18,8 @@
 /// then.
 inline constexpr double min_endpoint_rate = 0.1;
 
-/// A request of this node for permits to send requests to an endpoint.
+/// A request of this node for permits to send requests to an endpoint. It replaces the former one;
+/// 0 withdraws that.
 struct permit_request {
     std::string endpoint;
     std::size_t wanted = 0;
@@ -66,10 +67,11 @@
     void set_wanted(const std::map<std::string, std::size_t, std::less<>>& wanted);
     /// Returns the requests to send to the dividers now.
     std::vector<permit_request> take_due_requests(support::time_point now);
-    /// Records the answer of a divider to the request sent at `requested_at`: `count` permits, and
-    /// the interval between two permits for this node.
+    /// Records the answer of a divider to the request sent at `requested_at`: `count` permits, the
+    /// expected time until the next one, and the interval between further ones.
     void on_answer(std::string_view endpoint, std::size_t count, support::time_point requested_at,
-                   std::chrono::milliseconds interval, support::time_point now);
+                   std::chrono::milliseconds next_in, std::chrono::milliseconds interval,
+                   support::time_point now);
 
 private:
     struct entry {
@@ -79,7 +81,7 @@
         std::size_t requested = 0; ///< Number in the last request that is not granted yet.
         std::optional<support::time_point> requested_at;
         std::optional<support::time_point> unanswered_since;
-        std::optional<support::time_point> answered_at;
+        std::optional<support::time_point> next_at; ///< When the next permit is expected.
         std::chrono::milliseconds interval{0};
         std::optional<std::int64_t> used_slot; ///< Last fallback slot that was used.
     };
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -363,7 +363,7 @@
     std::map<model_name, adapter_demand> demand;
     for (const auto number : impl_->queue) {
         const auto& open = impl_->calls.at(number);
-        if (!open.call.model.model.empty() && impl_->adapter_missing(open)) {
+        if (!open.call.model.model.empty() && open.adapter_missing) {
             auto& wanted = demand[open.call.model];
             if (wanted.waiting == 0) {
                 wanted.model = open.call.model;
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -293,14 +293,15 @@
 }
 
 /// Returns whether the call waits because no usable endpoint has its adapter, rather than because
-/// the endpoints that have it are full.
+/// the endpoints that have it are full. An endpoint whose rate limit admits it too late, after the
+/// calls that were counted in `permit_demand` before, is not usable.
 bool dispatcher::impl::adapter_missing(const open_call& open) {
     if (open.call.model.model.empty()) {
         return false;
     }
     return std::ranges::none_of(members(open.call.service), [&](const auto* target) {
         return is_eligible(*target, open.call) && has_ready(*target, open.call.model) &&
-               available_at(*target, 0) <= open.call.queue_deadline;
+               available_at(*target, calls_before(*target)) <= open.call.queue_deadline;
     });
 }
 
@@ -357,6 +358,12 @@
     return layout.own();
 }
 
+/// Returns the number of calls that wait for permits for the endpoint and were evaluated before.
+std::size_t dispatcher::impl::calls_before(const endpoint& target) const {
+    const auto found = permit_demand.find(target.record.id);
+    return found == permit_demand.end() ? 0 : found->second;
+}
+
 /// Returns when the endpoint accepts the next call, with `ahead` calls before it: when its backoff
 /// has ended and a permit can be expected. Returns a past time if that does not delay the call.
 time_point dispatcher::impl::available_at(const endpoint& target, std::size_t ahead) const {
@@ -370,17 +377,13 @@
 
 /// Returns the earliest time at which an eligible endpoint of the call accepts it, if that is
 /// beyond its queue deadline; empty otherwise.
-std::optional<time_point> dispatcher::impl::unavailable_past_deadline(const open_call& open,
-                                                                      std::size_t ahead) {
-    const auto endpoints_of_service = members(open.call.service);
-    const auto eligible = static_cast<std::size_t>(std::ranges::count_if(
-        endpoints_of_service, [&](const auto* target) { return is_eligible(*target, open.call); }));
+std::optional<time_point> dispatcher::impl::unavailable_past_deadline(const open_call& open) {
     std::optional<time_point> first;
-    for (const auto* target : endpoints_of_service) {
+    for (const auto* target : members(open.call.service)) {
         if (!is_eligible(*target, open.call)) {
             continue;
         }
-        const auto available = available_at(*target, ahead / eligible);
+        const auto available = available_at(*target, calls_before(*target));
         if (available <= open.call.queue_deadline) {
             return std::nullopt;
         }
@@ -424,10 +427,13 @@
     if (chosen && !chosen->awaits_permit) {
         return place(open, *chosen, state, now);
     }
-    if (chosen) {
-        ++permit_demand[chosen->target->record.id];
-    }
     open.adapter_missing = adapter_missing(open);
+    const auto keep_waiting = [&]() -> std::optional<dispatch_decision> {
+        if (chosen) {
+            ++permit_demand[chosen->target->record.id];
+        }
+        return std::nullopt;
+    };
     if (open.diverts_at && (open.adapter_missing || now >= *open.diverts_at)) {
         open.diverts_at.reset();
         if (ready_elsewhere(open.call)) {
@@ -441,7 +447,7 @@
         decision.reason = refusal::no_endpoints;
         return decision;
     }
-    if (const auto until = unavailable_past_deadline(open, ahead)) {
+    if (const auto until = unavailable_past_deadline(open)) {
         auto decision = refuse(open, state, ahead, open.adapter_missing);
         decision.reason = unavailability(open);
         decision.retry_after += std::chrono::ceil<milliseconds>(*until - now);
@@ -458,11 +464,11 @@
                   std::chrono::duration<double>(static_cast<double>(ahead) / state.placed_per_s)) >
             open.call.queue_deadline;
     if (!too_long && now < open.call.queue_deadline) {
-        return std::nullopt;
+        return keep_waiting();
     }
     open.awaits_load = !too_long && awaits_load(open, now);
     if (open.awaits_load) {
-        return std::nullopt;
+        return keep_waiting();
     }
     auto decision = refuse(open, state, ahead, open.adapter_missing);
     if (too_long) {
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -142,9 +142,9 @@
     dispatch_decision refuse(const open_call& open, const service_state& state, std::size_t ahead,
                              bool adapter_missing) const;
     std::optional<dispatch_decision> decide(open_call& open, std::size_t ahead, time_point now);
+    [[nodiscard]] std::size_t calls_before(const endpoint& target) const;
     [[nodiscard]] time_point available_at(const endpoint& target, std::size_t ahead) const;
-    [[nodiscard]] std::optional<time_point> unavailable_past_deadline(const open_call& open,
-                                                                      std::size_t ahead);
+    [[nodiscard]] std::optional<time_point> unavailable_past_deadline(const open_call& open);
     [[nodiscard]] refusal unavailability(const open_call& open);
     [[nodiscard]] bool awaits_load(open_call& open, time_point now) const;
     void release(open_call& open);
--- a/lib/fleet/permit_divider.cpp
+++ b/lib/fleet/permit_divider.cpp
@@ -16,9 +16,6 @@
 constexpr double accumulation_s = 0.25;
 constexpr double min_accumulation = 1;
 
-/// A node that has asked before keeps its turn for this long after its last request.
-constexpr milliseconds turn_lifetime{5'000};
-
 } // namespace
 
 void permit_divider::set_limit(std::string_view endpoint, std::optional<double> per_s,
@@ -59,10 +56,13 @@
     if (entry == nodes.end()) {
         entry = nodes.emplace(std::string(node), waiting_node{}).first;
     }
+    if (entry->second.wanted == 0 || entry->second.expires <= now) {
+        entry->second.waiting_since = now;
+    }
     entry->second.wanted = wanted;
     entry->second.request = request;
     entry->second.expires = now + request_lifetime;
-    entry->second.answer_due = true;
+    entry->second.answer_due = wanted > 0;
 }
 
 void permit_divider::charge(std::string_view endpoint, time_point now) {
@@ -72,13 +72,14 @@
     }
 }
 
-/// Grants the available permits one at a time to the node that was granted one longest ago.
+/// Grants the available permits one at a time to the node that has waited longest. A node that
+/// wants more queues again.
 void permit_divider::grant(bucket& target, time_point now) {
     while (target.permits >= 1) {
         waiting_node* next = nullptr;
         for (auto& [name, node] : target.nodes) {
             if (node.wanted > 0 && node.expires > now &&
-                (next == nullptr || node.last_granted < next->last_granted)) {
+                (next == nullptr || node.waiting_since < next->waiting_since)) {
                 next = &node;
             }
         }
@@ -88,33 +89,62 @@
         target.permits -= 1;
         --next->wanted;
         ++next->granted;
-        next->last_granted = now;
+        next->waiting_since = now;
+    }
+}
+
+/// Estimates the times of a node's next permits from the nodes that wait now.
+void permit_divider::estimate(const bucket& target, const waiting_node& node, permit_grant& answer,
+                              time_point now) {
+    double before = 0;
+    double waiting = 1; // Including the node itself.
+    for (const auto& [name, other] : target.nodes) {
+        if (&other != &node && other.wanted > 0 && other.expires > now) {
+            waiting += 1;
+            before += other.waiting_since < node.waiting_since ? 1 : 0;
+        }
     }
+    const auto after = [&](double permits) {
+        return std::chrono::ceil<milliseconds>(
+            std::chrono::duration<double>(std::max(permits, 0.0) / target.per_s));
+    };
+    answer.next_in = after(before + 1 - target.permits);
+    answer.interval = after(waiting);
 }
 
 std::vector<permit_grant> permit_divider::take_grants(time_point now) {
     std::vector<permit_grant> grants;
     for (auto& [endpoint, target] : buckets_) {
         fill(target, now);
-        const auto waiting = std::ranges::count_if(target.nodes, [now](const auto& item) {
-            return item.second.wanted > 0 && item.second.expires > now;
-        });
-        const std::chrono::duration<double> interval(
-            static_cast<double>(std::max<std::ptrdiff_t>(waiting, 1)) / target.per_s);
         grant(target, now);
         for (auto& [name, node] : target.nodes) {
             if (!node.answer_due && node.granted == 0) {
                 continue;
             }
             node.answer_due = false;
-            grants.push_back({endpoint, name, std::exchange(node.granted, 0), node.request,
-                              std::chrono::ceil<milliseconds>(interval)});
+            permit_grant answer{endpoint,     name, std::exchange(node.granted, 0),
+                                node.request, {},   {}};
+            estimate(target, node, answer, now);
+            grants.push_back(std::move(answer));
         }
-        std::erase_if(target.nodes, [now](const auto& item) {
-            return now - item.second.expires > turn_lifetime;
-        });
+        std::erase_if(target.nodes, [now](const auto& item) { return item.second.expires <= now; });
     }
     return grants;
 }
 
+std::optional<time_point> permit_divider::next_due(time_point now) const {
+    std::optional<time_point> earliest;
+    for (const auto& [endpoint, target] : buckets_) {
+        const bool waited_for = std::ranges::any_of(target.nodes, [now](const auto& item) {
+            return item.second.wanted > 0 && item.second.expires > now;
+        });
+        if (waited_for) {
+            const std::chrono::duration<double> missing((1 - target.permits) / target.per_s);
+            const auto due = target.filled_at + std::chrono::ceil<support::duration>(missing);
+            earliest = earliest ? std::min(*earliest, due) : due;
+        }
+    }
+    return earliest;
+}
+
 } // namespace dragonflystair::fleet
--- a/lib/fleet/send_permits.cpp
+++ b/lib/fleet/send_permits.cpp
@@ -17,8 +17,8 @@
 /// do not all send at once.
 constexpr milliseconds max_slot_length{1'000};
 
-/// Age up to which the interval in a divider's answer predicts the next permit.
-constexpr milliseconds max_answer_age{2'000};
+/// An expected permit that is overdue by more than this says nothing about those after it.
+constexpr milliseconds max_estimate_age{500};
 
 duration seconds_to_duration(double seconds) {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
@@ -118,10 +118,10 @@
     }
     const auto usable =
         std::ranges::count_if(known.permits, [now](auto expiry) { return expiry > now; });
-    if (position < usable || !known.answered_at || now - *known.answered_at > max_answer_age) {
+    if (position < usable || !known.next_at || now > *known.next_at + max_estimate_age) {
         return now;
     }
-    return std::max(now, *known.answered_at + known.interval * (position - usable + 1));
+    return std::max(now, *known.next_at + known.interval * (position - usable));
 }
 
 void send_permits::set_wanted(const std::map<std::string, std::size_t, std::less<>>& wanted) {
@@ -135,19 +135,23 @@
     std::vector<permit_request> due;
     for (auto& [endpoint, known] : entries_) {
         const bool overdue = !known.requested_at || now - *known.requested_at >= request_period;
-        if (known.wanted == 0 || (!overdue && known.wanted <= known.requested)) {
+        const bool repeats = overdue && known.wanted > 0;
+        // Fewer calls wait if some were refused: permits for them would be lost.
+        if (known.wanted == known.requested && !repeats) {
             continue;
         }
         known.requested = known.wanted;
         known.requested_at = now;
-        known.unanswered_since = known.unanswered_since.value_or(now);
+        if (known.wanted > 0) {
+            known.unanswered_since = known.unanswered_since.value_or(now);
+        }
         due.push_back({endpoint, known.wanted});
     }
     return due;
 }
 
 void send_permits::on_answer(std::string_view endpoint, std::size_t count, time_point requested_at,
-                             milliseconds interval, time_point now) {
+                             milliseconds next_in, milliseconds interval, time_point now) {
     const auto found = entries_.find(endpoint);
     const auto expiry = requested_at + permit_lifetime;
     if (found == entries_.end() || expiry <= now) {
@@ -155,7 +159,7 @@
     }
     auto& known = found->second;
     known.unanswered_since.reset();
-    known.answered_at = now;
+    known.next_at = now + next_in;
     known.interval = interval;
     known.requested -= std::min(count, known.requested);
     std::erase_if(known.permits, [now](auto at) { return at <= now; });
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -129,7 +129,7 @@
       metrics_server_(
           io_.get_executor(), settings.metrics_address, {},
           [this](net::http_exchange& exchange) { return serve_metrics(exchange); }, counters_),
-      signals_(io_, SIGTERM, SIGINT, SIGHUP), pump_timer_(io_) {
+      signals_(io_, SIGTERM, SIGINT, SIGHUP), pump_timer_(io_), grant_timer_(io_) {
     view_.permits = fleet::send_permits(settings.name);
     view_.dispatcher.use_permits(view_.permits);
     for (const auto& [data_centre, region] : view_.settings.data_centres) {
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -116,6 +116,7 @@
     void on_permit_requests(std::string_view peer, const support::json& frame);
     void on_permit_answer(const support::json& frame);
     bool send_grants();
+    void schedule_grants();
     bool take_order_permit(std::string_view endpoint);
     [[nodiscard]] bool divides(std::string_view data_centre) const;
     [[nodiscard]] std::string divider_for(std::string_view data_centre) const;
@@ -187,6 +188,7 @@
     net::http_server metrics_server_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer pump_timer_;
+    boost::asio::steady_timer grant_timer_;
     support::time_point last_caller_request_;
     bool pumping_ = false;
     std::uint64_t ticks_ = 0;
--- a/lib/gateway/gateway_limits.cpp
+++ b/lib/gateway/gateway_limits.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+/// Lower bound of the interval between two rounds of grants; bounds their number at high limits.
+constexpr std::chrono::milliseconds min_grant_interval{5};
+
 /// Time points on this node's clock as numbers for frames, which return to this node only.
 std::uint64_t to_stamp(time_point at) {
     return static_cast<std::uint64_t>(at.time_since_epoch().count());
@@ -187,22 +190,39 @@
         }
         if (grant.node == view_.incarnation) {
             view_.permits.on_answer(grant.endpoint, grant.count, from_stamp(grant.request),
-                                    grant.interval, now);
+                                    grant.next_in, grant.interval, now);
             received = received || grant.count > 0;
             continue;
         }
         if (const auto route = permit_routes_.find(grant.node); route != permit_routes_.end()) {
             network_.send(route->second,
                           permit_answer_frame({grant.node, grant.request, grant.endpoint,
-                                               grant.count, grant.interval}));
+                                               grant.count, grant.next_in, grant.interval}));
         }
     }
+    schedule_grants();
     if (received) {
         view_.dispatcher.on_permits_changed();
     }
     return received;
 }
 
+/// Sends the next permit as soon as it is available: the nodes' calls wait for it at a time that
+/// they were told.
+void gateway::impl::schedule_grants() {
+    const auto now = boot_clock::now();
+    const auto due = divider_.next_due(now);
+    if (!due) {
+        return;
+    }
+    grant_timer_.expires_after(std::max<support::duration>(*due - now, min_grant_interval));
+    grant_timer_.async_wait([this](const boost::system::error_code& code) {
+        if (!code && send_grants()) {
+            pump();
+        }
+    });
+}
+
 void gateway::impl::on_permit_answer(const support::json& frame) {
     const auto answer = decode_permit_answer(frame);
     if (!answer) {
@@ -214,7 +234,7 @@
         return;
     }
     view_.permits.on_answer(answer->endpoint, answer->count, from_stamp(answer->request),
-                            answer->interval, boot_clock::now());
+                            answer->next_in, answer->interval, boot_clock::now());
     view_.dispatcher.on_permits_changed();
     pump();
 }
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -307,9 +307,12 @@
 }
 
 json permit_answer_frame(const permit_answer& answer) {
+    const auto ms = [](std::chrono::milliseconds value) {
+        return static_cast<std::uint64_t>(value.count());
+    };
     return {{"type", "v"},
             {"l", json::array({answer.origin, answer.request, answer.endpoint, answer.count,
-                               static_cast<std::uint64_t>(answer.interval.count())})}};
+                               ms(answer.next_in), ms(answer.interval)})}};
 }
 
 std::optional<permit_answer> decode_permit_answer(const json& frame) {
@@ -317,13 +320,17 @@
     if (row == frame.end() || !row->is_array()) {
         return std::nullopt;
     }
+    const auto ms_at = [&row](std::size_t index) {
+        return std::chrono::milliseconds{
+            static_cast<std::int64_t>(std::min(number_at(*row, index), max_age_ms))};
+    };
     permit_answer answer;
     answer.origin = text_at(*row, 0);
     answer.request = number_at(*row, 1);
     answer.endpoint = text_at(*row, 2);
     answer.count = std::min(number_at(*row, 3), max_permits);
-    answer.interval = std::chrono::milliseconds{
-        static_cast<std::int64_t>(std::min(number_at(*row, 4), max_age_ms))};
+    answer.next_in = ms_at(4);
+    answer.interval = ms_at(5);
     return answer.origin.empty() || answer.endpoint.empty() ? std::nullopt
                                                             : std::optional(std::move(answer));
 }
--- a/lib/gateway/peer_frames.h
+++ b/lib/gateway/peer_frames.h
@@ -113,7 +113,8 @@
     std::uint64_t request = 0;
     std::string endpoint;
     std::size_t count = 0;
-    std::chrono::milliseconds interval{0}; ///< Between two permits for the origin.
+    std::chrono::milliseconds next_in{0};  ///< Expected time until the origin's next permit.
+    std::chrono::milliseconds interval{0}; ///< Between its further permits.
 };
 
 support::json permit_answer_frame(const permit_answer& answer);
--- a/unittests/fleet/limited_endpoint_test.cpp
+++ b/unittests/fleet/limited_endpoint_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(call_is_refused_at_once_if_no_permit_comes_in_time);
     CPPUNIT_TEST(call_is_not_refused_while_its_permit_may_come_in_time);
     CPPUNIT_TEST(adapter_on_limited_engine_counts_as_missing_without_permits_in_time);
+    CPPUNIT_TEST(calls_behind_the_limit_of_the_only_holder_ask_for_their_adapter_elsewhere);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,6 +112,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatcher_->take_demand().size());
     }
 
+    /// Permits for two of the five calls come in time, so the others' adapter has to be loaded on
+    /// the engine without a limit.
+    void calls_behind_the_limit_of_the_only_holder_ask_for_their_adapter_elsewhere() {
+        auto holder = engine("a");
+        holder.models = {{"base", 1, {{"rare", 1}}}};
+        dispatcher_->update(holder);
+        dispatcher_->update(engine("b"));
+        permits_->set_limit("a", limit_per_s);
+        grant("a", 0, short_interval);
+        for (std::uint64_t number = 1; number <= 5; ++number) {
+            auto call = plain_call(number);
+            call.service = "assistant";
+            call.model = {"base", "rare"};
+            dispatcher_->submit(call);
+        }
+        CPPUNIT_ASSERT(dispatcher_->pump(start).empty());
+        CPPUNIT_ASSERT(dispatcher_->take_new_demand());
+        const auto demand = dispatcher_->take_demand();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, demand.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, demand.at(0).waiting);
+    }
+
 private:
     static endpoint_record plain(const std::string& id) {
         auto record = engine(id);
@@ -136,7 +159,7 @@
         return dispatcher_->pump(start);
     }
     void grant(const std::string& id, std::size_t count, milliseconds interval) {
-        permits_->on_answer(id, count, start, interval, start);
+        permits_->on_answer(id, count, start, interval, interval, start);
         dispatcher_->on_permits_changed();
     }
 
--- a/unittests/fleet/shared_limit_test.cpp
+++ b/unittests/fleet/shared_limit_test.cpp
@@ -133,7 +133,8 @@
             if (arrives <= now_ && grant.node == node.name && node.linked) {
                 const time_point requested{
                     support::duration{static_cast<support::duration::rep>(grant.request)}};
-                node.permits->on_answer(endpoint, grant.count, requested, grant.interval, now_);
+                node.permits->on_answer(endpoint, grant.count, requested, grant.next_in,
+                                        grant.interval, now_);
             }
         }
         std::erase_if(answers_, [&](const auto& answer) {
@@ -307,7 +308,7 @@
         send_permits permits("node");
         permits.set_limit(endpoint, 2);
         const time_point now{std::chrono::hours{1}};
-        permits.on_answer(endpoint, 3, now - send_permits::permit_lifetime, milliseconds{500}, now);
+        permits.on_answer(endpoint, 3, now - send_permits::permit_lifetime, {}, {}, now);
         CPPUNIT_ASSERT(!permits.allows(endpoint, now));
     }
 
--- a/unittests/gateway/limit_frames_test.cpp
+++ b/unittests/gateway/limit_frames_test.cpp
@@ -43,10 +43,11 @@
         const auto read = decode_permit_requests(permit_request_frame(requests, now), now);
         CPPUNIT_ASSERT(read && read->origin == "node" && read->request == 12);
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, read->rows.at(0).wanted);
-        const auto answer =
-            decode_permit_answer(permit_answer_frame({"node", 12, "e", 2, milliseconds{400}}));
+        const auto answer = decode_permit_answer(
+            permit_answer_frame({"node", 12, "e", 2, milliseconds{50}, milliseconds{400}}));
         CPPUNIT_ASSERT(answer && answer->origin == "node" && answer->request == 12);
         CPPUNIT_ASSERT(answer->endpoint == "e" && answer->count == 2);
+        CPPUNIT_ASSERT(answer->next_in == milliseconds{50});
         CPPUNIT_ASSERT(answer->interval == milliseconds{400});
     }
 
