Do not flip a limit that an endpoint names only now and then

Found by reading. A limit now holds for half a second after the last answer that named it, and a stricter value at once.

The end of a limit no longer replaces a longer backoff that the endpoint asked for. A gauge counts the endpoints with a limit in force.

The soak gets endpoints that name limits as faults (--limits): an endpoint counts what reaches it from all gateways and applies the platform's rule, while gateways are killed, suspended and stopped and links fail. Plans of the other choices are unchanged.

--- a/include/dragonflystair/fleet/announced_limits.h
+++ b/include/dragonflystair/fleet/announced_limits.h
@@ -3,6 +3,7 @@
 #include "dragonflystair/support/time.h"
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -37,11 +38,15 @@
 };
 
 /// The rate limits that endpoints name in their responses, each for all nodes together. Responses
-/// overtake each other, and peers relay what they read: an observation replaces the current one if
-/// it is certainly newer, and also if the order is uncertain and it is the stricter of the two.
-/// Has no clock and does no I/O.
+/// overtake each other, and peers relay what they read: a stricter observation replaces the current
+/// one unless it is certainly older, and a looser one only if the current one was not repeated for
+/// `min_hold`. Has no clock and does no I/O.
 class announced_limits {
 public:
+    /// Time for which a limit holds after the last response that named it, so that an endpoint that
+    /// names one only now and then does not change the state of all nodes with each response.
+    static constexpr std::chrono::milliseconds min_hold{500};
+
     /// Returns whether the limit that is in force for this run of the endpoint has changed.
     bool observe(std::string_view endpoint, const limit_observation& observed);
     void remove(std::string_view endpoint);
@@ -51,6 +56,8 @@
                                               std::uint64_t started_ms) const;
     /// Returns the latest observation; null if there is none.
     [[nodiscard]] const limit_observation* find(std::string_view endpoint) const;
+    /// Returns the number of endpoints with a limit in force.
+    [[nodiscard]] std::size_t in_force() const;
     /// Returns the endpoints that name a limit or did so before.
     [[nodiscard]] std::vector<std::string> known() const;
 
--- a/lib/fleet/announced_limits.cpp
+++ b/lib/fleet/announced_limits.cpp
@@ -53,7 +53,7 @@
     if (observed.received_at <= latest.sent) {
         return false;
     }
-    const bool newer = observed.sent >= latest.received_at;
+    const bool newer = observed.sent >= latest.received_at + min_hold;
     if (observed.per_s == latest.per_s) {
         latest.sent = std::max(latest.sent, observed.sent);
         latest.received_at = std::max(latest.received_at, observed.received_at);
@@ -85,6 +85,11 @@
     return found == entries_.end() ? nullptr : &found->second.latest;
 }
 
+std::size_t announced_limits::in_force() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        entries_, [](const auto& item) { return item.second.latest.per_s.has_value(); }));
+}
+
 std::vector<std::string> announced_limits::known() const {
     std::vector<std::string> names;
     names.reserve(entries_.size());
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -332,6 +332,7 @@
     counters_.set_gauge("calls_waiting", static_cast<double>(view_.dispatcher.waiting()));
     counters_.set_gauge("log_lines_dropped", static_cast<double>(support::dropped_log_lines()));
     counters_.set_gauge("peers_in_touch", static_cast<double>(peers_.size()));
+    counters_.set_gauge("endpoints_limited", static_cast<double>(view_.limits.in_force()));
     counters_.set_gauge("endpoint_connections_opened",
                         static_cast<double>(view_.endpoints.opened()));
     counters_.set_gauge("configuration_version",
--- a/lib/gateway/gateway_limits.cpp
+++ b/lib/gateway/gateway_limits.cpp
@@ -64,7 +64,8 @@
     const auto* record = view_.dispatcher.find(endpoint);
     const auto per_s =
         record == nullptr ? std::nullopt : view_.limits.per_s(endpoint, record->started_ms);
-    if (record != nullptr && !per_s && view_.permits.limited(endpoint)) {
+    const bool ended = record != nullptr && !per_s && view_.permits.limited(endpoint);
+    if (ended && view_.dispatcher.paused_until(endpoint) < now) {
         // Ramps the load up, so that not all waiting calls of all nodes are sent at once.
         view_.dispatcher.pause(endpoint, now);
     }
--- a/unittests/soak/fault_plan.cpp
+++ b/unittests/soak/fault_plan.cpp
@@ -14,6 +14,8 @@
 constexpr int longest_gap_ms = 600;
 constexpr int shortest_fault_ms = 100;
 constexpr int longest_fault_ms = 2'400;
+/// A limit lasts longer than the time after which it is checked.
+constexpr milliseconds min_limit_time{6'000};
 
 constexpr std::array planned_kinds{fault_kind::stop_gateway, fault_kind::hang_up_gateway,
                                    fault_kind::replace_endpoint, fault_kind::change_configuration};
@@ -64,6 +66,8 @@
         return "store_loses_answers";
     case fault_kind::change_configuration:
         return "change_configuration";
+    case fault_kind::endpoint_names_limit:
+        return "endpoint_names_limit";
     }
     return "unknown";
 }
@@ -82,12 +86,18 @@
         fault item;
         item.kind = choice == fault_choice::planned
                         ? planned_kinds.at(random() % planned_kinds.size())
-                        : static_cast<fault_kind>(below(static_cast<int>(fault_kinds)));
+                        : static_cast<fault_kind>(below(static_cast<int>(usual_fault_kinds)));
+        if (choice == fault_choice::limits && below(2) == 0) {
+            item.kind = fault_kind::endpoint_names_limit;
+        }
         item.at = at;
         item.lasts = milliseconds(shortest_fault_ms + below(longest_fault_ms));
         if (item.kind == fault_kind::stop_gateway) {
             item.lasts = shutdown_time;
         }
+        if (item.kind == fault_kind::endpoint_names_limit) {
+            item.lasts += min_limit_time;
+        }
         item.target = static_cast<std::size_t>(below(1 << 16));
         plan.push_back(item);
     }
--- a/unittests/soak/fault_plan.h
+++ b/unittests/soak/fault_plan.h
@@ -34,9 +34,11 @@
     store_refuses,
     store_loses_answers,
     change_configuration,
+    endpoint_names_limit, ///< Drawn only by `fault_choice::limits`.
 };
 
-inline constexpr std::size_t fault_kinds = 21;
+/// Number of kinds that `fault_choice::any` draws from.
+inline constexpr std::size_t usual_fault_kinds = 21;
 
 /// Time from SIGTERM to SIGKILL.
 inline constexpr std::chrono::milliseconds shutdown_time{4'500};
@@ -47,6 +49,7 @@
 enum class fault_choice {
     any,
     planned, ///< Only operator actions, during which no running call may be cut off.
+    limits,  ///< Half of the faults are endpoints that name a rate limit.
 };
 
 /// A fault with its start time, relative to the start of the plan, its duration and its target.
--- a/unittests/soak/main.cpp
+++ b/unittests/soak/main.cpp
@@ -27,7 +27,8 @@
 constexpr const char* usage = R"(Soak of real gateways under random faults.
 
 Usage:
-  dragonflystair-soak [--seed N] [--seeds N] [--faults N] [--callers N] [--planned] [--keep] PROGRAM
+  dragonflystair-soak [--seed N] [--seeds N] [--faults N] [--callers N] [--planned | --limits]
+                      [--keep] PROGRAM
 
 Options:
   --seed N     First seed [default: 1].
@@ -35,6 +36,7 @@
   --faults N   Faults of a run [default: 40].
   --callers N  Callers that call in turn [default: 16].
   --planned    Only what operators do on purpose; no call may be cut off.
+  --limits     Half of the faults are endpoints that name a rate limit.
   --keep       Keep the logs of a run that passed.
 )";
 
@@ -101,6 +103,9 @@
         return false;
     }
     const bool planned = options["--planned"].asBool();
+    const auto choice = planned                        ? fault_choice::planned
+                        : options["--limits"].asBool() ? fault_choice::limits
+                                                       : fault_choice::any;
     guarantee_checker checked(!planned, [](std::string_view text) {
         std::printf("broken: %s\n", std::string(text).c_str());
         std::fflush(stdout);
@@ -111,9 +116,7 @@
         soak_callers callers(context.get(), cluster, checked, seed);
         callers.start(number_of(options["--callers"]));
         wait_recovered(checked);
-        inject_faults(plan_faults(seed, number_of(options["--faults"]),
-                                  planned ? fault_choice::planned : fault_choice::any),
-                      cluster);
+        inject_faults(plan_faults(seed, number_of(options["--faults"]), choice), cluster);
         wait_recovered(checked);
         callers.stop();
         cluster.stop();
--- a/unittests/soak/soak_cluster.cpp
+++ b/unittests/soak/soak_cluster.cpp
@@ -123,6 +123,7 @@
     case fault_kind::endpoint_full:
     case fault_kind::replace_endpoint:
     case fault_kind::restart_endpoint:
+    case fault_kind::endpoint_names_limit:
         return begin_on_endpoint(item, endpoints_[item.target % endpoints_.size()]);
     default:
         return begin_on_gateway(item, *gateways_[item.target % gateways_.size()]);
@@ -145,6 +146,9 @@
         return inject_failure(*target.self, endpoint_failure::loses_answer);
     case fault_kind::endpoint_full:
         return inject_failure(*target.self, endpoint_failure::full);
+    case fault_kind::endpoint_names_limit:
+        target.self->name_limit(static_cast<double>(1 + item.target % 8));
+        return [&target] { target.self->name_limit(std::nullopt); };
     case fault_kind::replace_endpoint:
         target.self->announce_draining();
         return [&target] { target.self->restart(); };
--- a/unittests/soak/soak_endpoint.cpp
+++ b/unittests/soak/soak_endpoint.cpp
@@ -77,6 +77,35 @@
     failure_ = failure;
 }
 
+void soak_endpoint::name_limit(std::optional<double> per_s) {
+    const std::lock_guard lock(mutex_);
+    limit_per_s_ = per_s;
+    limit_named_at_.reset();
+    arrivals_.clear();
+}
+
+/// Checks the requests of the last 4 s, as the platform does once 4 s have passed since the limit
+/// was first named; requests of the first half second are excused.
+void soak_endpoint::check_limit() {
+    constexpr std::chrono::seconds window{4};
+    const std::lock_guard lock(mutex_);
+    const auto now = support::boot_clock::now();
+    if (!limit_named_at_ || now - *limit_named_at_ < milliseconds{500}) {
+        return;
+    }
+    arrivals_.push_back(now);
+    while (now - arrivals_.front() >= window) {
+        arrivals_.pop_front();
+    }
+    const double allowed = 1.5 * *limit_per_s_ * window.count() + 5;
+    if (now - *limit_named_at_ >= window && static_cast<double>(arrivals_.size()) > allowed) {
+        checked_.report_violation(
+            fmt::format("{} got {} requests in 4 s with a limit of {} a second", id_,
+                        arrivals_.size(), *limit_per_s_));
+        arrivals_.clear();
+    }
+}
+
 void soak_endpoint::announce_draining() {
     {
         const std::lock_guard lock(mutex_);
@@ -91,6 +120,9 @@
         const std::lock_guard lock(mutex_);
         former = std::exchange(id_, fmt::format("{}-{}", name_, ++starts_));
         draining_ = false;
+        limit_per_s_.reset();
+        limit_named_at_.reset();
+        arrivals_.clear();
         adapters_.clear();
         holders_.clear();
         orders_accepted_ = 0;
@@ -180,6 +212,10 @@
     if (draining_) {
         response.headers[std::string(platform::leaving_header)] = "1";
     }
+    if (limit_per_s_) {
+        response.headers[std::string(platform::limit_header)] = fmt::format("{}", *limit_per_s_);
+        limit_named_at_ = limit_named_at_.value_or(support::boot_clock::now());
+    }
     if (response.status == 503 && failure_ == endpoint_failure::full) {
         response.headers[std::string(platform::retry_after_header)] = "1";
     }
@@ -207,6 +243,7 @@
 
 net::awaitable<void> soak_endpoint::serve(net::http_exchange& exchange) {
     const auto& request = exchange.request();
+    check_limit();
     net::http_response response;
     const bool to_engine =
         request.target == platform::order_path || request.target == platform::report_path;
--- a/unittests/soak/soak_endpoint.h
+++ b/unittests/soak/soak_endpoint.h
@@ -8,9 +8,11 @@
 #include "guarantee_checker.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace dragonflystair::soak {
@@ -41,6 +43,9 @@
     /// Registers the endpoint under the address at which gateways reach it.
     void register_at(const std::string& advertised);
     void set_failure(endpoint_failure failure);
+    /// Names a limit of so many requests a second for all gateways together in all answers, or ends
+    /// the former one. Reports a violation if more requests arrive than the rule LIMIT allows.
+    void name_limit(std::optional<double> per_s);
     /// Announces in the store and in all answers that the endpoint is draining; it continues to
     /// serve.
     void announce_draining();
@@ -63,7 +68,8 @@
     /// Returns the HTTP status with which a call is rejected, or 0 if it is to run.
     int rejection(const net::http_request& request);
     void publish_record(const std::string& state);
-    /// Adds the endpoint's state headers (draining, Retry-After) to a response.
+    void check_limit();
+    /// Adds the endpoint's state headers (draining, limit, Retry-After) to a response.
     void add_notice(net::http_response& response);
     [[nodiscard]] support::json models_locked() const;
     [[nodiscard]] bool is_engine() const { return service_ == "assistant"; }
@@ -80,6 +86,10 @@
     std::size_t running_ = 0;
     bool draining_ = false;
     endpoint_failure failure_ = endpoint_failure::none;
+    std::optional<double> limit_per_s_;
+    /// When the first answer named the current limit.
+    std::optional<support::time_point> limit_named_at_;
+    std::deque<support::time_point> arrivals_; ///< Requests since then that count.
     std::uint64_t orders_accepted_ = 0;
     std::uint64_t highest_fence_ = 0;
     std::map<std::uint64_t, std::string> holders_; ///< Lease holders by fencing number.
