Keep the place of a node whose calls could not wait for a permit

Of two nodes with calls for an endpoint that names 2 requests a second, one got all of it and the other none (node_with_few_calls_is_not_starved_by_one_with_many: 0 of 60 calls placed, fair share 60, bound half of that). Found by a test before any caller met it. A node withdrew its request when its call was refused and queued again behind the node that always had calls waiting, so its next permit was always too late. The divider now keeps its place for 5 s after its last request.

Calls that a limit turns away get Retry-After times spread over the wait, not within 150 ms of each other, so that they return one after another as the limit admits them.

--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -70,6 +70,12 @@
     return std::max<std::size_t>(static_cast<std::size_t>(static_cast<double>(slots) * share), 1);
 }
 
+/// Returns the part of a wait that is added to the Retry-After of a rejected call, from 0 to 1, so
+/// that callers return at different times.
+double retry_spread(const pending_call& call) {
+    return static_cast<double>(call.number * 7 % 16) / 16;
+}
+
 } // namespace
 
 bool dispatcher::impl::has_ready(const endpoint& target, const model_name& model) const {
@@ -261,10 +267,8 @@
     if (state.placed_per_s > 0) {
         wait_ms += static_cast<double>(ahead) / state.placed_per_s * 1'000;
     }
-    // Spreads the retries between one and two times the wait. Each priority step towards less
-    // urgent calls adds half of the wait.
-    const double spread = static_cast<double>(open.call.number * 7 % 16) / 16;
-    wait_ms *= 1 + spread + 0.5 * open.call.priority;
+    // Each priority step towards less urgent calls adds half of the wait.
+    wait_ms *= 1 + retry_spread(open.call) + 0.5 * open.call.priority;
     decision.retry_after = std::clamp(milliseconds(static_cast<std::int64_t>(wait_ms)),
                                       min_retry_after, max_retry_after);
     return decision;
@@ -450,7 +454,12 @@
     if (const auto until = unavailable_past_deadline(open)) {
         auto decision = refuse(open, state, ahead, open.adapter_missing);
         decision.reason = unavailability(open);
-        decision.retry_after += std::chrono::ceil<milliseconds>(*until - now);
+        auto wait = std::chrono::ceil<milliseconds>(*until - now);
+        if (decision.reason == refusal::limited) {
+            // The limit admits the callers one after another, so they return one after another.
+            wait += std::chrono::ceil<milliseconds>(wait * retry_spread(open.call));
+        }
+        decision.retry_after += wait;
         return decision;
     }
     if (open.adapter_missing && !loads_possible && loading_endpoint(open.call.model) == nullptr) {
--- a/lib/fleet/permit_divider.cpp
+++ b/lib/fleet/permit_divider.cpp
@@ -16,6 +16,10 @@
 constexpr double accumulation_s = 0.25;
 constexpr double min_accumulation = 1;
 
+/// A node whose calls could not wait keeps its place in the line for this long after its last
+/// request. Otherwise a node that always has calls waiting would be served alone.
+constexpr milliseconds place_lifetime{5'000};
+
 } // namespace
 
 void permit_divider::set_limit(std::string_view endpoint, std::optional<double> per_s,
@@ -55,8 +59,6 @@
     auto entry = nodes.find(node);
     if (entry == nodes.end()) {
         entry = nodes.emplace(std::string(node), waiting_node{}).first;
-    }
-    if (entry->second.wanted == 0 || entry->second.expires <= now) {
         entry->second.waiting_since = now;
     }
     entry->second.wanted = wanted;
@@ -127,7 +129,9 @@
             estimate(target, node, answer, now);
             grants.push_back(std::move(answer));
         }
-        std::erase_if(target.nodes, [now](const auto& item) { return item.second.expires <= now; });
+        std::erase_if(target.nodes, [now](const auto& item) {
+            return now - item.second.expires >= place_lifetime;
+        });
     }
     return grants;
 }
--- a/unittests/fleet/limited_calls_test.cpp
+++ b/unittests/fleet/limited_calls_test.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -66,6 +67,7 @@
     CPPUNIT_TEST_SUITE(limited_calls_test);
     CPPUNIT_TEST(limit_is_used_while_callers_wait);
     CPPUNIT_TEST(most_calls_beyond_the_limit_are_refused_early);
+    CPPUNIT_TEST(node_with_few_calls_is_not_starved_by_one_with_many);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -99,10 +101,29 @@
                                2 * late < refused);
     }
 
+    /// The first node gets four calls of five; each could use the whole limit.
+    void node_with_few_calls_is_not_starved_by_one_with_many() {
+        constexpr double per_s = 2;
+        play(2, per_s, 5, [](std::size_t number) { return number % 5 == 0 ? 1U : 0U; });
+        const auto fair_share = 0.5 * per_s * static_cast<double>(played.count());
+        for (const auto& each : nodes_) {
+            CPPUNIT_ASSERT_MESSAGE(each->name + " placed " + std::to_string(each->placed),
+                                   static_cast<double>(each->placed) >= 0.5 * fair_share);
+        }
+    }
+
 private:
     static constexpr seconds played{60};
+    /// Returns the node that gets a call, by the number of the call.
+    using spread = std::function<std::size_t(std::size_t number)>;
 
     void play(std::size_t count, double per_s) {
+        // A fixed stride spreads the calls over the nodes in no simple order.
+        play(count, per_s, 2, [count](std::size_t number) { return 7 * number % count; });
+    }
+
+    /// Plays calls at `demand` times the limit.
+    void play(std::size_t count, double per_s, double demand, const spread& node_of) {
         nodes_.clear();
         divider_ = {};
         answers_.clear();
@@ -111,13 +132,11 @@
             nodes_.push_back(std::make_unique<node>(index, count, per_s));
         }
         double due = 0;
-        std::size_t next = 0;
+        std::size_t calls = 0;
         for (auto now = start; now < start + played; now += step) {
-            due += 2 * per_s * std::chrono::duration<double>(step).count();
+            due += demand * per_s * std::chrono::duration<double>(step).count();
             for (; due >= 1; due -= 1) {
-                // A fixed stride spreads the calls over the nodes in no simple order.
-                next = (next + 7) % count;
-                submit(*nodes_[next], now);
+                submit(*nodes_.at(node_of(calls++)), now);
             }
             for (const auto& each : nodes_) {
                 turn(*each, now);
--- a/unittests/fleet/limited_endpoint_test.cpp
+++ b/unittests/fleet/limited_endpoint_test.cpp
@@ -4,6 +4,7 @@
 #include "adapter_planner_fixture.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
     CPPUNIT_TEST(call_waits_for_permit_and_takes_it);
     CPPUNIT_TEST(retry_takes_a_permit_too);
     CPPUNIT_TEST(call_is_refused_at_once_if_no_permit_comes_in_time);
+    CPPUNIT_TEST(calls_that_are_refused_together_return_at_different_times);
     CPPUNIT_TEST(call_is_not_refused_while_its_permit_may_come_in_time);
     CPPUNIT_TEST(adapter_on_limited_engine_counts_as_missing_without_permits_in_time);
     CPPUNIT_TEST(calls_behind_the_limit_of_the_only_holder_ask_for_their_adapter_elsewhere);
@@ -87,6 +89,18 @@
         CPPUNIT_ASSERT(decisions.at(0).retry_after >= long_interval);
     }
 
+    void calls_that_are_refused_together_return_at_different_times() {
+        add_limited("a");
+        grant("a", 0, long_interval);
+        std::set<milliseconds> returns;
+        constexpr std::uint64_t calls = 8;
+        for (std::uint64_t number = 1; number <= calls; ++number) {
+            returns.insert(submit(number).at(0).retry_after);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{calls}, returns.size());
+        CPPUNIT_ASSERT(*returns.rbegin() - *returns.begin() >= long_interval / 2);
+    }
+
     /// The second call waits behind the first one: its permit comes after its deadline.
     void call_is_not_refused_while_its_permit_may_come_in_time() {
         add_limited("a");
