--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -404,6 +404,26 @@
     return limited ? refusal::limited : refusal::paused;
 }
 
+/// Rejects a call that no eligible endpoint accepts before its queue deadline.
+std::optional<dispatch_decision> dispatcher::impl::refuse_unavailable(const open_call& open,
+                                                                      const service_state& state,
+                                                                      std::size_t ahead,
+                                                                      time_point now) {
+    const auto until = unavailable_past_deadline(open);
+    if (!until) {
+        return std::nullopt;
+    }
+    auto decision = refuse(open, state, ahead, open.adapter_missing);
+    decision.reason = unavailability(open);
+    auto wait = std::chrono::ceil<milliseconds>(*until - now);
+    if (decision.reason == refusal::limited) {
+        // The limit admits the callers one after another, so they return one after another.
+        wait += std::chrono::ceil<milliseconds>(wait * retry_spread(open.call));
+    }
+    decision.retry_after += wait;
+    return decision;
+}
+
 /// Returns whether a call past its queue deadline keeps waiting: its adapter is being loaded, and a
 /// retry would cost more time than the rest of the load.
 bool dispatcher::impl::awaits_load(open_call& open, time_point now) const {
@@ -451,15 +471,7 @@
         decision.reason = refusal::no_endpoints;
         return decision;
     }
-    if (const auto until = unavailable_past_deadline(open)) {
-        auto decision = refuse(open, state, ahead, open.adapter_missing);
-        decision.reason = unavailability(open);
-        auto wait = std::chrono::ceil<milliseconds>(*until - now);
-        if (decision.reason == refusal::limited) {
-            // The limit admits the callers one after another, so they return one after another.
-            wait += std::chrono::ceil<milliseconds>(wait * retry_spread(open.call));
-        }
-        decision.retry_after += wait;
+    if (auto decision = refuse_unavailable(open, state, ahead, now)) {
         return decision;
     }
     if (open.adapter_missing && !loads_possible && loading_endpoint(open.call.model) == nullptr) {
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -146,6 +146,9 @@
     [[nodiscard]] time_point available_at(const endpoint& target, std::size_t ahead) const;
     [[nodiscard]] std::optional<time_point> unavailable_past_deadline(const open_call& open);
     [[nodiscard]] refusal unavailability(const open_call& open);
+    std::optional<dispatch_decision> refuse_unavailable(const open_call& open,
+                                                        const service_state& state,
+                                                        std::size_t ahead, time_point now);
     [[nodiscard]] bool awaits_load(open_call& open, time_point now) const;
     void release(open_call& open);
     void record_use(const choice& chosen, const model_name& model);
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -102,6 +102,8 @@
     void on_notice(std::string_view endpoint, std::uint64_t started_ms,
                    const platform::endpoint_notice& notice, support::time_point sent);
     void on_peer_notice(std::string_view peer, const support::json& frame);
+    bool mark_leaving(std::string_view endpoint, std::uint64_t started_ms, std::string_view source);
+    void apply_pause(std::string_view endpoint, support::time_point until, std::string_view source);
 
     // Rate limits of endpoints (gateway_limits.cpp).
     bool on_limit(std::string_view endpoint, const fleet::limit_observation& observed,
@@ -122,10 +124,6 @@
     [[nodiscard]] std::string divider_for(std::string_view data_centre) const;
     [[nodiscard]] std::string data_centre_of(std::string_view endpoint) const;
 
-    // Notices of endpoints in their responses (gateway_notices.cpp).
-    bool mark_leaving(std::string_view endpoint, std::uint64_t started_ms, std::string_view source);
-    void apply_pause(std::string_view endpoint, support::time_point until, std::string_view source);
-
     // Leads and leases (gateway_leads.cpp).
     [[nodiscard]] bool holds_lease() const;
     /// Whether this node holds the lease of its own data centre.
