--- a/unittests/gateway_limits/endpoint_limit_test.cpp
+++ b/unittests/gateway_limits/endpoint_limit_test.cpp
@@ -79,7 +79,7 @@
         assert_within_limit();
     }
 
-    /// The same incident: checks whether loads are complete were half of the requests.
+    /// The same incident: orders and checks were 30 of 77 requests at one engine.
     void engine_gets_more_orders_and_checks_than_its_limit() {
         start("assistant", "2.0");
         // A new lease holder sends no orders for a short time; until then calls are refused
