--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -561,7 +561,8 @@
         self.log = os.path.join(folder, f"{name}.log")
         self.process = None
 
-    def write_settings(self, seeds, store):
+    def write_settings(self, seeds, store, link=None):
+        """`link` is the address of this gateway's own path to the store."""
         values = {"node": self.name, "zone": self.zone, "region": self.zones[self.zone],
                   "ip": self.host, "zones": self.zones, "seeds": seeds,
                   "listen": {"front": self.front, "ready": self.ready,
@@ -569,7 +570,8 @@
                   "platform": {"addr": store}, "limits": {"cpu-share": 0.25}, "bounds": BOUNDS}
         with open(TEMPLATE, encoding="utf-8") as template, \
                 open(self.settings, "w", encoding="utf-8") as out:
-            out.write(fill_in(template.read(), values))
+            text = fill_in(template.read(), values)
+            out.write(text.replace(f"\nstore = {store}\n", f"\nstore = {link or store}\n"))
 
     async def start(self):
         with open(DEPLOY, "rb") as deploy:
