--- a/review/5/case.py
+++ b/review/5/case.py
@@ -11,13 +11,15 @@
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
 import stand_ins as st
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONE = "lahore-a"
 ZONES = {"lahore-a": "lahore"}
 EVENTS = 10
 EVENT_GAP_S = 0.03
-REQUESTS = 200
-PERIOD_S = 0.1
-SHARE = 0.02  # Of the answers; the site's `garble` spoils up to 0.0289 to 0.03 of them.
+PERIOD_S = 1 / 70
+WARM_UP_S = 2.0
+GARBLE_S = 5.5  # The site's garble: 0.35 of the workers spoil 0.02 of their answers for 5.5 s.
+SPOIL_EVERY = 50
 
 
 def event_text(request_id, number):
@@ -25,20 +27,22 @@
 
 
 class Streams:
-    """Writes streams; every `1 / SHARE`-th first run is broken off inside an event."""
+    """Writes streams; while `faulty` is set, that worker breaks off one in `SPOIL_EVERY` of its
+    streams inside an event."""
 
     def __init__(self, case):
         self.case = case
-        self.started = 0
+        self.faulty = None
+        self.answers = 0
         self.broken_off = set()
 
     async def write(self, worker, request, writer):
         request_id = request.header("request-id")
         after = int(request.header("last-event-id", "0") or 0)
         stop_at = None
-        if after == 0:
-            self.started += 1
-            if self.case.trouble and self.started % round(1 / SHARE) == 0:
+        if worker is self.faulty:
+            self.answers += 1
+            if after == 0 and self.answers % SPOIL_EVERY == SPOIL_EVERY // 2:
                 stop_at = EVENTS // 2 + 1
                 self.broken_off.add(request_id)
         headers = worker.common_headers(request)
@@ -80,9 +84,9 @@
 async def play(case):
     store = await case.add_store()
     streams = Streams(case)
-    for _ in range(3):
-        worker = await case.add_worker(store, "fold-assistant", ZONE, slots=64,
-                                       models=st.BASE_MODEL)
+    workers = [await case.add_worker(store, "fold-assistant", ZONE, slots=64,
+                                     models=st.BASE_MODEL) for _ in range(3)]
+    for worker in workers:
         worker.stream = streams.write
     await store.put_json("keyed.op", "config", st.configuration(
         7, [{"name": "pattern-draft", "path-prefix": "/s/", "kind": "stream", "timeout-ms": 6000,
@@ -94,9 +98,20 @@
     await gateway.wait_until_ready()
     await asyncio.sleep(5)
     answers, tasks = [], []
-    for _ in range(REQUESTS):
-        tasks.append(asyncio.create_task(send(case, gateway, answers)))
-        await asyncio.sleep(PERIOD_S)
+
+    async def traffic():
+        while True:
+            tasks.append(asyncio.create_task(send(case, gateway, answers)))
+            await asyncio.sleep(PERIOD_S)
+
+    sender = asyncio.create_task(traffic())
+    await asyncio.sleep(WARM_UP_S)
+    if TROUBLE:
+        streams.faulty = max(workers, key=lambda worker: len(worker.runs))
+    await asyncio.sleep(GARBLE_S)
+    streams.faulty = None
+    await asyncio.sleep(1)
+    sender.cancel()
     await asyncio.gather(*tasks)
     broken = []
     for request_id, answer in answers:
@@ -107,9 +122,10 @@
                             f"{answer.body.count(bytes([10, 10]))} of {EVENTS} events and "
                             f"{len(answer.body.rsplit(bytes([10, 10]), 1)[1])} bytes of the next")
     served = sum(1 for _, answer in answers if answer.complete)
-    case.record.say(f"{len(answers)} streams, {len(streams.broken_off)} broken off by their worker "
-                    f"inside an event, {len(broken)} of those passed on as complete")
-    if served < REQUESTS // 2:
+    case.record.say(f"{len(answers)} streams; one worker of {len(workers)} broke off "
+                    f"{len(streams.broken_off)} of its {streams.answers} inside an event in "
+                    f"{GARBLE_S} s; {len(broken)} of those were passed on as complete")
+    if served < len(answers) // 2 or (TROUBLE and not streams.broken_off):
         raise st.CannotRun("too few requests were served")
     return bool(broken)
 
