--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
 import stand_ins as st
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONE = "lahore-a"
 ZONES = {"lahore-a": "lahore"}
 APPLY_S = st.BOUNDS["config-apply-ms"] / 1000
@@ -77,7 +78,7 @@
     await asyncio.sleep(3)
     senders.append(asyncio.create_task(traffic(STAMP_PERIOD_S, ("stamp",))))
     await asyncio.sleep(STAMP_WORK_S + 0.03)
-    if case.trouble:
+    if TROUBLE:
         links[0].cut()
         case.record.say("the link between", gateways[0].name, "and the store falls silent")
     await asyncio.sleep(0.05)
