Refuse calls that a stopping node cannot answer before it exits

Cause: shut_down bounded the time in which connections are accepted, not the time that a call may still take. Calls were admitted up to 6.5 s after SIGTERM, and the process exited at 7.5 s whatever was open.

fleet::shutdown_schedule now decides: a call is taken only if all of its time ends before the node does; others get 503 node_stopping before they are sent, so "not run" is true. Calls that were open before get a final answer before the exit. This works since no call that is taken can outlive the process, however slow its endpoint is. Leases are left concurrently: one after the other they take longer than the limit if the store is silent.

Ruled out: an early end of the process (logs show open calls at "closing") and answers lost in the socket (endpoints had not answered).

--- a/lib/gateway/call_relay.cpp
+++ b/lib/gateway/call_relay.cpp
@@ -93,9 +93,37 @@
         timeout = std::min(timeout, call.route->timeout);
     }
     call.answer_by = call.arrived + timeout - answer_margin;
+    if (shutdown_ && !shutdown_->admits(call.answer_by)) {
+        return stopping_problem(call);
+    }
     return std::nullopt;
 }
 
+/// Returns the problem of a call that the node cannot answer before it exits.
+net::problem call_relay::stopping_problem(const open_call& call) const {
+    if (call.runs > 0) {
+        return {504,
+                "node_stopping",
+                "the node exits before the endpoint has responded",
+                "unknown",
+                {}};
+    }
+    const auto wait = shutdown_->retry_after(boot_clock::now(), on_.other_node_ready());
+    return {503, "node_stopping", "the node exits before the call could be answered", "not_run",
+            std::chrono::ceil<milliseconds>(wait)};
+}
+
+void call_relay::begin_shutdown(const fleet::shutdown_schedule& schedule) {
+    shutdown_ = schedule;
+    for (const auto& [number, call] : calls_) {
+        if (!schedule.admits(call->answer_by)) {
+            call->answer_by = schedule.answers_by();
+            call->ends_with_node = true;
+            call->changed.notify();
+        }
+    }
+}
+
 void call_relay::submit(open_call& call) {
     fleet::pending_call pending;
     pending.number = call.number;
@@ -257,9 +285,14 @@
 net::awaitable<void> call_relay::give_up(net::http_exchange& exchange, open_call& call,
                                          bool started) {
     if (!call.caller_gone && !started) {
-        co_await refuse(exchange, call, deadline_problem());
+        const auto problem = call.ends_with_node ? stopping_problem(call) : deadline_problem();
+        co_await refuse(exchange, call, problem);
     } else {
-        finish(call, call.caller_gone ? "caller_gone" : "deadline_passed", 0);
+        finish(call,
+               call.caller_gone      ? "caller_gone"
+               : call.ends_with_node ? "node_stopping"
+                                     : "deadline_passed",
+               0);
     }
 }
 
--- a/lib/gateway/call_relay.h
+++ b/lib/gateway/call_relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflystair/fleet/shutdown_schedule.h"
 #include "dragonflystair/net/http_server.h"
 #include "dragonflystair/net/problem.h"
 
@@ -13,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,6 +30,8 @@
         std::function<void(std::string_view endpoint, std::uint64_t started_ms,
                            const platform::endpoint_notice&, support::time_point sent)>
             on_notice;
+        /// Returns whether callers can be served by another node.
+        std::function<bool()> other_node_ready;
     };
 
     call_relay(node_view& view, call_placer& placer, hooks callbacks)
@@ -39,6 +43,10 @@
     /// Delivers a dispatcher decision to its call; ignored if the call has ended.
     void decide(const fleet::dispatch_decision& decision);
 
+    /// From now on takes only calls that can be answered before the node exits, and ends the open
+    /// ones by then.
+    void begin_shutdown(const fleet::shutdown_schedule& schedule);
+
     /// Refuses the waiting calls that are blocked now.
     void on_blocks_changed();
 
@@ -58,6 +66,7 @@
     void submit(open_call& call);
     net::awaitable<bool> wait_for_decision(open_call& call);
     std::optional<net::problem> blocked_problem(const open_call& call) const;
+    [[nodiscard]] net::problem stopping_problem(const open_call& call) const;
     net::awaitable<void> give_up_blocked(net::http_exchange& exchange, open_call& call,
                                          net::problem problem, bool started);
     void note_connection_lost(const open_call& call);
@@ -86,6 +95,7 @@
     hooks on_;
     std::uint64_t last_number_ = 0;
     std::map<std::uint64_t, std::shared_ptr<open_call>> calls_;
+    std::optional<fleet::shutdown_schedule> shutdown_; ///< Set once the node stops.
 };
 
 } // namespace dragonflystair::gateway
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -8,6 +8,7 @@
 #include "platform/names.h"
 #include "sleep.h"
 
+#include <algorithm>
 #include <csignal>
 #include <exception>
 #include <utility>
@@ -36,13 +37,6 @@
 /// endpoint must be noticed within 2.5 s.
 constexpr milliseconds endpoint_list_interval{700};
 
-/// Part of the platform's shutdown limit that is reserved for the last responses.
-constexpr milliseconds shutdown_margin{1'500};
-/// The node stops before that limit once no caller has sent a request for `shutdown_idle_time`, but
-/// not before `min_shutdown_time` has passed.
-constexpr milliseconds shutdown_idle_time{1'500};
-constexpr milliseconds min_shutdown_time{2'500};
-
 fleet::retry_limits retry_limits_of(const config::gateway_settings& settings) {
     return {settings.retry_ratio, settings.retry_slack, settings.retry_window};
 }
@@ -88,7 +82,8 @@
                       [] { return boot_clock::now(); }}),
       relay_(view_, placer_,
              {[this](std::string_view endpoint, std::uint64_t started_ms, const auto& notice,
-                     support::time_point sent) { on_notice(endpoint, started_ms, notice, sent); }}),
+                     support::time_point sent) { on_notice(endpoint, started_ms, notice, sent); },
+              [this] { return other_node_ready(); }}),
       operator_records_(io_.get_executor(), store_, std::string(platform::operator_topic),
                         milliseconds{0},
                         follower_hooks([this](auto records) { on_operator_records(records); })),
@@ -379,36 +374,36 @@
                                               {"peers", std::to_string(current.peers.size())}});
 }
 
-/// Withdraws this node from the list of ready nodes, serves requests that still arrive and stops
-/// before the platform's shutdown limit.
+bool gateway::impl::other_node_ready() const {
+    return std::ranges::any_of(peers_, [](const auto& peer) {
+        return peer.second.status.ready && !peer.second.status.leaving;
+    });
+}
+
+/// Withdraws this node from the list of ready nodes, serves the requests that still arrive and can
+/// be answered in time, and stops before the platform's shutdown limit.
 net::awaitable<void> gateway::impl::shut_down() {
-    const auto began = boot_clock::now();
+    const fleet::shutdown_schedule schedule(boot_clock::now(), view_.settings.shutdown_timeout);
     support::log_change("stopping", {{"open_calls", std::to_string(relay_.open_calls())}});
+    relay_.begin_shutdown(schedule);
     caller_server_.announce_shutdown();
     send_status(true);
+    // Concurrently, since a store that does not answer delays each of them.
     for (const auto& [name, holder] : holders_) {
-        co_await holder->leave();
+        net::spawn(io_.get_executor(), "leave_lease", [item = holder] { return item->leave(); });
     }
-    const auto last = began + view_.settings.shutdown_timeout - shutdown_margin;
-    while (boot_clock::now() < last) {
-        const auto now = boot_clock::now();
-        const bool idle =
-            now - last_caller_request_ > shutdown_idle_time && now - began > min_shutdown_time;
-        if (idle && relay_.open_calls() == 0) {
-            break;
-        }
+    while (!schedule.may_close(boot_clock::now(), last_caller_request_, relay_.open_calls() > 0)) {
         co_await sleep_for(io_.get_executor(), tick_period);
     }
     support::log_change("closing",
                         {{"open_calls", std::to_string(relay_.open_calls())},
                          {"open_connections", std::to_string(caller_server_.open_connections())}});
     caller_server_.begin_shutdown();
-    const auto end = began + view_.settings.shutdown_timeout - shutdown_margin / 3;
     // Connections from the listen backlog and those with a partly read request also count.
     do {
         co_await sleep_for(io_.get_executor(), tick_period);
     } while ((relay_.open_calls() > 0 || caller_server_.open_connections() > 0) &&
-             boot_clock::now() < end);
+             boot_clock::now() < schedule.ends_at());
     io_.stop();
 }
 
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -159,6 +159,7 @@
     [[nodiscard]] std::vector<std::string> addresses_for(std::string_view data_centre) const;
     void wait_for_signal();
     void reload_settings();
+    [[nodiscard]] bool other_node_ready() const;
     net::awaitable<void> shut_down();
     placement_holder& holder_for(const std::string& data_centre);
     store_follower::hooks
--- a/lib/gateway/open_call.h
+++ b/lib/gateway/open_call.h
@@ -30,6 +30,7 @@
     bool tests_block = false; ///< The next send may have blocked traits.
     support::time_point arrived;
     support::time_point answer_by;         ///< Deadline of the final response.
+    bool ends_with_node = false;           ///< The node's stop has brought `answer_by` forward.
     support::duration placed_after{};      ///< From arrival to the last dispatcher decision.
     support::duration first_byte_after{};  ///< From arrival to the first byte of a response.
     support::duration longest_chunk_gap{}; ///< Between two chunks of a stream.
