Treat a framed stream that ends inside an event as broken off

The stream was not resumed where its route allows it.

Cause: relay_stream asked whether the stream ends inside an event only if it ended with its connection, and otherwise trusted the framing. The last chunk or a length tells that the body has arrived, not that its source of events had finished. The check now holds for every framing; the attempt fails, so it is resumed, or the caller's stream ends without a last chunk.

Ruled out: the filter of events (it hands out the rest only at an end that the relay takes for regular) and the parser (the bytes are valid HTTP). `node` is not affected: it needs [DONE].

Regression tests, both failing on: second_endpoint_test:: framed_stream_that_ends_inside_an_event_looks_complete (chunks and length) and framed_stream_that_ends_inside_an_event_is_not_resumed.

--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -288,8 +288,8 @@
     if (*upstream->end != net::exchange_end::complete) {
         co_return false;
     }
-    if (upstream->connection_lost && progress.inside_event()) {
-        // Without a length, only the events show that the endpoint broke the stream off.
+    if (progress.inside_event()) {
+        // The body may end regularly although its source of events has failed.
         upstream->fault = "stream ended inside an event";
         co_return false;
     }
--- a/unittests/gateway/second_endpoint_test.cpp
+++ b/unittests/gateway/second_endpoint_test.cpp
@@ -1,7 +1,9 @@
 #include "gateway_fixture.h"
 #include "net/scripted_peer.h"
 
+#include <array>
 #include <atomic>
+#include <charconv>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -31,6 +33,8 @@
     CPPUNIT_TEST(call_is_sent_again_to_the_endpoint_that_refused_it);
     CPPUNIT_TEST(error_of_the_next_endpoint_appears_in_a_stream_that_broke_off);
     CPPUNIT_TEST(stream_without_length_that_ends_inside_an_event_looks_complete);
+    CPPUNIT_TEST(framed_stream_that_ends_inside_an_event_looks_complete);
+    CPPUNIT_TEST(framed_stream_that_ends_inside_an_event_is_not_resumed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -158,7 +162,62 @@
         endpoint.join();
     }
 
+    /// The endpoint ends the body regularly, by its last chunk or its length, as a server does
+    /// whose source of events has failed.
+    void framed_stream_that_ends_inside_an_event_looks_complete() {
+        const auto script = [&](net::raw_connection& connection) {
+            const auto id = id_in(connection.read_until(end_of_head));
+            const std::string text = id.find("whole") != std::string::npos
+                                         ? "id: 1\ndata: a\n\n"
+                                         : "id: 1\ndata: a\n\nid: 2\nda";
+            connection.write(id.find("chunks") != std::string::npos ? chunked_answer(id, text)
+                                                                    : sized_answer(id, text));
+        };
+        net::scripted_server endpoint(std::vector<net::scripted_server::script>(40, script));
+        start({endpoint.address()});
+        const std::string last_chunk = "\r\n0\r\n\r\n";
+        for (const std::string framing : {"chunks", "length"}) {
+            for (const std::string path : {"/patterns/1", "/drafts/1"}) {
+                const auto whole = raw_call(path, "whole" + framing + path.substr(1, 1));
+                CPPUNIT_ASSERT_MESSAGE(whole, whole.ends_with(last_chunk));
+                const auto broken = raw_call(path, "broken" + framing + path.substr(1, 1));
+                CPPUNIT_ASSERT_MESSAGE(broken, broken.find("data: a") != std::string::npos);
+                CPPUNIT_ASSERT_MESSAGE(broken, !broken.ends_with(last_chunk));
+            }
+        }
+        stop_threads();
+        endpoint.join();
+    }
+
+    /// The first send of a call ends inside its second event, whichever endpoint gets it.
+    void framed_stream_that_ends_inside_an_event_is_not_resumed() {
+        const auto script = [&](net::raw_connection& connection) {
+            const auto head = connection.read_until(end_of_head);
+            const bool resumes = head.find("Last-Event-Id: 1\r\n") != std::string::npos;
+            connection.write(chunked_answer(id_in(head), resumes ? "id: 2\ndata: b\n\n"
+                                                                 : "id: 1\ndata: a\n\nid: 2\nda"));
+        };
+        net::scripted_server first(std::vector<net::scripted_server::script>(4, script));
+        net::scripted_server second(std::vector<net::scripted_server::script>(4, script));
+        start({first.address(), second.address()});
+        const auto answer = call("/drafts/1", "resumed");
+        CPPUNIT_ASSERT_EQUAL(200, answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), answer.body);
+        stop_threads();
+    }
+
 private:
+    static std::string chunked_answer(const std::string& id, const std::string& text) {
+        std::array<char, 17> size{};
+        const auto end = std::to_chars(size.begin(), size.end(), text.size(), 16).ptr;
+        return answer(id, "Transfer-Encoding: chunked\r\n",
+                      std::string(size.begin(), end) + "\r\n" + text + "\r\n0\r\n\r\n");
+    }
+
+    static std::string sized_answer(const std::string& id, const std::string& text) {
+        return answer(id, "Content-Length: " + std::to_string(text.size()) + "\r\n", text);
+    }
+
     static std::string answer(const std::string& id, const std::string& framing,
                               const std::string& body) {
         return "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: " + id + "\r\n" + framing +
