Rely on a reader of the store only while the store answers it

Calls went to an endpoint that had left, later than 2.5 s after the store had acknowledged it, from nodes whose own links to the store worked; one stamp was lost with the endpoint.

Cause: one node of a data centre reads the store and forwards records to the others, which believed its last status. On a silent link the reader notices the loss only after 3.5 s (2 s that the store may hold a read, and the client's 1.5 s), and its next status tells the others up to 0.5 s later.

fleet::store_readers now decides: a peer is a reader while the store's last answer to it is at most 1.4 s old. Its status tells the age, and records that it has just read count as an answer. Reads of the endpoint list are held for 500 ms, so that a working reader is never that old. A neighbour takes over 1.6 s after the silence and reads at once, since its own link works. A lost reader is no outage of the store, so missing endpoints are not kept for two more seconds.

Ruled out: the neighbour's link (the case probes it) and the pause before takeover (100 ms). A shorter timeout of reads was not used: it takes a slow store for a lost one.

--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -33,9 +33,12 @@
 constexpr std::uint64_t ticks_per_reload{100};       ///< 5 s.
 constexpr std::uint64_t ticks_per_full_residency{200}; ///< 10 s: repairs state after lost frames.
 
-/// Interval between reads of the endpoint list, which changes ten times a second. A leaving
-/// endpoint must be noticed within 2.5 s.
-constexpr milliseconds endpoint_list_interval{700};
+/// Times of reads of the topics that change rarely. A silent connection is detected after the wait
+/// and the client's own margin, within the 4 s that the platform allows a node to regain contact.
+constexpr store_follower::pacing quiet_topic{milliseconds{0}, milliseconds{2'000}};
+/// Times of reads of the endpoint list, which changes ten times a second.
+constexpr store_follower::pacing endpoint_list{fleet::store_readers::read_interval,
+                                               fleet::store_readers::read_wait};
 
 fleet::retry_limits retry_limits_of(const config::gateway_settings& settings) {
     return {settings.retry_ratio, settings.retry_slack, settings.retry_window};
@@ -73,6 +76,7 @@
                        on_notice(endpoint, record->started_ms, notice, sent);
                    }
                }),
+      readers_(settings.name),
       placer_(view_, {[this](std::string_view peer, const support::json& frame) {
                           return network_.send(peer, frame);
                       },
@@ -85,12 +89,12 @@
                      support::time_point sent) { on_notice(endpoint, started_ms, notice, sent); },
               [this] { return other_node_ready(); }}),
       operator_records_(io_.get_executor(), store_, std::string(platform::operator_topic),
-                        milliseconds{0},
+                        quiet_topic,
                         follower_hooks([this](auto records) { on_operator_records(records); })),
       endpoint_records_(io_.get_executor(), store_, std::string(platform::endpoint_topic),
-                        endpoint_list_interval,
+                        endpoint_list,
                         follower_hooks([this](auto records) { on_endpoint_records(records); })),
-      node_records_(io_.get_executor(), store_, std::string(platform::node_topic), milliseconds{0},
+      node_records_(io_.get_executor(), store_, std::string(platform::node_topic), quiet_topic,
                     follower_hooks([this](auto records) { on_node_records(records); })),
       network_(
           io_.get_executor(), settings.peer_address,
@@ -133,7 +137,7 @@
 store_follower::hooks gateway::impl::follower_hooks(
     std::function<void(std::span<const fleet::keyed_record>)> on_records) {
     return {std::move(on_records), [this] { return view_.stopping; },
-            [this] { return has_reader(); }, [this] { return reader_rank(); },
+            [this] { return has_reader(); }, [this] { return readers_.rank(); },
             [this](const std::string& topic, const fleet::keyed_page& page) {
                 forward_records(topic, page);
             }};
@@ -209,7 +213,7 @@
     } else {
         update_permits();
     }
-    watch_.set_store_reachable(endpoint_records_.reads() || has_reader(), boot_clock::now());
+    watch_.set_store_reachable(endpoint_records_.reachable() || has_reader(), boot_clock::now());
     remove_gone_endpoints();
     view_.dispatcher.set_loads_possible(loads_possible());
     send_demand(ticks_ % ticks_per_load == 0);
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -4,6 +4,7 @@
 #include "dragonflystair/fleet/load_reports.h"
 #include "dragonflystair/fleet/permit_divider.h"
 #include "dragonflystair/fleet/residency_batch.h"
+#include "dragonflystair/fleet/store_readers.h"
 #include "dragonflystair/gateway/gateway.h"
 #include "dragonflystair/net/http_client.h"
 #include "dragonflystair/net/http_server.h"
@@ -80,8 +81,10 @@
     void forward_records(const std::string& topic, const fleet::keyed_page& page);
     /// Sends a frame to the peers of this node's data centre.
     void send_to_own_data_centre(const support::json& frame);
-    [[nodiscard]] bool has_reader() const;
-    [[nodiscard]] std::size_t reader_rank() const;
+    void update_readers(std::string_view peer, const node_status& status);
+    [[nodiscard]] bool has_reader() const {
+        return readers_.has_reader(support::boot_clock::now());
+    }
     [[nodiscard]] bool in_own_data_centre(const peer_state& peer) const {
         return peer.status.data_centre == view_.settings.data_centre;
     }
@@ -174,6 +177,7 @@
     platform::store_client store_;
     platform::endpoint_client engines_;
     fleet::endpoint_watch watch_;
+    fleet::store_readers readers_;
     call_placer placer_;
     call_relay relay_;
     store_follower operator_records_;
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -158,6 +158,7 @@
     const bool became_lead = state.status.leases.empty() && !status.leases.empty();
     state.status = status;
     state.status_received = now;
+    update_readers(peer, status);
     if (became_lead) {
         send_all_residency(peer);
     }
@@ -209,6 +210,9 @@
 void gateway::impl::on_records(std::string_view peer, const support::json& frame) {
     const auto topic = frame.value("k", std::string());
     const auto page = decode_records(frame);
+    if (was_just_read(frame)) {
+        readers_.on_forwarded(peer, boot_clock::now());
+    }
     for (auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
         if (follower->topic() != topic) {
             continue;
@@ -244,6 +248,7 @@
         }
     }
     peers_.erase(found);
+    readers_.remove(peer);
     std::erase_if(permit_routes_, [&](const auto& route) { return route.second == peer; });
     placer_.on_peer_down(peer);
     load_reports_.remove_peer(peer);
@@ -320,6 +325,7 @@
     status.ready = ready();
     status.leaving = view_.stopping;
     status.reads_store = endpoint_records_.reads();
+    status.store_silence = endpoint_records_.silence();
     for (const auto& [name, holder] : holders_) {
         if (holder->lease().holds()) {
             status.leases.push_back({name, holder->lease().fence(), holder->active()});
@@ -352,26 +358,22 @@
     }
 }
 
-/// Returns whether a node of this data centre that ranks before this one reads the store.
-bool gateway::impl::has_reader() const {
-    return std::ranges::any_of(peers_, [this](const auto& peer) {
-        const auto& status = peer.second.status;
-        return in_own_data_centre(peer.second) && status.reads_store && !status.leaving &&
-               status.name < view_.settings.name;
-    });
-}
-
-/// Returns how many nodes of this data centre rank before this one as reader of the store.
-std::size_t gateway::impl::reader_rank() const {
-    return static_cast<std::size_t>(std::ranges::count_if(peers_, [this](const auto& peer) {
-        const auto& status = peer.second.status;
-        return in_own_data_centre(peer.second) && !status.leaving &&
-               status.name < view_.settings.name;
-    }));
+/// Tells the readers of the store in this data centre from a peer's status. A leaving node stops
+/// reading.
+void gateway::impl::update_readers(std::string_view peer, const node_status& status) {
+    if (status.data_centre != view_.settings.data_centre || status.leaving) {
+        readers_.remove(peer);
+        return;
+    }
+    readers_.on_status(peer, status.name, status.reads_store,
+                       boot_clock::now() - status.store_silence);
 }
 
+/// Forwards records that this node has just read.
 void gateway::impl::forward_records(const std::string& topic, const fleet::keyed_page& page) {
-    send_to_own_data_centre(records_frame(topic, page));
+    auto frame = records_frame(topic, page);
+    mark_as_read(frame);
+    send_to_own_data_centre(frame);
 }
 
 /// Sends residency changes to other leads immediately. Where leads place calls, the nodes of this
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -42,6 +42,14 @@
     return leases;
 }
 
+std::chrono::milliseconds silence_of(const json& frame) {
+    constexpr std::uint64_t max_ms = 60'000; // Of a node that has been without the store for long.
+    const auto found = frame.find("a");
+    const bool valid = found != frame.end() && found->is_number_unsigned();
+    return std::chrono::milliseconds{
+        valid ? static_cast<std::int64_t>(std::min(found->get<std::uint64_t>(), max_ms)) : 0};
+}
+
 std::chrono::milliseconds returns_after_of(const json& row) {
     constexpr std::uint64_t max_ms = 60'000; // A longer time means a damaged frame.
     const auto ms = number_at(row, 5);
@@ -70,6 +78,7 @@
             {"r", status.ready},
             {"x", status.leaving},
             {"b", status.reads_store},
+            {"a", static_cast<std::uint64_t>(status.store_silence.count())},
             {"l", std::move(leases)},
             {"k", std::move(observed)},
             {"p", status.lead},
@@ -88,6 +97,7 @@
     status.ready = frame.value("r", false);
     status.leaving = frame.value("x", false);
     status.reads_store = frame.value("b", false);
+    status.store_silence = silence_of(frame);
     status.leases = leases_of(frame, "l");
     status.observed_leases = leases_of(frame, "k");
     if (const auto lead = frame.find("p"); lead != frame.end() && lead->is_string()) {
@@ -190,6 +200,15 @@
         {"type", "r"}, {"k", topic}, {"f", page.from}, {"e", page.next}, {"v", std::move(rows)}};
 }
 
+void mark_as_read(json& frame) {
+    frame["a"] = true;
+}
+
+bool was_just_read(const json& frame) {
+    const auto found = frame.find("a");
+    return found != frame.end() && *found == true;
+}
+
 fleet::keyed_page decode_records(const json& frame) {
     fleet::keyed_page page;
     page.next = frame.value("e", std::uint64_t{0});
--- a/lib/gateway/peer_frames.h
+++ b/lib/gateway/peer_frames.h
@@ -33,6 +33,8 @@
     bool ready = false;
     bool leaving = false;
     bool reads_store = false; ///< It reads the store itself and gets responses.
+    /// Time since the store's last answer to this node.
+    std::chrono::milliseconds store_silence{0};
     std::vector<held_lease> leases;
     /// Leases that nodes of other data centres have recently reported to this one.
     std::vector<held_lease> observed_leases;
@@ -67,6 +69,10 @@
 
 support::json records_request(const std::string& topic, std::uint64_t from);
 support::json records_frame(const std::string& topic, const fleet::keyed_page& page);
+/// Marks a frame with records that the sender has just read from the store, unlike records of its
+/// copy that a peer has requested.
+void mark_as_read(support::json& frame);
+bool was_just_read(const support::json& frame);
 fleet::keyed_page decode_records(const support::json& frame);
 
 /// Notice about itself that an endpoint included in a response to a peer.
--- a/lib/gateway/store_follower.cpp
+++ b/lib/gateway/store_follower.cpp
@@ -1,11 +1,13 @@
 #include "store_follower.h"
 
 #include "dragonflystair/fleet/reader_pacing.h"
+#include "dragonflystair/fleet/store_readers.h"
 #include "dragonflystair/net/spawn.h"
 #include "dragonflystair/support/log.h"
 
 #include "sleep.h"
 
+#include <chrono>
 #include <exception>
 #include <utility>
 
@@ -15,24 +17,23 @@
 
 namespace {
 
-/// Longest time that a read waits for records. A silent connection is detected after this time plus
-/// the client's own margin, within the 4 s that the platform allows a node to regain contact.
-constexpr milliseconds max_read_wait{2'000};
 /// Interval at which a node that does not read the store checks that its reader is still connected.
 constexpr milliseconds passive_poll_interval{100};
 
 } // namespace
 
 store_follower::store_follower(net::executor context, platform::store_client& store,
-                               std::string topic, milliseconds read_interval, hooks callbacks)
-    : context_(std::move(context)), store_(store), topic_(std::move(topic)),
-      read_interval_(read_interval), on_(std::move(callbacks)) {}
+                               std::string topic, pacing chosen, hooks callbacks)
+    : context_(std::move(context)), store_(store), topic_(std::move(topic)), pacing_(chosen),
+      on_(std::move(callbacks)) {}
 
 net::awaitable<void> store_follower::run() {
     bool followed_peer = false;
     while (!on_.stopping()) {
         if (synchronised_ && on_.passive()) {
             followed_peer = true;
+            // The store answers the peer. Its loss as a reader is not an outage of the store.
+            reachable_ = true;
             co_await sleep_for(context_, passive_poll_interval);
             continue;
         }
@@ -71,15 +72,15 @@
 }
 
 net::awaitable<bool> store_follower::read() {
-    const auto page = co_await store_.read(topic_, mirror_.next(), max_read_wait);
+    const auto page = co_await store_.read(topic_, mirror_.next(), pacing_.wait);
     if (page) {
         set_reachable(true, {});
         deliver(mirror_.apply(page.value()));
         if (!page.value().records.empty()) {
             on_.on_page(topic_, page.value());
         }
-        if (!page.value().records.empty() && read_interval_.count() > 0) {
-            co_await sleep_for(context_, read_interval_);
+        if (!page.value().records.empty() && pacing_.interval.count() > 0) {
+            co_await sleep_for(context_, pacing_.interval);
         }
         co_return true;
     }
@@ -95,7 +96,18 @@
     deliver(mirror_.apply(page));
 }
 
+bool store_follower::reads() const {
+    return reachable_ && !on_.passive() && silence() <= fleet::store_readers::max_silence;
+}
+
+milliseconds store_follower::silence() const {
+    return std::chrono::duration_cast<milliseconds>(support::boot_clock::now() - last_answer_);
+}
+
 void store_follower::set_reachable(bool reachable, std::string_view reason) {
+    if (reachable) {
+        last_answer_ = support::boot_clock::now();
+    }
     if (reachable == reachable_ && reachability_logged_) {
         return;
     }
--- a/lib/gateway/store_follower.h
+++ b/lib/gateway/store_follower.h
@@ -33,10 +33,15 @@
         std::function<void(const std::string& topic, const fleet::keyed_page&)> on_page;
     };
 
-    /// `read_interval` is the delay after a read that returned records, so that a topic that
-    /// changes continuously does not cost a call for each change.
+    struct pacing {
+        /// Delay after a read that returned records, so that a topic that changes continuously does
+        /// not cost a call for each change.
+        std::chrono::milliseconds interval;
+        std::chrono::milliseconds wait; ///< Longest time that a read waits for records.
+    };
+
     store_follower(net::executor context, platform::store_client& store, std::string topic,
-                   std::chrono::milliseconds read_interval, hooks callbacks);
+                   pacing chosen, hooks callbacks);
 
     /// Reads the topic until the node stops.
     net::awaitable<void> run();
@@ -45,9 +50,12 @@
     void apply(const fleet::keyed_page& page);
 
     [[nodiscard]] const fleet::record_mirror& mirror() const { return mirror_; }
+    /// Returns false from a failed read of this node until the store answers it, or a peer again.
     [[nodiscard]] bool reachable() const { return reachable_; }
     /// Returns whether this node reads the store itself and gets responses.
-    [[nodiscard]] bool reads() const { return reachable_ && !on_.passive(); }
+    [[nodiscard]] bool reads() const;
+    /// Returns the time since the store's last answer to this node.
+    [[nodiscard]] std::chrono::milliseconds silence() const;
     [[nodiscard]] const std::string& topic() const { return topic_; }
 
 private:
@@ -59,12 +67,13 @@
     net::executor context_;
     platform::store_client& store_;
     std::string topic_;
-    std::chrono::milliseconds read_interval_;
+    pacing pacing_;
     hooks on_;
     fleet::record_mirror mirror_;
     bool synchronised_ = false;
     bool reachable_ = false;
     bool reachability_logged_ = false;
+    support::time_point last_answer_;
 };
 
 } // namespace dragonflystair::gateway
