Limit the unread bytes of all responses together

Here one response was limited to 4 MiB of unread bytes, but not their sum: 64 calls of one engine may hold 256 MiB, on VMs of 260 MB.

Above 48 MiB in all, a response that holds more than 256 KiB and receives more fails; small responses are not affected.

Regression test: exchange_client_test:: endless_responses_together_exhaust_memory; on the former code all ten endless responses were kept. Heads without end were limited before (endless_response_is_broken_within_limits).

--- a/include/dragonflystair/net/exchange_client.h
+++ b/include/dragonflystair/net/exchange_client.h
@@ -50,6 +50,11 @@
     /// default. The exchange fails above this limit: the reader is slower than the peer, or the
     /// response is endless.
     std::size_t max_unread_bytes = std::size_t{4} * 1024 * 1024;
+    /// The same for all exchanges of a client together. Above this limit, an exchange fails when it
+    /// holds more than `small_unread_bytes` and receives more. Several endless responses would
+    /// otherwise exhaust the memory of a small VM.
+    std::size_t max_total_unread_bytes = std::size_t{48} * 1024 * 1024;
+    std::size_t small_unread_bytes = std::size_t{256} * 1024;
 };
 
 /// HTTP/1.1 client that delivers a response while it arrives and reuses connections. It never
--- a/lib/net/exchange_client.cpp
+++ b/lib/net/exchange_client.cpp
@@ -20,6 +20,7 @@
     std::shared_ptr<exchange_connection> acquire(const std::string& address);
     void release(const std::string& address,
                  const std::shared_ptr<exchange_connection>& connection);
+    [[nodiscard]] std::size_t unread_bytes() const;
 
     executor context;
     std::string id_header;
@@ -64,6 +65,16 @@
     connections.push_back(connection);
 }
 
+std::size_t exchange_client::impl::unread_bytes() const {
+    std::size_t total = 0;
+    for (const auto& [identity, connection] : in_flight) {
+        if (const auto carrier = connection.lock(); carrier && carrier->carries(identity)) {
+            total += carrier->unread_bytes();
+        }
+    }
+    return total;
+}
+
 exchange_client::exchange_client(executor context, std::string id_header, exchange_limits limits)
     : impl_(std::make_shared<impl>(std::move(context), std::move(id_header), limits)) {}
 
@@ -100,6 +111,10 @@
             self->release(key, idle);
         }
     };
+    connection->total_unread_bytes = [weak = impl_->weak_from_this()] {
+        const auto self = weak.lock();
+        return self ? self->unread_bytes() : 0;
+    };
     std::erase_if(impl_->in_flight, [](const auto& entry) { return entry.second.expired(); });
     impl_->in_flight[pending.get()] = connection;
     connection->begin(*endpoint, std::move(text), std::move(id), pending);
--- a/lib/net/exchange_connection.cpp
+++ b/lib/net/exchange_connection.cpp
@@ -226,7 +226,7 @@
     }
     current->body += parser_->body();
     parser_->body().clear();
-    if (current->body.size() > limits_.max_unread_bytes) {
+    if (exceeds_unread_limits(current->body.size())) {
         fail(exchange_end::broken, "response: unread body exceeds the size limit");
         return;
     }
@@ -250,6 +250,19 @@
     return reused_ && !request_id_.empty() && header(parser_->head().headers, id_header_).empty();
 }
 
+std::size_t exchange_connection::unread_bytes() const {
+    const auto current = exchange_.lock();
+    return current ? current->body.size() : 0;
+}
+
+bool exchange_connection::exceeds_unread_limits(std::size_t unread) const {
+    if (unread <= limits_.small_unread_bytes) {
+        return false;
+    }
+    return unread > limits_.max_unread_bytes ||
+           (total_unread_bytes && total_unread_bytes() > limits_.max_total_unread_bytes);
+}
+
 /// Prepares for parsing the next response on the connection.
 void exchange_connection::reset_parser() {
     parser_.emplace();
--- a/lib/net/exchange_connection.h
+++ b/lib/net/exchange_connection.h
@@ -39,6 +39,12 @@
     }
     [[nodiscard]] std::chrono::steady_clock::time_point idle_until() const { return idle_until_; }
 
+    /// Returns the number of body bytes that the reader of the exchange in flight has not consumed.
+    [[nodiscard]] std::size_t unread_bytes() const;
+
+    /// Returns the unread bytes of all connections of the client.
+    std::function<std::size_t()> total_unread_bytes;
+
     /// Called when an exchange has completed and the connection can be reused.
     std::function<void()> on_idle;
 
@@ -53,6 +59,7 @@
     /// in flight, or no id.
     [[nodiscard]] bool matches_request();
     [[nodiscard]] bool lacks_request_id();
+    [[nodiscard]] bool exceeds_unread_limits(std::size_t unread) const;
     void finish();
     void mark_lost();
     void lose(exchange_end end, std::string fault);
--- a/unittests/net/exchange_client_test.cpp
+++ b/unittests/net/exchange_client_test.cpp
@@ -6,6 +6,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -40,6 +41,7 @@
     CPPUNIT_TEST(late_duplicate_without_length_is_broken);
     CPPUNIT_TEST(truncated_late_duplicate_is_broken);
     CPPUNIT_TEST(endless_response_is_broken_within_limits);
+    CPPUNIT_TEST(endless_responses_together_exhaust_memory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -217,6 +219,61 @@
         }
     }
 
+    /// Each response stays below the limit for one. A small response beside them is not affected.
+    void endless_responses_together_exhaust_memory() {
+        constexpr std::size_t kilobyte = 1'024;
+        constexpr std::size_t endless = 10;
+        constexpr std::size_t body_bytes = 300 * kilobyte;
+        exchange_limits limits;
+        limits.max_unread_bytes = 400 * kilobyte;
+        limits.max_total_unread_bytes = 1'000 * kilobyte;
+        limits.small_unread_bytes = 20 * kilobyte;
+        exchange_client client(context_.get_executor(), "Request-Id", limits);
+        const auto script = [](raw_connection& connection) {
+            connection.read_until("\r\n\r\n");
+            connection.write("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n" +
+                             std::string(body_bytes, 'x'));
+            connection.read_all();
+        };
+        std::vector<std::unique_ptr<scripted_server>> servers;
+        std::vector<std::shared_ptr<exchange>> items;
+        const auto unread = [&] {
+            std::size_t total = 0;
+            for (const auto& item : items) {
+                total += item->body.size();
+            }
+            return total;
+        };
+        for (std::size_t number = 0; number < endless; ++number) {
+            servers.push_back(
+                std::make_unique<scripted_server>(std::vector<scripted_server::script>{script}));
+            items.push_back(client.send(servers.back()->address(), std::string(request), "1", {}));
+        }
+        const auto any_ended = [&] {
+            return std::ranges::any_of(items,
+                                       [](const auto& item) { return item->end.has_value(); });
+        };
+        while (!any_ended() && unread() < endless * body_bytes) {
+            context_.run_one();
+        }
+        scripted_server sound({[](raw_connection& connection) {
+            connection.read_until("\r\n\r\n");
+            connection.write(make_response("1", std::string(10 * kilobyte, 'y')));
+        }});
+        const auto small = client.send(sound.address(), std::string(request), "1", {});
+        while (!small->end) {
+            context_.run_one();
+        }
+        CPPUNIT_ASSERT(small->end == exchange_end::complete);
+        std::size_t open = 0;
+        for (const auto& item : items) {
+            open += item->end ? 0 : item->body.size();
+            client.cancel(item);
+        }
+        CPPUNIT_ASSERT(open <= limits.max_total_unread_bytes);
+        client.cancel(small);
+    }
+
 private:
     /// The server sends `late` instead of the response to a second request on the connection.
     void expect_broken_second(const std::string& late) {
