End streams whose bytes without events arrive without a pause

A faulty endpoint that sends comments, or events whose blank lines are bare carriage returns, without a pause filled the memory of the node: the filter of a resumable stream withheld all of it, the size limit looked only at the parser, which discards such bytes, and a stall was looked for only while no bytes were there. It went on until the call's deadline.

The size limit of an event now holds for the withheld bytes too, and a stream without a whole event for the stall timeout ends although bytes arrive.

Regression test: second_endpoint_test:: bytes_without_events_fill_the_memory_of_the_node fails on the former code. stream_that_ends_inside_its_head_looks_complete shows that an answer that stops inside its head is answered 502; it passed before.

--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -251,7 +251,9 @@
     while (true) {
         // Bytes may arrive without a pause and without an end, so the limits are also checked while
         // data is available. A response that has ended is still delivered.
-        if (!upstream->end && (progress.event_too_long() || boot_clock::now() >= call.answer_by)) {
+        const bool too_long =
+            progress.event_too_long() || events.withheld_bytes() > max_event_bytes;
+        if (!upstream->end && (too_long || boot_clock::now() >= call.answer_by)) {
             co_return false;
         }
         if (!upstream->body.empty()) {
@@ -268,6 +270,9 @@
             call.stream_began = call.stream_began.value_or(call.last_chunk);
             call.received_bytes += upstream->body.size();
             progress.feed(upstream->body, boot_clock::now());
+            if (!upstream->end && boot_clock::now() >= progress.stalls_at()) {
+                co_return false; // Comments and the like may arrive without a pause.
+            }
             const auto bytes = events.feed(std::exchange(upstream->body, {}));
             const bool written = co_await exchange.write(bytes);
             if (!written) {
--- a/lib/gateway/resume_filter.h
+++ b/lib/gateway/resume_filter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,8 @@
 
     /// Returns the id of the last released event that has one; empty if there is none.
     [[nodiscard]] const std::string& last_id() const { return last_id_; }
+    /// Returns the number of bytes that are withheld.
+    [[nodiscard]] std::size_t withheld_bytes() const { return partial_.size(); }
     /// Returns whether any bytes of the stream have arrived.
     [[nodiscard]] bool started() const { return started_; }
 
--- a/lib/gateway/stream_progress.cpp
+++ b/lib/gateway/stream_progress.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstddef>
 
 namespace dragonflystair::gateway {
 
@@ -16,10 +15,6 @@
 constexpr int stall_objectives = 4;
 constexpr int stall_pauses = 8;
 
-/// Limit on the size of one event. Events of the deployments have tens of bytes; a complete
-/// response in one event still fits.
-constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
-
 } // namespace
 
 support::duration stall_timeout(const fleet::route& route) {
--- a/lib/gateway/stream_progress.h
+++ b/lib/gateway/stream_progress.h
@@ -4,10 +4,14 @@
 #include "dragonflystair/stream/sse.h"
 #include "dragonflystair/support/time.h"
 
+#include <cstddef>
 #include <string_view>
 
 namespace dragonflystair::gateway {
 
+/// Limit on the size of one event. A complete response in one event still fits.
+inline constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
+
 /// Returns the time without an event after which a stream counts as stalled, which is as long as
 /// the platform's callers wait. For a stream that can be resumed at another endpoint it is half of
 /// that, so that the caller is still connected.
--- a/unittests/gateway/second_endpoint_test.cpp
+++ b/unittests/gateway/second_endpoint_test.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(stream_without_length_that_ends_inside_an_event_looks_complete);
     CPPUNIT_TEST(framed_stream_that_ends_inside_an_event_looks_complete);
     CPPUNIT_TEST(framed_stream_that_ends_inside_an_event_is_not_resumed);
+    CPPUNIT_TEST(stream_that_ends_inside_its_head_looks_complete);
+    CPPUNIT_TEST(bytes_without_events_fill_the_memory_of_the_node);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -206,6 +208,54 @@
         stop_threads();
     }
 
+    void stream_that_ends_inside_its_head_looks_complete() {
+        const std::string head = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: ID\r\n"
+                                 "Content-Type: text/event-stream\r\n\r\n";
+        for (std::size_t length = 1; length < head.size(); length += 29) {
+            const auto script = [&](net::raw_connection& connection) {
+                const auto id = id_in(connection.read_until(end_of_head));
+                auto text = head;
+                text.replace(text.find("ID"), 2, id);
+                connection.write(text.substr(0, length));
+            };
+            net::scripted_server endpoint(std::vector<net::scripted_server::script>(4, script));
+            start({endpoint.address()});
+            for (const std::string path : {"/patterns/1", "/drafts/1", "/stamps/1"}) {
+                const auto text = raw_call(path, "cut" + path.substr(1, 1));
+                CPPUNIT_ASSERT_MESSAGE(text, text.starts_with("HTTP/1.1 502"));
+            }
+            tearDown();
+            endpoint.join();
+            setUp();
+        }
+    }
+
+    /// Comments, and blank lines that the filter of complete events does not recognise.
+    void bytes_without_events_fill_the_memory_of_the_node() {
+        constexpr std::size_t total_bytes = std::size_t{64} * 1024 * 1024;
+        const auto script = [&](net::raw_connection& connection) {
+            const auto id = id_in(connection.read_until(end_of_head));
+            const std::string line = id == "comments" ? ": ping\n" : "data: x\r\r";
+            std::string block;
+            while (block.size() < 64'000) {
+                block += line;
+            }
+            connection.write(answer(id, "Connection: close\r\n", ""));
+            for (std::size_t sent = 0; sent < total_bytes; sent += block.size()) {
+                connection.write(block);
+            }
+        };
+        net::scripted_server endpoint(std::vector<net::scripted_server::script>(40, script));
+        start({endpoint.address()});
+        for (const std::string id : {"comments", "carriage-returns"}) {
+            raw_call("/drafts/1", id);
+            output->expect({"event=endpoint_failed", "request=" + id,
+                            "fault=\"stream stalled or event too long\""});
+        }
+        stop_threads();
+        endpoint.join();
+    }
+
 private:
     static std::string chunked_answer(const std::string& id, const std::string& text) {
         std::array<char, 17> size{};
