Limit responses of engines to orders and reports to 1 MiB

The client that orders adapters read up to 32 MiB of a response, the size of a log page of the product. Endless answers of nine engines at a time exceed the memory of a VM of 260 MB. The limit is now set for each client: 1 MiB for engines, 4 MiB for the store, whose pages have 1 MB.

Test: platform_clients_test:: response_without_end_exceeds_the_limit_of_its_client. The former code has no such limit to set; 32 MiB were read by its constant.

--- a/include/dragonflystair/net/http_client.h
+++ b/include/dragonflystair/net/http_client.h
@@ -4,6 +4,7 @@
 #include "dragonflystair/net/http_message.h"
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,7 +34,12 @@
 /// received no byte of a response.
 class http_client {
 public:
-    explicit http_client(executor context);
+    /// Default limit of a response's body: larger than a log page of 1,000 records with outcomes of
+    /// 16 KiB each.
+    static constexpr std::size_t log_page_bytes = std::size_t{32} * 1024 * 1024;
+
+    /// A longer response than `max_body_bytes` is `malformed`.
+    explicit http_client(executor context, std::size_t max_body_bytes = log_page_bytes);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -40,6 +40,11 @@
 constexpr store_follower::pacing endpoint_list{fleet::store_readers::read_interval,
                                                fleet::store_readers::read_wait};
 
+/// Limits of response bodies. The store's pages have 1 MB at most, and base64 adds a third.
+constexpr std::size_t max_store_body_bytes = std::size_t{4} * 1024 * 1024;
+/// A report lists the models and adapters of one engine. Many engines may answer at the same time.
+constexpr std::size_t max_engine_body_bytes = std::size_t{1024} * 1024;
+
 fleet::retry_limits retry_limits_of(const config::gateway_settings& settings) {
     return {settings.retry_ratio, settings.retry_slack, settings.retry_window};
 }
@@ -69,8 +74,10 @@
             net::exchange_client(io_.get_executor(), std::string(platform::request_id_header)),
             1,
             false},
-      http_(io_.get_executor()), store_(http_, settings.store_address),
-      engines_(http_,
+      store_http_(io_.get_executor(), max_store_body_bytes),
+      engine_http_(io_.get_executor(), max_engine_body_bytes),
+      store_(store_http_, settings.store_address),
+      engines_(engine_http_,
                [this](std::string_view endpoint, const auto& notice, support::time_point sent) {
                    if (const auto* record = view_.dispatcher.find(endpoint)) {
                        on_notice(endpoint, record->started_ms, notice, sent);
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -173,7 +173,8 @@
     support::counters counters_;
     support::latency_histogram first_byte_latency_;
     node_view view_;
-    net::http_client http_;
+    net::http_client store_http_;
+    net::http_client engine_http_;
     platform::store_client store_;
     platform::endpoint_client engines_;
     fleet::endpoint_watch watch_;
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -23,10 +23,6 @@
 /// Same as the default limit of the server.
 constexpr std::uint32_t max_header_bytes = 16 * 1024;
 
-/// Larger than a log page of 1,000 records with outcomes of 16 KiB each, and far smaller than the
-/// memory of a small VM.
-constexpr std::uint64_t max_body_bytes = std::uint64_t{32} * 1024 * 1024;
-
 /// A request ready to be sent, or the reason why it cannot be sent.
 struct prepared_request {
     std::shared_ptr<const outgoing_request> message;
@@ -64,7 +60,7 @@
 awaitable<exchange_result> run_exchange(std::shared_ptr<http_connection> connection,
                                         std::shared_ptr<const outgoing_request> request,
                                         tcp::endpoint address, deadline::time_point until,
-                                        std::weak_ptr<http_pool> pool) {
+                                        std::weak_ptr<http_pool> pool, std::size_t max_body_bytes) {
     connection->set_deadline(until);
     if (connection->reused && !connection->is_reusable()) {
         co_return connection_fault{
@@ -128,13 +124,15 @@
 } // namespace
 
 struct http_client::impl {
-    explicit impl(executor used) : context(std::move(used)) {}
+    impl(executor used, std::size_t limit) : context(std::move(used)), max_body_bytes(limit) {}
 
     executor context;
+    std::size_t max_body_bytes;
     std::shared_ptr<http_pool> pool = std::make_shared<http_pool>();
 };
 
-http_client::http_client(executor context) : impl_(std::make_shared<impl>(std::move(context))) {}
+http_client::http_client(executor context, std::size_t max_body_bytes)
+    : impl_(std::make_shared<impl>(std::move(context), max_body_bytes)) {}
 
 http_client::~http_client() {
     impl_->pool->close();
@@ -159,7 +157,8 @@
             connection = std::make_shared<http_connection>(self->context);
         }
         const executor strand = connection->strand;
-        auto work = run_exchange(connection, prepared.message, prepared.address, until, self->pool);
+        auto work = run_exchange(connection, prepared.message, prepared.address, until, self->pool,
+                                 self->max_body_bytes);
         connection.reset();
         auto result = co_await run_on(strand, std::move(work));
         if (auto* const response = std::get_if<http_response>(&result)) {
--- a/unittests/net/platform_clients_test.cpp
+++ b/unittests/net/platform_clients_test.cpp
@@ -3,6 +3,7 @@
 #include "dragonflystair/net/log_client.h"
 #include "dragonflystair/net/vm_list_client.h"
 
+#include "scripted_peer.h"
 #include "test_context.h"
 
 #include <cppunit/TestFixture.h>
@@ -37,6 +38,7 @@
     CPPUNIT_TEST(order_carries_adapter_and_fence);
     CPPUNIT_TEST(completion_returns_events);
     CPPUNIT_TEST(refused_completion_has_the_message);
+    CPPUNIT_TEST(response_without_end_exceeds_the_limit_of_its_client);
     CPPUNIT_TEST_SUITE_END();
 
     test_context context_;
@@ -253,6 +255,24 @@
         CPPUNIT_ASSERT(!context_.run(stream.value()->next(long_timeout)).value());
     }
 
+    void response_without_end_exceeds_the_limit_of_its_client() {
+        const std::string block(64'000, 'x');
+        for (const std::string head : {"Content-Length: 99999999\r\n\r\n", "\r\n"}) {
+            scripted_server engine({[&](raw_connection& connection) {
+                connection.read_until("\r\n\r\n");
+                connection.write("HTTP/1.1 200 OK\r\n" + head);
+                for (int sent = 0; sent < 200; ++sent) {
+                    connection.write(block);
+                }
+            }});
+            http_client limited(context_.get(), 2 * block.size());
+            const auto result =
+                context_.run(limited.request(engine.address(), http_request{}, long_timeout));
+            CPPUNIT_ASSERT(!result);
+            CPPUNIT_ASSERT(result.error().kind == error_kind::malformed);
+        }
+    }
+
     void refused_completion_has_the_message() {
         engine_client client(*http_);
         set_response(404, R"({"error":{"message":"no adapter a"}})");
