Limit the size of an event and the time to it in streams of `node`

An engine that sent bytes without a whole event kept a stream of the product's own interface open for ever, since each byte restarted the timeout, and an event without an end filled the memory of the node.

progress_timeout now holds from event to event, and an event may have 1 MiB.

--- a/lib/net/engine_client.cpp
+++ b/lib/net/engine_client.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t max_error_body_bytes = std::size_t{16} * 1024;
 constexpr std::size_t max_error_message_bytes = 512;
 
+/// Limit on the size of one event. Events hold a few tokens.
+constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
+
 /// Extracts the message of an error response: OpenAI's `error.message`, problem details, or the
 /// text itself.
 std::string error_message(int status, const std::string& body) {
@@ -130,12 +133,20 @@
 
 awaitable<async_result<std::optional<stream::sse_event>>>
 engine_stream::next(std::chrono::milliseconds timeout) {
+    const auto until = std::chrono::steady_clock::now() + timeout;
     while (true) {
         auto event = reader_.next();
         if (event) {
             co_return std::move(event);
         }
-        auto chunk = co_await body_->read(timeout);
+        const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+            until - std::chrono::steady_clock::now());
+        if (remaining.count() <= 0 || reader_.buffered_bytes() > max_event_bytes) {
+            body_->close();
+            co_return error{
+                error_kind::unknown, "no whole event in time or within the size limit", {}};
+        }
+        auto chunk = co_await body_->read(remaining);
         if (!chunk) {
             co_return chunk.error();
         }
--- a/unittests/net/platform_clients_test.cpp
+++ b/unittests/net/platform_clients_test.cpp
@@ -11,6 +11,7 @@
 
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace {
@@ -38,6 +39,8 @@
     CPPUNIT_TEST(order_carries_adapter_and_fence);
     CPPUNIT_TEST(completion_returns_events);
     CPPUNIT_TEST(refused_completion_has_the_message);
+    CPPUNIT_TEST(event_without_end_exhausts_memory);
+    CPPUNIT_TEST(bytes_without_an_event_keep_a_stream_open);
     CPPUNIT_TEST(response_without_end_exceeds_the_limit_of_its_client);
     CPPUNIT_TEST_SUITE_END();
 
@@ -59,6 +62,23 @@
         return last_request_;
     }
 
+    /// An engine answers a completion by `write_events`; the stream ends with an error.
+    void expect_broken_stream(milliseconds timeout, const scripted_server::script& write_events) {
+        scripted_server engine({[&](raw_connection& connection) {
+            connection.read_until("\r\n\r\n");
+            connection.read_until("}"); // The whole request; closing would reset it otherwise.
+            connection.write("HTTP/1.1 200 OK\r\n\r\n");
+            write_events(connection);
+        }});
+        engine_client client(*http_);
+        engine_call call{"r", {{"model", "a"}}, false, 0};
+        const auto stream = context_.run(client.complete(engine.address(), call, long_timeout));
+        CPPUNIT_ASSERT(stream);
+        const auto event = context_.run(stream.value()->next(timeout));
+        CPPUNIT_ASSERT(!event);
+        stream.value()->close();
+    }
+
     log_client log() { return {*http_, server_->address()}; }
 
     /// Returns the error kind of a result, or "ok".
@@ -255,6 +275,28 @@
         CPPUNIT_ASSERT(!context_.run(stream.value()->next(long_timeout)).value());
     }
 
+    void event_without_end_exhausts_memory() {
+        constexpr std::size_t total_bytes = std::size_t{64} * 1024 * 1024;
+        const std::string line = "data: " + std::string(64'000, 'x') + "\n";
+        expect_broken_stream(long_timeout, [&](raw_connection& connection) {
+            for (std::size_t sent = 0; sent < total_bytes; sent += line.size()) {
+                connection.write(line);
+            }
+            connection.write("\n");
+        });
+    }
+
+    /// The engine sends a comment now and then for a multiple of the timeout.
+    void bytes_without_an_event_keep_a_stream_open() {
+        expect_broken_stream(milliseconds{200}, [](raw_connection& connection) {
+            for (int sent = 0; sent < 5'000; ++sent) {
+                connection.write(":\n");
+                std::this_thread::sleep_for(milliseconds{2});
+            }
+            connection.write("data: a\n\n");
+        });
+    }
+
     void response_without_end_exceeds_the_limit_of_its_client() {
         const std::string block(64'000, 'x');
         for (const std::string head : {"Content-Length: 99999999\r\n\r\n", "\r\n"}) {
