Refuse calls of callers that stay at a stopping node

Callers of the product's own interface that kept the address of a stopping node had their calls accepted until drain_timeout and then cut off; the process exited with 1.

A draining node now takes calls for answer_lifetime, the longest that callers may keep its address, and refuses later ones with 503 not_run. It was idle only by chance before, as every call that came prolonged the stop.

--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -178,7 +178,8 @@
 
 bool node::impl::serves_callers() {
     const std::lock_guard lock(lifecycle_mutex);
-    return lifecycle.accepts_callers() || lifecycle.draining();
+    return lifecycle.accepts_callers() ||
+           (lifecycle.draining() && node_context::now() < callers_leave_by);
 }
 
 std::vector<std::string> node::impl::model_names() const {
@@ -353,21 +354,21 @@
 }
 
 net::awaitable<void> node::impl::shut_down() {
+    const auto began = node_context::now();
     {
         const std::lock_guard lock(lifecycle_mutex);
         lifecycle.on_stop_requested();
+        callers_leave_by = began + context.settings.answer_lifetime;
     }
     protocol.send_heartbeat();
-    const auto began = node_context::now();
     for (const auto& endpoint : ownables()) {
         const auto owner = members.owner_of(endpoint.name);
         if (owner && owner->session.incarnation == context.incarnation) {
             co_await agent.release(endpoint);
         }
     }
-    const auto answers_end = began + context.settings.answer_lifetime;
     const auto deadline = began + context.settings.drain_timeout;
-    while ((node_context::now() < answers_end || !idle()) && node_context::now() < deadline) {
+    while ((node_context::now() < callers_leave_by || !idle()) && node_context::now() < deadline) {
         co_await sleep_for(std::chrono::milliseconds{50});
     }
     was_cut_off = !idle();
--- a/lib/node/node_impl.h
+++ b/lib/node/node_impl.h
@@ -55,6 +55,8 @@
 
     std::mutex lifecycle_mutex;
     membership::node_lifecycle lifecycle;
+    /// Time until which a draining node takes calls: the longest that callers keep its address.
+    support::time_point callers_leave_by;
 
     config_table config;
     member_table members;
