--- a/unittests/scenarios/tcp_relay.cpp
+++ b/unittests/scenarios/tcp_relay.cpp
@@ -106,6 +106,8 @@
             }
             auto link = std::make_shared<connection>(std::move(socket), io.get_executor());
             links.insert(link);
+            link->silent = mode == relay_mode::silence_all;
+            link->silent_answers = link->silent;
             asio::co_spawn(
                 io, [this, link] { return serve(link); }, asio::detached);
         }
@@ -138,11 +140,11 @@
                 link->reset();
                 continue;
             }
-            link->silent = next == relay_mode::silence_open;
+            link->silent = next != relay_mode::silence_answers;
             link->silent_answers = true;
             silenced.insert(link);
         }
-        if (next != relay_mode::cut) {
+        if (next != relay_mode::cut && next != relay_mode::silence_all) {
             mode = relay_mode::pass;
         }
     }
--- a/unittests/scenarios/tcp_relay.h
+++ b/unittests/scenarios/tcp_relay.h
@@ -13,6 +13,7 @@
     reset_open,      ///< Open connections are reset; new ones work.
     silence_answers, ///< Like `silence_open`, but only for data sent by the target.
     delay,           ///< Data is delayed on open and new connections.
+    silence_all,     ///< Open and new connections forward nothing, as in a silent partition.
 };
 
 /// Forwards TCP connections to a target and injects network faults between two processes.
--- a/unittests/soak/fault_plan.cpp
+++ b/unittests/soak/fault_plan.cpp
@@ -17,6 +17,11 @@
 /// A limit lasts longer than the time after which it is checked.
 constexpr milliseconds min_limit_time{6'000};
 
+/// Links stay silent, and endpoints that are gone serve on, for longer than nodes may rely on them.
+constexpr milliseconds min_store_link_time{3'500};
+/// Pause between two faults of links, after which all gateways know all records again.
+constexpr milliseconds store_link_pause{10'000};
+
 constexpr std::array planned_kinds{fault_kind::stop_gateway, fault_kind::hang_up_gateway,
                                    fault_kind::replace_endpoint, fault_kind::change_configuration};
 
@@ -68,6 +73,10 @@
         return "change_configuration";
     case fault_kind::endpoint_names_limit:
         return "endpoint_names_limit";
+    case fault_kind::partition_store_link:
+        return "partition_store_link";
+    case fault_kind::unlist_endpoint:
+        return "unlist_endpoint";
     }
     return "unknown";
 }
@@ -90,6 +99,12 @@
         if (choice == fault_choice::limits && below(2) == 0) {
             item.kind = fault_kind::endpoint_names_limit;
         }
+        if (choice == fault_choice::store_links) {
+            // Each fault of a link is followed by an endpoint that leaves.
+            const bool is_link = i % 2 == 0;
+            at += is_link ? store_link_pause : milliseconds{0};
+            item.kind = is_link ? fault_kind::partition_store_link : fault_kind::unlist_endpoint;
+        }
         item.at = at;
         item.lasts = milliseconds(shortest_fault_ms + below(longest_fault_ms));
         if (item.kind == fault_kind::stop_gateway) {
@@ -98,7 +113,13 @@
         if (item.kind == fault_kind::endpoint_names_limit) {
             item.lasts += min_limit_time;
         }
+        if (choice == fault_choice::store_links) {
+            item.lasts += min_store_link_time;
+        }
         item.target = static_cast<std::size_t>(below(1 << 16));
+        if (item.kind == fault_kind::partition_store_link) {
+            item.target = 0; // The first gateway reads the store for the others.
+        }
         plan.push_back(item);
     }
     return plan;
--- a/unittests/soak/guarantee_checker.cpp
+++ b/unittests/soak/guarantee_checker.cpp
@@ -2,10 +2,18 @@
 
 #include <fmt/format.h>
 
+#include <chrono>
 #include <utility>
 
 namespace dragonflystair::soak {
 
+namespace {
+
+/// The platform's bound on calls to an endpoint that is gone.
+constexpr std::chrono::milliseconds gone_in_force{2'500};
+
+} // namespace
+
 bool runs_once(call_kind kind) {
     return kind == call_kind::stamp || kind == call_kind::draft;
 }
@@ -40,9 +48,38 @@
     return fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
 }
 
-void guarantee_checker::note_call(const std::string& id, call_kind kind) {
+void guarantee_checker::note_call(const std::string& id, call_kind kind,
+                                  const std::string& address) {
+    const std::lock_guard lock(mutex_);
+    auto& item = calls_[id];
+    item.kind = kind;
+    item.address = address;
+    item.sent = support::boot_clock::now();
+}
+
+void guarantee_checker::excuse(const std::string& address, support::time_point until) {
     const std::lock_guard lock(mutex_);
-    calls_[id].kind = kind;
+    excused_until_.insert_or_assign(address, until);
+}
+
+void guarantee_checker::note_arrival_at_gone_endpoint(const std::string& id,
+                                                      support::duration gone_for) {
+    const std::lock_guard lock(mutex_);
+    const auto now = support::boot_clock::now();
+    const auto found = calls_.find(id);
+    if (found == calls_.end() || gone_for <= gone_in_force ||
+        now - found->second.sent > gone_for - gone_in_force) {
+        return;
+    }
+    const auto excused = excused_until_.find(found->second.address);
+    if (excused != excused_until_.end() && now < excused->second) {
+        return;
+    }
+    ++violations_;
+    on_violation_(fmt::format(
+        "{} {} reached an endpoint {} ms after the store had acknowledged that it is gone",
+        to_string(found->second.kind), id,
+        std::chrono::duration_cast<std::chrono::milliseconds>(gone_for).count()));
 }
 
 void guarantee_checker::note_run(const std::string& id, std::string_view service, int first_event) {
--- a/unittests/soak/guarantee_checker.h
+++ b/unittests/soak/guarantee_checker.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "dragonflystair/support/time.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -44,7 +46,8 @@
     guarantee_checker(bool cuts_allowed, std::function<void(std::string_view)> on_violation)
         : cuts_allowed_(cuts_allowed), on_violation_(std::move(on_violation)) {}
 
-    void note_call(const std::string& id, call_kind kind);
+    /// Records a call that is sent to the gateway at `address`.
+    void note_call(const std::string& id, call_kind kind, const std::string& address);
     /// Records that an endpoint of `service` begins to run a call; `first_event` is the number of
     /// the first event of a stream, above 1 if the stream is resumed.
     void note_run(const std::string& id, std::string_view service, int first_event);
@@ -52,6 +55,12 @@
     void note_end(const std::string& id, call_end end, std::string_view signature,
                   std::string_view body);
 
+    /// Records that an endpoint got a call although the store had acknowledged `gone_for` ago that
+    /// the endpoint is gone.
+    void note_arrival_at_gone_endpoint(const std::string& id, support::duration gone_for);
+    /// Excuses the gateway at `address` from that check until `until`, since a fault affects it.
+    void excuse(const std::string& address, support::time_point until);
+
     /// Counts and reports a violation found by another component.
     void report_violation(const std::string& text);
 
@@ -65,6 +74,8 @@
         call_kind kind = call_kind::stamp;
         int runs = 0;
         bool refused = false;
+        std::string address; ///< Of its gateway.
+        support::time_point sent;
     };
 
     void check_body(const std::string& id, const call& item, std::string_view signature,
@@ -74,6 +85,7 @@
     std::function<void(std::string_view)> on_violation_;
     mutable std::mutex mutex_;
     std::map<std::string, call> calls_;
+    std::map<std::string, support::time_point> excused_until_; ///< By address.
     std::map<std::pair<call_kind, call_end>, std::size_t> ends_;
     std::size_t violations_ = 0;
 };
--- a/unittests/soak/main.cpp
+++ b/unittests/soak/main.cpp
@@ -27,8 +27,8 @@
 constexpr const char* usage = R"(Soak of real gateways under random faults.
 
 Usage:
-  dragonflystair-soak [--seed N] [--seeds N] [--faults N] [--callers N] [--planned | --limits]
-                      [--keep] PROGRAM
+  dragonflystair-soak [--seed N] [--seeds N] [--faults N] [--callers N]
+                      [--planned | --limits | --store-links] [--keep] PROGRAM
 
 Options:
   --seed N     First seed [default: 1].
@@ -37,6 +37,7 @@
   --callers N  Callers that call in turn [default: 16].
   --planned    Only what operators do on purpose; no call may be cut off.
   --limits     Half of the faults are endpoints that name a rate limit.
+  --store-links  Links to the store that fall silent just before an endpoint leaves.
   --keep       Keep the logs of a run that passed.
 )";
 
@@ -103,16 +104,18 @@
         return false;
     }
     const bool planned = options["--planned"].asBool();
-    const auto choice = planned                        ? fault_choice::planned
-                        : options["--limits"].asBool() ? fault_choice::limits
-                                                       : fault_choice::any;
+    const auto choice = planned                             ? fault_choice::planned
+                        : options["--limits"].asBool()      ? fault_choice::limits
+                        : options["--store-links"].asBool() ? fault_choice::store_links
+                                                            : fault_choice::any;
     guarantee_checker checked(!planned, [](std::string_view text) {
         std::printf("broken: %s\n", std::string(text).c_str());
         std::fflush(stdout);
     });
     net::test_context context;
     {
-        soak_cluster cluster(context.get(), options["PROGRAM"].asString(), folder, checked);
+        soak_cluster cluster(context.get(), options["PROGRAM"].asString(), folder, checked,
+                             choice == fault_choice::store_links);
         soak_callers callers(context.get(), cluster, checked, seed);
         callers.start(number_of(options["--callers"]));
         wait_recovered(checked);
--- a/unittests/soak/soak_callers.cpp
+++ b/unittests/soak/soak_callers.cpp
@@ -56,18 +56,25 @@
 net::awaitable<void> soak_callers::run_caller(std::size_t number) {
     std::mt19937_64 random(seed_ * 1'000 + number);
     boost::asio::steady_timer timer(context_);
+    const bool keeps_address = number % 2 == 1;
+    std::string address;
     while (!stopping_) {
         timer.expires_after(milliseconds(random() % longest_pause_ms));
         co_await timer.async_wait(boost::asio::use_awaitable);
         const auto kind = static_cast<call_kind>(random() % call_kinds);
         const auto draw = static_cast<int>(random() % adapters);
         const auto second = static_cast<int>(random() % adapters);
-        auto address = co_await resolve(number);
+        if (!keeps_address || address.empty()) {
+            address = co_await resolve(number);
+        }
         if (address.empty()) {
             continue;
         }
         auto id = fmt::format("{:016x}", next_id_++);
-        co_await call(std::move(address), kind, std::move(id), std::min(draw, second));
+        const bool answered = co_await call(address, kind, std::move(id), std::min(draw, second));
+        if (!answered) {
+            address.clear();
+        }
     }
     --active_;
 }
@@ -99,9 +106,9 @@
     co_return std::string();
 }
 
-net::awaitable<void> soak_callers::call(std::string address, call_kind kind, std::string id,
+net::awaitable<bool> soak_callers::call(std::string address, call_kind kind, std::string id,
                                         int adapter) {
-    checked_.note_call(id, kind);
+    checked_.note_call(id, kind, address);
     net::http_request request;
     request.method = "POST";
     request.target = fmt::format("/{}/{}", to_string(kind), id);
@@ -110,21 +117,20 @@
     request.headers[std::string(platform::deadline_header)] = std::to_string(deadline.count());
     request.body = request_body(id);
     if (kind == call_kind::stamp || kind == call_kind::lookup) {
-        co_await call_plain(std::move(address), std::move(request), std::move(id));
-        co_return;
+        co_return co_await call_plain(std::move(address), std::move(request), std::move(id));
     }
     request.headers[std::string(platform::model_header)] = fmt::format("base/a{}", adapter);
     request.headers[std::string(platform::tokens_header)] = "200,60";
     request.headers[std::string(platform::prompt_header)] = fmt::format("ab:100,{}:100", id);
-    co_await call_stream(std::move(address), std::move(request), std::move(id));
+    co_return co_await call_stream(std::move(address), std::move(request), std::move(id));
 }
 
-net::awaitable<void> soak_callers::call_plain(std::string address, net::http_request request,
+net::awaitable<bool> soak_callers::call_plain(std::string address, net::http_request request,
                                               std::string id) {
     const auto answer = co_await client_.request(address, std::move(request), answer_timeout);
     if (!answer) {
         checked_.note_end(id, call_end::cut, {}, {});
-        co_return;
+        co_return false;
     }
     const auto& response = answer.value();
     const auto end = response.status == 200        ? call_end::served
@@ -132,14 +138,15 @@
                                                    : call_end::failed;
     checked_.note_end(id, end, net::header(response.headers, platform::signature_header),
                       response.body);
+    co_return true;
 }
 
-net::awaitable<void> soak_callers::call_stream(std::string address, net::http_request request,
+net::awaitable<bool> soak_callers::call_stream(std::string address, net::http_request request,
                                                std::string id) {
     const auto opened = co_await client_.open_stream(address, std::move(request), answer_timeout);
     if (!opened) {
         checked_.note_end(id, call_end::cut, {}, {});
-        co_return;
+        co_return false;
     }
     auto& stream = *opened.value();
     std::string body;
@@ -159,9 +166,10 @@
     if (stream.head().status != 200) {
         checked_.note_end(
             id, is_refusal(stream.head().status) ? call_end::refused : call_end::failed, {}, {});
-        co_return;
+        co_return true;
     }
     checked_.note_end(id, complete ? call_end::served : call_end::cut, signature, body);
+    co_return complete;
 }
 
 } // namespace dragonflystair::soak
--- a/unittests/soak/soak_callers.h
+++ b/unittests/soak/soak_callers.h
@@ -15,7 +15,8 @@
 namespace dragonflystair::soak {
 
 /// A set of callers, each of which repeatedly resolves a gateway's address and sends one call at a
-/// time to it. Unary calls reuse keep-alive connections until these close.
+/// time to it. Every second caller keeps an address until its process no longer answers. Unary
+/// calls reuse keep-alive connections until these close.
 class soak_callers {
 public:
     soak_callers(const net::executor& context, const soak_cluster& cluster,
@@ -28,9 +29,10 @@
 private:
     net::awaitable<void> run_caller(std::size_t number);
     net::awaitable<std::string> resolve(std::size_t number);
-    net::awaitable<void> call(std::string address, call_kind kind, std::string id, int adapter);
-    net::awaitable<void> call_plain(std::string address, net::http_request request, std::string id);
-    net::awaitable<void> call_stream(std::string address, net::http_request request,
+    /// Sends one call. Returns whether it was answered.
+    net::awaitable<bool> call(std::string address, call_kind kind, std::string id, int adapter);
+    net::awaitable<bool> call_plain(std::string address, net::http_request request, std::string id);
+    net::awaitable<bool> call_stream(std::string address, net::http_request request,
                                      std::string id);
 
     net::executor context_;
--- a/unittests/soak/soak_cluster.cpp
+++ b/unittests/soak/soak_cluster.cpp
@@ -22,6 +22,10 @@
             {"slo-ms", 1'000}, {"gap-aim-ms", 500},  {"attempts", 3}};
 }
 
+/// Time after a fault of its link to the store until a gateway knows all records again; specified
+/// by the platform.
+constexpr std::chrono::milliseconds stable_time{4'000};
+
 /// Sets a link's mode and returns the function that restores normal forwarding.
 std::function<void()> inject_link_fault(scenarios::tcp_relay& link, relay_mode mode) {
     link.set_mode(mode);
@@ -36,7 +40,7 @@
 } // namespace
 
 soak_cluster::soak_cluster(const net::executor& context, const std::string& program,
-                           std::string folder, guarantee_checker& checked)
+                           std::string folder, guarantee_checker& checked, bool one_data_centre)
     : folder_(std::move(folder)), checked_(checked), store_(context) {
     publish_configuration();
     add_endpoint(context, "register", "register-1", "north");
@@ -45,7 +49,7 @@
     add_endpoint(context, "assistant", "engine-2", "north");
     add_endpoint(context, "assistant", "engine-3", "south");
     for (const auto* name : {"node-1", "node-2", "node-3", "node-4"}) {
-        const bool north = gateways_.size() < 2;
+        const bool north = one_data_centre || gateways_.size() < 2;
         gateways_.push_back(std::make_unique<soak_gateway>(
             program, folder_,
             soak_gateway::location{name, north ? "north" : "south", north ? "n" : "s"},
@@ -124,6 +128,7 @@
     case fault_kind::replace_endpoint:
     case fault_kind::restart_endpoint:
     case fault_kind::endpoint_names_limit:
+    case fault_kind::unlist_endpoint:
         return begin_on_endpoint(item, endpoints_[item.target % endpoints_.size()]);
     default:
         return begin_on_gateway(item, *gateways_[item.target % gateways_.size()]);
@@ -149,6 +154,9 @@
     case fault_kind::endpoint_names_limit:
         target.self->name_limit(static_cast<double>(1 + item.target % 8));
         return [&target] { target.self->name_limit(std::nullopt); };
+    case fault_kind::unlist_endpoint:
+        target.self->unlist();
+        return [&target] { target.self->restart(); };
     case fault_kind::replace_endpoint:
         target.self->announce_draining();
         return [&target] { target.self->restart(); };
@@ -193,19 +201,33 @@
             target.hang_up();
         }
         return [] {};
+    case fault_kind::partition_store_link:
+        return begin_on_store_link(target, relay_mode::silence_all);
     case fault_kind::cut_store_link:
-        return inject_link_fault(target.store_link(), relay_mode::cut);
+        return begin_on_store_link(target, relay_mode::cut);
     case fault_kind::silence_store_link:
-        return inject_link_fault(target.store_link(), relay_mode::silence_open);
+        return begin_on_store_link(target, relay_mode::silence_open);
     case fault_kind::silence_store_answers:
-        return inject_link_fault(target.store_link(), relay_mode::silence_answers);
+        return begin_on_store_link(target, relay_mode::silence_answers);
     case fault_kind::reset_store_link:
-        return inject_link_fault(target.store_link(), relay_mode::reset_open);
+        return begin_on_store_link(target, relay_mode::reset_open);
     default:
-        return inject_link_fault(target.store_link(), relay_mode::delay);
+        return begin_on_store_link(target, relay_mode::delay);
     }
 }
 
+/// Only the gateway itself is excused; its neighbours reach the store.
+std::function<void()> soak_cluster::begin_on_store_link(soak_gateway& target, relay_mode mode) {
+    checked_.excuse(target.caller_address(), support::time_point::max());
+    ++store_link_faults_[&target];
+    return [this, &target, heal = inject_link_fault(target.store_link(), mode)] {
+        heal();
+        if (--store_link_faults_[&target] == 0) {
+            checked_.excuse(target.caller_address(), support::boot_clock::now() + stable_time);
+        }
+    };
+}
+
 /// Ends the gateway's process and reports a violation unless it exited with 0 or was killed by
 /// SIGKILL; any other code means a crash.
 void soak_cluster::reap(soak_gateway& item) {
--- a/unittests/soak/soak_cluster.h
+++ b/unittests/soak/soak_cluster.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,8 +20,10 @@
 /// connection to the store or an endpoint passes through a relay that can inject network faults.
 class soak_cluster {
 public:
+    /// `one_data_centre` places all gateways together. Nodes of another data centre would pass on
+    /// records that a silent reader withholds.
     soak_cluster(const net::executor& context, const std::string& program, std::string folder,
-                 guarantee_checker& checked);
+                 guarantee_checker& checked, bool one_data_centre);
     ~soak_cluster();
     soak_cluster(const soak_cluster&) = delete;
     soak_cluster& operator=(const soak_cluster&) = delete;
@@ -45,6 +48,7 @@
     void write_settings(soak_gateway& item, double retry_slack);
     void publish_configuration();
     std::function<void()> begin_on_gateway(const fault& item, soak_gateway& target);
+    std::function<void()> begin_on_store_link(soak_gateway& target, scenarios::relay_mode mode);
     std::function<void()> begin_on_endpoint(const fault& item, linked_endpoint& target);
     void reap(soak_gateway& item);
 
@@ -53,6 +57,7 @@
     gateway::store_stand_in store_;
     std::vector<linked_endpoint> endpoints_;
     std::vector<std::unique_ptr<soak_gateway>> gateways_;
+    std::map<const soak_gateway*, int> store_link_faults_; ///< Number that are in effect.
     std::uint64_t version_ = 0;
 };
 
--- a/unittests/soak/soak_endpoint.cpp
+++ b/unittests/soak/soak_endpoint.cpp
@@ -1,5 +1,7 @@
 #include "soak_endpoint.h"
 
+#include "dragonflystair/support/hash.h"
+
 #include "platform/names.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -24,6 +26,20 @@
 constexpr milliseconds event_pause{10};
 constexpr milliseconds load_time{60};
 
+/// One call in `slow_call_ratio` takes this long: less than callers wait, and longer than a gateway
+/// that stops has left after it has closed its listening socket.
+constexpr milliseconds slow_work_time{1'200};
+constexpr std::size_t slow_call_ratio = 20;
+
+/// Draws by request id, so that a call is the same in each run of a seed.
+std::size_t draw_of(std::string_view id, std::size_t choices) {
+    return support::fingerprint(id) % choices;
+}
+
+bool is_slow(std::string_view id) {
+    return draw_of(id, slow_call_ratio) == 0;
+}
+
 net::awaitable<void> pause_for(milliseconds time) {
     boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
     timer.expires_after(time);
@@ -114,12 +130,24 @@
     publish_record("draining");
 }
 
+void soak_endpoint::unlist() {
+    std::string id;
+    {
+        const std::lock_guard lock(mutex_);
+        id = id_;
+    }
+    publish_(id, "");
+    const std::lock_guard lock(mutex_);
+    unlisted_at_ = support::boot_clock::now();
+}
+
 void soak_endpoint::restart() {
     std::string former;
     {
         const std::lock_guard lock(mutex_);
         former = std::exchange(id_, fmt::format("{}-{}", name_, ++starts_));
         draining_ = false;
+        unlisted_at_.reset();
         limit_per_s_.reset();
         limit_named_at_.reset();
         arrivals_.clear();
@@ -221,6 +249,11 @@
     }
 }
 
+std::optional<support::time_point> soak_endpoint::unlisted_since() {
+    const std::lock_guard lock(mutex_);
+    return unlisted_at_;
+}
+
 /// Returns whether a request is addressed to another incarnation of this endpoint.
 bool soak_endpoint::misdirected(const net::http_request& request) {
     const std::lock_guard lock(mutex_);
@@ -272,6 +305,9 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
+    if (const auto since = unlisted_since()) {
+        checked_.note_arrival_at_gone_endpoint(id, support::boot_clock::now() - *since);
+    }
     checked_.note_run(id, service_, first_event_of(request));
     if (!request.target.ends_with(id) || request.body != request_body(id)) {
         checked_.report_violation(
@@ -292,7 +328,7 @@
 
 net::awaitable<void> soak_endpoint::serve_plain(net::http_exchange& exchange,
                                                 const std::string& id) {
-    co_await pause_for(work_time);
+    co_await pause_for(is_slow(id) ? slow_work_time : work_time);
     endpoint_failure failure{};
     {
         const std::lock_guard lock(mutex_);
@@ -322,7 +358,7 @@
     const int first = first_event_of(exchange.request());
     co_await exchange.begin_stream(std::move(head));
     for (int number = first; number <= stream_events; ++number) {
-        co_await pause_for(event_pause);
+        co_await pause_for(is_slow(id) ? slow_work_time / stream_events : event_pause);
         bool breaks = false;
         {
             const std::lock_guard lock(mutex_);
@@ -333,6 +369,10 @@
             // Truncates the stream in the middle of an event.
             text.resize(text.size() / 2);
             co_await exchange.write(text);
+            if (draw_of(id, 2) == 0) {
+                // Ends the body regularly, as a server does whose source of events has failed.
+                co_await exchange.end_stream();
+            }
             co_return;
         }
         if (!co_await exchange.write(text)) {
--- a/unittests/soak/soak_endpoint.h
+++ b/unittests/soak/soak_endpoint.h
@@ -49,6 +49,8 @@
     /// Announces in the store and in all answers that the endpoint is draining; it continues to
     /// serve.
     void announce_draining();
+    /// Removes the endpoint's record; it continues to serve and says nothing.
+    void unlist();
     /// Restarts under a new id with only the base model loaded.
     void restart();
 
@@ -65,6 +67,7 @@
     net::http_response take_order(const support::json& order);
     net::http_response report();
     bool misdirected(const net::http_request& request);
+    std::optional<support::time_point> unlisted_since();
     /// Returns the HTTP status with which a call is rejected, or 0 if it is to run.
     int rejection(const net::http_request& request);
     void publish_record(const std::string& state);
@@ -85,6 +88,7 @@
     int starts_ = 0;
     std::size_t running_ = 0;
     bool draining_ = false;
+    std::optional<support::time_point> unlisted_at_;
     endpoint_failure failure_ = endpoint_failure::none;
     std::optional<double> limit_per_s_;
     /// When the first answer named the current limit.
