--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -227,8 +227,7 @@
     response.status = status;
     response.headers = platform::forwarded_headers(call.exchange->head->headers);
     response.body = std::move(call.exchange->body);
-    call.first_byte_after = boot_clock::now() - call.arrived;
-    view_.first_byte_latency.record(call.first_byte_after);
+    record_first_byte(call);
     finish(call, is_success(status) ? "served" : "endpoint_error", status);
     co_await exchange.respond(std::move(response));
     co_return attempt_end::answered;
@@ -260,15 +259,10 @@
             if (std::exchange(first, false)) {
                 placer_.on_started(call.number);
                 if (!resumed) {
-                    call.first_byte_after = boot_clock::now() - call.arrived;
-                    view_.first_byte_latency.record(call.first_byte_after);
+                    record_first_byte(call);
                 }
             }
             record_chunk(call);
-            view_.crashes.on_response(call.decision->endpoint, call.endpoint_started,
-                                      call.last_chunk);
-            call.stream_began = call.stream_began.value_or(call.last_chunk);
-            call.received_bytes += upstream->body.size();
             progress.feed(upstream->body, boot_clock::now());
             if (!upstream->end && boot_clock::now() >= progress.stalls_at()) {
                 co_return false; // Comments and the like may arrive without a pause.
@@ -304,12 +298,21 @@
     co_return true;
 }
 
+void call_relay::record_first_byte(open_call& call) {
+    call.first_byte_after = boot_clock::now() - call.arrived;
+    view_.first_byte_latency.record(call.first_byte_after);
+}
+
+/// Records that a part of a stream has arrived.
 void call_relay::record_chunk(open_call& call) {
     const auto now = boot_clock::now();
     if (call.last_chunk != time_point{}) {
         call.longest_chunk_gap = std::max(call.longest_chunk_gap, now - call.last_chunk);
     }
     call.last_chunk = now;
+    call.stream_began = call.stream_began.value_or(now);
+    call.received_bytes += call.exchange->body.size();
+    view_.crashes.on_response(call.decision->endpoint, call.endpoint_started, now);
 }
 
 /// Records a request that was in flight on a connection that ended, unless its endpoint had been
--- a/lib/gateway/call_relay.h
+++ b/lib/gateway/call_relay.h
@@ -82,7 +82,8 @@
     net::awaitable<void> refuse(net::http_exchange& exchange, const open_call& call,
                                 net::problem problem);
     void record_refusal(const open_call& call, const net::problem& problem);
-    static void record_chunk(open_call& call);
+    void record_first_byte(open_call& call);
+    void record_chunk(open_call& call);
     attempt_end handle_failure(open_call& call, std::string_view fault);
     attempt_end classify(open_call& call);
     void report_notice(const open_call& call);
