Log each refusal by an endpoint with its send and connection

A refusal of an endpoint (Not-Run, 421) was only counted, by status. The sends of one call could not be told apart afterwards, nor whether two of them used the same connection, and responses that were skipped because they had the id of another request left no trace. The new line `endpoint_refused` has the send, the connection and the skipped responses; `endpoint_responses_skipped_total` counts calls with any. It is one of the limited lines of a request, so its volume stays bounded.

No decision changes.

--- a/include/dragonflystair/net/exchange_client.h
+++ b/include/dragonflystair/net/exchange_client.h
@@ -27,6 +27,8 @@
     std::optional<exchange_end> end;
     std::string fault; ///< Why the exchange did not complete.
     bool reused_connection = false;
+    std::size_t connection = 0;        ///< Number of the connection among those opened, from 1.
+    std::size_t skipped_responses = 0; ///< To other requests, received before this one's.
     /// The connection was refused, or has ended although this side did not close it: before the
     /// response was complete, or as the end of a response without a length.
     bool connection_lost = false;
--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -102,6 +102,9 @@
                                   boot_clock::now());
     }
     report_notice(call);
+    if (call.exchange->skipped_responses > 0) {
+        view_.counters.increment("endpoint_responses_skipped_total");
+    }
     const auto end = classify(call);
     if (end != attempt_end::answered) {
         co_return end;
@@ -138,7 +141,7 @@
     }
     const auto marks = platform::metadata_of(exchange.head->status, exchange.head->headers);
     if (marks.not_run) {
-        view_.counters.increment("endpoint_refusals_total", std::to_string(exchange.head->status));
+        record_endpoint_refusal(call);
         if (exchange.head->status == 421 && !call.request.model.adapter.empty()) {
             call.last_send = send_outcome::not_resident;
             view_.dispatcher.set_residency(endpoint, call.request.model, fleet::residency::absent,
@@ -169,6 +172,21 @@
     return attempt_end::answered;
 }
 
+void call_relay::record_endpoint_refusal(const open_call& call) {
+    const auto status = std::to_string(call.exchange->head->status);
+    view_.counters.increment("endpoint_refusals_total", status);
+    support::log_request("endpoint_refused",
+                         {{"request", call.request.id},
+                          {"endpoint", call.decision->endpoint},
+                          {"started_ms", std::to_string(call.endpoint_started)},
+                          {"status", status},
+                          {"send", std::to_string(call.sends)},
+                          {"connection", std::to_string(call.exchange->connection)},
+                          {"reused", call.exchange->reused_connection ? "yes" : "no"},
+                          {"skipped", std::to_string(call.exchange->skipped_responses)},
+                          {"sent_before_ms", milliseconds_since(call.sent_at)}});
+}
+
 /// Records that the endpoint gave no usable response although it may have run the call. Returns
 /// `failed`.
 call_relay::attempt_end call_relay::handle_failure(open_call& call, std::string_view fault) {
--- a/lib/net/exchange_client.cpp
+++ b/lib/net/exchange_client.cpp
@@ -99,9 +99,8 @@
     std::string key(address);
     auto connection = impl_->acquire(key);
     if (!connection) {
-        connection =
-            std::make_shared<exchange_connection>(impl_->context, impl_->id_header, impl_->limits);
-        ++impl_->opened;
+        connection = std::make_shared<exchange_connection>(impl_->context, impl_->id_header,
+                                                           impl_->limits, ++impl_->opened);
     }
     connection->on_idle = [weak = impl_->weak_from_this(), key,
                            weak_connection = std::weak_ptr(connection)] {
@@ -117,6 +116,7 @@
     };
     std::erase_if(impl_->in_flight, [](const auto& entry) { return entry.second.expired(); });
     impl_->in_flight[pending.get()] = connection;
+    pending->connection = connection->number();
     connection->begin(*endpoint, std::move(text), std::move(id), pending);
     return pending;
 }
--- a/lib/net/exchange_connection.cpp
+++ b/lib/net/exchange_connection.cpp
@@ -47,9 +47,9 @@
 } // namespace
 
 exchange_connection::exchange_connection(const executor& context, std::string id_header,
-                                         exchange_limits limits)
-    : context_(context), id_header_(std::move(id_header)), limits_(limits), socket_(context),
-      connect_timer_(context) {}
+                                         exchange_limits limits, std::size_t number)
+    : context_(context), id_header_(std::move(id_header)), limits_(limits), number_(number),
+      socket_(context), connect_timer_(context) {}
 
 void exchange_connection::begin(const tcp::endpoint& address, std::string text, std::string id,
                                 const std::shared_ptr<exchange>& pending) {
@@ -202,6 +202,7 @@
             break;
         }
         if (parser_->is_done() && !matches_request()) {
+            current->skipped_responses += parser_->head().status / 100 == 1 ? 0 : 1;
             reset_parser();
         }
     }
--- a/lib/net/exchange_connection.h
+++ b/lib/net/exchange_connection.h
@@ -21,13 +21,16 @@
 public:
     using tcp = boost::asio::ip::tcp;
 
-    exchange_connection(const executor& context, std::string id_header, exchange_limits limits);
+    /// `number` identifies the connection among those of its client.
+    exchange_connection(const executor& context, std::string id_header, exchange_limits limits,
+                        std::size_t number);
 
     /// Connects if necessary, and sends the request.
     void begin(const tcp::endpoint& address, std::string text, std::string id,
                const std::shared_ptr<exchange>& pending);
     void close();
 
+    [[nodiscard]] std::size_t number() const { return number_; }
     [[nodiscard]] bool open() const { return socket_.is_open(); }
     /// Returns whether the exchange is in flight on this connection.
     [[nodiscard]] bool carries(const exchange* pending) const {
@@ -70,6 +73,7 @@
     executor context_;
     std::string id_header_;
     exchange_limits limits_;
+    std::size_t number_;
     tcp::socket socket_;
     boost::asio::steady_timer connect_timer_;
     boost::beast::flat_buffer buffer_;
