Send a request id only once on a connection to an endpoint

Cause: an endpoint may send a second copy of a refusal late, with the id of the request that it refused. `exchange_connection` told responses apart by that id, and so took the copy for the answer when the same request was in flight again on the same connection. The dispatcher excludes an endpoint that was tried by the endpoint's id, but an endpoint that has restarted has another id at the same address: it refuses with 421 what was sent for the former one, gets the call again on the connection that was kept, and runs it.

The class of fault: an id that is believed to name one answer. It does so only if it was sent once where the answer arrives.

Fix: a connection keeps the fingerprints of the ids that it has carried, at most 512 requests, and the client takes another idle connection, or a new one, for an id that it has carried. What arrives with that id on that connection later is skipped or closes it. A request without an id, which nothing tells from another, never reuses a connection. In the usual case no further connections are opened, but one after 512 requests.

Ruled out: a second send to the same endpoint within a call (excluded by the dispatcher), and a written request that is reported as not sent (`connection_established_at_timeout_is_used`).

--- a/include/dragonflystair/net/exchange_client.h
+++ b/include/dragonflystair/net/exchange_client.h
@@ -45,6 +45,8 @@
     /// Closes idle connections, unless the peer's Keep-Alive header gives a timeout.
     std::chrono::milliseconds idle_timeout{4'000};
     std::size_t max_idle_connections = 64; ///< Per address.
+    /// Requests that a connection carries; their ids are kept as 8 bytes each.
+    std::size_t max_requests_per_connection = 512;
     /// Bytes before the head of the matching response: interim responses and late duplicates of
     /// earlier responses. The exchange fails if a peer sends more.
     std::size_t max_skipped_bytes = std::size_t{256} * 1024;
@@ -62,7 +64,9 @@
 /// HTTP/1.1 client that delivers a response while it arrives and reuses connections. It never
 /// repeats a request. A peer may send a duplicate response late: responses with another request id
 /// are skipped, and one without an id closes a reused connection, since it may belong to an earlier
-/// request. Everything runs on the single thread of the context.
+/// request. An id is sent only once on a connection: a duplicate of the response to the first send
+/// would be taken for the response to the second. Requests without an id do not reuse a connection.
+/// Everything runs on the single thread of the context.
 class exchange_client {
 public:
     /// `id_header` is the name of the header in which a peer echoes the request id.
--- a/lib/net/exchange_client.cpp
+++ b/lib/net/exchange_client.cpp
@@ -6,7 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <list>
+#include <iterator>
 #include <map>
 #include <utility>
 #include <vector>
@@ -17,7 +17,7 @@
     impl(executor used, std::string header, exchange_limits chosen)
         : context(std::move(used)), id_header(std::move(header)), limits(chosen) {}
 
-    std::shared_ptr<exchange_connection> acquire(const std::string& address);
+    std::shared_ptr<exchange_connection> acquire(const std::string& address, std::string_view id);
     void release(const std::string& address,
                  const std::shared_ptr<exchange_connection>& connection);
     [[nodiscard]] std::size_t unread_bytes() const;
@@ -30,9 +30,10 @@
     std::size_t opened = 0;
 };
 
-/// Returns the most recently used idle connection, so that surplus ones reach their idle timeout.
-/// Closes the idle connections that are no longer usable.
-std::shared_ptr<exchange_connection> exchange_client::impl::acquire(const std::string& address) {
+/// Returns the most recently used idle connection, so that surplus ones reach their idle timeout,
+/// that has not carried the request id. Closes the idle connections that are no longer usable.
+std::shared_ptr<exchange_connection> exchange_client::impl::acquire(const std::string& address,
+                                                                    std::string_view id) {
     const auto found = idle.find(address);
     if (found == idle.end()) {
         return nullptr;
@@ -50,8 +51,13 @@
         idle.erase(found);
         return nullptr;
     }
-    auto connection = std::move(connections.back());
-    connections.pop_back();
+    const auto newest = std::find_if(connections.rbegin(), connections.rend(),
+                                     [&](const auto& item) { return !item->has_carried(id); });
+    if (newest == connections.rend()) {
+        return nullptr;
+    }
+    auto connection = std::move(*newest);
+    connections.erase(std::next(newest).base());
     return connection;
 }
 
@@ -97,7 +103,7 @@
         return pending;
     }
     std::string key(address);
-    auto connection = impl_->acquire(key);
+    auto connection = impl_->acquire(key, id);
     if (!connection) {
         connection = std::make_shared<exchange_connection>(impl_->context, impl_->id_header,
                                                            impl_->limits, ++impl_->opened);
--- a/lib/net/exchange_connection.cpp
+++ b/lib/net/exchange_connection.cpp
@@ -1,10 +1,13 @@
 #include "exchange_connection.h"
 
+#include "dragonflystair/support/hash.h"
+
 #include <boost/asio/write.hpp>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -59,6 +62,7 @@
     reused_ = socket_.is_open();
     text_ = std::move(text);
     request_id_ = std::move(id);
+    carried_.push_back(support::fingerprint(request_id_));
     exchange_ = pending;
     exchange_identity_ = pending.get();
     head_request_ = text_.starts_with("HEAD ");
@@ -72,6 +76,13 @@
     }
 }
 
+bool exchange_connection::has_carried(std::string_view id) const {
+    if (id.empty()) {
+        return !carried_.empty();
+    }
+    return std::ranges::find(carried_, support::fingerprint(id)) != carried_.end();
+}
+
 void exchange_connection::connect(const tcp::endpoint& address) {
     boost::system::error_code code;
     socket_.open(address.protocol(), code);
@@ -274,7 +285,8 @@
     const auto current = exchange_.lock();
     in_flight_ = false;
     exchange_identity_ = nullptr;
-    const bool reusable = written_ && buffer_.size() == 0 && parser_->keep_alive();
+    const bool reusable = written_ && buffer_.size() == 0 && parser_->keep_alive() &&
+                          carried_.size() < limits_.max_requests_per_connection;
     if (current) {
         current->head = current->head ? current->head : parser_->head();
         current->body += parser_->body();
--- a/lib/net/exchange_connection.h
+++ b/lib/net/exchange_connection.h
@@ -9,9 +9,12 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace dragonflystair::net {
 
@@ -36,6 +39,9 @@
     [[nodiscard]] bool carries(const exchange* pending) const {
         return in_flight_ && exchange_identity_ == pending;
     }
+    /// Returns whether a request with this id was sent on the connection. An empty id identifies no
+    /// response, so it counts as sent once the connection has carried any request.
+    [[nodiscard]] bool has_carried(std::string_view id) const;
     /// Returns whether the connection is idle and the peer has probably not closed it.
     [[nodiscard]] bool usable(std::chrono::steady_clock::time_point now) const {
         return socket_.is_open() && !in_flight_ && now < idle_until_;
@@ -83,8 +89,9 @@
     bool head_request_ = false;
     bool in_flight_ = false;
     bool written_ = false;
-    bool reused_ = false;           ///< The connection has carried an earlier request.
-    std::size_t skipped_bytes_ = 0; ///< Before the head of the matching response.
+    bool reused_ = false;                ///< The connection has carried an earlier request.
+    std::vector<std::uint64_t> carried_; ///< Fingerprints of the ids of all requests.
+    std::size_t skipped_bytes_ = 0;      ///< Before the head of the matching response.
     std::weak_ptr<exchange> exchange_;
     const exchange* exchange_identity_ = nullptr; ///< For comparison only; never dereferenced.
     std::chrono::steady_clock::time_point idle_until_;
--- a/unittests/net/exchange_client_test.cpp
+++ b/unittests/net/exchange_client_test.cpp
@@ -7,6 +7,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -25,6 +26,24 @@
            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
 }
 
+std::string make_refusal(std::string_view id) {
+    return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRequest-Id: " + std::string(id) +
+           "\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string request_of(std::string_view id) {
+    return "GET / HTTP/1.1\r\nHost: a\r\nRequest-Id: " + std::string(id) + "\r\n\r\n";
+}
+
+/// Returns the id of a request, the last header of `request_of`.
+std::string id_of(std::string_view text) {
+    constexpr std::string_view name = "Request-Id: ";
+    const auto at = text.find(name);
+    return at == std::string_view::npos
+               ? std::string{}
+               : std::string(text.substr(at + name.size(), text.find('\r', at) - at - name.size()));
+}
+
 /// Requests, responses that arrive incrementally, and the reuse of connections.
 class exchange_client_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(exchange_client_test);
@@ -40,6 +59,8 @@
     CPPUNIT_TEST(late_duplicate_without_id_is_broken);
     CPPUNIT_TEST(late_duplicate_without_length_is_broken);
     CPPUNIT_TEST(truncated_late_duplicate_is_broken);
+    CPPUNIT_TEST(copy_of_refusal_is_not_taken_for_response_to_resent_request);
+    CPPUNIT_TEST(request_without_id_gets_connection_of_its_own);
     CPPUNIT_TEST(endless_response_is_broken_within_limits);
     CPPUNIT_TEST(endless_responses_together_exhaust_memory);
     CPPUNIT_TEST_SUITE_END();
@@ -181,6 +202,54 @@
                              make_response("2", "own"));
     }
 
+    /// Guards against a request that runs although it was reported as not run (REFUSED, TWICE): the
+    /// copy has the id of the request that is sent again.
+    void copy_of_refusal_is_not_taken_for_response_to_resent_request() {
+        std::atomic<bool> refuses{true};
+        const concurrent_server server([&](raw_connection& connection) {
+            std::string copy;
+            while (true) {
+                const auto id = id_of(connection.read_until("\r\n\r\n"));
+                if (id.empty()) {
+                    return;
+                }
+                if (refuses.exchange(false)) {
+                    copy = make_refusal(id);
+                    connection.write(copy);
+                } else {
+                    connection.write(copy + make_response(id, "ran"));
+                }
+            }
+        });
+        CPPUNIT_ASSERT_EQUAL(503, run_at(server.address(), "first")->head->status);
+        const auto again = run_at(server.address(), "first");
+        CPPUNIT_ASSERT_EQUAL(200, again->head->status);
+        CPPUNIT_ASSERT(!again->reused_connection);
+        // Other requests still use the connection of the refusal.
+        const auto second = client_.send(server.address(), request_of("second"), "second", {});
+        const auto third = client_.send(server.address(), request_of("third"), "third", {});
+        context_.restart();
+        while (!second->end || !third->end) {
+            context_.run_one();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("ran"), second->body);
+        CPPUNIT_ASSERT_EQUAL(std::string("ran"), third->body);
+        CPPUNIT_ASSERT_EQUAL(2, server.accepted());
+        client_.close_idle(server.address());
+    }
+
+    /// Guards against a copy that no id tells from the response.
+    void request_without_id_gets_connection_of_its_own() {
+        const concurrent_server server([](raw_connection& connection) {
+            while (!connection.read_until("\r\n\r\n").empty()) {
+                connection.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+            }
+        });
+        CPPUNIT_ASSERT(run_at(server.address(), "")->end == exchange_end::complete);
+        CPPUNIT_ASSERT(!run_at(server.address(), "")->reused_connection);
+        client_.close_idle(server.address());
+    }
+
     /// The peer sends bytes until the connection is closed: in a head, before the response, in
     /// bodies of every framing, in the head of a chunk and in a trailer.
     void endless_response_is_broken_within_limits() {
@@ -294,7 +363,7 @@
     }
 
     std::shared_ptr<exchange> run_at(const std::string& address, const std::string& id) {
-        auto item = client_.send(address, std::string(request), id, {});
+        auto item = client_.send(address, request_of(id), id, {});
         context_.restart();
         while (!item->end) {
             context_.run_one();
--- a/unittests/net/scripted_peer.h
+++ b/unittests/net/scripted_peer.h
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -70,6 +71,11 @@
         socket_.close();
     }
     void close() { socket_.close(); }
+    /// Ends both directions but keeps the handle, which another thread may use.
+    void shut_down() {
+        boost::system::error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_both, ignored);
+    }
 
 private:
     tcp::socket socket_;
@@ -130,4 +136,54 @@
     std::thread thread_;
 };
 
+/// Server that serves each connection by the same script in a thread of its own. Closes all
+/// connections when it is destroyed.
+class concurrent_server {
+public:
+    explicit concurrent_server(scripted_server::script serve)
+        : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+          address_("127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())),
+          thread_([this, serve = std::move(serve)] { accept_all(serve); }) {}
+    ~concurrent_server() {
+        ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+        thread_.join();
+    }
+    concurrent_server(const concurrent_server&) = delete;
+    concurrent_server& operator=(const concurrent_server&) = delete;
+
+    [[nodiscard]] const std::string& address() const { return address_; }
+    [[nodiscard]] int accepted() const { return accepted_; }
+
+private:
+    void accept_all(const scripted_server::script& serve) {
+        std::vector<int> handles;
+        std::vector<std::unique_ptr<raw_connection>> connections;
+        std::vector<std::jthread> threads;
+        while (true) {
+            boost::system::error_code code;
+            tcp::socket socket(context_);
+            acceptor_.accept(socket, code);
+            if (code) {
+                break;
+            }
+            ++accepted_;
+            handles.push_back(socket.native_handle());
+            connections.push_back(std::make_unique<raw_connection>(std::move(socket)));
+            threads.emplace_back([&serve, connection = connections.back().get()] {
+                serve(*connection);
+                connection->shut_down();
+            });
+        }
+        for (const auto handle : handles) {
+            ::shutdown(handle, SHUT_RDWR);
+        }
+    }
+
+    boost::asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::string address_;
+    std::atomic<int> accepted_{0};
+    std::thread thread_;
+};
+
 } // namespace dragonflystair::net
