Log restorations of the store and records that are gone

The lines of a drill could not be told from those of a plain outage: no line had the store's era, and a read that was answered 410 left no trace. `store_restored` and `store_restorations_total` tell of a new era, `records_gone` of a 410.

No decision changes.

--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -62,6 +62,7 @@
     void on_version(const fleet::keyed_record& record);
     void remove_gone_endpoints();
     net::awaitable<void> register_node();
+    void on_store_era(std::uint64_t era);
 
     // Peers (gateway_peers.cpp).
     void on_frame(std::string_view peer, const support::json& frame);
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -191,4 +191,10 @@
     }
 }
 
+/// Handles a restoration of the store, which has lost its newest records.
+void gateway::impl::on_store_era(std::uint64_t era) {
+    support::log_change("store_restored", {{"era", std::to_string(era)}});
+    counters_.increment("store_restorations_total");
+}
+
 } // namespace dragonflystair::gateway
--- a/lib/gateway/store_follower.cpp
+++ b/lib/gateway/store_follower.cpp
@@ -85,6 +85,9 @@
         co_return true;
     }
     if (page.error().kind == support::error_kind::gone) {
+        support::log_change("records_gone", {{"topic", topic_},
+                                             {"next", std::to_string(mirror_.next())},
+                                             {"era", std::to_string(store_.era())}});
         synchronised_ = false;
         co_return true;
     }
