--- a/unittests/gateway/gateway_fixture.h
+++ b/unittests/gateway/gateway_fixture.h
@@ -69,7 +69,11 @@
             }
             std::this_thread::sleep_for(milliseconds{10});
         }
-        CPPUNIT_FAIL("no log line with " + std::string(*words.begin()));
+        std::string text = "no log line with";
+        for (const auto word : words) {
+            text.append(" ").append(word);
+        }
+        CPPUNIT_FAIL(text);
     }
 
 private:
@@ -129,8 +133,9 @@
     }
 
     /// Starts the gateway with the current records of the store.
-    void start_gateway() {
-        const auto settings = settings_of("node-1");
+    void start_gateway() { start_gateway(settings_of("node-1")); }
+
+    void start_gateway(const config::gateway_settings& settings) {
         auto node = std::make_shared<dragonflystair::gateway::gateway>(settings,
                                                                        [this] { return reloaded; });
         address = node->caller_address();
