Distrust removed endpoints that a restored store lists again

What callers see: calls to an endpoint that was gone, and calls without an endpoint.

Cause: `endpoint_watch` takes the second listing of a removed run for a sign of life, and knew the end of an outage only from the node's own reads. Copies, and what is written again from before the removal, are listings too.

Fix: for two seconds after a restoration, the time that the platform gives for entries to be written again, a removed run is not accepted, however often it is listed, and a missing entry does not count as gone.

--- a/include/dragonflystair/fleet/endpoint_watch.h
+++ b/include/dragonflystair/fleet/endpoint_watch.h
@@ -17,7 +17,9 @@
 /// although their endpoints are running; they are listed again within two seconds of its recovery.
 /// Heartbeats may be written late, so an entry may be older than the previous one: a draining
 /// endpoint stays draining for the rest of its run, and a removed endpoint is accepted again only
-/// at its second heartbeat. Has no clock and does no I/O.
+/// at its second heartbeat. A store that was restored from a copy may list removed endpoints again
+/// and lacks recent ones; both are corrected within the same two seconds. Has no clock and does no
+/// I/O.
 class endpoint_watch {
 public:
     /// Time after the store's recovery by which entries are listed again; specified by the
@@ -31,6 +33,8 @@
     bool on_draining_reported(std::string_view endpoint, std::uint64_t started_ms);
     void on_missing(std::string_view endpoint, support::time_point now);
     void set_store_reachable(bool reachable, support::time_point now);
+    /// Records that the store was restored from a copy.
+    void on_store_restored(support::time_point now);
 
     /// Returns the endpoints that count as gone now, each once.
     std::vector<std::string> take_gone(support::time_point now);
@@ -46,6 +50,7 @@
     /// Start times of all listed endpoints.
     std::map<std::string, std::uint64_t, std::less<>> started_;
     bool reachable_ = true;
+    bool restoring_ = false; ///< The store may list entries that were removed before.
     std::optional<support::time_point> recovered_at_;
 };
 
--- a/lib/fleet/endpoint_watch.cpp
+++ b/lib/fleet/endpoint_watch.cpp
@@ -10,8 +10,12 @@
 std::optional<endpoint_record> endpoint_watch::on_listed(endpoint_record record) {
     if (const auto gone = gone_.find(record.id); gone != gone_.end()) {
         const bool same_run = gone->second == record.started_ms;
+        if (same_run && restoring_) {
+            return std::nullopt;
+        }
         gone_.erase(gone);
         if (same_run) {
+            started_.insert_or_assign(record.id, record.started_ms);
             return std::nullopt;
         }
     }
@@ -51,6 +55,11 @@
     reachable_ = reachable;
 }
 
+void endpoint_watch::on_store_restored(time_point now) {
+    recovered_at_ = now;
+    restoring_ = true;
+}
+
 /// Returns when a missing entry counts as gone. An entry that went missing soon after the store's
 /// recovery may have expired during the outage.
 time_point endpoint_watch::gone_at(time_point missing_since) const {
@@ -65,6 +74,7 @@
     if (!reachable_) {
         return gone;
     }
+    restoring_ = restoring_ && now < *recovered_at_ + relist_time;
     for (auto entry = missing_.begin(); entry != missing_.end();) {
         if (gone_at(entry->second) > now) {
             ++entry;
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -195,6 +195,7 @@
 void gateway::impl::on_store_era(std::uint64_t era) {
     support::log_change("store_restored", {{"era", std::to_string(era)}});
     counters_.increment("store_restorations_total");
+    watch_.on_store_restored(boot_clock::now());
 }
 
 } // namespace dragonflystair::gateway
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -97,6 +97,9 @@
     CPPUNIT_TEST(late_heartbeat_does_not_restore_a_draining_endpoint);
     CPPUNIT_TEST(endpoint_that_starts_again_is_ready);
     CPPUNIT_TEST(late_heartbeat_does_not_restore_a_removed_endpoint);
+    CPPUNIT_TEST(restored_entries_do_not_restore_a_removed_endpoint);
+    CPPUNIT_TEST(endpoint_removed_after_one_listing_is_not_accepted_at_once);
+    CPPUNIT_TEST(entry_missing_from_restored_list_is_kept_until_it_is_listed_again);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -147,6 +150,37 @@
         CPPUNIT_ASSERT(watch_.on_listed(listed(false, 1)).has_value());
     }
 
+    /// Guards against calls to an endpoint that is gone (DRAIN): a store that was restored from a
+    /// copy lists it again, and may get what the endpoint had written before its end once more.
+    void restored_entries_do_not_restore_a_removed_endpoint() {
+        watch_.on_listed(listed(false, 1));
+        watch_.on_missing("a", start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, watch_.take_gone(start).size());
+        watch_.on_store_restored(start + milliseconds{3'000});
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 1)));
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 1)));
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 2)).has_value());
+    }
+
+    /// Guards against an entry that was listed once since its removal, removed, and listed again.
+    void endpoint_removed_after_one_listing_is_not_accepted_at_once() {
+        watch_.on_listed(listed(false, 1));
+        for (int removal = 0; removal < 2; ++removal) {
+            watch_.on_missing("a", start);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, watch_.take_gone(start).size());
+            CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 1)));
+        }
+    }
+
+    void entry_missing_from_restored_list_is_kept_until_it_is_listed_again() {
+        watch_.on_listed(listed(false, 1));
+        watch_.on_store_restored(start);
+        watch_.on_missing("a", start);
+        CPPUNIT_ASSERT(watch_.take_gone(start + milliseconds{1'900}).empty());
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 1)).has_value());
+        CPPUNIT_ASSERT(watch_.take_gone(start + milliseconds{2'100}).empty());
+    }
+
 private:
     static endpoint_record listed(bool draining, std::uint64_t started_ms) {
         endpoint_record record;
