Order the records of the store by its era and their offset

Cause: nodes took the offsets of a topic for numbers that only grow. A store that is restored from a copy some seconds old has lost its newest records and assigns their offsets again. `record_mirror` kept the end of its copy, so records below it were never read, and it dropped records whose offset was not above the known one of their key. A list of the newest records did not lower the end either, so reads and lists followed each other without a pause. Peers passed on lost records and offsets.

Class of fault: a store that is believed only to grow.

Fix: a position is the era of the store, which it names in all its answers, and the offset. The first position of a new era is above all of the earlier ones. A new era makes a copy incomplete until a full list has been read, here or by a peer; until then values are kept. Pages and peers of an earlier era are ignored, and a page that begins a new era does not advance the copy. Records of a list, of an earlier era or of a peer's conclusion are marked as inferred and never outdo one that was read. The operator's values have versions of their own, so an older one that the restored store brings back does not replace a newer one, and a node that starts meanwhile gets the newer one from its peers. An era beyond 2^31 is taken as damaged. A list that is shorter than the copy in the same era is followed by a pause.

--- a/include/dragonflystair/fleet/keyed_record.h
+++ b/include/dragonflystair/fleet/keyed_record.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -7,11 +8,27 @@
 
 namespace dragonflystair::fleet {
 
+/// Largest era that is taken for one; a larger number was damaged on its way.
+inline constexpr std::uint64_t max_store_era = 0x7fff'ffff;
+
+/// Position in the log of a topic. A store that was restored from a copy has lost its newest
+/// records and assigns their offsets again. It counts these restorations as its era, so that any
+/// position of a later era is newer than all positions of earlier ones.
+struct log_position {
+    std::uint64_t era = 0;
+    std::uint64_t offset = 0;
+
+    friend auto operator<=>(const log_position&, const log_position&) = default;
+};
+
 /// One record of a compacted topic, which keeps the newest value of each key.
 struct keyed_record {
     std::string key;
     std::optional<std::string> value; ///< Empty for a tombstone, which deletes the key.
     std::uint64_t offset = 0;
+    /// Concluded from a list of the newest records or kept from an earlier era, and not read at the
+    /// offset: a record that is read there is newer.
+    bool inferred = false;
 };
 
 /// Records of a topic in the order of their offsets.
@@ -19,6 +36,7 @@
     std::vector<keyed_record> records;
     std::uint64_t next = 0; ///< Offset after the last record that was read.
     std::uint64_t from = 0; ///< First offset covered; a copy that ends before it has a gap.
+    std::uint64_t era = 0;  ///< Era of the offsets.
 };
 
 } // namespace dragonflystair::fleet
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -4,6 +4,7 @@
 #include "dragonflystair/support/hash.h"
 #include "dragonflystair/support/log.h"
 
+#include "platform/decode.h"
 #include "platform/directory.h"
 #include "platform/names.h"
 #include "sleep.h"
@@ -76,8 +77,7 @@
             false},
       store_http_(io_.get_executor(), max_store_body_bytes),
       engine_http_(io_.get_executor(), max_engine_body_bytes),
-      store_(store_http_, settings.store_address,
-             [this](std::uint64_t era) { on_store_era(era); }),
+      store_(store_http_, settings.store_address, [this](std::uint64_t era) { on_store_era(era); }),
       engines_(engine_http_,
                [this](std::string_view endpoint, const auto& notice, support::time_point sent) {
                    if (const auto* record = view_.dispatcher.find(endpoint)) {
@@ -98,7 +98,8 @@
               [this] { return other_node_ready(); }}),
       operator_records_(io_.get_executor(), store_, std::string(platform::operator_topic),
                         quiet_topic,
-                        follower_hooks([this](auto records) { on_operator_records(records); })),
+                        follower_hooks([this](auto records) { on_operator_records(records); }),
+                        [](const auto& record) { return platform::version_of(record); }),
       endpoint_records_(io_.get_executor(), store_, std::string(platform::endpoint_topic),
                         endpoint_list,
                         follower_hooks([this](auto records) { on_endpoint_records(records); })),
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -98,6 +98,7 @@
     void apply_residency(std::span<const fleet::residency_change> changes);
     void request_records(std::string_view peer, const node_status& status);
     void request_records(std::string_view peer, const store_follower& follower);
+    void request_all_records(std::string_view peer, const store_follower& follower);
     void on_records(std::string_view peer, const support::json& frame);
     [[nodiscard]] node_status own_status();
 
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -190,10 +190,28 @@
 void gateway::impl::request_records(std::string_view peer, const node_status& status) {
     for (const auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
         const auto end = status.topic_ends.find(follower->topic());
-        if (end != status.topic_ends.end() && end->second > follower->mirror().next()) {
+        if (end != status.topic_ends.end() && end->second > follower->mirror().position()) {
             request_records(peer, *follower);
         }
     }
+    const auto known = view_.configuration ? view_.configuration->version : 0;
+    const auto end = status.topic_ends.find(operator_records_.topic());
+    if (status.configuration > known && end != status.topic_ends.end() &&
+        end->second == operator_records_.mirror().position()) {
+        request_all_records(peer, operator_records_);
+    }
+}
+
+/// Requests all records of a peer that has a newer value in a copy that ends at the same position,
+/// as when the store was restored without that value and only this node has started since.
+void gateway::impl::request_all_records(std::string_view peer, const store_follower& follower) {
+    const auto now = boot_clock::now();
+    auto& last_request = records_requested_[follower.topic()];
+    if (now - last_request < records_request_interval) {
+        return;
+    }
+    last_request = now;
+    network_.send(peer, records_request(follower.topic(), {}));
 }
 
 void gateway::impl::request_records(std::string_view peer, const store_follower& follower) {
@@ -203,7 +221,7 @@
         return;
     }
     last_request = now;
-    network_.send(peer, records_request(follower.topic(), follower.mirror().next()));
+    network_.send(peer, records_request(follower.topic(), follower.mirror().position()));
 }
 
 /// Applies records from a peer and requests those between them and the local copy.
@@ -217,8 +235,11 @@
         if (follower->topic() != topic) {
             continue;
         }
+        if (page.era > 0) {
+            store_.note_era(page.era);
+        }
         follower->apply(page);
-        if (follower->mirror().next() < page.next) {
+        if (follower->mirror().position() < fleet::log_position{page.era, page.next}) {
             counters_.increment("record_gaps_total", topic);
             request_records(peer, *follower);
         }
@@ -227,10 +248,11 @@
 
 void gateway::impl::on_records_request(std::string_view peer, const support::json& frame) {
     const auto topic = frame.value("k", std::string());
-    const auto from = frame.value("f", std::uint64_t{0});
+    const auto end = decode_records_request(frame);
     for (auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
-        if (follower->topic() == topic) {
-            network_.send(peer, records_frame(topic, follower->mirror().since(from)));
+        if (follower->topic() == topic && follower->mirror().complete() &&
+            end.era <= follower->mirror().era()) {
+            network_.send(peer, records_frame(topic, follower->mirror().since(end)));
         }
     }
 }
@@ -334,8 +356,9 @@
     status.observed_leases = observed_leases();
     status.lead = lead_name();
     for (const auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
-        status.topic_ends.emplace(follower->topic(), follower->mirror().next());
+        status.topic_ends.emplace(follower->topic(), follower->mirror().position());
     }
+    status.configuration = view_.configuration ? view_.configuration->version : 0;
     return status;
 }
 
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -1,4 +1,5 @@
 #include "dragonflystair/net/json_text.h"
+#include "dragonflystair/net/spawn.h"
 #include "dragonflystair/support/log.h"
 
 #include "gateway_impl.h"
@@ -196,6 +197,9 @@
     support::log_change("store_restored", {{"era", std::to_string(era)}});
     counters_.increment("store_restorations_total");
     watch_.on_store_restored(boot_clock::now());
+    for (auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
+        net::spawn(io_.get_executor(), "follow_era", [follower] { return follower->follow_era(); });
+    }
 }
 
 } // namespace dragonflystair::gateway
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -33,6 +33,18 @@
     return rows;
 }
 
+/// Returns an unsigned member of a frame; 0 if it is missing or of another type.
+std::uint64_t unsigned_in(const json& frame, const char* name) {
+    const auto found = frame.find(name);
+    return found != frame.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
+/// Returns the era of the store in a frame; 0, which is older than any, if it is damaged.
+std::uint64_t era_in(const json& frame) {
+    const auto era = unsigned_in(frame, "g");
+    return era <= fleet::max_store_era ? era : 0;
+}
+
 std::vector<held_lease> leases_of(const json& frame, const char* name) {
     std::vector<held_lease> leases;
     for (const auto& row : rows_of(frame, name)) {
@@ -69,7 +81,7 @@
     }
     json ends = json::array();
     for (const auto& [topic, end] : status.topic_ends) {
-        ends.push_back(json::array({topic, end}));
+        ends.push_back(json::array({topic, end.offset, end.era}));
     }
     return {{"type", "s"},
             {"n", status.name},
@@ -82,7 +94,8 @@
             {"l", std::move(leases)},
             {"k", std::move(observed)},
             {"p", status.lead},
-            {"e", std::move(ends)}};
+            {"e", std::move(ends)},
+            {"v", status.configuration}};
 }
 
 std::optional<node_status> decode_status(const json& frame) {
@@ -104,8 +117,10 @@
         status.lead = lead->get<std::string>();
     }
     for (const auto& row : rows_of(frame, "e")) {
-        status.topic_ends.emplace(text_at(row, 0), number_at(row, 1));
+        status.topic_ends.emplace(text_at(row, 0),
+                                  fleet::log_position{number_at(row, 2), number_at(row, 1)});
     }
+    status.configuration = unsigned_in(frame, "v");
     return status;
 }
 
@@ -186,18 +201,22 @@
     return changes;
 }
 
-json records_request(const std::string& topic, std::uint64_t from) {
-    return {{"type", "q"}, {"k", topic}, {"f", from}};
+json records_request(const std::string& topic, fleet::log_position end) {
+    return {{"type", "q"}, {"k", topic}, {"f", end.offset}, {"g", end.era}};
+}
+
+fleet::log_position decode_records_request(const json& frame) {
+    return {era_in(frame), unsigned_in(frame, "f")};
 }
 
 json records_frame(const std::string& topic, const fleet::keyed_page& page) {
     json rows = json::array();
     for (const auto& record : page.records) {
-        rows.push_back(json::array(
-            {record.key, record.offset, record.value.has_value(), record.value.value_or("")}));
+        rows.push_back(json::array({record.key, record.offset, record.value.has_value(),
+                                    record.value.value_or(""), record.inferred}));
     }
-    return {
-        {"type", "r"}, {"k", topic}, {"f", page.from}, {"e", page.next}, {"v", std::move(rows)}};
+    return {{"type", "r"},    {"k", topic},    {"f", page.from},
+            {"e", page.next}, {"g", page.era}, {"v", std::move(rows)}};
 }
 
 void mark_as_read(json& frame) {
@@ -214,6 +233,7 @@
     page.next = frame.value("e", std::uint64_t{0});
     // A page without a start offset implies nothing about the records before it.
     page.from = frame.value("f", page.next);
+    page.era = era_in(frame);
     for (const auto& row : rows_of(frame, "v")) {
         fleet::keyed_record record;
         record.key = text_at(row, 0);
@@ -221,6 +241,7 @@
         if (row.size() > 2 && row[2] == true) {
             record.value = text_at(row, 3);
         }
+        record.inferred = row.size() > 4 && row[4] == true;
         page.records.push_back(std::move(record));
     }
     return page;
--- a/lib/gateway/peer_frames.h
+++ b/lib/gateway/peer_frames.h
@@ -41,8 +41,9 @@
     /// Name of the node that leads this node's data centre, for nodes of other data centres; empty
     /// if unknown.
     std::string lead;
-    /// End offsets of the node's copies of topics.
-    std::map<std::string, std::uint64_t> topic_ends;
+    /// Ends of the node's copies of topics.
+    std::map<std::string, fleet::log_position> topic_ends;
+    std::uint64_t configuration = 0; ///< Version of its configuration; 0 if it has none.
 };
 
 /// Frames between nodes. `type` identifies the kind; all members have short names since traffic
@@ -67,7 +68,9 @@
 support::json residency_frame(std::span<const fleet::residency_change> changes);
 std::vector<fleet::residency_change> decode_residency(const support::json& frame);
 
-support::json records_request(const std::string& topic, std::uint64_t from);
+/// A request for the records of a topic that a copy which ends at `end` lacks.
+support::json records_request(const std::string& topic, fleet::log_position end);
+fleet::log_position decode_records_request(const support::json& frame);
 support::json records_frame(const std::string& topic, const fleet::keyed_page& page);
 /// Marks a frame with records that the sender has just read from the store, unlike records of its
 /// copy that a peer has requested.
--- a/lib/gateway/store_follower.cpp
+++ b/lib/gateway/store_follower.cpp
@@ -23,13 +23,15 @@
 } // namespace
 
 store_follower::store_follower(net::executor context, platform::store_client& store,
-                               std::string topic, pacing chosen, hooks callbacks)
+                               std::string topic, pacing chosen, hooks callbacks,
+                               fleet::record_mirror::version_reader version_of)
     : context_(std::move(context)), store_(store), topic_(std::move(topic)), pacing_(chosen),
-      on_(std::move(callbacks)) {}
+      on_(std::move(callbacks)), mirror_(std::move(version_of)) {}
 
 net::awaitable<void> store_follower::run() {
     bool followed_peer = false;
     while (!on_.stopping()) {
+        synchronised_ = synchronised_ && mirror_.complete();
         if (synchronised_ && on_.passive()) {
             followed_peer = true;
             // The store answers the peer. Its loss as a reader is not an outage of the store.
@@ -64,17 +66,32 @@
         set_reachable(false, newest.error().message);
         co_return false;
     }
-    synchronised_ = true;
     set_reachable(true, {});
+    if (newest.value().era < mirror_.era()) {
+        co_return false;
+    }
+    synchronised_ = true;
     deliver(mirror_.resynchronise(newest.value()));
     on_.on_page(topic_, mirror_.since(0));
-    co_return true;
+    // A read from the end of the copy would find no records yet.
+    co_return newest.value().next >= mirror_.next();
+}
+
+net::awaitable<void> store_follower::follow_era() {
+    if (synchronised_ && mirror_.era() < store_.era() && !on_.passive()) {
+        co_await resynchronise();
+    }
 }
 
 net::awaitable<bool> store_follower::read() {
     const auto page = co_await store_.read(topic_, mirror_.next(), pacing_.wait);
     if (page) {
         set_reachable(true, {});
+        if (page.value().era > mirror_.era()) {
+            // The records before the page have changed as well.
+            synchronised_ = false;
+            co_return true;
+        }
         deliver(mirror_.apply(page.value()));
         if (!page.value().records.empty()) {
             on_.on_page(topic_, page.value());
@@ -89,7 +106,7 @@
                                              {"next", std::to_string(mirror_.next())},
                                              {"era", std::to_string(store_.era())}});
         synchronised_ = false;
-        co_return true;
+        co_return co_await resynchronise();
     }
     set_reachable(false, page.error().message);
     co_return false;
--- a/lib/gateway/store_follower.h
+++ b/lib/gateway/store_follower.h
@@ -40,8 +40,10 @@
         std::chrono::milliseconds wait; ///< Longest time that a read waits for records.
     };
 
+    /// `version_of` reads the versions of the topic's values, if they have any.
     store_follower(net::executor context, platform::store_client& store, std::string topic,
-                   pacing chosen, hooks callbacks);
+                   pacing chosen, hooks callbacks,
+                   fleet::record_mirror::version_reader version_of = {});
 
     /// Reads the topic until the node stops.
     net::awaitable<void> run();
@@ -49,6 +51,10 @@
     /// Applies records that a peer forwarded.
     void apply(const fleet::keyed_page& page);
 
+    /// Reads the topic anew if the copy is of an earlier era of the store and no peer reads it. A
+    /// read that waits for records would delay this until its time limit.
+    net::awaitable<void> follow_era();
+
     [[nodiscard]] const fleet::record_mirror& mirror() const { return mirror_; }
     /// Returns false from a failed read of this node until the store answers it, or a peer again.
     [[nodiscard]] bool reachable() const { return reachable_; }
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -29,6 +29,14 @@
     CPPUNIT_TEST(list_older_than_the_copy_deletes_nothing);
     CPPUNIT_TEST(lagging_peer_gets_the_missing_records);
     CPPUNIT_TEST(page_of_a_restarted_reader_hides_no_earlier_record);
+    CPPUNIT_TEST(record_at_lower_offset_of_restored_store_is_applied);
+    CPPUNIT_TEST(key_missing_from_list_of_restored_store_is_deleted);
+    CPPUNIT_TEST(older_version_of_restored_store_does_not_replace_newer);
+    CPPUNIT_TEST(version_missing_from_restored_store_reaches_new_peer);
+    CPPUNIT_TEST(page_of_earlier_era_changes_nothing);
+    CPPUNIT_TEST(page_that_begins_a_new_era_leaves_the_copy_incomplete);
+    CPPUNIT_TEST(peer_with_copy_of_earlier_era_gets_all_records);
+    CPPUNIT_TEST(record_at_offset_of_inferred_deletion_is_applied);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -83,7 +91,92 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, mirror_.next());
     }
 
+    /// Guards against a change that is never in force (CONFIG): the store was restored from a copy
+    /// and has assigned lower offsets again.
+    void record_at_lower_offset_of_restored_store_is_applied() {
+        mirror_.apply({{record("config", 40, "lost"), record("a", 41, "x")}, 42});
+        mirror_.resynchronise({{record("config", 5, "old"), record("a", 6, "x")}, 7, 0, 1});
+        const auto changed = mirror_.apply({{record("config", 7, "new")}, 8, 7, 1});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changed.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), *mirror_.value_of("config"));
+        CPPUNIT_ASSERT(mirror_.position() == (log_position{1, 8}));
+    }
+
+    void key_missing_from_list_of_restored_store_is_deleted() {
+        mirror_.apply({{record("a", 1, "x"), record("b", 40, "y")}, 41});
+        const auto changed = mirror_.resynchronise({{record("a", 1, "x")}, 2, 0, 1});
+        CPPUNIT_ASSERT(!mirror_.value_of("b"));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), changed.back().key);
+    }
+
+    /// Guards against a configuration that comes back older (CONFIG).
+    void older_version_of_restored_store_does_not_replace_newer() {
+        record_mirror mirror(version_in_value);
+        mirror.apply({{record("config", 40, "9")}, 41});
+        CPPUNIT_ASSERT(mirror.resynchronise({{record("config", 5, "7")}, 6, 0, 1}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("9"), *mirror.value_of("config"));
+        // The operator writes the lost versions again, and then another one.
+        CPPUNIT_ASSERT(mirror.apply({{record("config", 6, "8")}, 7, 6, 1}).empty());
+        mirror.apply({{record("config", 7, "9")}, 8, 7, 1});
+        mirror.apply({{record("config", 8, "11")}, 9, 8, 1});
+        CPPUNIT_ASSERT_EQUAL(std::string("11"), *mirror.value_of("config"));
+    }
+
+    void version_missing_from_restored_store_reaches_new_peer() {
+        record_mirror old(version_in_value);
+        old.apply({{record("config", 40, "9"), record("version", 41, "3")}, 42});
+        old.resynchronise({{record("config", 5, "7")}, 6, 0, 1});
+        record_mirror started(version_in_value);
+        started.resynchronise({{record("config", 5, "7")}, 6, 0, 1});
+        started.apply(old.since(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("9"), *started.value_of("config"));
+        CPPUNIT_ASSERT_EQUAL(std::string("3"), *started.value_of("version"));
+    }
+
+    void page_of_earlier_era_changes_nothing() {
+        mirror_.resynchronise({{record("a", 1, "restored")}, 2, 0, 1});
+        CPPUNIT_ASSERT(mirror_.apply({{record("a", 40, "lost")}, 41, 0, 0}).empty());
+        CPPUNIT_ASSERT(mirror_.resynchronise({{record("a", 40, "lost")}, 41, 0, 0}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("restored"), *mirror_.value_of("a"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, mirror_.next());
+    }
+
+    /// Guards against records in the gap that are never requested.
+    void page_that_begins_a_new_era_leaves_the_copy_incomplete() {
+        mirror_.apply({{record("a", 1, "x"), record("b", 2, "y")}, 3});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             mirror_.apply({{record("a", 2, "new")}, 3, 2, 1}).size());
+        CPPUNIT_ASSERT(!mirror_.complete());
+        CPPUNIT_ASSERT(mirror_.position() < (log_position{1, 3}));
+        CPPUNIT_ASSERT_EQUAL(std::string("y"), *mirror_.value_of("b"));
+        mirror_.apply({{record("c", 1, "z"), record("a", 2, "new")}, 3, 0, 1});
+        CPPUNIT_ASSERT(mirror_.complete());
+        CPPUNIT_ASSERT(!mirror_.value_of("b"));
+    }
+
+    void peer_with_copy_of_earlier_era_gets_all_records() {
+        mirror_.resynchronise({{record("a", 1, "x"), record("b", 2, "y")}, 3, 0, 1});
+        const auto page = mirror_.since(log_position{0, 40});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, page.records.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, page.from);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, page.era);
+    }
+
+    /// Guards against an entry that is written again just after a list without it, at the offset at
+    /// which the list ends.
+    void record_at_offset_of_inferred_deletion_is_applied() {
+        mirror_.apply({{record("a", 1, "x")}, 2});
+        mirror_.resynchronise({{}, 9});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             mirror_.apply({{record("a", 9, "again")}, 10, 9}).size());
+        CPPUNIT_ASSERT_EQUAL(std::string("again"), *mirror_.value_of("a"));
+    }
+
 private:
+    static std::optional<std::uint64_t> version_in_value(const keyed_record& item) {
+        return std::stoull(*item.value);
+    }
+
     record_mirror mirror_;
 };
 
--- a/unittests/gateway/platform_stand_in.h
+++ b/unittests/gateway/platform_stand_in.h
@@ -113,11 +113,11 @@
         page_limit_ = items;
     }
 
-    /// Sets a hook that is called once, after the next page of such a list that is not its last.
-    /// The hook returns the copy from which the store is restored before the page after it.
-    void restore_within_list(std::function<store_copy()> hook) {
+    /// Restores the store once, from this copy, after the next page of such a list that is not its
+    /// last one.
+    void restore_within_list(store_copy copy) {
         const std::lock_guard lock(mutex_);
-        within_list_ = std::move(hook);
+        within_list_ = std::move(copy);
     }
 
     /// Returns how many lists of newest records of a topic were served to their last page since the
@@ -204,7 +204,7 @@
                                  {"offset", at->second}});
             }
         }
-        restoration_due_ = more && within_list_;
+        restoration_due_ = more && within_list_.has_value();
         lists_served_[topic] += more ? 0 : 1;
         return support::json{{"items", items}, {"has-more", more}, {"end", log.size()}}.dump();
     }
@@ -309,15 +309,15 @@
 
     /// Restores the store if that is due within the list that the last response began.
     void restore_if_due() {
-        std::function<store_copy()> hook;
+        std::optional<store_copy> copy;
         {
             const std::lock_guard lock(mutex_);
             if (std::exchange(restoration_due_, false)) {
-                hook = std::exchange(within_list_, {});
+                copy = std::exchange(within_list_, std::nullopt);
             }
         }
-        if (hook) {
-            restore(hook());
+        if (copy) {
+            restore(std::move(*copy));
         }
     }
 
@@ -339,7 +339,7 @@
     std::optional<std::uint64_t> era_;
     int restorations_ = 0;
     std::size_t page_limit_ = max_page_items;
-    std::function<store_copy()> within_list_;
+    std::optional<store_copy> within_list_;
     bool restoration_due_ = false;
     std::map<std::string, int> lists_served_;
     support::counters counters_;
