Register a node again that a restored store has lost

What would be seen: a node that had registered in the seconds that a restored store has lost was not found by nodes that started later. They did not link to it, so it got no records, loads or leads from them.

Cause: a node wrote its record once, at its start, and took the store's acknowledgement for good.

Fix: once its copy of the list of nodes is complete in a new era, a node that is not in it with its present value writes its record again, until the store has acknowledged that.

Evidence: `gateway_that_registered_in_the_lost_seconds_is_written_again` ("never: another registration") and `gateway_started_after_restoration_finds_one_that_registered_in_the_lost_seconds` (no `peer=node-1`) failed on the code before.

--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -234,6 +234,7 @@
     }
     if (ticks_ % ticks_per_status == 0) {
         send_status(holds_lease() && ticks_ % ticks_per_remote_status == 0);
+        restore_registration();
         dial_peers();
     }
     if (ticks_ % ticks_per_limited_use == 0) {
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -63,6 +63,7 @@
     void remove_gone_endpoints();
     net::awaitable<void> register_node();
     void on_store_era(std::uint64_t era);
+    void restore_registration();
 
     // Peers (gateway_peers.cpp).
     void on_frame(std::string_view peer, const support::json& frame);
@@ -205,6 +206,8 @@
     boost::asio::steady_timer grant_timer_;
     support::time_point last_caller_request_;
     bool pumping_ = false;
+    bool registering_ = false;
+    std::uint64_t registered_era_ = 0; ///< Era of the store that has confirmed this node's record.
     std::uint64_t ticks_ = 0;
 };
 
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -181,15 +181,33 @@
 }
 
 net::awaitable<void> gateway::impl::register_node() {
+    registering_ = true;
     auto record = node_record(view_.settings);
     const std::string topic(platform::node_topic);
     while (!view_.stopping) {
         const auto answer = co_await store_.put(topic, record);
         if (answer) {
-            co_return;
+            registered_era_ = store_.era();
+            break;
         }
         co_await sleep_for(io_.get_executor(), register_retry_delay);
     }
+    registering_ = false;
+}
+
+/// Registers this node again if the store was restored from a copy without its record.
+void gateway::impl::restore_registration() {
+    const auto& mirror = node_records_.mirror();
+    if (registering_ || mirror.era() <= registered_era_ || !mirror.complete()) {
+        return;
+    }
+    if (mirror.value_of(view_.settings.name) == node_record(view_.settings).value) {
+        registered_era_ = mirror.era();
+        return;
+    }
+    support::log_change("registration_lost", {{"store_era", std::to_string(mirror.era())}});
+    registering_ = true;
+    net::spawn(io_.get_executor(), "register_node", [this] { return register_node(); });
 }
 
 /// Handles a restoration of the store, which has lost its newest records.
