Put the era of the store into fencing numbers

Cause: the fencing number of a lease is the generation of its group in the store, which was taken for a number that only grows. A store that is restored from a copy assigns generations again.

Fix: the fencing number is the era of the store, then the generation. A join names a generation of the present era or none, and an answer of an earlier era does not renew the lease. A holder that the store confirms in the new era keeps its number; a later holder's is above it.

--- a/include/dragonflystair/fleet/placement_lease.h
+++ b/include/dragonflystair/fleet/placement_lease.h
@@ -24,8 +24,16 @@
     std::chrono::milliseconds vacancy_delay{300};
 };
 
+/// Returns the fencing number of a generation of the lease's group. A store that was restored from
+/// a copy may assign generations again, so the era of the store comes first.
+constexpr std::uint64_t fencing_number(std::uint64_t store_era, std::uint64_t generation) {
+    constexpr unsigned generation_bits = 32;
+    return (store_era << generation_bits) + generation;
+}
+
 /// One node's view of the lease on the engines of one data centre. The lease is membership of a
-/// store group that only its holder joins; the group's generation is the fencing number of orders.
+/// store group that only its holder joins; the group's generation gives the fencing number of
+/// orders.
 ///
 /// A holder that loses contact with the store continues while engines check fencing numbers and no
 /// peer reports a newer holder: no other node can have acquired the lease without a larger number.
@@ -44,9 +52,10 @@
     /// from 0.
     [[nodiscard]] bool join_due(std::size_t rank, support::time_point now) const;
     void on_join_sent(support::time_point now);
-    /// Records the answer to a join sent at `sent`. A member that does not hold the lease stays in
-    /// the group until the previous holder's membership expires or another holder is reported.
-    void on_joined(std::uint64_t generation, bool holds, support::time_point sent,
+    /// Records the answer to a join sent at `sent`, with the fencing number of the group. A member
+    /// that does not hold the lease stays in the group until the previous holder's membership
+    /// expires or another holder is reported.
+    void on_joined(std::uint64_t fence, bool holds, support::time_point sent,
                    support::time_point now);
     /// Records that an engine rejected an order since it has seen a larger fencing number.
     void on_fenced(support::time_point now);
@@ -56,7 +65,6 @@
 
     [[nodiscard]] bool holds() const { return holds_; }
     [[nodiscard]] std::uint64_t fence() const { return fence_; }
-    [[nodiscard]] std::uint64_t generation() const { return generation_; }
     /// Returns whether an order may be sent now. `linked` is whether some connected peer would
     /// report a newer holder.
     [[nodiscard]] bool may_order(bool linked, support::time_point now) const;
@@ -73,7 +81,6 @@
     bool leave_due_ = false;
     bool suspended_ = false; ///< Since the last renewal.
     std::uint64_t fence_ = 0;
-    std::uint64_t generation_ = 0;
     std::uint64_t highest_fence_ = 0;
     support::time_point renewed_;
     support::time_point first_order_at_;
--- a/lib/fleet/placement_lease.cpp
+++ b/lib/fleet/placement_lease.cpp
@@ -57,9 +57,7 @@
     last_join_ = now;
 }
 
-void placement_lease::on_joined(std::uint64_t generation, bool holds, time_point sent,
-                                time_point now) {
-    generation_ = generation;
+void placement_lease::on_joined(std::uint64_t fence, bool holds, time_point sent, time_point now) {
     member_ = true;
     if (!holds) {
         holds_ = false;
@@ -67,7 +65,7 @@
     }
     const bool expired = sent - renewed_ > limits_.lifetime;
     if (!holds_ || expired) {
-        fence_ = generation;
+        fence_ = fence;
         first_order_at_ = now + limits_.first_order_delay;
     }
     holds_ = true;
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -39,12 +39,15 @@
     return found != frame.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
 }
 
-/// Returns the era of the store in a frame; 0, which is older than any, if it is damaged.
-std::uint64_t era_in(const json& frame) {
-    const auto era = unsigned_in(frame, "g");
+/// Returns the era, or 0, which is older than any, if it is damaged.
+std::uint64_t checked_era(std::uint64_t era) {
     return era <= fleet::max_store_era ? era : 0;
 }
 
+std::uint64_t era_in(const json& frame) {
+    return checked_era(unsigned_in(frame, "g"));
+}
+
 std::vector<held_lease> leases_of(const json& frame, const char* name) {
     std::vector<held_lease> leases;
     for (const auto& row : rows_of(frame, name)) {
@@ -117,8 +120,9 @@
         status.lead = lead->get<std::string>();
     }
     for (const auto& row : rows_of(frame, "e")) {
-        status.topic_ends.emplace(text_at(row, 0),
-                                  fleet::log_position{number_at(row, 2), number_at(row, 1)});
+        status.topic_ends.emplace(
+            text_at(row, 0),
+            fleet::log_position{checked_era(number_at(row, 2)), number_at(row, 1)});
     }
     status.configuration = unsigned_in(frame, "v");
     return status;
--- a/lib/gateway/placement_holder.cpp
+++ b/lib/gateway/placement_holder.cpp
@@ -89,15 +89,17 @@
     const auto self = shared_from_this();
     const auto sent = boot_clock::now();
     const bool held_before = lease_.holds();
+    // A generation of an earlier era tells the store nothing.
+    const auto generation = joined_.era == store_.era() ? joined_.generation : 0;
     const auto answer =
-        co_await store_.join(group(), member_, fleet::lease_limits{}.lifetime, lease_.generation());
+        co_await store_.join(group(), member_, fleet::lease_limits{}.lifetime, generation);
     joining_ = false;
-    if (!answer) {
+    if (!answer || answer.value().era < store_.era()) {
         co_return;
     }
-    const auto& membership = answer.value();
-    lease_.on_joined(membership.generation, membership.owns_first_partition, sent,
-                     boot_clock::now());
+    joined_ = answer.value();
+    lease_.on_joined(fleet::fencing_number(joined_.era, joined_.generation),
+                     joined_.owns_first_partition, sent, boot_clock::now());
     on_lease_changed(held_before);
 }
 
@@ -111,7 +113,8 @@
     support::log_change(lease_.holds() ? "lease_won" : "lease_lost",
                         {{"data_centre", data_centre_},
                          {"fence", std::to_string(lease_.fence())},
-                         {"generation", std::to_string(lease_.generation())}});
+                         {"store_era", std::to_string(joined_.era)},
+                         {"generation", std::to_string(joined_.generation)}});
     on_.lease_changed();
 }
 
--- a/lib/gateway/placement_holder.h
+++ b/lib/gateway/placement_holder.h
@@ -70,6 +70,7 @@
     fleet::placement_lease lease_;
     fleet::adapter_planner planner_;
     bool joining_ = false;
+    platform::group_membership joined_; ///< The answer to the last join.
     boost::asio::steady_timer pump_timer_;
 };
 
--- a/unittests/fleet/placement_lease_test.cpp
+++ b/unittests/fleet/placement_lease_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(fenced_holder_stops);
     CPPUNIT_TEST(member_stays_until_the_dead_holder_expires);
     CPPUNIT_TEST(member_leaves_when_another_holder_is_reported);
+    CPPUNIT_TEST(fencing_number_of_a_later_era_is_above_all_earlier_ones);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -42,6 +43,14 @@
         CPPUNIT_ASSERT(lease_.join_due(1, vacancy_end + lease_limits{}.candidate_step));
     }
 
+    /// Guards against two holders with one fencing number: a restored store assigns generations
+    /// again.
+    void fencing_number_of_a_later_era_is_above_all_earlier_ones() {
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, fencing_number(0, 7));
+        CPPUNIT_ASSERT(fencing_number(1, 2) > fencing_number(0, 1'000'000));
+        CPPUNIT_ASSERT(fencing_number(2, 0) > fencing_number(1, 1'000'000));
+    }
+
     /// Guards against orders of two holders within one lease time.
     void new_holder_delays_its_first_order() {
         acquire(7, start);
