Match the responses to orders and reports by request id

What would be seen: an engine's late second copy of a response to an order or a report, on a kept connection, was taken for the response to the next one. The planner then relied on an order that the engine had rejected, repeated one that the engine had accepted, or gave up its lease.

Cause: orders and reports carried no id and used kept connections, so that responses were matched by order of arrival alone.

The client skips responses with another id, up to a limit of bytes, and takes one without an id as `unknown` once the server has echoed an id on that connection. The planner handles `unknown` already: an order names the count of orders that it expects.

Ruled out: to require the id. Copies from a server that echoes no ids remain undetected.

--- a/include/dragonflystair/net/http_client.h
+++ b/include/dragonflystair/net/http_client.h
@@ -32,14 +32,21 @@
 /// response and for an address, target or header that cannot be sent. A reused connection that the
 /// server has closed is replaced without an error if nothing was written on it, or if a GET
 /// received no byte of a response.
+///
+/// A server may send a second copy of a response late. If servers echo an id, responses with
+/// another id are skipped, and one without an id is `unknown` once its connection has delivered an
+/// id. A copy from a server that echoes none cannot be told from the response.
 class http_client {
 public:
     /// Default limit of a response's body: larger than a log page of 1,000 records with outcomes of
     /// 16 KiB each.
     static constexpr std::size_t log_page_bytes = std::size_t{32} * 1024 * 1024;
 
-    /// A longer response than `max_body_bytes` is `malformed`.
-    explicit http_client(executor context, std::size_t max_body_bytes = log_page_bytes);
+    /// A longer response than `max_body_bytes` is `malformed`. `id_header` names the header in
+    /// which servers echo the id of a request; empty if they echo none. Each request needs an id of
+    /// its own there. One without an id does not reuse a connection.
+    explicit http_client(executor context, std::size_t max_body_bytes = log_page_bytes,
+                         std::string id_header = {});
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -76,7 +76,8 @@
             1,
             false},
       store_http_(io_.get_executor(), max_store_body_bytes),
-      engine_http_(io_.get_executor(), max_engine_body_bytes),
+      engine_http_(io_.get_executor(), max_engine_body_bytes,
+                   std::string(platform::request_id_header)),
       store_(store_http_, settings.store_address, [this](std::uint64_t era) { on_store_era(era); }),
       engines_(engine_http_,
                [this](std::string_view endpoint, const auto& notice, support::time_point sent) {
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -23,6 +23,9 @@
 /// Same as the default limit of the server.
 constexpr std::uint32_t max_header_bytes = 16 * 1024;
 
+/// Limit of the bytes of interim responses and of late copies that precede a response.
+constexpr std::size_t max_skipped_bytes = std::size_t{256} * 1024;
+
 /// A request ready to be sent, or the reason why it cannot be sent.
 struct prepared_request {
     std::shared_ptr<const outgoing_request> message;
@@ -30,6 +33,18 @@
     std::string fault;
 };
 
+/// What a client expects of every response.
+struct response_rules {
+    std::size_t max_body_bytes = 0;
+    std::string id_header; ///< Empty if servers echo no ids.
+};
+
+enum class response_owner {
+    this_request,
+    other_request,
+    unidentified, ///< The response carries no id, or several.
+};
+
 bool valid_target(std::string_view target) {
     return target.starts_with('/') &&
            std::ranges::all_of(target, [](char c) { return c > ' ' && c != '\x7f'; });
@@ -54,13 +69,25 @@
     return status >= 100 && status < 200 && status != 101;
 }
 
+response_owner owner_of(const http::fields& response, const outgoing_request& request,
+                        const std::string& id_header) {
+    const auto found = response.find(id_header);
+    if (found == response.end() || response.count(id_header) > 1) {
+        return response_owner::unidentified;
+    }
+    const auto sent = request.find(id_header);
+    return sent != request.end() && sent->value() == found->value() ? response_owner::this_request
+                                                                    : response_owner::other_request;
+}
+
 using exchange_result = std::variant<http_response, connection_fault>;
 
 /// Sends one request and reads the whole response; runs on the connection's strand.
 awaitable<exchange_result> run_exchange(std::shared_ptr<http_connection> connection,
                                         std::shared_ptr<const outgoing_request> request,
                                         tcp::endpoint address, deadline::time_point until,
-                                        std::weak_ptr<http_pool> pool, std::size_t max_body_bytes) {
+                                        std::weak_ptr<http_pool> pool, response_rules rules) {
+    const bool identifies = !rules.id_header.empty();
     connection->set_deadline(until);
     if (connection->reused && !connection->is_reusable()) {
         co_return connection_fault{
@@ -71,18 +98,40 @@
         co_return std::move(*fault);
     }
     std::optional<http::response_parser<http::string_body>> parser;
-    do {
+    auto owner = response_owner::unidentified;
+    std::size_t skipped_bytes = 0;
+    while (true) {
         parser.emplace();
         parser->header_limit(max_header_bytes);
-        parser->body_limit(max_body_bytes);
+        parser->body_limit(rules.max_body_bytes);
         parser->skip(request->method() == http::verb::head);
         const auto [code, bytes] =
             co_await http::async_read(connection->socket, connection->buffer, *parser, no_throw);
         if (code) {
             co_return connection->read_fault(code, parser->got_some(), request->method());
         }
-    } while (is_interim(parser->get().result_int()));
+        if (identifies) {
+            owner = owner_of(parser->get(), *request, rules.id_header);
+        }
+        const bool is_other = owner == response_owner::other_request;
+        if (!is_other && !is_interim(parser->get().result_int())) {
+            break;
+        }
+        skipped_bytes += bytes;
+        if (skipped_bytes > max_skipped_bytes) {
+            co_return connection_fault{
+                error{error_kind::malformed, "too many bytes before the matching response", {}}};
+        }
+    }
     connection->timer.disarm();
+    if (owner == response_owner::this_request) {
+        connection->echoes_ids = true;
+    } else if (connection->echoes_ids) {
+        co_return connection_fault{
+            error{error_kind::unknown,
+                  "response without a request id from a server that echoes ids",
+                  {}}};
+    }
     auto message = parser->release();
     const auto live_pool = pool.lock();
     if (live_pool && message.keep_alive() && !message.need_eof() && !connection->write_failed) {
@@ -124,15 +173,17 @@
 } // namespace
 
 struct http_client::impl {
-    impl(executor used, std::size_t limit) : context(std::move(used)), max_body_bytes(limit) {}
+    impl(executor used, response_rules chosen)
+        : context(std::move(used)), rules(std::move(chosen)) {}
 
     executor context;
-    std::size_t max_body_bytes;
+    response_rules rules;
     std::shared_ptr<http_pool> pool = std::make_shared<http_pool>();
 };
 
-http_client::http_client(executor context, std::size_t max_body_bytes)
-    : impl_(std::make_shared<impl>(std::move(context), max_body_bytes)) {}
+http_client::http_client(executor context, std::size_t max_body_bytes, std::string id_header)
+    : impl_(std::make_shared<impl>(std::move(context),
+                                   response_rules{max_body_bytes, std::move(id_header)})) {}
 
 http_client::~http_client() {
     impl_->pool->close();
@@ -149,16 +200,18 @@
         co_return error{error_kind::malformed, prepared.fault, {}};
     }
     const std::string key = to_string(prepared.address);
+    const auto& id_header = self->rules.id_header;
+    const bool may_reuse = reuse && (id_header.empty() || prepared.message->count(id_header) > 0);
     // Terminates because each iteration removes an idle connection from the pool or opens a new
     // one, and the faults of a new one are never retryable.
     while (true) {
-        auto connection = reuse ? self->pool->acquire(key) : nullptr;
+        auto connection = may_reuse ? self->pool->acquire(key) : nullptr;
         if (!connection) {
             connection = std::make_shared<http_connection>(self->context);
         }
         const executor strand = connection->strand;
         auto work = run_exchange(connection, prepared.message, prepared.address, until, self->pool,
-                                 self->max_body_bytes);
+                                 self->rules);
         connection.reset();
         auto result = co_await run_on(strand, std::move(work));
         if (auto* const response = std::get_if<http_response>(&result)) {
--- a/lib/net/http_connection.h
+++ b/lib/net/http_connection.h
@@ -53,6 +53,7 @@
     /// Holds heads, chunk heads and trailers. A larger one fails the connection.
     boost::beast::flat_buffer buffer{std::size_t{128} * 1024};
     bool reused = false;       ///< The connection has carried an earlier exchange.
+    bool echoes_ids = false;   ///< The server has echoed the id of a request.
     bool write_failed = false; ///< The request was written only in part; prevents reuse.
 };
 
--- a/unittests/gateway/platform_stand_in.h
+++ b/unittests/gateway/platform_stand_in.h
@@ -415,6 +415,8 @@
         const auto& target = exchange.request().target;
         if (target.ends_with("/order") || target.ends_with("/report")) {
             net::http_response response;
+            response.headers["Request-Id"] =
+                std::string(net::header(exchange.request().headers, "Request-Id"));
             if (target.ends_with("/order")) {
                 response.status = accept_order(exchange.request());
             } else {
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -33,6 +33,18 @@
     }
 }
 
+std::string response_with(std::string_view headers, std::string_view body) {
+    return "HTTP/1.1 200 OK\r\n" + std::string(headers) +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+}
+
+http_request request_with_id(std::string id) {
+    http_request request;
+    request.method = "POST";
+    request.headers["Id"] = std::move(id);
+    return request;
+}
+
 http_request post() {
     http_request request;
     request.method = "POST";
@@ -58,6 +70,12 @@
     CPPUNIT_TEST(get_without_response_on_reused_connection_is_sent_again);
     CPPUNIT_TEST(get_with_truncated_response_on_reused_connection_is_unknown);
     CPPUNIT_TEST(post_without_response_on_reused_connection_is_unknown);
+    CPPUNIT_TEST(late_copy_of_earlier_response_is_skipped);
+    CPPUNIT_TEST(response_without_id_of_server_that_echoes_ids_is_unknown);
+    CPPUNIT_TEST(response_with_two_ids_of_server_that_echoes_ids_is_unknown);
+    CPPUNIT_TEST(response_of_server_that_echoes_no_id_is_accepted);
+    CPPUNIT_TEST(request_without_id_opens_a_new_connection);
+    CPPUNIT_TEST(endless_responses_to_other_requests_are_malformed);
     CPPUNIT_TEST(stream_delivers_chunks_and_the_end);
     CPPUNIT_TEST(truncated_stream_is_unknown);
     CPPUNIT_TEST(silent_stream_is_unknown);
@@ -72,6 +90,11 @@
         return context_.run(client_->request(address, std::move(request), timeout, reuse));
     }
 
+    /// Makes the client match responses by the header `Id`.
+    void match_ids() {
+        client_ = std::make_unique<http_client>(context_.get(), http_client::log_page_bytes, "Id");
+    }
+
     void assert_error(error_kind kind, const async_result<http_response>& result) {
         CPPUNIT_ASSERT(!result);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(result.error().message, std::string(to_string(kind)),
@@ -239,6 +262,78 @@
         CPPUNIT_ASSERT_EQUAL(1, server.accepted());
     }
 
+    /// Sends requests with the ids 1 and 2 to a server that echoes ids. It responds to the first
+    /// with its id and to the second with `second`.
+    async_result<http_response> send_second(const std::string& second) {
+        match_ids();
+        scripted_server server({[&](raw_connection& peer) {
+            read_request(peer);
+            peer.write(response_with("Id: 1\r\n", "first"));
+            read_request(peer);
+            peer.write(second);
+            peer.read_all();
+        }});
+        const auto first = send(server.address(), request_with_id("1"));
+        auto result = send(server.address(), request_with_id("2"));
+        // The server reads until the connection closes.
+        client_.reset();
+        CPPUNIT_ASSERT(first);
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), first.value().body);
+        return result;
+    }
+
+    void late_copy_of_earlier_response_is_skipped() {
+        const auto response =
+            send_second(response_with("Id: 1\r\n", "first") + response_with("Id: 2\r\n", "second"));
+        CPPUNIT_ASSERT(response);
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), response.value().body);
+    }
+
+    /// Guards against a late copy that no id tells from the response.
+    void response_without_id_of_server_that_echoes_ids_is_unknown() {
+        assert_error(error_kind::unknown, send_second(std::string(ok_response)));
+    }
+
+    void response_with_two_ids_of_server_that_echoes_ids_is_unknown() {
+        assert_error(error_kind::unknown,
+                     send_second(response_with("Id: 1\r\nId: 2\r\n", "either")));
+    }
+
+    void response_of_server_that_echoes_no_id_is_accepted() {
+        match_ids();
+        const concurrent_server server(serve_until_closed);
+        const auto first = send(server.address(), request_with_id("1"));
+        const auto second = send(server.address(), request_with_id("2"));
+        client_.reset();
+        CPPUNIT_ASSERT(first && second);
+        CPPUNIT_ASSERT_EQUAL(1, server.accepted());
+    }
+
+    void request_without_id_opens_a_new_connection() {
+        match_ids();
+        const concurrent_server server([](raw_connection& peer) {
+            while (!peer.read_until("\r\n\r\n").empty()) {
+                peer.write(response_with("Id: 1\r\n", "first"));
+            }
+        });
+        const auto first = send(server.address(), request_with_id("1"));
+        const auto second = send(server.address(), post(), short_timeout);
+        client_.reset();
+        CPPUNIT_ASSERT(first);
+        assert_error(error_kind::unknown, second);
+        CPPUNIT_ASSERT_EQUAL(2, server.accepted());
+    }
+
+    void endless_responses_to_other_requests_are_malformed() {
+        constexpr std::size_t total_bytes = std::size_t{4} * 1024 * 1024;
+        const auto copy = response_with("Id: 1\r\n", std::string(4'000, 'x'));
+        std::string copies;
+        while (copies.size() < total_bytes) {
+            copies += copy;
+        }
+        assert_error(error_kind::malformed, send_second(copies));
+    }
+
     /// Opens a stream to a server.
     std::unique_ptr<http_body_stream> open(const scripted_server& server) {
         auto stream = context_.run(client_->open_stream(server.address(), {}, long_timeout));
