Report the outcome of a call's send to its lead only once

What would be seen: a lead took an adapter as absent from an engine, or an engine as failed or unreachable, that the call had not been sent to. Calls for that adapter then waited for a load that was not needed.

Cause: a call that was placed a second time kept the outcome of its first send. If it ended before its second send, as when its caller disconnected or its engine was withdrawn, that outcome was reported again with the call's number, and the lead applied it to the engine of the second placement.

Evidence, on the code before:

reported_outcome_test::outcome_of_first_placement_is_not_reported_for_second assertion failed - Expression: send_outcome::none == outcomes()[1] - second placement

Ruled out: a late answer to the first request. Frames between two nodes keep their order, a lead gives one final answer to a request, a call that returns to its node is not delegated again, and an answer to a call that does not await placement is ignored.

The outcome is cleared as it is reported, so that the second report has only the outcome of a second send.

--- a/lib/gateway/call_relay.cpp
+++ b/lib/gateway/call_relay.cpp
@@ -222,7 +222,7 @@
         }
         if (end == attempt_end::withheld) {
             call.decision.reset();
-            placer_.retry(call.number, call.last_send);
+            placer_.retry(call.number, std::exchange(call.last_send, send_outcome::none));
             continue;
         }
         if (end == attempt_end::given_up || call.caller_gone) {
@@ -234,7 +234,7 @@
                                      end == attempt_end::not_run ? "not_run" : "failed");
             call.decision.reset();
             events.drop_partial();
-            placer_.retry(call.number, call.last_send);
+            placer_.retry(call.number, std::exchange(call.last_send, send_outcome::none));
             continue;
         }
         if (events.started()) {
--- a/lib/gateway/open_call.h
+++ b/lib/gateway/open_call.h
@@ -44,7 +44,7 @@
     std::size_t received_bytes = 0;     ///< Of streams, from all sends.
     /// When the stream of the last send began; empty before its first bytes.
     std::optional<support::time_point> stream_began;
-    send_outcome last_send = send_outcome::none;
+    send_outcome last_send = send_outcome::none; ///< Not reported to the placer yet.
     bool caller_gone = false;
     wakeup changed;
 };
