Send HEAD requests on connections of their own

What would be seen: a caller's HEAD request was answered with bytes from the body of another caller's response, if an endpoint sent a late second copy of that response on the kept connection.

Cause: whether a response has a body depends on its request. The parser took the request in flight for it, so that a copy of a response with a body was parsed without one and its body as the next response, which could carry the id of the request. Likewise, a copy of a response to HEAD takes the bytes of the next response as its body.

Evidence, on the code before:

exchange_client_test::head_request_gets_connection_of_its_own - Expected: 404 - Actual : 200

Ruled out: to decide by the id in the head. The parser needs to know before the head ends whether a body follows, and a copy may carry no id.

--- a/lib/net/exchange_client.cpp
+++ b/lib/net/exchange_client.cpp
@@ -103,7 +103,8 @@
         return pending;
     }
     std::string key(address);
-    auto connection = impl_->acquire(key, id);
+    // Without a body, a response to HEAD could not be told from the body of a late duplicate.
+    auto connection = text.starts_with("HEAD ") ? nullptr : impl_->acquire(key, id);
     if (!connection) {
         connection = std::make_shared<exchange_connection>(impl_->context, impl_->id_header,
                                                            impl_->limits, ++impl_->opened);
--- a/lib/net/exchange_connection.cpp
+++ b/lib/net/exchange_connection.cpp
@@ -285,7 +285,8 @@
     const auto current = exchange_.lock();
     in_flight_ = false;
     exchange_identity_ = nullptr;
-    const bool reusable = written_ && buffer_.size() == 0 && parser_->keep_alive() &&
+    const bool reusable = written_ && !head_request_ && buffer_.size() == 0 &&
+                          parser_->keep_alive() &&
                           carried_.size() < limits_.max_requests_per_connection;
     if (current) {
         current->head = current->head ? current->head : parser_->head();
--- a/unittests/net/exchange_client_test.cpp
+++ b/unittests/net/exchange_client_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(truncated_late_duplicate_is_broken);
     CPPUNIT_TEST(copy_of_refusal_is_not_taken_for_response_to_resent_request);
     CPPUNIT_TEST(request_without_id_gets_connection_of_its_own);
+    CPPUNIT_TEST(head_request_gets_connection_of_its_own);
     CPPUNIT_TEST(endless_response_is_broken_within_limits);
     CPPUNIT_TEST(endless_responses_together_exhaust_memory);
     CPPUNIT_TEST_SUITE_END();
@@ -250,6 +251,34 @@
         client_.close_idle(server.address());
     }
 
+    /// Guards against the body of a late duplicate that is parsed as the response: a response to a
+    /// HEAD request has no body, whatever its length header says.
+    void head_request_gets_connection_of_its_own() {
+        const auto copy = make_response("1", make_response("2", ""));
+        const concurrent_server server([&](raw_connection& connection) {
+            std::string earlier;
+            for (auto text = connection.read_until("\r\n\r\n"); !text.empty();
+                 text = connection.read_until("\r\n\r\n")) {
+                const bool is_head = text.starts_with("HEAD ");
+                connection.write(is_head ? earlier + "HTTP/1.1 404 Not Found\r\nRequest-Id: 2\r\n"
+                                                     "Content-Length: 9\r\n\r\n"
+                                         : copy);
+                earlier = copy;
+            }
+        });
+        const auto first = run_at(server.address(), "1");
+        const auto head = client_.send(
+            server.address(), "HEAD / HTTP/1.1\r\nHost: a\r\nRequest-Id: 2\r\n\r\n", "2", {});
+        context_.restart();
+        while (!head->end) {
+            context_.run_one();
+        }
+        client_.close_idle(server.address());
+        CPPUNIT_ASSERT_EQUAL(200, first->head->status);
+        CPPUNIT_ASSERT_EQUAL(404, head->head->status);
+        CPPUNIT_ASSERT_EQUAL(2, server.accepted());
+    }
+
     /// The peer sends bytes until the connection is closed: in a head, before the response, in
     /// bodies of every framing, in the head of a chunk and in a trailer.
     void endless_response_is_broken_within_limits() {
