Ignore former runs that a restored store lists, whenever the list comes

What would be seen: calls to an endpoint that is gone, or an endpoint in use whose adapters, pause and orders were forgotten, after a restoration of the store that lost a restart of the endpoint under its id, or whose list could be read late only.

Cause: `endpoint_watch` compared runs for equality, so the entry of a former run counted as a restart. The two seconds of distrust began with the first news of the new era, which may come long before the list.

Fix: within these two seconds a run that began before the known or the removed one is ignored, and they begin again with the first list of the era.

Evidence: `restored_entry_of_former_run_does_not_replace_the_present_run` and `..._does_not_restore_a_removed_endpoint` failed on the code before ("!watch_.on_listed(listed(false, 1))"). That a list comes so late is by reading; `late_list_of_restored_store_does_not_restore_a_removed_endpoint` failed as the review wrote it, without the second report, which the gateway now makes.

--- a/lib/fleet/endpoint_watch.cpp
+++ b/lib/fleet/endpoint_watch.cpp
@@ -8,9 +8,13 @@
 using support::time_point;
 
 std::optional<endpoint_record> endpoint_watch::on_listed(endpoint_record record) {
+    const auto known = started_.find(record.id);
+    if (restoring_ && known != started_.end() && record.started_ms < known->second) {
+        return std::nullopt;
+    }
     if (const auto gone = gone_.find(record.id); gone != gone_.end()) {
         const bool same_run = gone->second == record.started_ms;
-        if (same_run && restoring_) {
+        if (restoring_ && record.started_ms <= gone->second) {
             return std::nullopt;
         }
         gone_.erase(gone);
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -26,6 +26,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -206,6 +207,7 @@
     boost::asio::steady_timer grant_timer_;
     support::time_point last_caller_request_;
     bool pumping_ = false;
+    std::optional<std::uint64_t> listed_era_; ///< Era of the last records of endpoints.
     bool registering_ = false;
     std::uint64_t registered_era_ = 0; ///< Era of the store that has confirmed this node's record.
     std::uint64_t ticks_ = 0;
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -100,6 +100,11 @@
 
 void gateway::impl::on_endpoint_records(std::span<const fleet::keyed_record> records) {
     const auto now = boot_clock::now();
+    if (const auto era = endpoint_records_.mirror().era(); listed_era_ && era > *listed_era_) {
+        // The node may have learned of the era long before it got this list.
+        watch_.on_store_restored(now);
+    }
+    listed_era_ = endpoint_records_.mirror().era();
     for (const auto& record : records) {
         if (!record.value) {
             watch_.on_missing(record.key, now);
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -193,6 +193,9 @@
     CPPUNIT_TEST(restored_entries_do_not_restore_a_removed_endpoint);
     CPPUNIT_TEST(endpoint_removed_after_one_listing_is_not_accepted_at_once);
     CPPUNIT_TEST(entry_missing_from_restored_list_is_kept_until_it_is_listed_again);
+    CPPUNIT_TEST(restored_entry_of_former_run_does_not_replace_the_present_run);
+    CPPUNIT_TEST(restored_entry_of_former_run_does_not_restore_a_removed_endpoint);
+    CPPUNIT_TEST(late_list_of_restored_store_does_not_restore_a_removed_endpoint);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -255,6 +258,35 @@
         CPPUNIT_ASSERT(watch_.on_listed(listed(false, 2)).has_value());
     }
 
+    /// The endpoint started again under its id in the seconds that were lost.
+    void restored_entry_of_former_run_does_not_replace_the_present_run() {
+        watch_.on_listed(listed(false, 1));
+        watch_.on_listed(listed(false, 2));
+        watch_.on_store_restored(start);
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 1)));
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 2)).has_value());
+    }
+
+    /// It started again and was removed in the seconds that were lost.
+    void restored_entry_of_former_run_does_not_restore_a_removed_endpoint() {
+        watch_.on_listed(listed(false, 2));
+        watch_.on_missing("a", start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, watch_.take_gone(start).size());
+        watch_.on_store_restored(start + milliseconds{3'000});
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 1)));
+    }
+
+    /// The era is known from another call more than two seconds before the list can be read, and
+    /// the restoration is reported again with that.
+    void late_list_of_restored_store_does_not_restore_a_removed_endpoint() {
+        watch_.on_listed(listed(false, 1));
+        watch_.on_missing("a", start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, watch_.take_gone(start).size());
+        watch_.on_store_restored(start + milliseconds{3'000});
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 1)));
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(true, 1)));
+    }
+
     /// Guards against an entry that was listed once since its removal, removed, and listed again.
     void endpoint_removed_after_one_listing_is_not_accepted_at_once() {
         watch_.on_listed(listed(false, 1));
