Keep records that are newer than a list, and doubt eras of peers

A list of the newest records deleted a record that a peer had forwarded from beyond the end of the list, and set it back to an offset below its own; an endpoint would be gone for a moment. Such records are kept now. `record_after_the_end_of_a_list_is_not_deleted` and `list_that_ends_before_a_record_of_the_new_era_does_not_delete_it` failed before (expected y, got deleted).

A frame of a peer with a damaged era, one bit of which is enough, would have ended the reading of the store for good, on all nodes. An era more than 16 above the known one is not taken from a peer, and counted (`peer_frames_damaged_total`). By reading; TCP guards frames.

--- a/include/dragonflystair/fleet/keyed_record.h
+++ b/include/dragonflystair/fleet/keyed_record.h
@@ -21,6 +21,13 @@
     friend auto operator<=>(const log_position&, const log_position&) = default;
 };
 
+/// Returns whether an era that a peer named can be true, given the era that this node knows; 0 if
+/// it knows none. A restoration raises it by one, and a node misses few of them.
+constexpr bool is_plausible_era(std::uint64_t named, std::uint64_t known) {
+    constexpr std::uint64_t max_missed_restorations = 16;
+    return known == 0 || named <= known + max_missed_restorations;
+}
+
 /// One record of a compacted topic, which keeps the newest value of each key.
 struct keyed_record {
     std::string key;
--- a/lib/fleet/record_mirror.cpp
+++ b/lib/fleet/record_mirror.cpp
@@ -100,7 +100,8 @@
         listed.insert(record.key);
     }
     for (auto& [key, record] : newest_) {
-        if (!record.value || listed.contains(key) || version_of(record)) {
+        const bool after_list = !record.inferred && record.offset >= list.next;
+        if (!record.value || listed.contains(key) || after_list || version_of(record)) {
             continue;
         }
         record.value.reset();
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -228,6 +228,10 @@
 void gateway::impl::on_records(std::string_view peer, const support::json& frame) {
     const auto topic = frame.value("k", std::string());
     const auto page = decode_records(frame);
+    if (!fleet::is_plausible_era(page.era, store_.era())) {
+        counters_.increment("peer_frames_damaged_total", "era");
+        return;
+    }
     if (was_just_read(frame)) {
         readers_.on_forwarded(peer, boot_clock::now());
     }
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -37,9 +37,36 @@
     CPPUNIT_TEST(page_that_begins_a_new_era_leaves_the_copy_incomplete);
     CPPUNIT_TEST(peer_with_copy_of_earlier_era_gets_all_records);
     CPPUNIT_TEST(record_at_offset_of_inferred_deletion_is_applied);
+    CPPUNIT_TEST(record_after_the_end_of_a_list_is_not_deleted);
+    CPPUNIT_TEST(list_that_ends_before_a_record_of_the_new_era_does_not_delete_it);
+    CPPUNIT_TEST(damaged_era_of_a_peer_is_not_plausible);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Guards against a record that a peer forwarded while the list was read, with a gap before it.
+    void record_after_the_end_of_a_list_is_not_deleted() {
+        mirror_.apply({{record("a", 0, "x")}, 1});
+        mirror_.apply({{record("b", 5, "y")}, 6, 5});
+        mirror_.resynchronise({{record("a", 0, "x")}, 5});
+        CPPUNIT_ASSERT_EQUAL(std::string("y"), mirror_.value_of("b").value_or("deleted"));
+    }
+
+    /// The same for an era that began with that record.
+    void list_that_ends_before_a_record_of_the_new_era_does_not_delete_it() {
+        mirror_.apply({{record("a", 8, "x")}, 9});
+        mirror_.apply({{record("b", 5, "y")}, 6, 5, 1});
+        mirror_.resynchronise({{record("a", 0, "x")}, 5, 0, 1});
+        CPPUNIT_ASSERT_EQUAL(std::string("y"), mirror_.value_of("b").value_or("deleted"));
+    }
+
+    /// Guards against copies that take nothing from the store any more (CONFIG).
+    void damaged_era_of_a_peer_is_not_plausible() {
+        CPPUNIT_ASSERT(is_plausible_era(2, 1));
+        CPPUNIT_ASSERT(is_plausible_era(1, 2));
+        CPPUNIT_ASSERT(is_plausible_era(40, 0));
+        CPPUNIT_ASSERT(!is_plausible_era(std::uint64_t{1} << 30U, 1));
+    }
+
     void newer_record_replaces_the_older() {
         mirror_.apply({{record("config", 1, "one"), record("config", 2, "two")}, 3});
         CPPUNIT_ASSERT_EQUAL(std::string("two"), *mirror_.since(0).records.at(0).value);
