--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -192,7 +192,7 @@
     while (!view_.stopping) {
         const auto answer = co_await store_.put(topic, record);
         if (answer) {
-            registered_era_ = store_.era();
+            registered_era_ = answer.value();
             break;
         }
         co_await sleep_for(io_.get_executor(), register_retry_delay);
