Play copies of endpoints' answers in the soak

The copy bears the id of the request that was refused, also when that request is in flight again on the same connection.

The relay before an endpoint keeps the last answer of each connection and sends it again after the next request has arrived there: in turn before the endpoint gets that request, and just before its answer. Answers without a Request-Id are not repeated, since nothing tells their copies.

`--repeated-answers` draws such copies together with a plain endpoint that is full and another that restarts under new ids on the same listening socket, so that a call refused for the former id is sent again to the next one on the kept connection.

--- a/unittests/scenarios/tcp_relay.cpp
+++ b/unittests/scenarios/tcp_relay.cpp
@@ -16,6 +16,7 @@
 #include <array>
 #include <chrono>
 #include <set>
+#include <string_view>
 #include <thread>
 #include <utility>
 
@@ -35,6 +36,35 @@
     tcp::socket far;
     bool silent = false;         ///< Discards data sent to the target.
     bool silent_answers = false; ///< Discards data sent by the target.
+    // For `repeat_answers`; the callers send a request when the previous answer is complete.
+    bool answering = true;   ///< The target has begun to answer the latest request.
+    bool recording = false;  ///< Keeps the answer to the latest request.
+    bool copy_first = false; ///< Sends the next copy before the target gets the request.
+    std::string answer;      ///< To the latest request, as far as it has arrived.
+    std::string copy;        ///< Of the previous answer, due before the next one.
+
+    /// Prepares for data from the caller. Returns the copy that is due now, if any.
+    std::string begin_request(bool repeats) {
+        if (!std::exchange(answering, false)) {
+            return {};
+        }
+        copy = std::exchange(answer, {});
+        if (!repeats || copy.find("Request-Id: ") == std::string::npos) {
+            copy.clear();
+        }
+        recording = repeats;
+        copy_first = !copy_first;
+        return copy_first ? std::exchange(copy, {}) : std::string();
+    }
+
+    /// Records data from the target. Returns the copy that is due before it, if any.
+    std::string begin_answer(std::string_view data) {
+        answering = true;
+        if (recording) {
+            answer += data;
+        }
+        return std::exchange(copy, {});
+    }
 
     /// Closes both sockets with a TCP reset (linger time 0).
     void reset() {
@@ -80,6 +110,12 @@
         if (fault) {
             break;
         }
+        const bool answers = &from == &link->far;
+        const auto copy = answers ? link->begin_answer({buffer.data(), size})
+                                  : link->begin_request(mode == relay_mode::repeat_answers);
+        if (!copy.empty()) {
+            co_await asio::async_write(link->near, asio::buffer(copy), as_result);
+        }
         const auto [unsent, written] =
             co_await asio::async_write(to, asio::buffer(buffer, size), as_result);
         if (unsent) {
@@ -128,7 +164,8 @@
 
     void apply(relay_mode next) {
         mode = next;
-        if (next == relay_mode::pass || next == relay_mode::delay) {
+        if (next == relay_mode::pass || next == relay_mode::delay ||
+            next == relay_mode::repeat_answers) {
             return;
         }
         for (const auto& link : std::exchange(links, {})) {
--- a/unittests/scenarios/tcp_relay.h
+++ b/unittests/scenarios/tcp_relay.h
@@ -14,6 +14,8 @@
     silence_answers, ///< Like `silence_open`, but only for data sent by the target.
     delay,           ///< Data is delayed on open and new connections.
     silence_all,     ///< Open and new connections forward nothing, as in a silent partition.
+    repeat_answers,  ///< A copy of each answer with a request id precedes the next one on its
+                     ///< connection.
 };
 
 /// Forwards TCP connections to a target and injects network faults between two processes.
--- a/unittests/soak/fault_plan.cpp
+++ b/unittests/soak/fault_plan.cpp
@@ -1,6 +1,7 @@
 #include "fault_plan.h"
 
 #include <array>
+#include <functional>
 #include <random>
 
 namespace dragonflystair::soak {
@@ -25,6 +26,33 @@
 constexpr std::array planned_kinds{fault_kind::stop_gateway, fault_kind::hang_up_gateway,
                                    fault_kind::replace_endpoint, fault_kind::change_configuration};
 
+/// Copies of answers are frequent enough that most of the other faults occur while they are sent.
+constexpr std::array repeated_answers_kinds{
+    fault_kind::repeat_endpoint_answers, fault_kind::repeat_endpoint_answers,
+    fault_kind::restart_endpoint,        fault_kind::restart_endpoint,
+    fault_kind::restart_endpoint,        fault_kind::restart_endpoint,
+    fault_kind::endpoint_full,           fault_kind::endpoint_fails};
+constexpr milliseconds min_repeat_time{2'000};
+constexpr int longest_repeated_gap_ms = 200;
+
+/// `below` returns a random number from 0 to below its argument.
+milliseconds draw_duration(fault_kind kind, fault_choice choice,
+                           const std::function<int(int)>& below) {
+    const auto usual = milliseconds(shortest_fault_ms + below(longest_fault_ms));
+    switch (kind) {
+    case fault_kind::stop_gateway:
+        return shutdown_time;
+    case fault_kind::endpoint_names_limit:
+        return usual + min_limit_time;
+    case fault_kind::repeat_endpoint_answers:
+        return usual + min_repeat_time;
+    default:
+        const bool outlasts_records =
+            choice == fault_choice::store_links || kind == fault_kind::unlist_endpoint;
+        return usual + (outlasts_records ? min_store_link_time : milliseconds{0});
+    }
+}
+
 } // namespace
 
 std::string_view to_string(fault_kind kind) {
@@ -77,6 +105,8 @@
         return "partition_store_link";
     case fault_kind::unlist_endpoint:
         return "unlist_endpoint";
+    case fault_kind::repeat_endpoint_answers:
+        return "repeat_endpoint_answers";
     }
     return "unknown";
 }
@@ -91,7 +121,8 @@
     std::vector<fault> plan;
     milliseconds at{0};
     for (std::size_t i = 0; i < count; ++i) {
-        at += milliseconds(below(longest_gap_ms));
+        at += milliseconds(below(choice == fault_choice::repeated_answers ? longest_repeated_gap_ms
+                                                                          : longest_gap_ms));
         fault item;
         item.kind = choice == fault_choice::planned
                         ? planned_kinds.at(random() % planned_kinds.size())
@@ -99,6 +130,9 @@
         if (choice == fault_choice::limits && below(2) == 0) {
             item.kind = fault_kind::endpoint_names_limit;
         }
+        if (choice == fault_choice::repeated_answers) {
+            item.kind = repeated_answers_kinds.at(random() % repeated_answers_kinds.size());
+        }
         if (choice == fault_choice::store_links) {
             // Each fault of a link is followed by an endpoint that leaves.
             const bool is_link = i % 2 == 0;
@@ -106,20 +140,16 @@
             item.kind = is_link ? fault_kind::partition_store_link : fault_kind::unlist_endpoint;
         }
         item.at = at;
-        item.lasts = milliseconds(shortest_fault_ms + below(longest_fault_ms));
-        if (item.kind == fault_kind::stop_gateway) {
-            item.lasts = shutdown_time;
-        }
-        if (item.kind == fault_kind::endpoint_names_limit) {
-            item.lasts += min_limit_time;
-        }
-        if (choice == fault_choice::store_links) {
-            item.lasts += min_store_link_time;
-        }
+        item.lasts = draw_duration(item.kind, choice, below);
         item.target = static_cast<std::size_t>(below(1 << 16));
         if (item.kind == fault_kind::partition_store_link) {
             item.target = 0; // The first gateway reads the store for the others.
         }
+        if (choice == fault_choice::repeated_answers && below(3) != 0) {
+            // While the first plain endpoint rejects calls, the second one gets those again that it
+            // has rejected under its former id.
+            item.target = item.kind == fault_kind::endpoint_full ? 0 : 1;
+        }
         plan.push_back(item);
     }
     return plan;
--- a/unittests/soak/fault_plan.h
+++ b/unittests/soak/fault_plan.h
@@ -36,8 +36,10 @@
     change_configuration,
     endpoint_names_limit, ///< Drawn only by `fault_choice::limits`.
     // Drawn only by `fault_choice::store_links`.
-    partition_store_link, ///< Open and new connections to the store are silent.
-    unlist_endpoint,      ///< The endpoint's record is removed; it serves on and later restarts.
+    partition_store_link,    ///< Open and new connections to the store are silent.
+    unlist_endpoint,         ///< The endpoint's record is removed; it serves on and later restarts.
+    repeat_endpoint_answers, ///< A copy of each answer precedes the next one on its connection.
+                             ///< Drawn only by `fault_choice::repeated_answers`.
 };
 
 /// Number of kinds that `fault_choice::any` draws from.
@@ -51,9 +53,10 @@
 /// The set of faults that a plan draws from.
 enum class fault_choice {
     any,
-    planned,     ///< Only operator actions, during which no running call may be cut off.
-    limits,      ///< Half of the faults are endpoints that name a rate limit.
-    store_links, ///< Silent links to the store, each followed by an endpoint that leaves.
+    planned,          ///< Only operator actions, during which no running call may be cut off.
+    limits,           ///< Half of the faults are endpoints that name a rate limit.
+    store_links,      ///< Silent links to the store, each followed by an endpoint that leaves.
+    repeated_answers, ///< Copies of answers, with many restarts and rejections of endpoints.
 };
 
 /// A fault with its start time, relative to the start of the plan, its duration and its target.
--- a/unittests/soak/main.cpp
+++ b/unittests/soak/main.cpp
@@ -28,7 +28,8 @@
 
 Usage:
   dragonflystair-soak [--seed N] [--seeds N] [--faults N] [--callers N]
-                      [--planned | --limits | --store-links] [--keep] PROGRAM
+                      [--planned | --limits | --store-links | --repeated-answers]
+                      [--keep] PROGRAM
 
 Options:
   --seed N     First seed [default: 1].
@@ -38,6 +39,7 @@
   --planned    Only what operators do on purpose; no call may be cut off.
   --limits     Half of the faults are endpoints that name a rate limit.
   --store-links  Links to the store that fall silent just before an endpoint leaves.
+  --repeated-answers  Endpoints that send answers twice, reject calls and restart.
   --keep       Keep the logs of a run that passed.
 )";
 
@@ -104,10 +106,11 @@
         return false;
     }
     const bool planned = options["--planned"].asBool();
-    const auto choice = planned                             ? fault_choice::planned
-                        : options["--limits"].asBool()      ? fault_choice::limits
-                        : options["--store-links"].asBool() ? fault_choice::store_links
-                                                            : fault_choice::any;
+    const auto choice = planned                                  ? fault_choice::planned
+                        : options["--limits"].asBool()           ? fault_choice::limits
+                        : options["--store-links"].asBool()      ? fault_choice::store_links
+                        : options["--repeated-answers"].asBool() ? fault_choice::repeated_answers
+                                                                 : fault_choice::any;
     guarantee_checker checked(!planned, [](std::string_view text) {
         std::printf("broken: %s\n", std::string(text).c_str());
         std::fflush(stdout);
--- a/unittests/soak/soak_cluster.cpp
+++ b/unittests/soak/soak_cluster.cpp
@@ -129,6 +129,7 @@
     case fault_kind::restart_endpoint:
     case fault_kind::endpoint_names_limit:
     case fault_kind::unlist_endpoint:
+    case fault_kind::repeat_endpoint_answers:
         return begin_on_endpoint(item, endpoints_[item.target % endpoints_.size()]);
     default:
         return begin_on_gateway(item, *gateways_[item.target % gateways_.size()]);
@@ -145,6 +146,8 @@
         return inject_link_fault(*target.link, relay_mode::reset_open);
     case fault_kind::delay_endpoint_link:
         return inject_link_fault(*target.link, relay_mode::delay);
+    case fault_kind::repeat_endpoint_answers:
+        return inject_link_fault(*target.link, relay_mode::repeat_answers);
     case fault_kind::endpoint_fails:
         return inject_failure(*target.self, endpoint_failure::fails);
     case fault_kind::endpoint_loses_answers:
