Play a store that is restored from a copy in the soak

`--restored-store` draws such restorations among changes of the configuration, endpoints that leave or restart, gateways that are killed or stopped, and store links that are cut: down for 0.3 to 2 s with 503 or with lost answers, copies 2 to 9 s old, offsets and generations that are given out again, 410 beyond the end, and Store-Era in all answers, which begins at 0, 1 or 2. What the operator and the endpoints have lost is written again within 1.5 s, all of it or the newest of each key; what gateways have written is not.

--- a/unittests/soak/fault_plan.cpp
+++ b/unittests/soak/fault_plan.cpp
@@ -35,6 +35,18 @@
 constexpr milliseconds min_repeat_time{2'000};
 constexpr int longest_repeated_gap_ms = 200;
 
+/// Faults between two restorations, most of which change what the store holds.
+constexpr std::array restored_store_kinds{
+    fault_kind::change_configuration, fault_kind::change_configuration,
+    fault_kind::change_configuration, fault_kind::unlist_endpoint,
+    fault_kind::unlist_endpoint,      fault_kind::replace_endpoint,
+    fault_kind::restart_endpoint,     fault_kind::kill_gateway,
+    fault_kind::stop_gateway,         fault_kind::cut_store_link};
+constexpr std::size_t faults_per_restoration = 6;
+constexpr int longest_restored_gap_ms = 1'800;
+constexpr int shortest_outage_ms = 300;
+constexpr int longest_outage_ms = 2'000;
+
 /// `below` returns a random number from 0 to below its argument.
 milliseconds draw_duration(fault_kind kind, fault_choice choice,
                            const std::function<int(int)>& below) {
@@ -46,6 +58,8 @@
         return usual + min_limit_time;
     case fault_kind::repeat_endpoint_answers:
         return usual + min_repeat_time;
+    case fault_kind::restore_store:
+        return milliseconds(shortest_outage_ms + below(longest_outage_ms - shortest_outage_ms));
     default:
         const bool outlasts_records =
             choice == fault_choice::store_links || kind == fault_kind::unlist_endpoint;
@@ -107,6 +121,8 @@
         return "unlist_endpoint";
     case fault_kind::repeat_endpoint_answers:
         return "repeat_endpoint_answers";
+    case fault_kind::restore_store:
+        return "restore_store";
     }
     return "unknown";
 }
@@ -133,6 +149,12 @@
         if (choice == fault_choice::repeated_answers) {
             item.kind = repeated_answers_kinds.at(random() % repeated_answers_kinds.size());
         }
+        if (choice == fault_choice::restored_store) {
+            at += milliseconds(below(longest_restored_gap_ms));
+            item.kind = i % faults_per_restoration == faults_per_restoration / 2
+                            ? fault_kind::restore_store
+                            : restored_store_kinds.at(random() % restored_store_kinds.size());
+        }
         if (choice == fault_choice::store_links) {
             // Each fault of a link is followed by an endpoint that leaves.
             const bool is_link = i % 2 == 0;
--- a/unittests/soak/fault_plan.h
+++ b/unittests/soak/fault_plan.h
@@ -40,6 +40,8 @@
     unlist_endpoint,         ///< The endpoint's record is removed; it serves on and later restarts.
     repeat_endpoint_answers, ///< A copy of each answer precedes the next one on its connection.
                              ///< Drawn only by `fault_choice::repeated_answers`.
+    restore_store, ///< The store is down, then returns in the state of some seconds before. Drawn
+                   ///< only by `fault_choice::restored_store`.
 };
 
 /// Number of kinds that `fault_choice::any` draws from.
@@ -57,6 +59,7 @@
     limits,           ///< Half of the faults are endpoints that name a rate limit.
     store_links,      ///< Silent links to the store, each followed by an endpoint that leaves.
     repeated_answers, ///< Copies of answers, with many restarts and rejections of endpoints.
+    restored_store,   ///< A store that returns in an earlier state, among changes of what it holds.
 };
 
 /// A fault with its start time, relative to the start of the plan, its duration and its target.
--- a/unittests/soak/guarantee_checker.cpp
+++ b/unittests/soak/guarantee_checker.cpp
@@ -62,6 +62,16 @@
     excused_until_.insert_or_assign(address, until);
 }
 
+bool guarantee_checker::excused(const std::string& address) const {
+    const std::lock_guard lock(mutex_);
+    return excused_locked(address);
+}
+
+bool guarantee_checker::excused_locked(const std::string& address) const {
+    const auto found = excused_until_.find(address);
+    return found != excused_until_.end() && support::boot_clock::now() < found->second;
+}
+
 void guarantee_checker::note_arrival_at_gone_endpoint(const std::string& id,
                                                       support::duration gone_for) {
     const std::lock_guard lock(mutex_);
@@ -71,8 +81,7 @@
         now - found->second.sent > gone_for - gone_in_force) {
         return;
     }
-    const auto excused = excused_until_.find(found->second.address);
-    if (excused != excused_until_.end() && now < excused->second) {
+    if (excused_locked(found->second.address)) {
         return;
     }
     ++violations_;
--- a/unittests/soak/guarantee_checker.h
+++ b/unittests/soak/guarantee_checker.h
@@ -58,8 +58,10 @@
     /// Records that an endpoint got a call although the store had acknowledged `gone_for` ago that
     /// the endpoint is gone.
     void note_arrival_at_gone_endpoint(const std::string& id, support::duration gone_for);
-    /// Excuses the gateway at `address` from that check until `until`, since a fault affects it.
+    /// Excuses the gateway or the store at `address` from checks with time bounds until `until`,
+    /// since a fault affects it.
     void excuse(const std::string& address, support::time_point until);
+    [[nodiscard]] bool excused(const std::string& address) const;
 
     /// Counts and reports a violation found by another component.
     void report_violation(const std::string& text);
@@ -78,6 +80,7 @@
         support::time_point sent;
     };
 
+    [[nodiscard]] bool excused_locked(const std::string& address) const;
     void check_body(const std::string& id, const call& item, std::string_view signature,
                     std::string_view body, bool complete);
 
--- a/unittests/soak/main.cpp
+++ b/unittests/soak/main.cpp
@@ -28,7 +28,8 @@
 
 Usage:
   dragonflystair-soak [--seed N] [--seeds N] [--faults N] [--callers N]
-                      [--planned | --limits | --store-links | --repeated-answers]
+                      [--planned | --limits | --store-links | --repeated-answers |
+                       --restored-store]
                       [--keep] PROGRAM
 
 Options:
@@ -40,6 +41,7 @@
   --limits     Half of the faults are endpoints that name a rate limit.
   --store-links  Links to the store that fall silent just before an endpoint leaves.
   --repeated-answers  Endpoints that send answers twice, reject calls and restart.
+  --restored-store  A store that returns in the state of some seconds before.
   --keep       Keep the logs of a run that passed.
 )";
 
@@ -48,6 +50,12 @@
 constexpr std::size_t recovered_calls = 5;
 constexpr milliseconds recovery_time{60'000};
 
+/// Time after the last fault until the newest configuration must be in force.
+constexpr milliseconds settling_time{7'500};
+
+/// Number of different first eras of the store.
+constexpr std::uint64_t first_eras = 3;
+
 /// Starts and ends the faults of a plan at their scheduled times.
 void inject_faults(const std::vector<fault>& plan, soak_cluster& cluster) {
     std::multimap<milliseconds, std::function<void()>> steps;
@@ -110,6 +118,7 @@
                         : options["--limits"].asBool()           ? fault_choice::limits
                         : options["--store-links"].asBool()      ? fault_choice::store_links
                         : options["--repeated-answers"].asBool() ? fault_choice::repeated_answers
+                        : options["--restored-store"].asBool()   ? fault_choice::restored_store
                                                                  : fault_choice::any;
     guarantee_checker checked(!planned, [](std::string_view text) {
         std::printf("broken: %s\n", std::string(text).c_str());
@@ -118,11 +127,17 @@
     net::test_context context;
     {
         soak_cluster cluster(context.get(), options["PROGRAM"].asString(), folder, checked,
-                             choice == fault_choice::store_links);
+                             choice == fault_choice::store_links, seed % first_eras);
         soak_callers callers(context.get(), cluster, checked, seed);
         callers.start(number_of(options["--callers"]));
         wait_recovered(checked);
+        if (choice == fault_choice::restored_store) {
+            cluster.watch_configurations();
+        }
         inject_faults(plan_faults(seed, number_of(options["--faults"]), choice), cluster);
+        if (choice == fault_choice::restored_store) {
+            std::this_thread::sleep_for(settling_time);
+        }
         wait_recovered(checked);
         callers.stop();
         cluster.stop();
--- a/unittests/soak/soak_cluster.cpp
+++ b/unittests/soak/soak_cluster.cpp
@@ -2,14 +2,20 @@
 
 #include "dragonflystair/support/json.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
 namespace dragonflystair::soak {
 
 using scenarios::relay_mode;
+using std::chrono::milliseconds;
 using support::json;
 
 namespace {
@@ -22,9 +28,18 @@
             {"slo-ms", 1'000}, {"gap-aim-ms", 500},  {"attempts", 3}};
 }
 
-/// Time after a fault of its link to the store until a gateway knows all records again; specified
-/// by the platform.
-constexpr std::chrono::milliseconds stable_time{4'000};
+const std::string operator_topic = "keyed.op";
+const std::string endpoint_topic = "keyed.servers";
+
+/// Time after a fault until checks with time bounds hold again; specified by the platform.
+constexpr milliseconds stable_time{4'000};
+
+/// Age of the copy from which the store is restored, when its outage begins.
+constexpr milliseconds min_copy_age{2'000};
+constexpr std::size_t copy_age_spread_ms = 7'000;
+constexpr milliseconds copy_interval{200};
+/// Time in which lost records are written again; about two seconds at most by the platform.
+constexpr milliseconds write_again_time{1'500};
 
 /// Sets a link's mode and returns the function that restores normal forwarding.
 std::function<void()> inject_link_fault(scenarios::tcp_relay& link, relay_mode mode) {
@@ -32,6 +47,21 @@
     return [&link] { link.set_mode(relay_mode::pass); };
 }
 
+/// Returns the records of the operator and of endpoints that a state has and an earlier copy lacks.
+std::vector<written_record> records_since(const gateway::store_copy& copy,
+                                          const gateway::store_copy& state) {
+    std::vector<written_record> out;
+    for (const auto& topic : {operator_topic, endpoint_topic}) {
+        const auto copied = copy.topics.find(topic);
+        const auto known = copied == copy.topics.end() ? 0 : copied->second.size();
+        const auto all = state.topics.find(topic);
+        for (auto i = known; all != state.topics.end() && i < all->second.size(); ++i) {
+            out.push_back({topic, all->second[i].first, all->second[i].second});
+        }
+    }
+    return out;
+}
+
 std::function<void()> inject_failure(soak_endpoint& target, endpoint_failure failure) {
     target.set_failure(failure);
     return [&target] { target.set_failure(endpoint_failure::none); };
@@ -40,8 +70,11 @@
 } // namespace
 
 soak_cluster::soak_cluster(const net::executor& context, const std::string& program,
-                           std::string folder, guarantee_checker& checked, bool one_data_centre)
-    : folder_(std::move(folder)), checked_(checked), store_(context) {
+                           std::string folder, guarantee_checker& checked, bool one_data_centre,
+                           std::uint64_t store_era)
+    : context_(context), folder_(std::move(folder)), checked_(checked), store_(context),
+      watch_(context, checked, store_.address()) {
+    store_.set_era(store_era);
     publish_configuration();
     add_endpoint(context, "register", "register-1", "north");
     add_endpoint(context, "register", "register-2", "south");
@@ -69,7 +102,7 @@
     item.self =
         std::make_unique<soak_endpoint>(context, checked_, service, name, data_centre,
                                         [this](const std::string& id, const std::string& record) {
-                                            store_.put("keyed.servers", id, record);
+                                            write("keyed.servers", id, record);
                                         });
     item.link = std::make_unique<scenarios::tcp_relay>(item.self->address());
     item.self->register_at(item.link->address());
@@ -105,7 +138,92 @@
                     {"routes", routes},
                     {"services", json::array({{{"name", "register"}},
                                               {{"name", "assistant"}, {"engine", engine}}})}};
-    store_.put("keyed.op", "config", text.dump());
+    write(operator_topic, "config", text.dump());
+}
+
+void soak_cluster::write(const std::string& topic, const std::string& key,
+                         const std::string& value) {
+    const std::lock_guard lock(write_mutex_);
+    written_.insert(key);
+    write_locked(topic, key, value);
+}
+
+/// A record written while the store is down is written again, and only then acknowledged.
+void soak_cluster::write_locked(const std::string& topic, const std::string& key,
+                                const std::string& value) {
+    store_.put(topic, key, value);
+    if (topic == operator_topic) {
+        watch_.note_written(json::parse(value).at("version").get<std::uint64_t>(), !store_down_);
+    }
+}
+
+/// Writes the records that the operator and endpoints lost in a restoration, all or the newest of
+/// each key, except those whose keys have been written since.
+net::awaitable<void> soak_cluster::write_again(std::vector<written_record> lost, bool newest_only) {
+    if (newest_only) {
+        std::set<std::string> keys;
+        std::ranges::reverse(lost);
+        std::erase_if(lost, [&](const auto& item) { return !keys.insert(item.key).second; });
+        std::ranges::reverse(lost);
+    }
+    boost::asio::steady_timer pause(context_);
+    for (const auto& item : lost) {
+        pause.expires_after(write_again_time / static_cast<int>(lost.size()));
+        co_await pause.async_wait(boost::asio::use_awaitable);
+        const std::lock_guard lock(write_mutex_);
+        if (!written_.contains(item.key)) {
+            write_locked(item.topic, item.key, item.value);
+        }
+    }
+}
+
+std::function<void()> soak_cluster::begin_restoration(const fault& item) {
+    const auto age =
+        min_copy_age + milliseconds(static_cast<int>(item.target % copy_age_spread_ms));
+    const auto copied_at = support::boot_clock::now() - age;
+    const std::lock_guard lock(write_mutex_);
+    if (std::exchange(store_down_, true)) {
+        return [] {};
+    }
+    checked_.excuse(store_.address(), support::time_point::max());
+    store_.set_mode(item.target % 2 == 0 ? gateway::store_mode::refuse
+                                         : gateway::store_mode::lose_answers);
+    return [this, copied_at, newest_only = item.target % 3 != 0] {
+        const std::lock_guard end_lock(write_mutex_);
+        const auto later =
+            std::ranges::find_if(copies_, [&](const auto& copy) { return copy.taken > copied_at; });
+        auto copy = later == copies_.begin() ? copies_.front() : *std::prev(later);
+        copies_.erase(later, copies_.end());
+        auto lost = records_since(copy, store_.copy());
+        store_.restore(std::move(copy));
+        store_down_ = false;
+        written_.clear();
+        checked_.excuse(store_.address(), support::boot_clock::now() + stable_time);
+        boost::asio::co_spawn(
+            context_, [this, lost, newest_only] { return write_again(lost, newest_only); },
+            boost::asio::detached);
+    };
+}
+
+net::awaitable<void> soak_cluster::take_copies() {
+    boost::asio::steady_timer pause(context_);
+    while (copying_) {
+        pause.expires_after(copy_interval);
+        co_await pause.async_wait(boost::asio::use_awaitable);
+        const std::lock_guard lock(write_mutex_);
+        if (!store_down_) {
+            copies_.push_back(store_.copy());
+        }
+    }
+}
+
+void soak_cluster::watch_configurations() {
+    copies_.push_back(store_.copy());
+    boost::asio::co_spawn(
+        context_, [this] { return take_copies(); }, boost::asio::detached);
+    for (const auto& item : gateways_) {
+        watch_.observe(*item);
+    }
 }
 
 std::function<void()> soak_cluster::begin(const fault& item) {
@@ -118,6 +236,10 @@
     case fault_kind::change_configuration:
         publish_configuration();
         return [] {};
+    case fault_kind::restore_store:
+        return begin_restoration(item);
+    case fault_kind::hang_up_gateway:
+        return begin_on_gateway(item, *gateways_[item.target % gateways_.size()]);
     case fault_kind::cut_endpoint_link:
     case fault_kind::silence_endpoint_link:
     case fault_kind::reset_endpoint_link:
@@ -132,7 +254,7 @@
     case fault_kind::repeat_endpoint_answers:
         return begin_on_endpoint(item, endpoints_[item.target % endpoints_.size()]);
     default:
-        return begin_on_gateway(item, *gateways_[item.target % gateways_.size()]);
+        return begin_with_excuse(item, *gateways_[item.target % gateways_.size()]);
     }
 }
 
@@ -158,7 +280,7 @@
         target.self->name_limit(static_cast<double>(1 + item.target % 8));
         return [&target] { target.self->name_limit(std::nullopt); };
     case fault_kind::unlist_endpoint:
-        target.self->unlist();
+        target.self->unlist(!checked_.excused(store_.address()));
         return [&target] { target.self->restart(); };
     case fault_kind::replace_endpoint:
         target.self->announce_draining();
@@ -205,27 +327,27 @@
         }
         return [] {};
     case fault_kind::partition_store_link:
-        return begin_on_store_link(target, relay_mode::silence_all);
+        return inject_link_fault(target.store_link(), relay_mode::silence_all);
     case fault_kind::cut_store_link:
-        return begin_on_store_link(target, relay_mode::cut);
+        return inject_link_fault(target.store_link(), relay_mode::cut);
     case fault_kind::silence_store_link:
-        return begin_on_store_link(target, relay_mode::silence_open);
+        return inject_link_fault(target.store_link(), relay_mode::silence_open);
     case fault_kind::silence_store_answers:
-        return begin_on_store_link(target, relay_mode::silence_answers);
+        return inject_link_fault(target.store_link(), relay_mode::silence_answers);
     case fault_kind::reset_store_link:
-        return begin_on_store_link(target, relay_mode::reset_open);
+        return inject_link_fault(target.store_link(), relay_mode::reset_open);
     default:
-        return begin_on_store_link(target, relay_mode::delay);
+        return inject_link_fault(target.store_link(), relay_mode::delay);
     }
 }
 
-/// Only the gateway itself is excused; its neighbours reach the store.
-std::function<void()> soak_cluster::begin_on_store_link(soak_gateway& target, relay_mode mode) {
+/// Excuses the gateway while a fault affects it, but not its neighbours.
+std::function<void()> soak_cluster::begin_with_excuse(const fault& item, soak_gateway& target) {
     checked_.excuse(target.caller_address(), support::time_point::max());
-    ++store_link_faults_[&target];
-    return [this, &target, heal = inject_link_fault(target.store_link(), mode)] {
-        heal();
-        if (--store_link_faults_[&target] == 0) {
+    ++excusing_faults_[&target];
+    return [this, &target, end = begin_on_gateway(item, target)] {
+        end();
+        if (--excusing_faults_[&target] == 0) {
             checked_.excuse(target.caller_address(), support::boot_clock::now() + stable_time);
         }
     };
@@ -244,6 +366,8 @@
 }
 
 void soak_cluster::stop() {
+    copying_ = false;
+    watch_.stop();
     for (const auto& item : gateways_) {
         reap(*item);
     }
--- a/unittests/soak/soak_endpoint.cpp
+++ b/unittests/soak/soak_endpoint.cpp
@@ -130,7 +130,7 @@
     publish_record("draining");
 }
 
-void soak_endpoint::unlist() {
+void soak_endpoint::unlist(bool store_stable) {
     std::string id;
     {
         const std::lock_guard lock(mutex_);
@@ -138,7 +138,9 @@
     }
     publish_(id, "");
     const std::lock_guard lock(mutex_);
-    unlisted_at_ = support::boot_clock::now();
+    if (store_stable) {
+        unlisted_at_ = support::boot_clock::now();
+    }
 }
 
 void soak_endpoint::restart() {
--- a/unittests/soak/soak_endpoint.h
+++ b/unittests/soak/soak_endpoint.h
@@ -49,8 +49,9 @@
     /// Announces in the store and in all answers that the endpoint is draining; it continues to
     /// serve.
     void announce_draining();
-    /// Removes the endpoint's record; it continues to serve and says nothing.
-    void unlist();
+    /// Removes the endpoint's record; it continues to serve and says nothing. Calls that reach it
+    /// later are checked if the store is stable.
+    void unlist(bool store_stable);
     /// Restarts under a new id with only the base model loaded.
     void restart();
 
--- a/unittests/soak/soak_gateway.h
+++ b/unittests/soak/soak_gateway.h
@@ -63,7 +63,7 @@
     std::string metrics_address_;
     std::unique_ptr<scenarios::child_process> process_;
     bool stopping_ = false;
-    int starts_ = 0;
+    std::atomic<int> starts_ = 0;
 };
 
 } // namespace dragonflystair::soak
