--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -96,15 +96,7 @@
         }
         co_await call.changed.wait_until(std::min(call.answer_by, stalls_at));
     }
-    if (call.exchange->head) {
-        view_.suspects.on_response(call.decision->endpoint, call.endpoint_started, call.sent_at);
-        view_.crashes.on_response(call.decision->endpoint, call.endpoint_started,
-                                  boot_clock::now());
-    }
-    report_notice(call);
-    if (call.exchange->skipped_responses > 0) {
-        view_.counters.increment("endpoint_responses_skipped_total");
-    }
+    report_response(call);
     const auto end = classify(call);
     if (end != attempt_end::answered) {
         co_return end;
@@ -112,13 +104,21 @@
     co_return co_await relay_answer(exchange, call, events);
 }
 
-/// Reports the notice about its endpoint that a response head carries.
-void call_relay::report_notice(const open_call& call) {
-    if (const auto& head = call.exchange->head) {
-        on_.on_notice(call.decision->endpoint, call.endpoint_started,
-                      platform::notice_of(head->status, head->headers, head->repeated_headers),
-                      call.sent_at);
+/// Reports that the endpoint has responded, and the notice about itself that its response carries.
+void call_relay::report_response(const open_call& call) {
+    if (call.exchange->skipped_responses > 0) {
+        view_.counters.increment("endpoint_responses_skipped_total");
+    }
+    const auto& head = call.exchange->head;
+    if (!head) {
+        return;
     }
+    const auto& endpoint = call.decision->endpoint;
+    view_.suspects.on_response(endpoint, call.endpoint_started, call.sent_at);
+    view_.crashes.on_response(endpoint, call.endpoint_started, boot_clock::now());
+    on_.on_notice(endpoint, call.endpoint_started,
+                  platform::notice_of(head->status, head->headers, head->repeated_headers),
+                  call.sent_at);
 }
 
 /// Classifies an attempt by its response head or the lack of one. Returns `answered` if the
