--- a/unittests/net/exchange_client_test.cpp
+++ b/unittests/net/exchange_client_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(truncated_late_duplicate_is_broken);
     CPPUNIT_TEST(copy_of_refusal_is_not_taken_for_response_to_resent_request);
     CPPUNIT_TEST(request_without_id_gets_connection_of_its_own);
+    CPPUNIT_TEST(connection_is_replaced_after_its_last_request);
     CPPUNIT_TEST(head_request_gets_connection_of_its_own);
     CPPUNIT_TEST(endless_response_is_broken_within_limits);
     CPPUNIT_TEST(endless_responses_together_exhaust_memory);
@@ -279,6 +280,31 @@
         CPPUNIT_ASSERT_EQUAL(2, server.accepted());
     }
 
+    /// Guards against ids that are kept without a limit.
+    void connection_is_replaced_after_its_last_request() {
+        exchange_limits limits;
+        limits.max_requests_per_connection = 3;
+        exchange_client client(context_.get_executor(), "Request-Id", limits);
+        const concurrent_server server([](raw_connection& connection) {
+            for (auto id = id_of(connection.read_until("\r\n\r\n")); !id.empty();
+                 id = id_of(connection.read_until("\r\n\r\n"))) {
+                connection.write(make_response(id, "ok"));
+            }
+        });
+        for (std::size_t count = 0; count < 2 * limits.max_requests_per_connection; ++count) {
+            const auto id = std::to_string(count);
+            const auto item = client.send(server.address(), request_of(id), id, {});
+            context_.restart();
+            while (!item->end) {
+                context_.run_one();
+            }
+            CPPUNIT_ASSERT(item->end == exchange_end::complete);
+            CPPUNIT_ASSERT_EQUAL(count % limits.max_requests_per_connection != 0,
+                                 item->reused_connection);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, client.opened());
+    }
+
     /// The peer sends bytes until the connection is closed: in a head, before the response, in
     /// bodies of every framing, in the head of a chunk and in a trailer.
     void endless_response_is_broken_within_limits() {
