Call plain services of `node` on connections of their own

What a caller saw: another call's answer to a lookup, and, after the answer to a stamp was lost, the recorded outcome of another key.

Cause: idempotent calls and status lookups reused connections, and plain services echo no request id. A late copy of an answer was taken for the next one; the outcome that a lookup finds is recorded for good.

Fix: every call to a plain service opens a connection, as calls that are not idempotent did before. The price is a connection for each idempotent call; it was not measured.

Evidence: the new scenario repeated_answers, with a plain service that sends a copy of each answer before the next one, failed on the code before with "path in the answer to /lookups/1: expected /lookups/1, got /stamps", and, with its second part first, "key in the answer to lost-1: expected lost-1, got warm-up". It passes now, and so does stamps_under_failure.

--- a/lib/node/plain_calls.cpp
+++ b/lib/node/plain_calls.cpp
@@ -20,6 +20,9 @@
 constexpr double retry_burst = 20;
 constexpr std::chrono::milliseconds lookup_timeout{2'000};
 constexpr std::string_view services_prefix = "/services/";
+/// Plain services echo no request id, so on a connection that is used again a late copy of an
+/// answer could not be told from the next answer.
+constexpr bool reuses_connections = false;
 
 /// Returns the request to send to the endpoint, without connection-specific headers.
 net::http_request make_forwarded_request(const net::http_request& request,
@@ -186,8 +189,8 @@
         const auto& id = row->status.vm.id;
         services_.directory.on_attempt_begin(id);
         const auto sent_at = node_context::now();
-        auto answer =
-            co_await services_.http.request(row->status.vm.address, call.request, time_left(call));
+        auto answer = co_await services_.http.request(row->status.vm.address, call.request,
+                                                      time_left(call), reuses_connections);
         services_.directory.on_attempt_end(id);
         if (answer.has_value()) {
             const auto answered_at = node_context::now();
@@ -290,7 +293,7 @@
         const auto& id = row->status.vm.id;
         services_.directory.on_attempt_begin(id);
         auto answer = co_await services_.http.request(row->status.vm.address, call.request,
-                                                      time_left(call), false);
+                                                      time_left(call), reuses_connections);
         services_.directory.on_attempt_end(id);
         if (answer.has_value() && !refused_before_running(answer.value())) {
             const auto& response = answer.value();
@@ -340,8 +343,8 @@
             break;
         }
         excluded.insert(row->status.vm.id);
-        auto answer =
-            co_await services_.http.request(row->status.vm.address, request, lookup_timeout);
+        auto answer = co_await services_.http.request(row->status.vm.address, request,
+                                                      lookup_timeout, reuses_connections);
         if (answer.has_value() && answer.value().status == 200) {
             services_.context.counters.increment("status_lookups_total", "found");
             co_return std::move(answer.value());
--- a/unittests/stand_ins/exchange.cpp
+++ b/unittests/stand_ins/exchange.cpp
@@ -98,8 +98,14 @@
     response.keep_alive(request_.keep_alive());
     response.body() = body.dump();
     response.prepare_payload();
+    if (std::exchange(repeats_, false) && has_previous_) {
+        const auto [fault, size] = co_await http::async_write(stream_, previous_, returned);
+        closed_ = closed_ || fault;
+    }
     const auto [fault, size] = co_await http::async_write(stream_, response, returned);
     closed_ = closed_ || fault;
+    previous_ = std::move(response);
+    has_previous_ = true;
 }
 
 awaitable<void> exchange::begin_stream() {
--- a/unittests/stand_ins/exchange.h
+++ b/unittests/stand_ins/exchange.h
@@ -49,6 +49,8 @@
         headers_[name] = std::move(value);
     }
     awaitable<void> respond(http::status status, json body);
+    /// Sends a copy of the previous response on the connection, if any, before the next one.
+    void repeat_previous() { repeats_ = true; }
     /// Starts a chunked response of server-sent events.
     awaitable<void> begin_stream();
     awaitable<void> write(std::string bytes);
@@ -70,6 +72,9 @@
     beast::flat_buffer buffer_;
     http::request<http::string_body> request_;
     std::map<std::string, std::string> headers_;
+    http::response<http::string_body> previous_;
+    bool has_previous_ = false;
+    bool repeats_ = false; ///< Sends `previous_` before the next response.
     bool closed_ = false;
     bool silent_ = false;
 };
--- a/unittests/stand_ins/plain_part.cpp
+++ b/unittests/stand_ins/plain_part.cpp
@@ -26,10 +26,14 @@
         on_control("refuse", refuse_);
         on_control("silent_after_run", silent_after_run_);
         on_control("drop_after_run", drop_after_run_);
+        on_control("repeat_answers", repeat_answers_);
     }
 
 private:
     awaitable<json> handle(exchange& call) override {
+        if (repeat_answers_) {
+            call.repeat_previous();
+        }
         if (call.is(http::verb::get, "/executions")) {
             co_return json(executions_);
         }
@@ -75,6 +79,7 @@
     std::uint64_t refuse_ = 0;
     std::uint64_t silent_after_run_ = 0;
     std::uint64_t drop_after_run_ = 0;
+    bool repeat_answers_ = false; ///< Sends a second copy of each answer before the next one.
     std::uint64_t serial_ = 0;
     std::map<std::string, std::uint64_t> executions_;
     std::map<std::string, json> results_;
