--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -71,17 +71,10 @@
     void on_status(std::string_view peer, const node_status& status);
     void on_loads(std::string_view peer, const support::json& frame);
     void on_demand(const demand_notice& notice);
-    void on_records_request(std::string_view peer, const support::json& frame);
     void on_peer_down(std::string_view peer);
     void dial_peers();
     /// Sends this node's status to the peers of its data centre or, if `to_all`, to all peers.
     void send_status(bool to_all);
-    void send_residency(std::span<const fleet::residency_change> changes);
-    void forward_residency(std::string_view peer, std::span<const fleet::residency_change> changes);
-    void send_residency_to_leads(std::span<const fleet::residency_change> changes);
-    void send_all_residency(std::string_view peer);
-    void flush_residency();
-    void forward_records(const std::string& topic, const fleet::keyed_page& page);
     /// Sends a frame to the peers of this node's data centre.
     void send_to_own_data_centre(const support::json& frame);
     void update_readers(std::string_view peer, const node_status& status);
@@ -97,12 +90,23 @@
     void send_to_leads(const support::json& frame);
     void send_demand(bool include_used);
     void send_demand_notice(const demand_notice& notice);
+    [[nodiscard]] node_status own_status();
+
+    // Residency of adapters (gateway_residency.cpp).
+    void send_residency(std::span<const fleet::residency_change> changes);
+    void forward_residency(std::string_view peer, std::span<const fleet::residency_change> changes);
+    void send_residency_to_leads(std::span<const fleet::residency_change> changes);
+    void send_all_residency(std::string_view peer);
+    void flush_residency();
     void apply_residency(std::span<const fleet::residency_change> changes);
+
+    // Records of peers (gateway_record_frames.cpp).
     void request_records(std::string_view peer, const node_status& status);
     void request_records(std::string_view peer, const store_follower& follower);
     void request_all_records(std::string_view peer, const store_follower& follower);
     void on_records(std::string_view peer, const support::json& frame);
-    [[nodiscard]] node_status own_status();
+    void on_records_request(std::string_view peer, const support::json& frame);
+    void forward_records(const std::string& topic, const fleet::keyed_page& page);
 
     // Notices of endpoints in their responses (gateway_notices.cpp).
     void on_notice(std::string_view endpoint, std::uint64_t started_ms,
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -19,9 +19,6 @@
 /// chosen by rank, and two of the first nodes may have failed at the same time.
 constexpr std::size_t max_lead_candidates = 3;
 
-/// Minimum interval between requests to peers for missing records of the same topic.
-constexpr milliseconds records_request_interval{400};
-
 } // namespace
 
 /// Selects the peers to connect to. Every node connects to all nodes of its data centre. Lease
@@ -185,82 +182,6 @@
     request_records(peer, status);
 }
 
-/// Requests the records that this node lacks from a peer that has them. Needed while the store does
-/// not answer this node but answers the peer.
-void gateway::impl::request_records(std::string_view peer, const node_status& status) {
-    for (const auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
-        const auto end = status.topic_ends.find(follower->topic());
-        if (end != status.topic_ends.end() && end->second > follower->mirror().position()) {
-            request_records(peer, *follower);
-        }
-    }
-    const auto known = view_.configuration ? view_.configuration->version : 0;
-    const auto end = status.topic_ends.find(operator_records_.topic());
-    if (status.configuration > known && end != status.topic_ends.end() &&
-        end->second == operator_records_.mirror().position()) {
-        request_all_records(peer, operator_records_);
-    }
-}
-
-/// Requests all records of a peer that has a newer value in a copy that ends at the same position,
-/// as when the store was restored without that value and only this node has started since.
-void gateway::impl::request_all_records(std::string_view peer, const store_follower& follower) {
-    const auto now = boot_clock::now();
-    auto& last_request = records_requested_[follower.topic()];
-    if (now - last_request < records_request_interval) {
-        return;
-    }
-    last_request = now;
-    network_.send(peer, records_request(follower.topic(), {}));
-}
-
-void gateway::impl::request_records(std::string_view peer, const store_follower& follower) {
-    const auto now = boot_clock::now();
-    auto& last_request = records_requested_[follower.topic()];
-    if (follower.reads() || now - last_request < records_request_interval) {
-        return;
-    }
-    last_request = now;
-    network_.send(peer, records_request(follower.topic(), follower.mirror().position()));
-}
-
-/// Applies records from a peer and requests those between them and the local copy.
-void gateway::impl::on_records(std::string_view peer, const support::json& frame) {
-    const auto topic = frame.value("k", std::string());
-    const auto page = decode_records(frame);
-    if (!fleet::is_plausible_era(page.era, store_.era())) {
-        counters_.increment("peer_frames_damaged_total", "era");
-        return;
-    }
-    if (was_just_read(frame)) {
-        readers_.on_forwarded(peer, boot_clock::now());
-    }
-    for (auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
-        if (follower->topic() != topic) {
-            continue;
-        }
-        if (page.era > 0) {
-            store_.note_era(page.era);
-        }
-        follower->apply(page);
-        if (follower->mirror().position() < fleet::log_position{page.era, page.next}) {
-            counters_.increment("record_gaps_total", topic);
-            request_records(peer, *follower);
-        }
-    }
-}
-
-void gateway::impl::on_records_request(std::string_view peer, const support::json& frame) {
-    const auto topic = frame.value("k", std::string());
-    const auto end = decode_records_request(frame);
-    for (auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
-        if (follower->topic() == topic && follower->mirror().complete() &&
-            end.era <= follower->mirror().era()) {
-            network_.send(peer, records_frame(topic, follower->mirror().since(end)));
-        }
-    }
-}
-
 void gateway::impl::on_peer_down(std::string_view peer) {
     const auto found = peers_.find(peer);
     if (found == peers_.end()) {
@@ -327,22 +248,6 @@
     holder->second->pump();
 }
 
-/// Applies the residency changes that lease holders report. The planner of a lease that this node
-/// does not hold records which engine had which adapter, in case the node acquires the lease.
-void gateway::impl::apply_residency(std::span<const fleet::residency_change> changes) {
-    for (const auto& change : changes) {
-        view_.dispatcher.set_residency(change.endpoint, change.model, change.state, change.version);
-        if (change.state != fleet::residency::ready) {
-            continue;
-        }
-        const auto* engine = view_.dispatcher.find(change.endpoint);
-        const auto holder = engine == nullptr ? holders_.end() : holders_.find(engine->data_centre);
-        if (holder != holders_.end() && !holder->second->lease().holds()) {
-            holder->second->planner().on_adapter_resident(change.endpoint, change.model);
-        }
-    }
-}
-
 node_status gateway::impl::own_status() {
     node_status status;
     status.name = view_.settings.name;
@@ -396,72 +301,6 @@
                        boot_clock::now() - status.store_silence);
 }
 
-/// Forwards records that this node has just read.
-void gateway::impl::forward_records(const std::string& topic, const fleet::keyed_page& page) {
-    auto frame = records_frame(topic, page);
-    mark_as_read(frame);
-    send_to_own_data_centre(frame);
-}
-
-/// Sends residency changes to other leads immediately. Where leads place calls, the nodes of this
-/// data centre get them in batches, since they need them only if their lead fails.
-void gateway::impl::send_residency(std::span<const fleet::residency_change> changes) {
-    send_residency_to_leads(changes);
-    pending_residency_.add(changes);
-    if (!leads_place_calls()) {
-        flush_residency();
-    }
-}
-
-/// Sends a peer the complete residency of the engines under this node's leases. A new lead
-/// otherwise has only the changes that its predecessor forwarded.
-void gateway::impl::send_all_residency(std::string_view peer) {
-    for (const auto& [name, holder] : holders_) {
-        if (holder->lease().holds()) {
-            network_.send(peer, residency_frame(holder->planner().residencies()));
-        }
-    }
-}
-
-/// Forwards residency changes from the lead of another data centre to this data centre.
-void gateway::impl::forward_residency(std::string_view peer,
-                                      std::span<const fleet::residency_change> changes) {
-    const auto sender = peers_.find(peer);
-    if (sender == peers_.end() || in_own_data_centre(sender->second) || !holds_lease()) {
-        return;
-    }
-    pending_residency_.add(changes);
-    if (!leads_place_calls()) {
-        flush_residency();
-    }
-}
-
-/// Sends residency changes to the lease holders in other data centres, which forward them. Where a
-/// data centre has no lease holder, all its nodes get the changes.
-void gateway::impl::send_residency_to_leads(std::span<const fleet::residency_change> changes) {
-    std::set<std::string_view> led;
-    for (const auto& [incarnation, peer] : peers_) {
-        if (!peer.status.leases.empty()) {
-            led.insert(peer.status.data_centre);
-        }
-    }
-    std::vector<std::string> receivers;
-    for (const auto& [incarnation, peer] : peers_) {
-        if (!in_own_data_centre(peer) &&
-            (!peer.status.leases.empty() || !led.contains(peer.status.data_centre))) {
-            receivers.push_back(incarnation);
-        }
-    }
-    network_.send_each(receivers, residency_frame(changes));
-}
-
-void gateway::impl::flush_residency() {
-    const auto changes = pending_residency_.take();
-    if (!changes.empty()) {
-        send_to_own_data_centre(residency_frame(changes));
-    }
-}
-
 /// Sends the number of calls in flight by endpoint to peers of this data centre if it has changed.
 void gateway::impl::send_loads() {
     fleet::load_reports::audience audience;
--- a/unittests/gateway/gateway_fixture.h
+++ b/unittests/gateway/gateway_fixture.h
@@ -2,8 +2,9 @@
 
 #include "dragonflystair/gateway/gateway.h"
 
+#include "endpoint_stand_in.h"
 #include "net/test_context.h"
-#include "platform_stand_in.h"
+#include "store_stand_in.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
--- a/unittests/gateway_crashes/crashing_engine.h
+++ b/unittests/gateway_crashes/crashing_engine.h
@@ -2,7 +2,8 @@
 
 #include "dragonflystair/support/json.h"
 
-#include "gateway/platform_stand_in.h"
+#include "gateway/endpoint_stand_in.h"
+#include "gateway/store_stand_in.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/unittests/soak/soak_cluster.h
+++ b/unittests/soak/soak_cluster.h
@@ -2,7 +2,7 @@
 
 #include "configuration_watch.h"
 #include "fault_plan.h"
-#include "gateway/platform_stand_in.h"
+#include "gateway/store_stand_in.h"
 #include "guarantee_checker.h"
 #include "soak_endpoint.h"
 #include "soak_gateway.h"
