Pass lost versions of adapters to nodes that start after a restoration

What would be seen: calls that run on an older version of an adapter (VERSION), placed by a node that started after the store had been restored without the newer version and before the operator wrote it again.

Cause: peers told each other only the version of their configuration, so a node with the same configuration asked for nothing.

Fix: nodes tell the sum of the versions that the operator's values have in their copies. Versions only grow, so of two copies that end at the same position the one with the greater sum has a newer value, and the other node asks for all records. A configuration that a node cannot decode no longer makes it ask again and again, since its copy has the value.

--- a/include/dragonflystair/fleet/record_mirror.h
+++ b/include/dragonflystair/fleet/record_mirror.h
@@ -49,6 +49,9 @@
     /// Returns whether the copy has had a full list of the current era.
     [[nodiscard]] bool complete() const { return complete_; }
     [[nodiscard]] bool empty() const { return next_ == 0 && newest_.empty(); }
+    /// Returns the sum of the versions that the values have. Versions only grow, so of two copies
+    /// that end at the same position the one with the greater sum has a newer value.
+    [[nodiscard]] std::uint64_t version_sum() const;
     /// Returns the value of a key, or nullopt if it has none.
     [[nodiscard]] std::optional<std::string> value_of(std::string_view key) const;
 
@@ -56,10 +59,12 @@
     void begin_era(std::uint64_t era);
     bool apply_record(const keyed_record& record);
     void infer_deletions(const keyed_page& list, std::vector<keyed_record>& changed);
+    void store(const keyed_record& record);
     [[nodiscard]] std::optional<std::uint64_t> version_of(const keyed_record& record) const;
 
     version_reader version_of_;
     std::map<std::string, keyed_record, std::less<>> newest_;
+    std::map<std::string, std::uint64_t, std::less<>> versions_; ///< Of the values, by key.
     std::uint64_t era_ = 0;
     std::uint64_t next_ = 0;
     bool complete_ = true;
--- a/lib/fleet/record_mirror.cpp
+++ b/lib/fleet/record_mirror.cpp
@@ -1,6 +1,7 @@
 #include "dragonflystair/fleet/record_mirror.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -54,12 +55,24 @@
     return version_of_ && record.value ? version_of_(record) : std::nullopt;
 }
 
+void record_mirror::store(const keyed_record& record) {
+    newest_.insert_or_assign(record.key, record);
+    if (const auto version = version_of(record)) {
+        versions_.insert_or_assign(record.key, *version);
+    }
+}
+
+std::uint64_t record_mirror::version_sum() const {
+    return std::accumulate(versions_.begin(), versions_.end(), std::uint64_t{0},
+                           [](auto sum, const auto& entry) { return sum + entry.second; });
+}
+
 /// Returns whether the record has changed the value of its key. Where one of the values was not
 /// read at its offset, the versions of the values decide, if they have any.
 bool record_mirror::apply_record(const keyed_record& record) {
     const auto found = newest_.find(record.key);
     if (found == newest_.end()) {
-        newest_.emplace(record.key, record);
+        store(record);
         return true;
     }
     auto& known = found->second;
@@ -70,7 +83,7 @@
             const auto offset = std::max(record.offset, known.offset);
             const bool newer = version.value_or(0) > *known_version;
             if (newer) {
-                known = record;
+                store(record);
             }
             known.offset = offset;
             return newer;
@@ -79,7 +92,7 @@
     if (!is_newer(record, known)) {
         return false;
     }
-    known = record;
+    store(record);
     return true;
 }
 
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -267,7 +267,7 @@
     for (const auto* follower : {&operator_records_, &endpoint_records_, &node_records_}) {
         status.topic_ends.emplace(follower->topic(), follower->mirror().position());
     }
-    status.configuration = view_.configuration ? view_.configuration->version : 0;
+    status.version_sum = operator_records_.mirror().version_sum();
     return status;
 }
 
--- a/lib/gateway/gateway_record_frames.cpp
+++ b/lib/gateway/gateway_record_frames.cpp
@@ -21,10 +21,10 @@
             request_records(peer, *follower);
         }
     }
-    const auto known = view_.configuration ? view_.configuration->version : 0;
+    const auto& mirror = operator_records_.mirror();
     const auto end = status.topic_ends.find(operator_records_.topic());
-    if (status.configuration > known && end != status.topic_ends.end() &&
-        end->second == operator_records_.mirror().position()) {
+    if (status.version_sum > mirror.version_sum() && end != status.topic_ends.end() &&
+        end->second == mirror.position()) {
         request_all_records(peer, operator_records_);
     }
 }
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -98,7 +98,7 @@
             {"k", std::move(observed)},
             {"p", status.lead},
             {"e", std::move(ends)},
-            {"v", status.configuration}};
+            {"v", status.version_sum}};
 }
 
 std::optional<node_status> decode_status(const json& frame) {
@@ -124,7 +124,7 @@
             text_at(row, 0),
             fleet::log_position{checked_era(number_at(row, 2)), number_at(row, 1)});
     }
-    status.configuration = unsigned_in(frame, "v");
+    status.version_sum = unsigned_in(frame, "v");
     return status;
 }
 
--- a/lib/gateway/peer_frames.h
+++ b/lib/gateway/peer_frames.h
@@ -43,7 +43,8 @@
     std::string lead;
     /// Ends of the node's copies of topics.
     std::map<std::string, fleet::log_position> topic_ends;
-    std::uint64_t configuration = 0; ///< Version of its configuration; 0 if it has none.
+    /// Sum of the versions that the operator's values have in its copy.
+    std::uint64_t version_sum = 0;
 };
 
 /// Frames between nodes. `type` identifies the kind; all members have short names since traffic
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -155,7 +155,11 @@
         old.resynchronise({{record("config", 5, "7")}, 6, 0, 1});
         record_mirror started(version_in_value);
         started.resynchronise({{record("config", 5, "7")}, 6, 0, 1});
+        CPPUNIT_ASSERT(old.position() == started.position());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, old.version_sum());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, started.version_sum());
         started.apply(old.since(0));
+        CPPUNIT_ASSERT_EQUAL(old.version_sum(), started.version_sum());
         CPPUNIT_ASSERT_EQUAL(std::string("9"), *started.value_of("config"));
         CPPUNIT_ASSERT_EQUAL(std::string("3"), *started.value_of("version"));
     }
--- a/unittests/gateway_restored/restored_store_peers_test.cpp
+++ b/unittests/gateway_restored/restored_store_peers_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(gateway_that_registered_in_the_lost_seconds_is_written_again);
     CPPUNIT_TEST(gateway_started_after_restoration_finds_one_that_registered_in_the_lost_seconds);
     CPPUNIT_TEST(gateway_started_after_restoration_gets_lost_configuration_from_peer);
+    CPPUNIT_TEST(gateway_started_after_restoration_gets_lost_adapter_version_from_peer);
     CPPUNIT_TEST(gateway_started_after_restoration_serves_route_added_later);
     CPPUNIT_TEST_SUITE_END();
 
@@ -100,6 +101,19 @@
         expect_served("/added/1");
     }
 
+    /// Guards against calls that run on an older version of an adapter (VERSION).
+    void gateway_started_after_restoration_gets_lost_adapter_version_from_peer() {
+        start_first();
+        auto copy = store->copy();
+        store->put("keyed.op", "version/base.known",
+                   support::json{{"model", "base"}, {"adapter", "known"}, {"version", 4}}.dump());
+        output->expect({"event=adapter_version ", "adapter=base/known ", "version=4 "});
+        restore_after_outage(std::move(copy));
+        expect_list_is_read("keyed.op");
+        second_node second(reachable_settings_of("node-2"), running);
+        output->expect({"event=adapter_version ", "adapter=base/known ", "version=4 "}, 2);
+    }
+
     void gateway_started_after_restoration_serves_route_added_later() {
         start_first();
         lose_configurations(1);
