Test keys of tenants, and confirm the configuration more often

Change: reads wait for at most an eighth of the timeout. Names of tenants that cannot be a header are skipped.

--- a/include/dragonflystair/fleet/configuration_freshness.h
+++ b/include/dragonflystair/fleet/configuration_freshness.h
@@ -27,6 +27,18 @@
     /// operator writes lost versions again, and until then the copy looks current.
     static constexpr std::chrono::milliseconds restoration_doubt{2'000};
 
+    /// Interval at which a node asks the peer that reads the store for it.
+    static constexpr std::chrono::milliseconds peer_request_period{500};
+
+    /// Returns the longest time for which a read of the store may wait for records. A cut of the
+    /// store loses the read under way too, so two of these waits, and an interval of requests to
+    /// peers, come on top of the time for which a node without the store has to go on.
+    static constexpr std::chrono::milliseconds
+    max_read_wait(std::chrono::milliseconds revocation_timeout) {
+        constexpr int reads_per_timeout = 8;
+        return revocation_timeout / reads_per_timeout;
+    }
+
     /// Without a timeout every configuration can be relied on.
     explicit configuration_freshness(std::optional<std::chrono::milliseconds> timeout)
         : timeout_(timeout) {}
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -30,9 +30,10 @@
 constexpr std::uint64_t ticks_per_residency{4};      ///< 200 ms, for nodes whose lead places calls.
 constexpr std::uint64_t ticks_per_status{10};        ///< 500 ms.
 constexpr std::uint64_t ticks_per_remote_status{20}; ///< 1 s: traffic between regions is billed.
-constexpr std::uint64_t ticks_per_freshness{10};     ///< 500 ms.
-constexpr std::uint64_t ticks_per_limited_use{20};   ///< 1 s, for the log.
-constexpr std::uint64_t ticks_per_reload{100};       ///< 5 s.
+constexpr std::uint64_t ticks_per_freshness{fleet::configuration_freshness::peer_request_period /
+                                            tick_period};
+constexpr std::uint64_t ticks_per_limited_use{20};     ///< 1 s, for the log.
+constexpr std::uint64_t ticks_per_reload{100};         ///< 5 s.
 constexpr std::uint64_t ticks_per_full_residency{200}; ///< 10 s: repairs state after lost frames.
 
 /// Times of reads of the topics that change rarely. A silent connection is detected after the wait
@@ -47,14 +48,14 @@
 /// A report lists the models and adapters of one engine. Many engines may answer at the same time.
 constexpr std::size_t max_engine_body_bytes = std::size_t{1024} * 1024;
 
-/// A read confirms the configuration as of the time at which it was sent, so it must not wait for
-/// most of the time within which a revocation has to be in force.
+/// A read confirms the configuration as of the time at which it was sent, so it must not wait long
+/// where revocations have to be in force in time.
 store_follower::pacing operator_topic_pacing(const config::gateway_settings& settings) {
-    constexpr int reads_per_revocation_timeout = 5;
     auto pacing = quiet_topic;
     if (settings.revocation_timeout) {
         pacing.wait =
-            std::min(pacing.wait, *settings.revocation_timeout / reads_per_revocation_timeout);
+            std::min(pacing.wait,
+                     fleet::configuration_freshness::max_read_wait(*settings.revocation_timeout));
     }
     return pacing;
 }
--- a/unittests/platform/decode_test.cpp
+++ b/unittests/platform/decode_test.cpp
@@ -20,6 +20,8 @@
 class decode_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(decode_test);
     CPPUNIT_TEST(configuration_has_routes_services_and_limits);
+    CPPUNIT_TEST(configuration_has_tenants_with_quotas);
+    CPPUNIT_TEST(tenant_whose_name_cannot_be_a_header_is_skipped);
     CPPUNIT_TEST(route_of_unknown_kind_is_skipped);
     CPPUNIT_TEST(malformed_configuration_is_rejected);
     CPPUNIT_TEST(endpoint_has_adapters_with_versions);
@@ -53,6 +55,30 @@
         CPPUNIT_ASSERT(current->limits.idle_timeout == std::chrono::milliseconds{9'000});
     }
 
+    void configuration_has_tenants_with_quotas() {
+        const auto current = decode_configuration(R"({"version":7,"routes":[
+            {"name":"r","path-prefix":"/p/","kind":"safe","service":"s","anon":true}],
+            "tenants":[{"name":"a","api-keys":["k1","k2",3,""],"priority":1,"unit":"tokens",
+            "plain-tokens":200,"rate-per-s":394957,"burst":1000}]})");
+        const auto* tenant = current->find_tenant("a");
+        CPPUNIT_ASSERT(current->has_tenants && tenant != nullptr);
+        CPPUNIT_ASSERT(current->routes.at(0).anonymous);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, tenant->keys.size());
+        CPPUNIT_ASSERT_EQUAL(1, tenant->priority.value());
+        CPPUNIT_ASSERT(tenant->unit == fleet::quota_unit::tokens);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{200}, tenant->plain_call_tokens);
+        CPPUNIT_ASSERT_EQUAL(394'957.0, tenant->rate_per_s);
+        CPPUNIT_ASSERT(!decode_configuration(R"({"version":1})")->has_tenants);
+        CPPUNIT_ASSERT(decode_configuration(R"({"version":1,"tenants":[]})")->has_tenants);
+    }
+
+    /// Guards against a name that adds lines to the head of forwarded calls.
+    void tenant_whose_name_cannot_be_a_header_is_skipped() {
+        const auto current = decode_configuration(R"({"version":1,"tenants":[
+            {"name":"a\r\nHold: h","api-keys":["k"]},{"name":"","api-keys":["l"]},7]})");
+        CPPUNIT_ASSERT(current->has_tenants && current->tenants.empty());
+    }
+
     void route_of_unknown_kind_is_skipped() {
         const auto current = decode_configuration(
             R"({"version":1,"routes":[{"name":"r","path-prefix":"/p/","kind":"new","service":"s"}]})");
