Share services fairly between tenants under overload

The waiting calls of a dispatcher started in the order of their deadlines, so a tenant that sent or repeated more calls got more of the service, at the expense of the others. The new component fair_queue orders calls of tenants by start-time fair queueing in tokens, weighted by the tenants' rates. The refusal estimate and Retry-After use the calls ahead in this order and the tenant's share. Calls without a tenant keep their order.

--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -24,10 +24,6 @@
 /// its adapter.
 constexpr double divert_after_share = 0.15;
 
-/// Added to the sort key of a call per priority step, so that less urgent calls queue as if they
-/// had arrived this much later. A fifth of a usual objective delays them without starving them.
-constexpr milliseconds priority_step{150};
-
 } // namespace
 
 std::string_view to_string(refusal reason) {
@@ -69,6 +65,7 @@
 
 void dispatcher::configure(const configuration& current) {
     impl_->changed = true;
+    impl_->queue.configure(current.tenants);
     for (const auto& [name, definition] : current.services) {
         auto& state = impl_->services[name];
         state.has_engines = definition.has_engines;
@@ -230,8 +227,8 @@
         open.diverts_at = std::min(open.call.arrived + std::chrono::duration_cast<duration>(wait),
                                    open.call.queue_deadline);
     }
+    impl_->queue.add(open.call);
     impl_->calls.insert_or_assign(number, std::move(open));
-    impl_->queue.push_back(number);
     impl_->has_new_calls = true;
 }
 
@@ -267,7 +264,7 @@
     open.awaits_load = false;
     open.state = call_state::waiting;
     open.is_new = true;
-    impl_->queue.push_back(number);
+    impl_->queue.add(open.call);
     impl_->has_new_calls = true;
 }
 
@@ -318,36 +315,43 @@
     impl_->changed = false;
     impl_->has_new_calls = false;
     impl_->waiting_for_slot = 0;
-    std::ranges::stable_sort(impl_->queue, {}, [this](std::uint64_t number) {
-        const auto& call = impl_->calls.at(number).call;
-        return call.objective_deadline + priority_step * call.priority;
-    });
-    std::vector<std::uint64_t> still_waiting;
     std::map<std::string_view, std::size_t> ahead;
-    for (const auto number : impl_->queue) {
-        auto& open = impl_->calls.at(number);
+    for (const auto& waiting : impl_->queue.order(now)) {
+        auto& open = impl_->calls.at(waiting.number());
         const bool is_new = std::exchange(open.is_new, false);
         if (all || is_new) {
-            if (auto decision = impl_->decide(open, ahead[open.call.service], now)) {
+            const queue_position position{ahead[open.call.service],
+                                          to_ms(waiting.expected_wait()) / 1'000};
+            if (auto decision = impl_->decide(open, position, now)) {
                 decisions.push_back(std::move(*decision));
                 continue;
             }
             impl_->new_demand = impl_->new_demand || (is_new && open.adapter_missing);
         }
-        still_waiting.push_back(number);
         if (!open.adapter_missing) {
             ++ahead[open.call.service];
             ++impl_->waiting_for_slot;
         }
     }
-    impl_->queue = std::move(still_waiting);
+    for (const auto& [service, calls] : ahead) {
+        if (calls > 0) {
+            impl_->queue.on_no_slot(service);
+        }
+    }
+    for (const auto& decision : decisions) {
+        if (decision.endpoint.empty()) {
+            impl_->queue.erase(decision.number);
+        } else {
+            impl_->queue.start(decision.number);
+        }
+    }
     return decisions;
 }
 
 std::optional<time_point> dispatcher::next_deadline() const {
     std::optional<time_point> earliest;
-    for (const auto number : impl_->queue) {
-        const auto& open = impl_->calls.at(number);
+    for (const auto& waiting : impl_->queue.calls()) {
+        const auto& open = impl_->calls.at(waiting.number());
         const auto ends_at = open.awaits_load ? open.call.load_deadline : open.call.queue_deadline;
         const auto at = open.diverts_at ? *open.diverts_at : ends_at;
         earliest = earliest ? std::min(*earliest, at) : at;
@@ -361,8 +365,8 @@
 
 std::vector<adapter_demand> dispatcher::take_demand() {
     std::map<model_name, adapter_demand> demand;
-    for (const auto number : impl_->queue) {
-        const auto& open = impl_->calls.at(number);
+    for (const auto& waiting : impl_->queue.calls()) {
+        const auto& open = impl_->calls.at(waiting.number());
         if (!open.call.model.model.empty() && open.adapter_missing) {
             auto& wanted = demand[open.call.model];
             if (wanted.waiting == 0) {
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -239,7 +239,7 @@
 
 void dispatcher::impl::release(open_call& open) {
     if (open.state == call_state::waiting) {
-        std::erase(queue, open.call.number);
+        queue.erase(open.call.number);
         return;
     }
     changed = true;
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -2,6 +2,7 @@
 
 #include "dragonflystair/fleet/dispatcher.h"
 #include "dragonflystair/fleet/engine_speed.h"
+#include "dragonflystair/fleet/fair_queue.h"
 #include "dragonflystair/fleet/send_permits.h"
 #include "dragonflystair/policy/endpoint_health.h"
 
@@ -120,6 +121,12 @@
     bool awaits_permit = false; ///< The endpoint has a rate limit and no permit is left.
 };
 
+/// Place of a waiting call among those of its service.
+struct queue_position {
+    std::size_t ahead = 0; ///< Calls before it that wait for a slot.
+    double min_wait_s = 0; ///< Wait in seconds until its tenant's share suffices for the call.
+};
+
 struct dispatcher::impl {
     explicit impl(topology chosen) : layout(std::move(chosen)) {}
 
@@ -139,16 +146,19 @@
     std::optional<choice> choose(const open_call& open, const service_state& state, time_point now);
     dispatch_decision place(open_call& open, const choice& chosen, service_state& state,
                             time_point now);
-    dispatch_decision refuse(const open_call& open, const service_state& state, std::size_t ahead,
-                             bool adapter_missing) const;
-    std::optional<dispatch_decision> decide(open_call& open, std::size_t ahead, time_point now);
+    dispatch_decision refuse(const open_call& open, const service_state& state,
+                             queue_position position, bool adapter_missing) const;
+    [[nodiscard]] static double expected_wait_s(const service_state& state,
+                                                queue_position position);
+    std::optional<dispatch_decision> decide(open_call& open, queue_position position,
+                                            time_point now);
     [[nodiscard]] std::size_t calls_before(const endpoint& target) const;
     [[nodiscard]] time_point available_at(const endpoint& target, std::size_t ahead) const;
     [[nodiscard]] std::optional<time_point> unavailable_past_deadline(const open_call& open);
     [[nodiscard]] refusal unavailability(const open_call& open);
     std::optional<dispatch_decision> refuse_unavailable(const open_call& open,
                                                         const service_state& state,
-                                                        std::size_t ahead, time_point now);
+                                                        queue_position position, time_point now);
     [[nodiscard]] bool awaits_load(open_call& open, time_point now) const;
     void release(open_call& open);
     void record_use(const choice& chosen, const model_name& model);
@@ -166,7 +176,7 @@
     std::map<std::string, service_state, std::less<>> services;
     std::map<model_name, std::uint64_t> required;
     std::map<std::uint64_t, open_call> calls;
-    std::vector<std::uint64_t> queue;
+    fair_queue queue; ///< The calls that wait.
     /// Whether a state that calls may wait for has changed since the last pump.
     bool changed = false;
     bool has_new_calls = false;       ///< Whether the queue has calls not evaluated yet.
--- a/lib/fleet/dispatcher_refusal.cpp
+++ b/lib/fleet/dispatcher_refusal.cpp
@@ -29,15 +29,20 @@
 
 } // namespace
 
+/// Returns the time in seconds after which a waiting call can be expected to start; 0 if nothing is
+/// known.
+double dispatcher::impl::expected_wait_s(const service_state& state, queue_position position) {
+    const double for_calls_ahead =
+        state.placed_per_s > 0 ? static_cast<double>(position.ahead) / state.placed_per_s : 0;
+    return std::max(for_calls_ahead, position.min_wait_s);
+}
+
 dispatch_decision dispatcher::impl::refuse(const open_call& open, const service_state& state,
-                                           std::size_t ahead, bool adapter_missing) const {
+                                           queue_position position, bool adapter_missing) const {
     dispatch_decision decision;
     decision.number = open.call.number;
     decision.reason = adapter_missing ? refusal::no_adapter : refusal::no_capacity;
-    double wait_ms = to_ms(min_retry_after);
-    if (state.placed_per_s > 0) {
-        wait_ms += static_cast<double>(ahead) / state.placed_per_s * 1'000;
-    }
+    double wait_ms = to_ms(min_retry_after) + expected_wait_s(state, position) * 1'000;
     // Each priority step towards less urgent calls adds half of the wait.
     wait_ms *= 1 + retry_spread(open.call) + 0.5 * open.call.priority;
     decision.retry_after = std::clamp(milliseconds(static_cast<std::int64_t>(wait_ms)),
@@ -90,13 +95,13 @@
 /// Rejects a call that no eligible endpoint accepts before its queue deadline.
 std::optional<dispatch_decision> dispatcher::impl::refuse_unavailable(const open_call& open,
                                                                       const service_state& state,
-                                                                      std::size_t ahead,
+                                                                      queue_position position,
                                                                       time_point now) {
     const auto until = unavailable_past_deadline(open);
     if (!until) {
         return std::nullopt;
     }
-    auto decision = refuse(open, state, ahead, open.adapter_missing);
+    auto decision = refuse(open, state, position, open.adapter_missing);
     decision.reason = unavailability(open);
     auto wait = std::chrono::ceil<milliseconds>(*until - now);
     if (decision.reason == refusal::limited) {
@@ -121,7 +126,7 @@
 }
 
 /// Dispatches or rejects a call if that can be decided now; empty if it keeps waiting.
-std::optional<dispatch_decision> dispatcher::impl::decide(open_call& open, std::size_t ahead,
+std::optional<dispatch_decision> dispatcher::impl::decide(open_call& open, queue_position position,
                                                           time_point now) {
     auto& state = services[open.call.service];
     if (now - state.window_start >= rate_window) {
@@ -144,29 +149,29 @@
     if (open.diverts_at && (open.adapter_missing || now >= *open.diverts_at)) {
         open.diverts_at.reset();
         if (ready_elsewhere(open.call)) {
-            auto decision = refuse(open, state, ahead, open.adapter_missing);
+            auto decision = refuse(open, state, position, open.adapter_missing);
             decision.reason = refusal::elsewhere;
             return decision;
         }
     }
     if (members(open.call.service).empty()) {
-        auto decision = refuse(open, state, ahead, open.adapter_missing);
+        auto decision = refuse(open, state, position, open.adapter_missing);
         decision.reason = refusal::no_endpoints;
         return decision;
     }
-    if (auto decision = refuse_unavailable(open, state, ahead, now)) {
+    if (auto decision = refuse_unavailable(open, state, position, now)) {
         return decision;
     }
     if (open.adapter_missing && !loads_possible && loading_endpoint(open.call.model) == nullptr) {
-        auto decision = refuse(open, state, ahead, open.adapter_missing);
+        auto decision = refuse(open, state, position, open.adapter_missing);
         decision.retry_after = no_loads_retry_after;
         return decision;
     }
-    const bool too_long =
-        !open.adapter_missing && state.placed_per_s > 0 && open.call.excluded.empty() &&
-        now + std::chrono::duration_cast<duration>(
-                  std::chrono::duration<double>(static_cast<double>(ahead) / state.placed_per_s)) >
-            open.call.queue_deadline;
+    const bool wait_known = state.placed_per_s > 0 || position.min_wait_s > 0;
+    const bool too_long = !open.adapter_missing && wait_known && open.call.excluded.empty() &&
+                          now + std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+                                    expected_wait_s(state, position))) >
+                              open.call.queue_deadline;
     if (!too_long && now < open.call.queue_deadline) {
         return keep_waiting();
     }
@@ -174,7 +179,7 @@
     if (open.awaits_load) {
         return keep_waiting();
     }
-    auto decision = refuse(open, state, ahead, open.adapter_missing);
+    auto decision = refuse(open, state, position, open.adapter_missing);
     if (too_long) {
         decision.reason = refusal::overloaded;
     } else if (open.adapter_missing) {
