Keep calls within the memory of engines

An engine crashes if its calls may reach more tokens than its cache holds, and nothing kept nodes from placing that many. Each call now holds its prompt and maximum output on its engine until it ends; load reports carry the sum in an optional fourth column. An engine without room is passed over, which is counted and logged. A lead leaves an eighth to nodes that place calls without it; these divide the free memory, since reports are up to 200 ms old. A call that no empty engine holds is refused at once as too_large.

--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -24,6 +24,8 @@
 struct endpoint_load {
     std::size_t calls = 0;
     std::size_t pending_prefill_tokens = 0; ///< Of prompts whose first event has not arrived.
+    /// Tokens that the calls may reach: prompts and maximum outputs.
+    std::size_t held_tokens = 0;
 
     bool operator==(const endpoint_load&) const = default;
 };
@@ -59,6 +61,7 @@
     paused,       ///< Every eligible endpoint has asked for a backoff beyond its deadline.
     elsewhere,    ///< Another data centre has its adapter ready and should be asked.
     limited,      ///< No eligible endpoint accepts another request before its deadline.
+    too_large,    ///< It may reach more tokens than the memory of an empty engine holds.
 };
 
 std::string_view to_string(refusal reason);
@@ -136,6 +139,12 @@
                        support::time_point now);
     void remove_peer(std::string_view peer);
 
+    /// Sets the number of nodes that may place calls at the same time, including this one.
+    void set_nodes(std::size_t count);
+    /// Returns how often an engine was passed over since its memory had no room for the call, and
+    /// resets that.
+    std::size_t take_memory_skips();
+
     /// Sets whether some node may send orders to engines; otherwise no adapter can be loaded.
     void set_loads_possible(bool possible);
 
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -42,6 +42,8 @@
         return "endpoints_limited";
     case refusal::elsewhere:
         return "elsewhere";
+    case refusal::too_large:
+        return "too_large";
     }
     return "no_capacity";
 }
@@ -70,6 +72,7 @@
         auto& state = impl_->services[name];
         state.has_engines = definition.has_engines;
         state.batch_slots = definition.engines.batch_slots;
+        state.cache_tokens = definition.has_engines ? definition.engines.cache_tokens : 0;
         state.max_event_gap_ms = 0;
     }
     for (const auto& route : current.routes) {
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <utility>
 
 namespace dragonflystair::fleet {
 
@@ -120,6 +121,9 @@
     if (load.calls >= slots_after_pause(target, slots, now)) {
         return std::nullopt;
     }
+    if (!has_memory(target, call, state, load.held_tokens, now)) {
+        return std::nullopt;
+    }
     const double weight = std::max(health.weight(target.record.id, now), min_weight);
     const double distance = distance_ms(target);
     choice result;
@@ -224,6 +228,7 @@
     }
     ++target.own.calls;
     target.own.pending_prefill_tokens += chosen.pending_prefill_tokens;
+    hold_memory(open, target, state, now);
     target.prompts.add(open.call.model, open.call.prompt);
     record_use(chosen, open.call.model);
     ++state.placed;
@@ -249,6 +254,7 @@
     }
     auto& own = found->second.own;
     own.calls -= std::min<std::size_t>(own.calls, 1);
+    own.held_tokens -= std::min(own.held_tokens, std::exchange(open.held_tokens, 0));
     if (open.state == call_state::placed) {
         own.pending_prefill_tokens -=
             std::min(own.pending_prefill_tokens, open.pending_prefill_tokens);
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflystair/fleet/dispatcher.h"
+#include "dragonflystair/fleet/engine_memory.h"
 #include "dragonflystair/fleet/engine_speed.h"
 #include "dragonflystair/fleet/fair_queue.h"
 #include "dragonflystair/fleet/send_permits.h"
@@ -57,6 +58,7 @@
     endpoint_load own;
     std::map<std::string, peer_load, std::less<>> peers;
     prompt_cache prompts;
+    recent_tokens recent; ///< Placed by this node on its own.
 
     /// Returns whether the endpoint is in a backoff at that time.
     [[nodiscard]] bool is_paused(time_point at) const { return paused_until && *paused_until > at; }
@@ -73,6 +75,7 @@
             const double read = to_ms(now - reported.reported_at) * tokens_per_ms;
             const auto unread = static_cast<double>(reported.load.pending_prefill_tokens);
             sum.calls += reported.load.calls;
+            sum.held_tokens += reported.load.held_tokens;
             sum.pending_prefill_tokens += static_cast<std::size_t>(std::max(unread - read, 0.0));
         }
         return sum;
@@ -83,6 +86,7 @@
 struct service_state {
     bool has_engines = false;
     std::size_t batch_slots = 0;
+    std::size_t cache_tokens = 0; ///< Memory of one engine; 0 if unlimited.
     double plain_call_ms = initial_plain_call_ms;
     engine_speed speed;
     /// Smallest gap between events that a route to the service sets as its target; 0 if none does.
@@ -102,6 +106,7 @@
     time_point placed_at;
     std::size_t pending_prefill_tokens = 0; ///< Prompt tokens without cached prefix, at dispatch.
     std::size_t tokens_ahead = 0;           ///< Pending prefill tokens of other calls, at dispatch.
+    std::size_t held_tokens = 0; ///< Tokens that it may reach; 0 unless placed on an engine.
     double expected_ms = 0;
     bool is_new = true;                   ///< Not evaluated yet.
     std::optional<time_point> diverts_at; ///< When another data centre is asked.
@@ -139,6 +144,15 @@
     [[nodiscard]] static double max_prefill_ms(const pending_call& call,
                                                const service_state& state);
     [[nodiscard]] static bool is_long_prefill(std::size_t tokens, const service_state& state);
+    /// Returns the number of tokens that a call may reach on an engine; 0 if it names none.
+    [[nodiscard]] static std::size_t tokens_of(const pending_call& call) {
+        return call.prompt_tokens + call.output_tokens;
+    }
+    [[nodiscard]] static bool exceeds_memory(const pending_call& call, const service_state& state);
+    bool has_memory(endpoint& target, const pending_call& call, const service_state& state,
+                    std::size_t held_tokens, time_point now);
+    static void hold_memory(open_call& open, endpoint& target, const service_state& state,
+                            time_point now);
     std::optional<choice> evaluate(endpoint& target, const open_call& open,
                                    const service_state& state, time_point now);
     /// Returns the endpoints of a service that are neither draining nor removed.
@@ -170,6 +184,8 @@
 
     topology layout;
     bool loads_possible = true;
+    std::size_t nodes = 1; ///< That may place calls at the same time.
+    std::size_t memory_skips = 0;
     std::map<std::string, endpoint, std::less<>> endpoints;
     /// Endpoints by service; cleared when an endpoint is added, drained or removed.
     std::map<std::string, std::vector<endpoint*>, std::less<>> member_index;
--- a/lib/fleet/dispatcher_refusal.cpp
+++ b/lib/fleet/dispatcher_refusal.cpp
@@ -135,6 +135,12 @@
         state.window_start = now;
         state.placed = 0;
     }
+    if (exceeds_memory(open.call, state)) {
+        dispatch_decision decision;
+        decision.number = open.call.number;
+        decision.reason = refusal::too_large;
+        return decision;
+    }
     const auto chosen = choose(open, state, now);
     if (chosen && !chosen->awaits_permit) {
         return place(open, *chosen, state, now);
--- a/lib/fleet/load_reports.cpp
+++ b/lib/fleet/load_reports.cpp
@@ -12,6 +12,7 @@
         auto& entry = sum[endpoint];
         entry.calls += load.calls;
         entry.pending_prefill_tokens += load.pending_prefill_tokens;
+        entry.held_tokens += load.held_tokens;
     }
 }
 
@@ -21,6 +22,7 @@
         const auto entry = sum.find(endpoint);
         entry->second.calls -= load.calls;
         entry->second.pending_prefill_tokens -= load.pending_prefill_tokens;
+        entry->second.held_tokens -= load.held_tokens;
         if (entry->second == endpoint_load{}) {
             sum.erase(entry);
         }
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -237,6 +237,7 @@
     placer_.tick();
     update_crashes();
     view_.permits.set_nodes(view_.live_nodes);
+    view_.dispatcher.set_nodes(view_.live_nodes);
     if (view_.dispatcher.waiting() > 0) {
         pump();
     } else {
@@ -262,6 +263,7 @@
     }
     if (ticks_ % ticks_per_limited_use == 0) {
         log_limited_use();
+        log_memory_limit();
     }
     if (ticks_ % ticks_per_reload == 0) {
         reload_settings();
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -139,6 +139,7 @@
     void apply_limit(std::string_view endpoint);
     void send_limits(std::string_view peer);
     void log_limited_use();
+    void log_memory_limit();
     bool update_permits();
     void send_permit_requests(std::span<const fleet::permit_request> requests,
                               support::time_point now);
@@ -220,6 +221,7 @@
     boost::asio::steady_timer grant_timer_;
     support::time_point last_caller_request_;
     bool pumping_ = false;
+    bool memory_limited_ = false; ///< Engines were passed over in the last second.
     std::optional<std::uint64_t> listed_era_; ///< Era of the last records of endpoints.
     bool registering_ = false;
     std::uint64_t registered_era_ = 0; ///< Era of the store that has confirmed this node's record.
--- a/lib/gateway/gateway_limits.cpp
+++ b/lib/gateway/gateway_limits.cpp
@@ -268,4 +268,16 @@
     }
 }
 
+/// Counts how often engines were passed over since their memory had no room for a call.
+void gateway::impl::log_memory_limit() {
+    const auto skips = view_.dispatcher.take_memory_skips();
+    if (skips > 0) {
+        counters_.increment("engines_passed_over_total", "memory", skips);
+    }
+    if (std::exchange(memory_limited_, skips > 0) != memory_limited_) {
+        support::log_change("engine_memory_limit", {{"state", memory_limited_ ? "begun" : "ended"},
+                                                    {"skips", std::to_string(skips)}});
+    }
+}
+
 } // namespace dragonflystair::gateway
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -131,7 +131,11 @@
 json loads_frame(const fleet::load_report& report) {
     json rows = json::array();
     for (const auto& [endpoint, load] : report.loads) {
-        rows.push_back(json::array({endpoint, load.calls, load.pending_prefill_tokens}));
+        auto row = json::array({endpoint, load.calls, load.pending_prefill_tokens});
+        if (load.held_tokens > 0) {
+            row.push_back(load.held_tokens);
+        }
+        rows.push_back(std::move(row));
     }
     json frame{{"type", "l"}, {"e", std::move(rows)}};
     if (report.sum) {
@@ -143,8 +147,9 @@
 fleet::load_report decode_loads(const json& frame) {
     fleet::load_report report;
     for (const auto& row : rows_of(frame, "e")) {
-        report.loads.emplace(text_at(row, 0),
-                             fleet::endpoint_load{number_at(row, 1), number_at(row, 2)});
+        report.loads.emplace(
+            text_at(row, 0),
+            fleet::endpoint_load{number_at(row, 1), number_at(row, 2), number_at(row, 3)});
     }
     const auto sum = frame.find("s");
     report.sum = sum != frame.end() && *sum == true;
--- a/lib/gateway/placement_frames.cpp
+++ b/lib/gateway/placement_frames.cpp
@@ -166,7 +166,7 @@
         decision.version = version->get<std::uint64_t>();
     }
     const auto reason = number_of(frame, "r");
-    if (reason < 0 || reason > static_cast<std::int64_t>(fleet::refusal::limited)) {
+    if (reason < 0 || reason > static_cast<std::int64_t>(fleet::refusal::too_large)) {
         return std::nullopt;
     }
     decision.reason = static_cast<fleet::refusal>(reason);
--- a/unittests/fleet/fair_queue_test.cpp
+++ b/unittests/fleet/fair_queue_test.cpp
@@ -255,12 +255,12 @@
 private:
     static void assert_fair(const overload::load& scenario) {
         const auto fair = overload(scenario).run(true);
-        const auto today = overload(scenario).run(false);
+        const auto by_deadline = overload(scenario).run(false);
         CPPUNIT_ASSERT(fair.worst_tenth() >= 0.5 * fair.all);
         CPPUNIT_ASSERT(*std::ranges::min_element(fair.served) >= 0.25 * fair.all);
         CPPUNIT_ASSERT(fair.worst_tenth() >= 0.8);
         CPPUNIT_ASSERT(fair.refused_early >= 0.5);
-        CPPUNIT_ASSERT(today.worst_tenth() < 0.5);
+        CPPUNIT_ASSERT(by_deadline.worst_tenth() < 0.5);
     }
 
     /// Starts a call every 5 ms for 2 s from a queue in which tenant "a" always has calls and, in
