Bound what callers make the HTTP server hold

The server read each body whole into memory, with no bound over all connections, and accepted connections as long as there were descriptors. Bodies are now read in pieces that count against the listener's budget, also in chunks. A request without a route, a key or room is refused from its head. Heads and bodies have time limits of their own, the latter a minimum rate. Fields are counted as they arrive. Accepting waits at the limit of connections, where stalled ones are closed.

--- a/lib/gateway/listener_shares.cpp
+++ b/lib/gateway/listener_shares.cpp
@@ -81,6 +81,8 @@
     limits.body_bytes = std::size_t{4} * 1024;
     limits.request_timeout = std::chrono::milliseconds(3'000);
     limits.idle_timeout = std::chrono::milliseconds(15'000);
+    // Responses are short and their connections few.
+    limits.write_timeout = std::chrono::milliseconds(2'000);
     return limits;
 }
 
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -8,10 +8,10 @@
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace dragonflystair::net {
 
@@ -20,6 +20,30 @@
 /// Delay after a failed accept, for example when no file descriptor is free.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 
+/// Pause of accepting while there are as many connections as allowed.
+constexpr std::chrono::milliseconds room_check_interval{10};
+
+/// Fewest connections of a server, also on a process with very few descriptors.
+constexpr std::size_t min_connections = 16;
+
+/// Returns half of the descriptors that the process may open; the others are for its own
+/// connections.
+std::size_t default_connections() {
+    constexpr std::size_t most = 100'000;
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur / 2 > most) {
+        return most;
+    }
+    return std::max<std::size_t>(min_connections, limit.rlim_cur / 2);
+}
+
+byte_budget::limits budget_of(const http_server_capacity& capacity) {
+    constexpr std::size_t reserved_share = 4;
+    return {capacity.held_bytes, capacity.held_bytes / reserved_share,
+            capacity.connections > 0 ? capacity.connections : default_connections(),
+            capacity.connections_per_address};
+}
+
 } // namespace
 
 struct http_server::impl : std::enable_shared_from_this<impl> {
@@ -33,23 +57,33 @@
     void accept_pending();
     void begin_shutdown();
     void stop();
-    std::vector<std::shared_ptr<http_session>> open_sessions();
+    awaitable<void> wait_for_room();
 
     executor context;
     executor strand;
     tcp::acceptor acceptor;
     std::string bound_address;
     std::shared_ptr<http_server_state> state;
-    std::mutex mutex;
-    bool stopped = false;
-    std::vector<std::weak_ptr<http_session>> sessions;
-    std::size_t prune_threshold = 64; ///< Size of `sessions` at which expired ones are removed.
 };
 
+/// Waits until another connection may be accepted. Callers wait in the listen queue meanwhile.
+awaitable<void> http_server::impl::wait_for_room() {
+    boost::asio::steady_timer timer(strand);
+    while (acceptor.is_open() && !state->registry.make_room()) {
+        state->limits_reached->note("connections");
+        timer.expires_after(room_check_interval);
+        co_await timer.async_wait(no_throw);
+    }
+}
+
 awaitable<void> http_server::impl::accept_loop() {
     const auto self = shared_from_this();
     boost::asio::steady_timer retry_timer(strand);
     while (acceptor.is_open()) {
+        co_await wait_for_room();
+        if (!acceptor.is_open()) {
+            co_return;
+        }
         const executor session_strand = boost::asio::make_strand(context);
         auto [code, socket] = co_await acceptor.async_accept(session_strand, no_throw);
         if (!code) {
@@ -66,17 +100,15 @@
 }
 
 void http_server::impl::add(tcp::socket socket) {
+    // A caller that has reset its connection has no address any more.
+    boost::system::error_code no_address;
+    const auto remote = socket.remote_endpoint(no_address);
     const auto session = std::make_shared<http_session>(std::move(socket), state);
-    {
-        const std::lock_guard lock(mutex);
-        if (stopped) {
-            return;
+    if (!state->registry.add(session, no_address ? "" : remote.address().to_string())) {
+        if (!state->registry.refusing()) {
+            state->limits_reached->note("connections_per_address");
         }
-        if (sessions.size() >= prune_threshold) {
-            std::erase_if(sessions, [](const auto& item) { return item.expired(); });
-            prune_threshold = std::max<std::size_t>(64, 2 * sessions.size());
-        }
-        sessions.push_back(session);
+        return;
     }
     session->start();
 }
@@ -85,7 +117,7 @@
 void http_server::impl::accept_pending() {
     boost::system::error_code code;
     acceptor.non_blocking(true, code);
-    while (!code) {
+    while (!code && state->registry.make_room()) {
         const executor session_strand = boost::asio::make_strand(context);
         tcp::socket socket(session_strand);
         acceptor.accept(socket, code);
@@ -95,24 +127,13 @@
     }
 }
 
-std::vector<std::shared_ptr<http_session>> http_server::impl::open_sessions() {
-    const std::lock_guard lock(mutex);
-    std::vector<std::shared_ptr<http_session>> open;
-    for (const auto& item : sessions) {
-        if (auto session = item.lock()) {
-            open.push_back(std::move(session));
-        }
-    }
-    return open;
-}
-
 void http_server::impl::begin_shutdown() {
     if (acceptor.is_open()) {
         accept_pending();
     }
     boost::system::error_code ignored;
     acceptor.close(ignored);
-    for (const auto& session : open_sessions()) {
+    for (const auto& session : state->registry.sessions()) {
         session->begin_shutdown();
     }
 }
@@ -120,17 +141,19 @@
 void http_server::impl::stop() {
     boost::system::error_code ignored;
     acceptor.close(ignored);
-    for (const auto& session : open_sessions()) {
+    for (const auto& session : state->registry.sessions()) {
         session->close();
     }
 }
 
 http_server::http_server(executor context, std::string_view address, http_server_limits limits,
                          http_handler handler, support::counters& counters,
-                         http_server_options /*options*/)
-    : impl_(std::make_shared<impl>(
-          std::move(context), address,
-          std::make_shared<http_server_state>(limits, std::move(handler), counters))) {}
+                         http_server_options options)
+    : impl_(std::make_shared<impl>(context, address,
+                                   std::make_shared<http_server_state>(
+                                       limits, std::move(handler), counters,
+                                       budget_of(options.capacity), context, std::move(options)))) {
+}
 
 http_server::~http_server() {
     stop();
@@ -162,18 +185,15 @@
 }
 
 std::size_t http_server::open_connections() const {
-    return impl_->open_sessions().size();
+    return impl_->state->registry.sessions().size();
 }
 
 std::size_t http_server::held_bytes() const {
-    return 0;
+    return impl_->state->registry.held();
 }
 
 void http_server::stop() {
-    {
-        const std::lock_guard lock(impl_->mutex);
-        impl_->stopped = true;
-    }
+    impl_->state->registry.refuse_all();
     boost::asio::dispatch(impl_->strand, [self = impl_] { self->stop(); });
 }
 
--- a/lib/net/http_session.cpp
+++ b/lib/net/http_session.cpp
@@ -1,9 +1,9 @@
 #include "http_session.h"
 
-#include "dragonflystair/net/problem.h"
 #include "dragonflystair/net/spawn.h"
 
 #include "http_session_exchange.h"
+#include "http_session_limits.h"
 #include "run_on.h"
 
 #include <boost/asio/bind_executor.hpp>
@@ -11,8 +11,6 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -23,28 +21,11 @@
 
 namespace {
 
-constexpr std::size_t read_bytes = 4096;
-
 /// Limit of pipelined input during a response; above it, the connection closes after the response.
 constexpr std::size_t max_pipelined_bytes = std::size_t{64} * 1024;
 
-/// Limits for draining the input of a rejected request, so that the caller can read the error
-/// response: closing with unread input would reset the connection and discard the response.
-constexpr std::chrono::milliseconds drain_timeout{1'000};
-constexpr std::size_t max_drained_bytes = std::size_t{4} * 1024 * 1024;
-
-problem problem_for(const boost::system::error_code& code, bool timed_out) {
-    if (timed_out) {
-        return {408, "slow_request", "the request was not sent within the time limit"};
-    }
-    if (code == http::error::body_limit) {
-        return {413, "body_too_large", "the body is over the size limit"};
-    }
-    if (code == http::error::header_limit || code == http::error::buffer_overflow) {
-        return {431, "header_too_large", "the headers are over the size limit"};
-    }
-    return {400, "malformed_http", "the request is not valid HTTP"};
-}
+/// A larger input buffer is released after a request.
+constexpr std::size_t max_retained_bytes = std::size_t{8} * 1024;
 
 } // namespace
 
@@ -52,6 +33,10 @@
     : strand_(socket.get_executor()), socket_(std::move(socket)), state_(std::move(state)),
       timer_(strand_), watch_ended_timer_(strand_) {}
 
+http_session::~http_session() {
+    state_->registry.remove(id_);
+}
+
 bool http_session::on_strand() const {
     const auto* strand = strand_.target<boost::asio::strand<executor>>();
     return strand != nullptr && strand->running_in_this_thread();
@@ -75,9 +60,25 @@
     boost::asio::dispatch(strand_, [self = shared_from_this()] { self->close_now(); });
 }
 
+void http_session::evict() {
+    boost::asio::dispatch(strand_, [self = shared_from_this()] {
+        if (self->busy_ && !self->writing_) {
+            return;
+        }
+        self->state_->limits_reached->note("closed_for_room");
+        if (self->busy_) {
+            self->close_now();
+            return;
+        }
+        self->evicted_ = true;
+        boost::system::error_code ignored;
+        self->socket_.cancel(ignored);
+    });
+}
+
 awaitable<void> http_session::run() {
     const auto self = shared_from_this();
-    while (co_await wait_for_request()) {
+    while (hold() && co_await wait_for_request()) {
         const bool keep_open = co_await serve_request();
         if (!keep_open) {
             break;
@@ -98,7 +99,7 @@
         co_await socket_.async_read_some(buffer_.prepare(read_bytes), no_throw);
     idle_ = false;
     buffer_.commit(bytes);
-    co_return !code;
+    co_return !code && !evicted_;
 }
 
 /// Serves one request. Returns false if the connection must close after it.
@@ -113,89 +114,29 @@
     const open_exchange counted(state_->open_exchanges);
     auto request = co_await read_request();
     if (!request) {
-        co_return false;
+        end_request();
+        co_return std::exchange(answered_early_, false) && socket_.is_open();
     }
     timer_.disarm();
+    busy_ = true;
+    evicted_ = false;
+    state_->registry.set_busy(id_, true);
     detect_closed_connection();
     watch_for_disconnect();
     co_await run_handler(std::move(*request));
     co_await stop_watching();
+    end_request();
     co_return keep_alive_ && !disconnected_ && socket_.is_open();
 }
 
-/// Reads one request. Rejects it and returns nullopt if it exceeds a limit or is malformed.
-awaitable<std::optional<http_request>> http_session::read_request() {
-    set_read_timeout(state_->limits().request_timeout);
-    request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(state_->limits().header_bytes));
-    parser.body_limit(state_->limits().body_bytes);
-    boost::system::error_code code;
-    {
-        const auto [error, bytes] =
-            co_await http::async_read_header(socket_, buffer_, parser, no_throw);
-        code = error;
-    }
-    // The time limit may expire while the completion of a successful read is queued, and then the
-    // read does not report an error.
-    if (!code && timer_.expired()) {
-        code = boost::asio::error::timed_out;
-    }
-    if (!code) {
-        const bool sent = co_await send_continue(parser);
-        if (!sent) {
-            co_return std::nullopt;
-        }
-        const auto [error, bytes] = co_await http::async_read(socket_, buffer_, parser, no_throw);
-        code = error;
-    }
-    if (code) {
-        co_await reject(code);
-        co_return std::nullopt;
+/// Releases the memory of a request that has been answered.
+void http_session::end_request() {
+    request_bytes_ = 0;
+    if (buffer_.capacity() > max_retained_bytes && buffer_.size() <= read_bytes) {
+        buffer_.shrink_to_fit();
     }
-    auto message = parser.release();
-    keep_alive_ = message.keep_alive();
-    version_1_0_ = message.version() < 11;
-    head_request_ = message.method() == http::verb::head;
-    http_request request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    request.headers = headers_of(message);
-    request.body = std::move(message.body());
-    co_return request;
-}
-
-/// Responds to `Expect: 100-continue`, which some callers send before a large body.
-awaitable<bool> http_session::send_continue(request_parser& parser) {
-    const auto expect = parser.get()[http::field::expect];
-    if (parser.is_done() || !boost::beast::iequals(expect, "100-continue")) {
-        co_return true;
-    }
-    static constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
-    const auto [code, bytes] =
-        co_await boost::asio::async_write(socket_, boost::asio::buffer(text), no_throw);
-    co_return !code;
-}
-
-awaitable<void> http_session::reject(boost::system::error_code code) {
-    const bool timed_out = timer_.expired();
-    const bool caller_disconnected =
-        code == http::error::end_of_stream || code == http::error::partial_message ||
-        code.category() != make_error_code(http::error::end_of_stream).category();
-    if (caller_disconnected && !timed_out) {
-        co_return;
-    }
-    const auto rejection = problem_for(code, timed_out);
-    state_->counters.increment("refusals_total", rejection.reason);
-    const auto response = render(rejection);
-    http::response<http::string_body> message;
-    message.result(static_cast<unsigned>(response.status));
-    copy_headers(response.headers, message);
-    message.body() = response.body;
-    message.keep_alive(false);
-    message.prepare_payload();
-    const bool written = co_await write_response(std::move(message));
-    if (written) {
-        co_await drain_input();
+    if (std::exchange(busy_, false)) {
+        state_->registry.set_busy(id_, false);
     }
 }
 
@@ -219,43 +160,23 @@
     }
 }
 
-/// Discards input until the caller closes the connection, so that it can read the last response.
-awaitable<void> http_session::drain_input() {
-    boost::system::error_code ignored;
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    set_read_timeout(drain_timeout);
-    for (std::size_t discarded = 0; discarded < max_drained_bytes && !timer_.expired();) {
-        buffer_.clear();
-        const auto [code, bytes] =
-            co_await socket_.async_read_some(buffer_.prepare(read_bytes), no_throw);
-        if (code) {
-            co_return;
-        }
-        discarded += bytes;
-    }
-}
-
 awaitable<bool> http_session::write_response(http::response<http::string_body> message) {
-    set_write_timeout();
+    request_bytes_ += message.body().capacity();
+    hold();
+    begin_write();
     if (message.need_eof()) {
         keep_alive_ = false;
     }
     const auto [code, bytes] = co_await http::async_write(socket_, message, no_throw);
-    timer_.disarm();
-    if (code) {
-        report_disconnect();
-    }
+    end_write(code);
     co_return !code;
 }
 
 awaitable<bool> http_session::write_head(http::response<http::empty_body> message) {
-    set_write_timeout();
+    begin_write();
     http::response_serializer<http::empty_body> serializer(message);
     const auto [code, bytes] = co_await http::async_write_header(socket_, serializer, no_throw);
-    timer_.disarm();
-    if (code) {
-        report_disconnect();
-    }
+    end_write(code);
     co_return !code;
 }
 
@@ -264,7 +185,7 @@
         // An empty chunk would end the stream.
         co_return !disconnected_;
     }
-    set_write_timeout();
+    begin_write();
     const auto plain = boost::asio::buffer(bytes);
     const auto chunk = http::make_chunk(plain);
     boost::system::error_code code;
@@ -275,22 +196,16 @@
         const auto [error, written] = co_await boost::asio::async_write(socket_, plain, no_throw);
         code = error;
     }
-    timer_.disarm();
-    if (code) {
-        report_disconnect();
-    }
+    end_write(code);
     co_return !code;
 }
 
 awaitable<bool> http_session::write_last_chunk() {
-    set_write_timeout();
+    begin_write();
     static constexpr std::string_view last_chunk = "0\r\n\r\n";
     const auto [code, bytes] =
         co_await boost::asio::async_write(socket_, boost::asio::buffer(last_chunk), no_throw);
-    timer_.disarm();
-    if (code) {
-        report_disconnect();
-    }
+    end_write(code);
     co_return !code;
 }
 
@@ -303,15 +218,27 @@
     });
 }
 
-void http_session::set_write_timeout() {
+void http_session::begin_write() {
+    writing_ = true;
+    state_->registry.set_writing(id_, true);
     timer_.arm(std::chrono::steady_clock::now() + state_->limits().write_timeout, weak_from_this(),
                [this] { close_now(); });
 }
 
+void http_session::end_write(const boost::system::error_code& code) {
+    writing_ = false;
+    state_->registry.set_writing(id_, false);
+    timer_.disarm();
+    if (code) {
+        report_disconnect();
+    }
+}
+
 /// Reads while a response is in progress: the end of input shows that the caller has disconnected.
 /// Bytes that arrive belong to the next request.
 void http_session::watch_for_disconnect() {
-    if (buffer_.size() > max_pipelined_bytes) {
+    const bool granted = hold();
+    if (buffer_.size() > max_pipelined_bytes || !granted) {
         keep_alive_ = false;
         return;
     }
--- a/unittests/net/http_server_test.cpp
+++ b/unittests/net/http_server_test.cpp
@@ -10,6 +10,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <future>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -70,6 +71,13 @@
     CPPUNIT_TEST(header_over_limit_is_rejected);
     CPPUNIT_TEST(text_that_is_not_http_is_rejected);
     CPPUNIT_TEST(slow_sender_is_rejected);
+    CPPUNIT_TEST(slow_body_is_rejected_after_its_head);
+    CPPUNIT_TEST(body_in_pieces_and_in_chunks_arrives_whole);
+    CPPUNIT_TEST(too_many_header_fields_are_rejected);
+    CPPUNIT_TEST(request_refused_from_its_head_keeps_the_connection);
+    CPPUNIT_TEST(long_body_is_refused_before_it_is_sent);
+    CPPUNIT_TEST(body_without_room_is_refused_and_others_are_served);
+    CPPUNIT_TEST(idle_connections_make_room_for_new_ones);
     CPPUNIT_TEST(handler_that_throws_gives_500_and_server_continues);
     CPPUNIT_TEST(handler_without_response_gives_500);
     CPPUNIT_TEST(response_with_invalid_status_gives_500);
@@ -89,10 +97,24 @@
     test_context context_;
     counters counters_;
 
+    /// Starts a server that refuses the path `/refused` from the head.
+    std::unique_ptr<http_server> start_refusing() {
+        http_server_options options;
+        options.check_head = [](const http_request& head) -> std::optional<http_response> {
+            if (head.target != "/refused") {
+                return std::nullopt;
+            }
+            return http_response{404, {}, "refused"};
+        };
+        return start(handle, {}, std::move(options));
+    }
+
     std::unique_ptr<http_server> start(http_handler handler = handle,
-                                       http_server_limits limits = {}) {
-        auto server = std::make_unique<http_server>(context_.get(), "127.0.0.1:0", limits,
-                                                    std::move(handler), counters_);
+                                       http_server_limits limits = {},
+                                       http_server_options options = {}) {
+        auto server =
+            std::make_unique<http_server>(context_.get(), "127.0.0.1:0", limits, std::move(handler),
+                                          counters_, std::move(options));
         server->start();
         return server;
     }
@@ -241,6 +263,92 @@
                         "slow_request");
     }
 
+    /// Guards against bodies that stop just short of their end and stay in memory.
+    void slow_body_is_rejected_after_its_head() {
+        http_server_limits limits;
+        limits.request_timeout = milliseconds(100);
+        const auto server = start(handle, limits);
+        assert_rejected(send_and_read_all(
+                            *server, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n1234"),
+                        "408", "slow_body");
+    }
+
+    /// The body of a call must not change by the way in which it is sent.
+    void body_in_pieces_and_in_chunks_arrives_whole() {
+        const auto server = start();
+        auto connection = raw_connection::to(server->address());
+        std::string body;
+        for (int i = 0; i < 5'000; ++i) {
+            body += std::to_string(i) + ".";
+        }
+        connection.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                         std::to_string(body.size()) + "\r\n\r\n");
+        for (std::size_t sent = 0; sent < body.size(); sent += 7'001) {
+            connection.write(body.substr(sent, 7'001));
+        }
+        assert_contains(body, connection.read_until("4999."));
+        connection.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: t\r\n\r\n"
+                         "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert_contains("POST abcde", connection.read_until("GET "));
+    }
+
+    /// Each field takes many times the memory of its text.
+    void too_many_header_fields_are_rejected() {
+        const auto server = start();
+        std::string fields;
+        for (int i = 0; i < 300; ++i) {
+            fields += std::to_string(i) + ":b\r\n";
+        }
+        assert_rejected(
+            send_and_read_all(*server, "GET / HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n"), "431",
+            "too_many_fields");
+    }
+
+    /// Guards against a refused caller that must open a new connection for its next call.
+    void request_refused_from_its_head_keeps_the_connection() {
+        const auto server = start_refusing();
+        auto connection = raw_connection::to(server->address());
+        connection.write("POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n");
+        assert_contains("404 Not Found", connection.read_until("refused"));
+        connection.write("12345GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert_contains("200 OK", connection.read_until("GET "));
+    }
+
+    void long_body_is_refused_before_it_is_sent() {
+        const auto server = start_refusing();
+        const auto text = send_and_read_all(
+            *server, "POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n");
+        assert_contains("404 Not Found", text);
+        assert_contains("Connection: close", text);
+    }
+
+    /// Guards against bodies in transfer that together take more memory than the process has.
+    void body_without_room_is_refused_and_others_are_served() {
+        http_server_options options;
+        options.capacity.held_bytes = std::size_t{400} * 1024;
+        const auto server = start(handle, {}, std::move(options));
+        const auto text = send_and_read_all(
+            *server, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 390000\r\n\r\n" +
+                         std::string(389'999, 'x'));
+        assert_rejected(text, "503", "no_room");
+        auto connection = raw_connection::to(server->address());
+        connection.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert_contains("200 OK", connection.read_until("GET "));
+    }
+
+    void idle_connections_make_room_for_new_ones() {
+        http_server_options options;
+        options.capacity.connections = 2;
+        const auto server = start(handle, {}, std::move(options));
+        auto first = raw_connection::to(server->address());
+        auto second = raw_connection::to(server->address());
+        auto third = raw_connection::to(server->address());
+        third.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert_contains("200 OK", third.read_until("GET "));
+        CPPUNIT_ASSERT(counters_.value("caller_limits_total", "closed_for_room") > 0);
+    }
+
     void handler_that_throws_gives_500_and_server_continues() {
         const auto server = start();
         auto connection = raw_connection::to(server->address());
