Bound the handshakes of peers in progress

Each accepted link held 16 KiB and a descriptor for up to 2 s before its peer had proved anything, without a bound on their number.

--- a/lib/net/peer_link.h
+++ b/lib/net/peer_link.h
@@ -49,6 +49,10 @@
     /// Returns the next frame other than keep-alive, or nullopt once the link is closed.
     awaitable<std::optional<support::json>> read_frame();
 
+    /// Marks that the peer has proved its identity; safe from any thread, like the query.
+    void set_authenticated() { authenticated_ = true; }
+    [[nodiscard]] bool authenticated() const { return authenticated_; }
+
     /// Enqueues a frame. Returns false if the link is closed, or closes it because too many bytes
     /// are queued. Safe from any thread.
     bool enqueue(frame_bytes bytes);
@@ -79,6 +83,7 @@
     clock::time_point last_received_{};
     clock::time_point last_sent_{};
     std::vector<frame_bytes> in_flight_;
+    std::atomic<bool> authenticated_{false};
 
     mutable std::mutex mutex_; ///< Protects the members below.
     bool closed_ = false;
--- a/lib/net/peer_network.cpp
+++ b/lib/net/peer_network.cpp
@@ -2,8 +2,10 @@
 
 #include "dragonflystair/net/spawn.h"
 
+#include "limit_log.h"
 #include "peer_handshake.h"
 #include "peer_table.h"
+#include "pending_links.h"
 #include "run_on.h"
 #include "socket_address.h"
 
@@ -24,6 +26,9 @@
 /// Delay after a failed accept, for example when no file descriptor is free.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 
+/// Pause of accepting while too many handshakes are in progress.
+constexpr std::chrono::milliseconds room_check_interval{20};
+
 /// Interval at which a new link checks whether the hooks of its predecessor have finished.
 constexpr std::chrono::milliseconds replacement_check_interval{5};
 
@@ -61,7 +66,8 @@
           acceptor(strand, require_address(address)),
           bound_address(to_string(acceptor.local_endpoint())),
           settings(std::make_shared<const peer_settings>(std::move(chosen))),
-          callbacks(std::move(called)), counters(counted) {}
+          callbacks(std::move(called)), counters(counted),
+          limits_reached(std::make_shared<limit_log>(context, "peers", counted)) {}
 
     awaitable<void> accept_loop();
     awaitable<void> dial_loop(std::shared_ptr<dialler> item);
@@ -87,6 +93,7 @@
     std::shared_ptr<const peer_settings> settings;
     hooks callbacks;
     support::counters& counters;
+    std::shared_ptr<limit_log> limits_reached;
     peer_table table;
     std::atomic<bool> stopped{false};
     std::mutex mutex; ///< Protects the members below.
@@ -97,11 +104,19 @@
 awaitable<void> peer_network::impl::accept_loop() {
     const auto self = shared_from_this();
     boost::asio::steady_timer timer(strand);
+    pending_links pending(settings->max_handshakes);
     while (acceptor.is_open()) {
+        if (!pending.make_room(std::chrono::steady_clock::now())) {
+            limits_reached->note("handshakes");
+            timer.expires_after(room_check_interval);
+            co_await timer.async_wait(no_throw);
+            continue;
+        }
         const executor link_strand = boost::asio::make_strand(context);
         auto [code, socket] = co_await acceptor.async_accept(link_strand, no_throw);
         if (!code) {
             auto link = make_link(std::move(socket), link_side::acceptor);
+            pending.add(link, std::chrono::steady_clock::now());
             boost::asio::co_spawn(
                 link->strand(), [self, link] { return self->run_link(link); },
                 [](const std::exception_ptr& error, const handshake_result&) {
@@ -172,6 +187,7 @@
     link->begin_handshake();
     auto handshake = co_await perform_handshake(link, settings);
     if (handshake.outcome == handshake_result::kind::authenticated) {
+        link->set_authenticated();
         const bool in_use = co_await negotiate(link, handshake);
         if (in_use) {
             co_await read_frames(link, handshake.peer.incarnation);
--- a/unittests/net/peer_network_test.cpp
+++ b/unittests/net/peer_network_test.cpp
@@ -104,6 +104,7 @@
     CPPUNIT_TEST(reflected_proof_is_rejected);
     CPPUNIT_TEST(frame_before_proof_is_rejected);
     CPPUNIT_TEST(silent_handshake_is_rejected);
+    CPPUNIT_TEST(silent_handshakes_make_room_for_peers);
     CPPUNIT_TEST(oversized_frame_before_proof_is_rejected);
     CPPUNIT_TEST(nested_frame_before_proof_is_rejected);
     CPPUNIT_TEST(oversized_frame_is_rejected);
@@ -287,6 +288,21 @@
         context_.stop();
     }
 
+    /// Guards against strangers that keep peers out by opening links without a word.
+    void silent_handshakes_make_room_for_peers() {
+        auto own = settings("a");
+        own.max_handshakes = 2;
+        recorder a(context_, own);
+        const auto first = raw_connection::to(a.network().address());
+        const auto second = raw_connection::to(a.network().address());
+        const auto third = raw_connection::to(a.network().address());
+        recorder b(context_, settings("b"));
+        b.network().dial({a.network().address()});
+        a.wait_for_event("up b-1");
+        CPPUNIT_ASSERT(a.counted().value("peer_refusals_total", "handshake_limit") > 0);
+        context_.stop();
+    }
+
     void silent_handshake_is_rejected() {
         recorder a(context_, settings("a"));
         auto stranger = raw_connection::to(a.network().address());
