Divide the quotas of tenants among the nodes

Cause: a tenant's rate and burst hold over all nodes, whether or not these reach each other.

Change: two pure components. The allocator has a bucket per tenant and grants tokens that expire 0.6 s after they were requested; it reserves equal shares for nodes that are not in touch. The wallet of a node requests tokens ahead, returns those that it does not need, and spends its equal share while it gets no answers. A replay on a network in memory checks the bound and the use of the limit at 1, 8, 60 and 360 nodes with lost frames, dead allocators, nodes cut off, killed and restarted, and a lower limit.

--- /dev/null
+++ b/include/dragonflystair/fleet/quota_allocator.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "dragonflystair/fleet/configuration.h"
+#include "dragonflystair/fleet/quota_messages.h"
+#include "dragonflystair/support/time.h"
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonflystair::fleet {
+
+/// Divides the quotas of tenants among all nodes. Run by the one node whose lease the store
+/// confirms. Each tenant has a token bucket; a node gets tokens for the calls that it has or
+/// expects, in amounts with which it can send at least one call. Has no clock and does no I/O.
+///
+/// Nodes without answers spend an equal share of the rate each. The allocator cannot tell them from
+/// dead ones, so it reserves the shares of all nodes that are not in touch. After `reserve_time` it
+/// releases what `overrun` and `slack_tokens` cover: a few nodes may have died, while many at once
+/// are probably cut off.
+class quota_allocator {
+public:
+    /// Time for which the whole share of a node that is not in touch any more is reserved.
+    static constexpr std::chrono::seconds reserve_time{15};
+    /// Validity of a report of nodes in touch.
+    static constexpr std::chrono::milliseconds touch_lifetime{1'200};
+    /// Validity of a node's request.
+    static constexpr std::chrono::milliseconds request_lifetime{400};
+    /// Window over which the use of a quota is limited.
+    static constexpr std::chrono::seconds window{8};
+    /// Share of a quota, and number of tokens, by which the use in one window may exceed it.
+    static constexpr double overrun = 0.1;
+    static constexpr double slack_tokens = 72'000;
+
+    /// Starts with empty buckets. Grants nothing until the tokens of a former allocator expired.
+    void start(support::time_point now);
+    void stop();
+    [[nodiscard]] bool running() const { return running_; }
+
+    /// Sets the tenants. Changed limits apply to the next grant.
+    void configure(std::span<const tenant> tenants, support::time_point now);
+    /// Sets the number of nodes that have a share.
+    void set_nodes(std::size_t nodes, support::time_point now);
+    /// Records how many nodes of a data centre are in touch with its lead.
+    void on_nodes_in_touch(std::string_view data_centre, std::size_t count,
+                           support::time_point now);
+    /// Records a node's request.
+    void request(std::string_view node, const quota_request& message, support::time_point now);
+
+    /// Returns an answer for each new request, possibly without tokens, and further tokens for
+    /// those that could not be met before.
+    std::vector<quota_grant> take_grants(support::time_point now);
+
+private:
+    struct bucket {
+        double rate = 0;
+        double burst = 0;
+        double slack = 0;
+        double level = 0;
+        support::time_point filled_at;
+        std::map<std::string, support::time_point, std::less<>> served; ///< Last grant by node.
+    };
+    struct pending_row {
+        double wanted = 0;
+        double waiting = 0;
+        double quantum = 0;
+    };
+    struct requester {
+        std::uint64_t stamp = 0;
+        bool uses_share = false;
+        bool answer_due = false;
+        support::time_point received;
+        std::map<std::string, pending_row, std::less<>> rows;
+    };
+    struct touch {
+        std::size_t count = 0;
+        support::time_point received;
+    };
+    struct touched_count {
+        support::time_point at;
+        std::size_t count = 0;
+    };
+    using grants = std::map<std::string, quota_grant, std::less<>>;
+
+    [[nodiscard]] std::size_t nodes_in_touch(support::time_point now) const;
+    [[nodiscard]] double reserved(const bucket& target) const;
+    void update_touched(support::time_point now);
+    void fill(support::time_point now);
+    void divide(const std::string& tenant, bucket& target, grants& out, support::time_point now);
+
+    bool running_ = false;
+    support::time_point grants_from_;
+    std::size_t nodes_ = 0;
+    std::size_t silent_ = 0;          ///< Nodes that are not in touch.
+    std::size_t recently_silent_ = 0; ///< Those of them that were within `reserve_time`.
+    std::map<std::string, bucket, std::less<>> buckets_;
+    std::map<std::string, requester, std::less<>> requesters_;
+    std::map<std::string, touch, std::less<>> touches_;
+    std::deque<touched_count> history_; ///< Decreasing counts, oldest first.
+};
+
+} // namespace dragonflystair::fleet
--- /dev/null
+++ b/include/dragonflystair/fleet/quota_messages.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dragonflystair::fleet {
+
+/// Validity of granted tokens, from the time at which the node requested them. What is spent in a
+/// window was therefore granted in a window that is longer by this time.
+inline constexpr std::chrono::milliseconds quota_grant_lifetime{600};
+
+/// A node's request for tokens of all tenants that it needs some for. It replaces its former one.
+struct quota_request {
+    std::uint64_t stamp = 0; ///< Identifier, as chosen by the node.
+    bool uses_share = false; ///< The node spends its equal share since it gets no answers.
+    struct row {
+        std::string tenant;
+        double wanted = 0;
+        double waiting = 0;  ///< The part of it that waiting calls need.
+        double quantum = 0;  ///< Less than this is of no use to the node.
+        double returned = 0; ///< Tokens that it was granted and will not spend.
+    };
+    std::vector<row> rows;
+};
+
+/// The allocator's answer to the last request of a node.
+struct quota_grant {
+    std::string node;
+    std::uint64_t stamp = 0; ///< Of the request.
+    struct row {
+        std::string tenant;
+        double amount = 0;
+        std::chrono::milliseconds next_in{0}; ///< Expected time until the rest can be granted.
+    };
+    std::vector<row> rows;
+};
+
+} // namespace dragonflystair::fleet
--- /dev/null
+++ b/lib/fleet/quota_allocator.cpp
@@ -0,0 +1,270 @@
+#include "dragonflystair/fleet/quota_allocator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflystair::fleet {
+
+using std::chrono::milliseconds;
+using support::duration;
+using support::time_point;
+
+namespace {
+
+/// Smallest capacity of a bucket in seconds of its rate, so that a quota without a burst can be
+/// used between two rounds of grants.
+constexpr double min_capacity_s = 0.1;
+
+/// Longest time to a grant that is estimated.
+constexpr double max_estimate_s = 60;
+
+/// The overrun covers tokens that are spent later than granted, `min_capacity_s`, and shares that
+/// are not reserved any more. These get the rest.
+constexpr double released_overrun_s = 0.1;
+constexpr double released_slack_share = 0.5;
+
+double seconds_of(duration value) {
+    return std::chrono::duration<double>(value).count();
+}
+
+double capacity(double rate, double burst) {
+    return std::max(burst, rate * min_capacity_s);
+}
+
+} // namespace
+
+void quota_allocator::start(time_point now) {
+    running_ = true;
+    grants_from_ = now + quota_grant_lifetime;
+    requesters_.clear();
+    touches_.clear();
+    history_.clear();
+    history_.push_back({now, nodes_});
+    for (auto& [name, target] : buckets_) {
+        target.level = 0;
+        target.filled_at = now;
+        target.served.clear();
+    }
+}
+
+void quota_allocator::stop() {
+    running_ = false;
+}
+
+void quota_allocator::configure(std::span<const tenant> tenants, time_point now) {
+    fill(now);
+    std::map<std::string, bucket, std::less<>> kept;
+    for (const auto& tenant : tenants) {
+        if (tenant.rate_per_s <= 0) {
+            continue;
+        }
+        bucket target;
+        target.filled_at = now;
+        if (const auto found = buckets_.find(tenant.name); found != buckets_.end()) {
+            target = std::move(found->second);
+        }
+        target.rate = tenant.rate_per_s;
+        target.burst = tenant.burst;
+        target.slack = tenant.unit == quota_unit::tokens ? slack_tokens : 0;
+        target.level = std::min(target.level, capacity(target.rate, target.burst));
+        kept.emplace(tenant.name, std::move(target));
+    }
+    buckets_ = std::move(kept);
+}
+
+void quota_allocator::set_nodes(std::size_t nodes, time_point now) {
+    if (nodes == nodes_) {
+        return;
+    }
+    if (nodes > nodes_) {
+        // A node that has just been registered may have been cut off since.
+        history_.push_back({now, nodes});
+    }
+    nodes_ = nodes;
+}
+
+void quota_allocator::on_nodes_in_touch(std::string_view data_centre, std::size_t count,
+                                        time_point now) {
+    touches_.insert_or_assign(std::string(data_centre), touch{count, now});
+}
+
+std::size_t quota_allocator::nodes_in_touch(time_point now) const {
+    std::size_t count = 0;
+    for (const auto& [data_centre, known] : touches_) {
+        count += now - known.received <= touch_lifetime ? known.count : 0;
+    }
+    const auto using_share =
+        static_cast<std::size_t>(std::ranges::count_if(requesters_, [&](const auto& item) {
+            return item.second.uses_share && now - item.second.received <= touch_lifetime;
+        }));
+    return std::min(count - std::min(count, using_share), nodes_);
+}
+
+void quota_allocator::update_touched(time_point now) {
+    const auto count = nodes_in_touch(now);
+    while (!history_.empty() && now - history_.front().at > reserve_time) {
+        history_.pop_front();
+    }
+    while (!history_.empty() && history_.back().count <= count) {
+        history_.pop_back();
+    }
+    history_.push_back({now, count});
+    silent_ = nodes_ - count;
+    recently_silent_ = std::min(history_.front().count, nodes_) - count;
+}
+
+/// Returns the tokens per second that nodes without answers may spend.
+double quota_allocator::reserved(const bucket& target) const {
+    if (nodes_ == 0) {
+        return target.rate; // Nothing is known of the other nodes yet.
+    }
+    const double share = target.rate / static_cast<double>(nodes_);
+    const double released = (target.rate * released_overrun_s +
+                             (target.burst * overrun + target.slack) * released_slack_share) /
+                            seconds_of(window);
+    return std::max(share * static_cast<double>(recently_silent_),
+                    share * static_cast<double>(silent_) - released);
+}
+
+void quota_allocator::fill(time_point now) {
+    if (!running_) {
+        return;
+    }
+    update_touched(now);
+    for (auto& [name, target] : buckets_) {
+        const double rate = std::max(target.rate - reserved(target), 0.0);
+        // Nothing accumulates in the time in which tokens of a former allocator may be spent.
+        const auto from = std::max(target.filled_at, grants_from_);
+        if (now > from) {
+            target.level = std::min(target.level + rate * seconds_of(now - from),
+                                    capacity(target.rate, target.burst));
+            target.filled_at = now;
+        }
+    }
+}
+
+void quota_allocator::request(std::string_view node, const quota_request& message, time_point now) {
+    if (!running_) {
+        return;
+    }
+    fill(now);
+    auto& known = requesters_[std::string(node)];
+    if (message.stamp < known.stamp) {
+        return;
+    }
+    known.stamp = message.stamp;
+    known.uses_share = message.uses_share;
+    known.answer_due = true;
+    known.received = now;
+    known.rows.clear();
+    for (const auto& row : message.rows) {
+        const auto target = buckets_.find(row.tenant);
+        if (target == buckets_.end()) {
+            continue;
+        }
+        auto& bucket = target->second;
+        if (now >= grants_from_ + quota_grant_lifetime) {
+            // Earlier, tokens of a former allocator could be returned.
+            bucket.level =
+                std::min(bucket.level + row.returned, capacity(bucket.rate, bucket.burst));
+        }
+        known.rows.insert_or_assign(row.tenant, pending_row{row.wanted, row.waiting, row.quantum});
+    }
+}
+
+/// Grants a tenant's tokens to nodes in the order of their last grants. If there are not enough for
+/// all, waiting calls come first, and each node gets a share by demand, but no less than it can
+/// use. A node whose turn it is waits for that amount, so that those with larger calls are not
+/// passed over for ever.
+void quota_allocator::divide(const std::string& tenant, bucket& target, grants& out,
+                             time_point now) {
+    struct candidate {
+        const std::string* node = nullptr;
+        pending_row* row = nullptr;
+        time_point served;
+    };
+    std::vector<candidate> candidates;
+    double total = 0;
+    double waiting = 0;
+    for (auto& [node, known] : requesters_) {
+        const auto row = known.rows.find(tenant);
+        if (row == known.rows.end()) {
+            continue;
+        }
+        if (row->second.wanted <= 0) {
+            if (known.answer_due) {
+                out[node].rows.push_back({tenant, 0, milliseconds{0}});
+            }
+            continue;
+        }
+        const auto served = target.served.find(node);
+        candidates.push_back(
+            {&node, &row->second, served == target.served.end() ? time_point{} : served->second});
+        total += row->second.wanted;
+        waiting += row->second.waiting;
+    }
+    std::ranges::stable_sort(candidates, {}, &candidate::served);
+    const bool only_waiting = total > target.level && waiting > 0;
+    const double divided = only_waiting ? waiting : total;
+    const double share = divided > target.level ? target.level / divided : 1;
+    const double rate = std::max(target.rate - reserved(target), target.rate * 0.01);
+    double ahead = 0;
+    bool blocked = now < grants_from_;
+    for (const auto& [node, row, served] : candidates) {
+        const double asked = only_waiting ? row->waiting : row->wanted;
+        const double least = std::min({asked, row->quantum, capacity(target.rate, target.burst)});
+        const double amount = std::min(asked, std::max(asked * share, least));
+        const bool granted = !blocked && amount > 0 && target.level >= amount;
+        blocked = blocked || (!granted && asked > 0);
+        if (granted) {
+            target.level -= amount;
+            row->wanted -= amount;
+            row->waiting = std::max(row->waiting - amount, 0.0);
+            target.served.insert_or_assign(*node, now);
+        }
+        ahead += std::max(row->wanted, 0.0);
+        const double wait = std::clamp((ahead - target.level) / rate, 0.0, max_estimate_s);
+        if (granted || requesters_.find(*node)->second.answer_due) {
+            const auto next_in =
+                std::chrono::ceil<milliseconds>(std::chrono::duration<double>(wait));
+            out[*node].rows.push_back({tenant, granted ? amount : 0, next_in});
+        }
+    }
+}
+
+std::vector<quota_grant> quota_allocator::take_grants(time_point now) {
+    std::vector<quota_grant> result;
+    if (!running_) {
+        return result;
+    }
+    fill(now);
+    for (auto& [node, known] : requesters_) {
+        if (now - known.received > request_lifetime) {
+            known.rows.clear();
+        }
+    }
+    grants out;
+    for (auto& [tenant, target] : buckets_) {
+        divide(tenant, target, out, now);
+    }
+    for (auto& [node, known] : requesters_) {
+        const auto found = out.find(node);
+        if (found == out.end() && !known.answer_due) {
+            continue;
+        }
+        known.answer_due = false;
+        auto grant = found == out.end() ? quota_grant{} : std::move(found->second);
+        grant.node = node;
+        grant.stamp = known.stamp;
+        result.push_back(std::move(grant));
+    }
+    std::erase_if(requesters_,
+                  [now](const auto& item) { return now - item.second.received > touch_lifetime; });
+    for (auto& [tenant, target] : buckets_) {
+        std::erase_if(target.served,
+                      [now](const auto& item) { return now - item.second > reserve_time; });
+    }
+    return result;
+}
+
+} // namespace dragonflystair::fleet
--- /dev/null
+++ b/lib/fleet/quota_wallet.cpp
@@ -0,0 +1,344 @@
+#include "dragonflystair/fleet/quota_wallet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflystair::fleet {
+
+using std::chrono::milliseconds;
+using support::duration;
+using support::time_point;
+
+namespace {
+
+/// Number of nodes from which requests are sent less often, which halves the allocator's work.
+constexpr std::size_t many_nodes = 120;
+
+/// Time of use for which tokens are held ahead, beyond the interval between two requests: it covers
+/// a round trip between regions, the allocator's turn and uneven arrivals.
+constexpr milliseconds ahead_margin{150};
+
+/// Weight of the last interval in the smoothed use. Callers move between nodes within seconds.
+constexpr double use_weight = 0.5;
+/// Factor per interval with which the size of the largest calls decays.
+constexpr double largest_decay = 0.9;
+/// Use below this share of one call per second counts as none.
+constexpr double negligible_use = 0.1;
+
+/// Limits of the time that a refused caller is told to wait.
+constexpr milliseconds min_retry_after{100};
+constexpr milliseconds max_retry_after{10'000};
+
+/// Time without a refusal after which a quota takes no effect any more.
+constexpr std::chrono::seconds quiet_time{5};
+
+/// Seconds of a rate that a node without answers may accumulate of its share, plus the burst's.
+constexpr double share_capacity_s = 0.6;
+
+double seconds_of(duration value) {
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+void quota_wallet::configure(std::span<const tenant> tenants) {
+    std::map<std::string, account, std::less<>> kept;
+    for (const auto& tenant : tenants) {
+        if (tenant.rate_per_s <= 0) {
+            continue;
+        }
+        account known;
+        if (const auto found = tenants_.find(tenant.name); found != tenants_.end()) {
+            known = std::move(found->second);
+        }
+        known.rate = tenant.rate_per_s;
+        known.burst = tenant.burst;
+        known.unit = tenant.unit;
+        known.plain_cost =
+            tenant.plain_call_tokens > 0 ? static_cast<double>(tenant.plain_call_tokens) : 1;
+        kept.emplace(tenant.name, std::move(known));
+    }
+    tenants_ = std::move(kept);
+}
+
+double quota_wallet::cost(std::string_view tenant, std::size_t tokens) const {
+    const auto found = tenants_.find(tenant);
+    if (found == tenants_.end()) {
+        return 0;
+    }
+    if (found->second.unit == quota_unit::requests) {
+        return 1;
+    }
+    return tokens > 0 ? static_cast<double>(tokens) : found->second.plain_cost;
+}
+
+/// Returns the tokens that have not expired. Expired ones go back to the allocator.
+double quota_wallet::usable(account& known, time_point now) {
+    while (!known.tokens.empty() && known.tokens.front().expires <= now) {
+        known.returned += known.tokens.front().amount;
+        known.tokens.pop_front();
+    }
+    double sum = 0;
+    for (const auto& granted : known.tokens) {
+        sum += granted.amount;
+    }
+    return sum;
+}
+
+void quota_wallet::spend(account& known, double cost) {
+    while (cost > 0 && !known.tokens.empty()) {
+        auto& first = known.tokens.front();
+        const double used = std::min(first.amount, cost);
+        first.amount -= used;
+        cost -= used;
+        if (first.amount <= 0) {
+            known.tokens.pop_front();
+        }
+    }
+}
+
+bool quota_wallet::uses_share(time_point now) const {
+    return unanswered_since_ && now - *unanswered_since_ >= answer_timeout;
+}
+
+void quota_wallet::fill_shares(time_point now) {
+    if (!uses_share(now)) {
+        if (shares_filled_at_) {
+            shares_filled_at_.reset();
+            for (auto& [name, known] : tenants_) {
+                known.share = 0;
+            }
+        }
+        return;
+    }
+    const auto nodes = static_cast<double>(nodes_);
+    const double elapsed = shares_filled_at_ ? seconds_of(now - *shares_filled_at_) : 0;
+    shares_filled_at_ = now;
+    if (nodes_ == 0) {
+        return;
+    }
+    for (auto& [name, known] : tenants_) {
+        known.share = std::min(known.share + known.rate / nodes * elapsed,
+                               (known.burst + known.rate * share_capacity_s) / nodes);
+    }
+}
+
+bool quota_wallet::try_take(account& known, double cost, time_point now) {
+    if (usable(known, now) >= cost) {
+        spend(known, cost);
+        return true;
+    }
+    fill_shares(now);
+    if (known.share >= cost) {
+        known.share -= cost;
+        return true;
+    }
+    return false;
+}
+
+quota_decision quota_wallet::take(std::string_view tenant, std::uint64_t number, double cost,
+                                  time_point now) {
+    const auto found = tenants_.find(tenant);
+    if (found == tenants_.end()) {
+        return quota_decision::granted;
+    }
+    auto& known = found->second;
+    known.arrived += cost;
+    known.largest = std::max(known.largest, cost);
+    if (known.waiting.empty() && try_take(known, cost, now)) {
+        return quota_decision::granted;
+    }
+    if (uses_share(now) || (known.next_at && *known.next_at > now + max_wait)) {
+        return quota_decision::refused;
+    }
+    double before = 0;
+    for (const auto& call : known.waiting) {
+        before += call.cost;
+    }
+    if (before > known.rate * seconds_of(max_wait) + known.burst) {
+        return quota_decision::refused;
+    }
+    known.waiting.push_back({number, cost});
+    call_waits_ = true;
+    return quota_decision::waits;
+}
+
+std::vector<std::uint64_t> quota_wallet::take_granted(time_point now) {
+    std::vector<std::uint64_t> granted;
+    for (auto& [name, known] : tenants_) {
+        while (!known.waiting.empty() && try_take(known, known.waiting.front().cost, now)) {
+            granted.push_back(known.waiting.front().number);
+            known.waiting.pop_front();
+        }
+    }
+    return granted;
+}
+
+void quota_wallet::cancel(std::string_view tenant, std::uint64_t number) {
+    if (const auto found = tenants_.find(tenant); found != tenants_.end()) {
+        std::erase_if(found->second.waiting,
+                      [number](const auto& call) { return call.number == number; });
+    }
+}
+
+void quota_wallet::on_refused(std::string_view tenant, time_point now) {
+    if (const auto found = tenants_.find(tenant); found != tenants_.end()) {
+        found->second.refused_at = now;
+    }
+}
+
+milliseconds quota_wallet::retry_after(std::string_view tenant, double cost, double spread,
+                                       time_point now) const {
+    const auto found = tenants_.find(tenant);
+    if (found == tenants_.end()) {
+        return min_retry_after;
+    }
+    const auto& known = found->second;
+    double wait_s = known.next_at ? std::max(seconds_of(*known.next_at - now), 0.0) : 0;
+    if (uses_share(now) && nodes_ > 0) {
+        wait_s = std::max(cost - known.share, 0.0) * static_cast<double>(nodes_) / known.rate;
+    }
+    // Calls that were refused meanwhile compete for the same tokens.
+    wait_s = (wait_s + cost / known.rate) * (1 + spread) + seconds_of(max_wait) * spread;
+    return std::clamp(std::chrono::ceil<milliseconds>(std::chrono::duration<double>(wait_s)),
+                      min_retry_after, max_retry_after);
+}
+
+void quota_wallet::give_back(std::string_view tenant, double cost, time_point taken,
+                             time_point now) {
+    const auto found = tenants_.find(tenant);
+    if (found == tenants_.end()) {
+        return;
+    }
+    auto& known = found->second;
+    if (uses_share(now)) {
+        known.share += cost;
+        fill_shares(now);
+    } else if (now - taken <= give_back_time) {
+        known.returned += cost;
+    }
+}
+
+bool quota_wallet::request_due(time_point now) const {
+    if (!requested_at_) {
+        return true;
+    }
+    const duration period = nodes_ > many_nodes ? long_request_period : request_period;
+    return now - *requested_at_ >= (call_waits_ ? duration{min_request_period} : period);
+}
+
+/// Returns tokens to the allocator that exceed what is needed.
+void quota_wallet::return_surplus(account& known, double needed) {
+    double held = 0;
+    for (auto granted = known.tokens.rbegin(); granted != known.tokens.rend(); ++granted) {
+        const double kept = std::min(granted->amount, std::max(needed - held, 0.0));
+        known.returned += granted->amount - kept;
+        granted->amount = kept;
+        held += kept;
+    }
+    std::erase_if(known.tokens, [](const auto& granted) { return granted.amount <= 0; });
+}
+
+/// Returns a tenant's row of a request; empty if it has no use for tokens and returns none.
+std::optional<quota_request::row> quota_wallet::make_row(const std::string& tenant, account& known,
+                                                         duration period, time_point now) {
+    const double elapsed =
+        requested_at_ ? std::max(seconds_of(now - *requested_at_), seconds_of(min_request_period))
+                      : seconds_of(period);
+    const double arrived = std::exchange(known.arrived, 0) / elapsed;
+    // A longer interval says more of the present use.
+    const double weight = std::min(use_weight * elapsed / seconds_of(period), 1.0);
+    known.use_per_s += (arrived - known.use_per_s) * weight;
+    known.largest *= largest_decay;
+    if (known.use_per_s < negligible_use * std::max(known.largest, 1.0) * weight) {
+        known.use_per_s = 0;
+    }
+    double waiting = 0;
+    double quantum = known.use_per_s > 0 ? known.largest : 0;
+    for (const auto& call : known.waiting) {
+        waiting += call.cost;
+        quantum = std::max(quantum, call.cost);
+    }
+    const double held = usable(known, now);
+    const double ahead = known.use_per_s * seconds_of(period + ahead_margin);
+    // While tokens are scarce, none are held for a next call that may not come.
+    const bool scarce = known.next_at && *known.next_at > now;
+    const double needed =
+        waiting + (known.use_per_s > 0 && !scarce ? std::max(ahead, known.largest) : ahead);
+    return_surplus(known, needed);
+    quota_request::row row{tenant, std::max(needed - held, 0.0), std::max(waiting - held, 0.0),
+                           quantum, std::exchange(known.returned, 0)};
+    if (uses_share(now)) {
+        row.returned = 0; // They may be from long ago.
+    }
+    if (row.wanted <= 0 && row.returned <= 0 && known.use_per_s <= 0) {
+        known.next_at.reset();
+        return std::nullopt;
+    }
+    return row;
+}
+
+std::optional<quota_request> quota_wallet::take_due_request(time_point now) {
+    if (tenants_.empty() || !request_due(now)) {
+        return std::nullopt;
+    }
+    const duration period = nodes_ > many_nodes ? long_request_period : request_period;
+    quota_request request;
+    for (auto& [name, known] : tenants_) {
+        if (auto row = make_row(name, known, period, now)) {
+            request.rows.push_back(std::move(*row));
+        }
+    }
+    requested_at_ = now;
+    call_waits_ = false;
+    if (request.rows.empty() && !unanswered_since_) {
+        return std::nullopt;
+    }
+    unanswered_since_ = unanswered_since_.value_or(now);
+    request.stamp = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    request.uses_share = uses_share(now);
+    return request;
+}
+
+void quota_wallet::on_answer(std::span<const quota_grant::row> rows, time_point requested,
+                             time_point now) {
+    const auto expires = requested + quota_grant_lifetime;
+    if (requested > now) {
+        return;
+    }
+    if (expires > now && (!answered_request_ || requested >= *answered_request_)) {
+        answered_request_ = requested;
+        if (requested_at_ && requested < *requested_at_) {
+            unanswered_since_ = *requested_at_;
+        } else {
+            unanswered_since_.reset();
+        }
+        fill_shares(now);
+    }
+    for (const auto& row : rows) {
+        const auto found = tenants_.find(row.tenant);
+        if (found == tenants_.end() || row.amount < 0) {
+            continue;
+        }
+        auto& known = found->second;
+        known.next_at = now + row.next_in;
+        if (row.amount > 0 && expires > now) {
+            const auto place =
+                std::ranges::upper_bound(known.tokens, expires, {}, &granted_tokens::expires);
+            known.tokens.insert(place, {expires, row.amount});
+        }
+    }
+}
+
+std::vector<quota_change> quota_wallet::take_changes(time_point now) {
+    std::vector<quota_change> changes;
+    for (auto& [name, known] : tenants_) {
+        const bool takes_effect = known.refused_at && now - *known.refused_at < quiet_time;
+        if (std::exchange(known.takes_effect, takes_effect) != takes_effect) {
+            changes.push_back({name, takes_effect});
+        }
+    }
+    return changes;
+}
+
+} // namespace dragonflystair::fleet
--- /dev/null
+++ b/unittests/fleet/shared_quota_test.cpp
@@ -0,0 +1,196 @@
+#include "quota_network.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <string>
+
+namespace {
+
+using namespace dragonflystair::fleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::quota_network;
+
+constexpr double rate = 40'000;
+constexpr double burst = 80'000;
+constexpr double calls_at_rate = rate / quota_network::call_cost;
+
+tenant limits() {
+    tenant result;
+    result.name = "atlas";
+    result.unit = quota_unit::tokens;
+    result.rate_per_s = rate;
+    result.burst = burst;
+    return result;
+}
+
+/// The bound without its slack: the tests' faults need none of that.
+double bound(double per_s = rate) {
+    return (per_s * 8 + burst) * 1.1;
+}
+
+class shared_quota_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(shared_quota_test);
+    CPPUNIT_TEST(tenant_on_one_node_uses_its_limit);
+    CPPUNIT_TEST(tenant_on_all_nodes_uses_its_limit);
+    CPPUNIT_TEST(tenant_that_moves_between_nodes_uses_its_limit);
+    CPPUNIT_TEST(calls_below_the_limit_are_all_served);
+    CPPUNIT_TEST(lost_frames_keep_the_bound);
+    CPPUNIT_TEST(dead_and_replaced_allocator_keeps_the_bound);
+    CPPUNIT_TEST(nodes_that_are_cut_off_get_shares_within_the_bound);
+    CPPUNIT_TEST(killed_nodes_lose_little_of_the_limit);
+    CPPUNIT_TEST(lower_limit_holds_one_window_later);
+    CPPUNIT_TEST(restarted_nodes_have_no_tokens);
+    CPPUNIT_TEST(frames_of_a_node_do_not_grow_with_the_nodes);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::array<std::size_t, 4> sizes{1, 8, 60, 360};
+
+    static void assert_use(const quota_network& nodes, double share = 0.95) {
+        const double use = nodes.use_since(seconds{10});
+        CPPUNIT_ASSERT_MESSAGE("use " + std::to_string(use), use >= share * rate);
+        assert_bound(nodes);
+    }
+    static void assert_bound(const quota_network& nodes) {
+        const double most = nodes.most_in_window();
+        CPPUNIT_ASSERT_MESSAGE("most " + std::to_string(most), most <= bound());
+    }
+    /// Demand of `factor` times the limit, equally at all nodes.
+    static auto everywhere(std::size_t nodes, double factor) {
+        return [=](auto, auto) { return factor * calls_at_rate / static_cast<double>(nodes); };
+    }
+
+    // Guards against tokens that are reserved for or held by nodes without calls.
+    void tenant_on_one_node_uses_its_limit() {
+        for (const auto count : sizes) {
+            quota_network nodes(count, limits());
+            nodes.demand = [](auto node, auto) { return node == 0 ? 4 * calls_at_rate : 0; };
+            nodes.run(seconds{30});
+            assert_use(nodes);
+        }
+    }
+
+    // Guards against shares of a limit that are less than a call each, and so of use to no node.
+    void tenant_on_all_nodes_uses_its_limit() {
+        for (const auto count : sizes) {
+            quota_network nodes(count, limits());
+            nodes.demand = everywhere(count, 3);
+            nodes.run(seconds{30});
+            assert_use(nodes);
+        }
+    }
+
+    // Guards against tokens that stay at the nodes that the callers have left.
+    void tenant_that_moves_between_nodes_uses_its_limit() {
+        for (const auto count : sizes) {
+            quota_network nodes(count, limits());
+            nodes.demand = [count](auto node, milliseconds at) {
+                const auto turn = static_cast<std::size_t>(at / seconds{2});
+                return node == turn % count ? 1.5 * calls_at_rate : 0;
+            };
+            nodes.run(seconds{40});
+            assert_use(nodes);
+        }
+    }
+
+    // Guards against refusals of calls within the quota, for which tokens would come too late.
+    void calls_below_the_limit_are_all_served() {
+        for (const auto count : sizes) {
+            quota_network nodes(count, limits());
+            nodes.demand = everywhere(count, 0.9);
+            nodes.run(seconds{30});
+            assert_use(nodes, 0.87);
+        }
+    }
+
+    // Guards against credit for tokens that were spent, and against use of the share together with
+    // grants.
+    void lost_frames_keep_the_bound() {
+        quota_network nodes(60, limits());
+        nodes.loss = 0.3;
+        nodes.demand = everywhere(60, 4);
+        nodes.run(seconds{40});
+        assert_bound(nodes);
+    }
+
+    // Guards against grants of two allocators in one window, and against a standstill without one.
+    void dead_and_replaced_allocator_keeps_the_bound() {
+        quota_network nodes(60, limits());
+        nodes.demand = everywhere(60, 4);
+        for (int turn = 0; turn < 3; ++turn) {
+            nodes.run(seconds{6});
+            nodes.kill_allocator();
+            nodes.run(seconds{turn == 2 ? 30 : 4});
+            nodes.replace_allocator();
+        }
+        assert_bound(nodes);
+        CPPUNIT_ASSERT(nodes.use_since(seconds{30}) >= 0.8 * rate);
+    }
+
+    // Guards against shares that the allocator grants once more, also after a long time.
+    void nodes_that_are_cut_off_get_shares_within_the_bound() {
+        quota_network nodes(60, limits());
+        nodes.demand = everywhere(60, 4);
+        nodes.run(seconds{10});
+        for (std::size_t node = 0; node < 20; ++node) {
+            nodes.cut_off(node, true);
+        }
+        nodes.run(seconds{40});
+        const double most = nodes.most_in_window();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most <= bound() + 72'000);
+        CPPUNIT_ASSERT(nodes.use_since(seconds{30}) >= 0.9 * rate);
+    }
+
+    // Guards against the loss of a killed node's share for ever.
+    void killed_nodes_lose_little_of_the_limit() {
+        quota_network nodes(60, limits());
+        nodes.demand = everywhere(60, 3);
+        nodes.run(seconds{10});
+        nodes.kill(3);
+        nodes.kill(4);
+        nodes.run(seconds{30});
+        assert_use(nodes);
+    }
+
+    // Guards against tokens of the former limit that stay in the bucket or at the nodes.
+    void lower_limit_holds_one_window_later() {
+        quota_network nodes(8, limits());
+        nodes.demand = everywhere(8, 4);
+        nodes.run(seconds{20});
+        nodes.set_rate(rate / 4);
+        nodes.run(seconds{20});
+        CPPUNIT_ASSERT(nodes.most_in_window(seconds{28}) <= rate / 4 * 8 * 1.1);
+    }
+
+    // Guards against a burst per restart.
+    void restarted_nodes_have_no_tokens() {
+        quota_network nodes(8, limits());
+        nodes.demand = everywhere(8, 4);
+        for (int turn = 0; turn < 5; ++turn) {
+            nodes.run(seconds{3});
+            for (std::size_t node = 0; node < 8; ++node) {
+                nodes.restart(node);
+            }
+            nodes.replace_allocator();
+        }
+        assert_bound(nodes);
+    }
+
+    // Guards against a node's costs that grow with the system.
+    void frames_of_a_node_do_not_grow_with_the_nodes() {
+        const auto frames = [](std::size_t count) {
+            quota_network nodes(count, limits());
+            nodes.demand = [](auto, auto) { return 2.0; };
+            nodes.run(seconds{20});
+            return nodes.frames_of_node(0);
+        };
+        CPPUNIT_ASSERT(frames(60) <= 20 * 20);
+        CPPUNIT_ASSERT(frames(360) <= 20 * 20);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(shared_quota_test);
+
+} // namespace
