Refuse calls beyond the quota of their tenant

Cause: tenants may have a rate and a burst over all nodes, which nothing applied.

Change: the holder of the confirmed placement lease of the first data centre allocates the quotas. Nodes request tokens of all tenants in one frame (y), directly or through the lead of their data centre, and get grants (z). Leads report the number of nodes in touch. A call takes its tokens after its key has been checked, waits for them up to 250 ms if they may come, and else gets 429 with a Retry-After. A call that no endpoint has run gives them back.

Off unless the configuration has a tenant with a rate.

--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -73,6 +73,9 @@
     added.tenant = call.tenant;
     added.resume_after = events.last_id();
     ++call.sends;
+    if (call.quota_taken && call.sends == 1) {
+        view_.quotas.on_sent(call.tenant, call.quota_cost);
+    }
     call.tests_block = false;
     call.stream_began.reset();
     view_.note_sent(record->id, !events.last_id().empty() ? fleet::request_kind::resumed_stream
--- a/lib/gateway/call_relay.cpp
+++ b/lib/gateway/call_relay.cpp
@@ -219,9 +219,16 @@
             locked->changed.notify();
         }
     });
+    const auto over_quota = co_await take_quota(*call);
+    if (over_quota) {
+        calls_.erase(call->number);
+        co_await refuse(exchange, *call, *over_quota);
+        co_return;
+    }
     co_await serve_admitted(exchange, *call);
     end_attempt(*call);
     calls_.erase(call->number);
+    return_quota(*call);
     placer_.finish(call->number, call->last_send);
 }
 
--- a/lib/gateway/call_relay.h
+++ b/lib/gateway/call_relay.h
@@ -32,6 +32,8 @@
             on_notice;
         /// Returns whether callers can be served by another node.
         std::function<bool()> other_node_ready;
+        /// Called when a call waits for tokens of its tenant's quota.
+        std::function<void()> quota_wanted;
     };
 
     call_relay(node_view& view, call_placer& placer, hooks callbacks)
@@ -50,6 +52,9 @@
     /// Refuses the waiting calls that are blocked now.
     void on_blocks_changed();
 
+    /// Resumes the calls that have got tokens of their tenants' quotas.
+    void on_quota_changed();
+
     [[nodiscard]] std::size_t open_calls() const { return calls_.size(); }
 
 private:
@@ -64,6 +69,9 @@
     /// Decodes the request and fills in `call`. Returns a problem if the call cannot be served.
     std::optional<net::problem> authenticate(open_call& call) const;
     std::optional<net::problem> admit(const net::http_exchange& exchange, open_call& call);
+    net::awaitable<std::optional<net::problem>> take_quota(open_call& call);
+    net::problem over_quota(const open_call& call);
+    void return_quota(const open_call& call);
     void submit(open_call& call);
     net::awaitable<bool> wait_for_decision(open_call& call);
     std::optional<net::problem> blocked_problem(const open_call& call) const;
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -109,7 +109,7 @@
       relay_(view_, placer_,
              {[this](std::string_view endpoint, std::uint64_t started_ms, const auto& notice,
                      support::time_point sent) { on_notice(endpoint, started_ms, notice, sent); },
-              [this] { return other_node_ready(); }}),
+              [this] { return other_node_ready(); }, [this] { send_quota_request(); }}),
       operator_records_(io_.get_executor(), store_, std::string(platform::operator_topic),
                         operator_topic_pacing(settings), operator_hooks(),
                         [](const auto& record) { return platform::version_of(record); }),
@@ -237,6 +237,7 @@
     placer_.tick();
     update_crashes();
     view_.permits.set_nodes(view_.live_nodes);
+    update_quotas();
     if (view_.dispatcher.waiting() > 0) {
         pump();
     } else {
@@ -255,6 +256,7 @@
     if (ticks_ % ticks_per_status == 0) {
         send_status(holds_lease() && ticks_ % ticks_per_remote_status == 0);
         restore_registration();
+        report_nodes_in_touch();
         dial_peers();
     }
     if (ticks_ % ticks_per_freshness == 0) {
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -3,6 +3,7 @@
 #include "dragonflystair/fleet/endpoint_watch.h"
 #include "dragonflystair/fleet/load_reports.h"
 #include "dragonflystair/fleet/permit_divider.h"
+#include "dragonflystair/fleet/quota_allocator.h"
 #include "dragonflystair/fleet/residency_batch.h"
 #include "dragonflystair/fleet/store_readers.h"
 #include "dragonflystair/gateway/gateway.h"
@@ -151,6 +152,16 @@
     [[nodiscard]] std::string divider_for(std::string_view data_centre) const;
     [[nodiscard]] std::string data_centre_of(std::string_view endpoint) const;
 
+    // Quotas of tenants (gateway_quotas.cpp).
+    [[nodiscard]] std::string_view quota_data_centre() const;
+    void configure_quotas(const fleet::configuration& configuration);
+    void update_quotas();
+    void send_quota_request();
+    void report_nodes_in_touch();
+    void on_quota_request(std::string_view peer, const support::json& frame);
+    void send_quota_grants();
+    void on_quota_grant(const support::json& frame);
+
     // Leads and leases (gateway_leads.cpp).
     [[nodiscard]] bool holds_lease() const;
     /// Whether this node holds the lease of its own data centre.
@@ -208,6 +219,9 @@
     fleet::permit_divider divider_;
     /// Peers over which requests for permits came, by the incarnation of the requesting node.
     std::map<std::string, std::string, std::less<>> permit_routes_;
+    fleet::quota_allocator quota_allocator_;
+    /// Peers over which requests for tokens came, by the incarnation of the requesting node.
+    std::map<std::string, std::string, std::less<>> quota_routes_;
     fleet::load_reports load_reports_;
     fleet::residency_batch pending_residency_;
     std::map<std::string, support::time_point> records_requested_;
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -99,6 +99,8 @@
         {"v", [](self& node, auto, const json& frame) { node.on_permit_answer(frame); }},
         {"w",
          [](self& node, auto peer, const json& frame) { node.on_freshness_request(peer, frame); }},
+        {"y", [](self& node, auto peer, const json& frame) { node.on_quota_request(peer, frame); }},
+        {"z", [](self& node, auto, const json& frame) { node.on_quota_grant(frame); }},
         {"x", [](self& node, auto, const json& frame) { node.on_freshness_answer(frame); }},
         {"e",
          [](self& node, auto peer, const json& frame) { node.on_crash_evidence(peer, frame); }},
@@ -209,6 +211,7 @@
     }
     peers_.erase(found);
     readers_.remove(peer);
+    std::erase_if(quota_routes_, [&](const auto& route) { return route.second == peer; });
     std::erase_if(permit_routes_, [&](const auto& route) { return route.second == peer; });
     placer_.on_peer_down(peer);
     load_reports_.remove_peer(peer);
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -65,6 +65,7 @@
     view_.configuration = std::make_shared<const fleet::configuration>(std::move(*decoded));
     const auto& current = *view_.configuration;
     view_.keys.replace(current.tenants);
+    configure_quotas(current);
     view_.dispatcher.configure(current);
     for (const auto& [name, holder] : holders_) {
         holder->planner().configure(current);
--- a/lib/gateway/node_view.h
+++ b/lib/gateway/node_view.h
@@ -9,6 +9,7 @@
 #include "dragonflystair/fleet/dispatcher.h"
 #include "dragonflystair/fleet/endpoint_backoff.h"
 #include "dragonflystair/fleet/key_directory.h"
+#include "dragonflystair/fleet/quota_wallet.h"
 #include "dragonflystair/fleet/retry_allowance.h"
 #include "dragonflystair/fleet/send_permits.h"
 #include "dragonflystair/fleet/topology.h"
@@ -48,6 +49,7 @@
     fleet::crash_suspects suspects{}; ///< What crashes endpoints, from the reports of all nodes.
     fleet::key_directory keys{};      ///< Keys of the configuration in force.
     fleet::configuration_freshness freshness{std::nullopt};
+    fleet::quota_wallet quotas{}; ///< This node's tokens of the tenants' quotas.
 
     /// Returns whether the backoff of an endpoint allows sending to it, according to the responses
     /// that this node itself has received.
--- a/lib/gateway/open_call.h
+++ b/lib/gateway/open_call.h
@@ -26,6 +26,9 @@
     std::shared_ptr<const fleet::configuration> configuration; ///< In force on arrival.
     const fleet::route* route = nullptr;                       ///< Owned by `configuration`.
     std::string service;
+    double quota_cost = 0; ///< Of the call, in units of its tenant's quota.
+    /// When the call's tokens were taken; empty if they were not or there is no quota.
+    std::optional<support::time_point> quota_taken;
     std::string tenant; ///< Empty if the call has none.
     int priority = 0;   ///< Of its tenant, or else of its route.
     fleet::request_traits traits;
