--- a/unittests/fleet/quota_network.h
+++ b/unittests/fleet/quota_network.h
@@ -43,6 +43,7 @@
     /// Calls per second at each node, at a time since the start.
     std::function<double(std::size_t node, milliseconds at)> demand;
     bool sends_in_pulses = false; ///< Calls wait for endpoints, which take them all every 2 s.
+    double refused_share = 0;     ///< Of the calls with tokens, which no endpoint runs.
     double loss = 0;              ///< Share of the frames that are lost.
 
     void cut_off(std::size_t node, bool cut) { nodes_.at(node).cut = cut; }
@@ -158,6 +159,10 @@
 
     void send_held(node_state& node) {
         for (; node.held > 0; --node.held) {
+            if (std::uniform_real_distribution<>(0, 1)(random_) < refused_share) {
+                node.wallet->give_back(tenant_.name, cost_, false, now_, now_);
+                continue;
+            }
             node.wallet->on_sent(tenant_.name, cost_);
             spent_.emplace_back(now_, cost_);
         }
--- a/unittests/fleet/shared_quota_test.cpp
+++ b/unittests/fleet/shared_quota_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(killed_nodes_lose_little_of_the_limit);
     CPPUNIT_TEST(lower_limit_holds_one_window_later);
     CPPUNIT_TEST(restarted_nodes_have_no_tokens);
+    CPPUNIT_TEST(calls_that_no_endpoint_ran_cost_nothing);
     CPPUNIT_TEST(frames_of_a_node_do_not_grow_with_the_nodes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -209,6 +210,15 @@
         assert_bound(nodes);
     }
 
+    // Guards against a quota that is used up by calls that are refused for another reason.
+    void calls_that_no_endpoint_ran_cost_nothing() {
+        quota_network nodes(8, limits());
+        nodes.refused_share = 0.5;
+        nodes.demand = everywhere(8, 3);
+        nodes.run(seconds{30});
+        assert_use(nodes);
+    }
+
     // Guards against a node's costs that grow with the system.
     void frames_of_a_node_do_not_grow_with_the_nodes() {
         const auto frames = [](std::size_t count) {
--- /dev/null
+++ b/unittests/gateway_limits/tenant_quota_test.cpp
@@ -0,0 +1,126 @@
+#include "gateway/endpoint_stand_in.h"
+#include "gateway/gateway_fixture.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace dragonflystair;
+using namespace dragonflystair::gateway;
+
+const std::string configuration = R"({"version":3,"routes":[
+    {"name":"stamps","host":"desk","path-prefix":"/stamps/","kind":"unsafe","timeout-ms":9000,
+     "slo-ms":900,"attempts":2,"service":"register"}],
+    "tenants":[{"name":"atlas","api-keys":["key-a"],"unit":"requests","rate-per-s":3,"burst":4},
+               {"name":"birch","api-keys":["key-b"]}],
+    "services":[{"name":"register"}]})";
+
+/// Calls that the bound of the quota allows in any window, without its slack for tokens.
+constexpr std::chrono::seconds window{8};
+constexpr std::size_t allowed = (3 * 8 + 4) * 1.1;
+
+/// Two gateways, one of which allocates the quota of a tenant.
+class tenant_quota_test : public gateway_fixture {
+    CPPUNIT_TEST_SUITE(tenant_quota_test);
+    CPPUNIT_TEST(calls_of_two_nodes_stay_within_quota);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override {
+        gateway_fixture::setUp();
+        store->put("keyed.op", "config", configuration);
+    }
+
+    void tearDown() override {
+        stop_threads();
+        endpoint_.reset();
+        gateway_fixture::tearDown();
+    }
+
+    // Guards against a quota that each node applies on its own, and against refusals of tenants
+    // without one.
+    void calls_of_two_nodes_stay_within_quota() {
+        start();
+        auto settings = settings_of("node-2");
+        settings.peers = {peer_address};
+        second_node second(settings, running);
+        output->expect({"event=endpoint ", "state=ready"}, 2);
+        output->expect({"event=quota_allocator_started"});
+        const std::array nodes{address, second.node.caller_address()};
+        std::array<int, 2> served{};
+        int refused = 0;
+        for (int number = 0; served[0] < 6 || served[1] < 6 || refused < 10; ++number) {
+            CPPUNIT_ASSERT_MESSAGE("served " + std::to_string(served[0]) + " and " +
+                                       std::to_string(served[1]) + ", refused " +
+                                       std::to_string(refused),
+                                   number < 1'000);
+            std::this_thread::sleep_for(milliseconds{10}); // Refusals take less than that.
+            for (std::size_t node = 0; node < nodes.size(); ++node) {
+                address = nodes.at(node);
+                const auto response = call_with("key-a", std::to_string(number));
+                if (response.status == 200) {
+                    ++served.at(node);
+                    continue;
+                }
+                CPPUNIT_ASSERT_EQUAL(429, response.status);
+                CPPUNIT_ASSERT(!response.headers.find("Retry-After")->second.empty());
+                CPPUNIT_ASSERT(response.body.find("not_run") != std::string::npos);
+                ++refused;
+            }
+        }
+        output->expect({"event=quota_takes_effect", "tenant=atlas"});
+        CPPUNIT_ASSERT(most_in_window() <= allowed);
+        CPPUNIT_ASSERT_EQUAL(200, call_with("key-b", "other").status);
+    }
+
+private:
+    void start() {
+        endpoint_ = std::make_unique<endpoint_stand_in>(
+            context->get(), [](net::http_exchange& exchange) -> net::awaitable<void> {
+                co_await exchange.respond(endpoint_stand_in::signed_head(exchange));
+            });
+        store->put(
+            "keyed.servers", "endpoint-1",
+            R"({"service":"register","addr":")" + endpoint_->address() +
+                R"(","zone":"north","slots":6,"state":"ready","seq":0,"born":1,"models":[]})");
+        start_gateway();
+        output->expect({"event=endpoint ", "endpoint=endpoint-1"});
+        output->expect({"event=configuration"});
+    }
+
+    net::http_response call_with(const std::string& key, const std::string& id) {
+        net::http_request request;
+        request.method = "POST";
+        request.target = "/stamps/1";
+        request.headers = {{"Host", "desk"},
+                           {"Request-Id", address + "-" + id},
+                           {"Deadline-Ms", "9000"},
+                           {"Api-Key", key}};
+        const auto answer =
+            context->run(client->request(address, request, generous_timeout, false));
+        CPPUNIT_ASSERT(answer);
+        return answer.value();
+    }
+
+    [[nodiscard]] std::size_t most_in_window() const {
+        const auto arrivals = endpoint_->arrivals();
+        std::size_t most = 0;
+        for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+            const auto end = std::ranges::find_if(first, arrivals.end(),
+                                                  [&](auto at) { return at - *first >= window; });
+            most = std::max(most, static_cast<std::size_t>(end - first));
+        }
+        return most;
+    }
+
+    std::unique_ptr<endpoint_stand_in> endpoint_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(tenant_quota_test);
+
+} // namespace
