Evaluate only the waiting calls that a change may concern

A lead evaluated all waiting calls, those without an adapter too, after each event of each call.

Change: calls that wait for an adapter are evaluated when it changes, those that wait for a slot when loads change, at most every 5 ms if there are more than 16.

--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -20,10 +20,28 @@
 /// of prompts that peers reported proceeds and suspensions end without an event.
 constexpr milliseconds max_evaluation_interval{20};
 
+/// With more calls than these waiting for slots, freed slots are filled at this interval. A lead
+/// that evaluated all of them for each freed slot used up its processor when load was at its worst,
+/// and then orders to engines were late as well.
+constexpr std::size_t few_calls = 16;
+constexpr milliseconds min_evaluation_interval{5};
+
 /// Share of its objective after which a waiting call is diverted to another data centre that has
 /// its adapter.
 constexpr double divert_after_share = 0.15;
 
+/// Returns when a waiting call has to be evaluated even if nothing has changed.
+time_point due_at(const open_call& open) {
+    if (open.diverts_at) {
+        return *open.diverts_at;
+    }
+    return open.awaits_load ? open.call.load_deadline : open.call.queue_deadline;
+}
+
+bool is_due(const open_call& open, time_point now) {
+    return now >= due_at(open);
+}
+
 } // namespace
 
 std::string_view to_string(refusal reason) {
@@ -162,7 +180,10 @@
 void dispatcher::set_residency(std::string_view endpoint, const model_name& model, residency state,
                                std::uint64_t version) {
     // The end of a load ends the wait of calls that are past their queue deadline.
-    impl_->changed = impl_->changed || state != residency::loading;
+    if (state != residency::loading) {
+        impl_->changed = impl_->changed || model.adapter.empty();
+        impl_->changed_models.insert(model);
+    }
     const auto found = impl_->endpoints.find(endpoint);
     if (found == impl_->endpoints.end()) {
         return;
@@ -204,7 +225,7 @@
         return;
     }
     peers.insert_or_assign(std::string(peer), peer_load{load, now});
-    impl_->changed = true;
+    impl_->loads_changed = true;
 }
 
 void dispatcher::remove_peer(std::string_view peer) {
@@ -283,7 +304,7 @@
         auto& own = target->second.own;
         own.pending_prefill_tokens -=
             std::min(own.pending_prefill_tokens, open.pending_prefill_tokens);
-        impl_->changed = true;
+        impl_->loads_changed = true;
         const double took_ms = to_ms(now - open.placed_at);
         impl_->health.on_sample(open.endpoint, took_ms / open.expected_ms, now);
         auto& service = impl_->services[open.call.service];
@@ -303,18 +324,26 @@
 std::vector<dispatch_decision> dispatcher::pump(time_point now) {
     std::vector<dispatch_decision> decisions;
     const auto due = next_deadline();
-    // Calls that wait for an adapter need no evaluation unless some state has changed.
-    const bool stale =
-        impl_->waiting_for_slot > 0 && now - impl_->evaluated_at >= max_evaluation_interval;
-    const bool all = impl_->changed || stale || (due && now >= *due);
-    if (!all && !impl_->has_new_calls) {
+    const auto since = now - impl_->evaluated_at;
+    const bool slots_may_be_free =
+        (impl_->loads_changed &&
+         (impl_->waiting_for_slot <= few_calls || since >= min_evaluation_interval)) ||
+        (impl_->waiting_for_slot > 0 && since >= max_evaluation_interval);
+    // The demand for permits is counted anew from all calls.
+    const bool all = impl_->changed || (slots_may_be_free && !impl_->permit_demand.empty());
+    const auto models = std::exchange(impl_->changed_models, {});
+    if (!all && !slots_may_be_free && !impl_->has_new_calls && models.empty() &&
+        (!due || now < *due)) {
         return decisions;
     }
     impl_->pumped_at = now;
     if (all) {
-        impl_->evaluated_at = now;
         impl_->permit_demand.clear();
     }
+    if (all || slots_may_be_free) {
+        impl_->evaluated_at = now;
+        impl_->loads_changed = false;
+    }
     impl_->changed = false;
     impl_->has_new_calls = false;
     impl_->waiting_for_slot = 0;
@@ -322,7 +351,8 @@
     for (const auto& waiting : impl_->queue.order(now)) {
         auto& open = impl_->calls.at(waiting.number());
         const bool is_new = std::exchange(open.is_new, false);
-        if (all || is_new) {
+        if (all || is_new || (slots_may_be_free && !open.adapter_missing) || is_due(open, now) ||
+            models.contains(open.call.model)) {
             const queue_position position{ahead[open.call.service],
                                           to_ms(waiting.expected_wait()) / 1'000};
             if (auto decision = impl_->decide(open, position, now)) {
@@ -353,10 +383,11 @@
 
 std::optional<time_point> dispatcher::next_deadline() const {
     std::optional<time_point> earliest;
+    if (impl_->loads_changed && impl_->waiting_for_slot > 0) {
+        earliest = impl_->evaluated_at + min_evaluation_interval;
+    }
     for (const auto& waiting : impl_->queue.calls()) {
-        const auto& open = impl_->calls.at(waiting.number());
-        const auto ends_at = open.awaits_load ? open.call.load_deadline : open.call.queue_deadline;
-        const auto at = open.diverts_at ? *open.diverts_at : ends_at;
+        const auto at = due_at(impl_->calls.at(waiting.number()));
         earliest = earliest ? std::min(*earliest, at) : at;
     }
     return earliest;
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -247,7 +247,7 @@
         queue.erase(open.call.number);
         return;
     }
-    changed = true;
+    loads_changed = true;
     const auto found = endpoints.find(open.endpoint);
     if (found == endpoints.end()) {
         return;
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -193,11 +193,15 @@
     std::map<model_name, std::uint64_t> required;
     std::map<std::uint64_t, open_call> calls;
     fair_queue queue; ///< The calls that wait.
-    /// Whether a state that calls may wait for has changed since the last pump.
+    /// Whether a state that any call may wait for has changed since the last pump.
     bool changed = false;
+    /// Whether only loads of endpoints have: calls that wait for an adapter need no evaluation.
+    bool loads_changed = false;
+    /// Adapters whose residency has changed since the last pump.
+    std::set<model_name> changed_models;
     bool has_new_calls = false;       ///< Whether the queue has calls not evaluated yet.
     std::size_t waiting_for_slot = 0; ///< Waiting calls whose adapter is ready on some endpoint.
-    time_point evaluated_at;          ///< When all waiting calls were last evaluated.
+    time_point evaluated_at;          ///< When all calls that wait for a slot were last evaluated.
     bool new_demand = false;          ///< Whether a call began to wait for an adapter.
     policy::endpoint_health health;
     send_permits* permits = nullptr; ///< For endpoints with a rate limit; null without limits.
