Let leads place calls of plain services

Cause: each node placed calls of plain services by itself and knew only the loads of its own data centre, so full endpoints refused calls while others were idle.

Change: with `[limits] plain_calls = lead` the lead of an endpoint's data centre places them, as it does calls of engines. The default, `node`, keeps the placement as it was. The setting can be changed at run time.

Measured: test_gateway passes (74 tests). Not measured on a deployment.

--- a/include/dragonflystair/config/gateway_settings.h
+++ b/include/dragonflystair/config/gateway_settings.h
@@ -11,6 +11,12 @@
 
 namespace dragonflystair::config {
 
+/// Who chooses the endpoints of calls for plain services.
+enum class plain_placement {
+    node, ///< Each node, by its own calls and the loads that peers of its data centre reported.
+    lead, ///< The lead of a data centre, as for engines.
+};
+
 /// Settings of a gateway: a node that runs on the platform of the users. Addresses are `IP:PORT`.
 struct gateway_settings {
     std::string name;
@@ -39,6 +45,7 @@
     /// with the store; empty if such nodes may go on accepting it.
     std::optional<std::chrono::milliseconds> revocation_timeout;
     std::chrono::milliseconds resolve_lifetime{1'000};
+    plain_placement plain_calls = plain_placement::node;
 
     bool operator==(const gateway_settings&) const = default;
 };
--- a/include/dragonflystair/fleet/delegated_calls.h
+++ b/include/dragonflystair/fleet/delegated_calls.h
@@ -46,6 +46,11 @@
     std::optional<pending_call> take(std::uint64_t number);
 
     [[nodiscard]] bool contains(std::uint64_t number) const;
+    /// Returns the call; null if it is unknown. Valid until the next change.
+    [[nodiscard]] const pending_call* call_of(std::uint64_t number) const;
+    /// Returns the number of open calls of a service that were sent to leads, by data centre.
+    [[nodiscard]] std::map<std::string, std::size_t, std::less<>>
+    calls_by_data_centre(std::string_view service) const;
     /// Returns the incarnation of the lead that was asked; empty if the call is unknown.
     [[nodiscard]] std::string lead_of(std::uint64_t number) const;
     [[nodiscard]] std::string data_centre_of(std::uint64_t number) const;
--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dragonflystair/fleet/topology.h"
 #include "dragonflystair/support/time.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -49,6 +50,11 @@
     std::string data_centre;
     /// Whether another data centre may be asked instead of waiting in this queue.
     bool may_divert = false;
+
+    /// Returns whether the endpoint has been tried already.
+    [[nodiscard]] bool excludes(std::string_view endpoint) const {
+        return std::ranges::find(excluded, endpoint) != excluded.end();
+    }
 };
 
 enum class refusal {
@@ -153,6 +159,14 @@
     /// other data centre has the adapter ready; empty excludes none.
     [[nodiscard]] std::string lead_data_centre(const pending_call& call,
                                                std::string_view excluded) const;
+    /// Returns the data centre whose lead should place a call for a plain service: the nearest with
+    /// an endpoint that the call has not tried and a free slot. Data centres in `full` have none,
+    /// nor those with as many calls in `sent` as slots. `excluded`, which may be empty, is returned
+    /// if there is no other.
+    [[nodiscard]] std::string
+    plain_data_centre(const pending_call& call, std::string_view excluded,
+                      const std::set<std::string, std::less<>>& full,
+                      const std::map<std::string, std::size_t, std::less<>>& sent) const;
     /// Returns whether the service's endpoints are engines.
     [[nodiscard]] bool has_engines(std::string_view service) const;
     /// Records that another data centre was asked to place a call for the adapter.
--- a/lib/config/gateway_settings.cpp
+++ b/lib/config/gateway_settings.cpp
@@ -61,6 +61,9 @@
         reader.choice("engines_check_fencing", {"true", "false"}) == "true";
     reader.duration("shutdown_timeout", values.shutdown_timeout);
     reader.duration("resolve_lifetime", values.resolve_lifetime);
+    values.plain_calls = reader.choice("plain_calls", {"lead", "node"}) == "lead"
+                             ? plain_placement::lead
+                             : plain_placement::node;
     if (reader.find("revocation_timeout") != nullptr) {
         auto& timeout = values.revocation_timeout.emplace();
         reader.duration("revocation_timeout", timeout);
--- a/lib/fleet/delegated_calls.cpp
+++ b/lib/fleet/delegated_calls.cpp
@@ -95,6 +95,22 @@
     return impl_->calls.contains(number);
 }
 
+const pending_call* delegated_calls::call_of(std::uint64_t number) const {
+    const auto* delegated = impl_->find(number);
+    return delegated == nullptr ? nullptr : &delegated->call;
+}
+
+std::map<std::string, std::size_t, std::less<>>
+delegated_calls::calls_by_data_centre(std::string_view service) const {
+    std::map<std::string, std::size_t, std::less<>> result;
+    for (const auto& [number, delegated] : impl_->calls) {
+        if (delegated.call.service == service) {
+            ++result[delegated.data_centre];
+        }
+    }
+    return result;
+}
+
 std::string delegated_calls::lead_of(std::uint64_t number) const {
     const auto* delegated = impl_->find(number);
     return delegated == nullptr ? std::string{} : delegated->lead;
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -458,7 +458,8 @@
         }
         return std::nullopt;
     };
-    if (open.diverts_at && (open.adapter_missing || now >= *open.diverts_at)) {
+    if (open.diverts_at && (open.adapter_missing || now >= *open.diverts_at ||
+                            diverts_at_once(open, state, ahead, now))) {
         open.diverts_at.reset();
         if (ready_elsewhere(open.call)) {
             auto decision = refuse(open, state, ahead, open.adapter_missing);
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -155,6 +155,8 @@
     [[nodiscard]] static bool is_eligible(const endpoint& target, const pending_call& call);
     [[nodiscard]] bool adapter_missing(const open_call& open);
     [[nodiscard]] bool ready_elsewhere(const pending_call& call);
+    [[nodiscard]] bool diverts_at_once(const open_call& open, const service_state& state,
+                                       std::size_t ahead, time_point now);
     [[nodiscard]] const endpoint* loading_endpoint(const model_name& model) const;
     [[nodiscard]] std::string load_data_centre(const model_name& model) const;
 
--- a/lib/gateway/call_placer.cpp
+++ b/lib/gateway/call_placer.cpp
@@ -19,8 +19,14 @@
 
 } // namespace
 
+/// Returns whether leads place the calls of a service.
+bool call_placer::is_placed_by_lead(const std::string& service) const {
+    return view_.dispatcher.has_engines(service) ||
+           view_.settings.plain_calls == config::plain_placement::lead;
+}
+
 void call_placer::submit(fleet::pending_call call) {
-    if (!view_.dispatcher.has_engines(call.service)) {
+    if (!is_placed_by_lead(call.service)) {
         submit_locally(std::move(call), {});
         return;
     }
@@ -37,7 +43,7 @@
 /// Places a call as its lead: in a data centre that this node leads, or by a request to the lead of
 /// another one. `full_data_centre` is one that had no capacity; may be empty.
 void call_placer::place(fleet::pending_call call, std::string_view full_data_centre) {
-    call.data_centre = view_.dispatcher.lead_data_centre(call, full_data_centre);
+    call.data_centre = data_centre_for(call, full_data_centre);
     if (call.data_centre != view_.settings.data_centre) {
         view_.dispatcher.note_diverted(call.model);
     }
@@ -51,6 +57,33 @@
     request_placement(std::move(call), lead, data_centre);
 }
 
+/// Returns the data centre whose lead should place the call.
+std::string call_placer::data_centre_for(const fleet::pending_call& call,
+                                         std::string_view full_data_centre) const {
+    if (view_.dispatcher.has_engines(call.service)) {
+        return view_.dispatcher.lead_data_centre(call, full_data_centre);
+    }
+    return view_.dispatcher.plain_data_centre(call, full_data_centre,
+                                              full_.of(call.service, on_.now()),
+                                              delegated_.calls_by_data_centre(call.service));
+}
+
+/// Records whether the lead of another data centre had a free slot for a plain service.
+void call_placer::note_room(const placement_answer& answer) {
+    const auto* call = delegated_.call_of(answer.decision.number);
+    // A call without a data centre was sent to this node's own lead, which may divert it.
+    if (call == nullptr || call->data_centre.empty() ||
+        view_.dispatcher.has_engines(call->service)) {
+        return;
+    }
+    if (answer.waiting || answer.decision.endpoint.empty()) {
+        view_.counters.increment("placements_total", "lead_full");
+        full_.on_full(call->service, call->data_centre, on_.now());
+    } else {
+        full_.on_placed(call->service, call->data_centre);
+    }
+}
+
 void call_placer::request_placement(fleet::pending_call call, const std::string& lead,
                                     const std::string& data_centre) {
     const auto now = on_.now();
@@ -182,6 +215,7 @@
         return;
     }
     const auto number = answer->decision.number;
+    note_room(*answer);
     if (answer->waiting) {
         delegated_.on_waiting(number);
         return;
--- a/lib/gateway/call_placer.h
+++ b/lib/gateway/call_placer.h
@@ -2,6 +2,7 @@
 
 #include "dragonflystair/fleet/delegated_calls.h"
 #include "dragonflystair/fleet/dispatcher.h"
+#include "dragonflystair/fleet/full_data_centres.h"
 #include "dragonflystair/support/json.h"
 #include "dragonflystair/support/time.h"
 
@@ -21,7 +22,8 @@
 /// Obtains an endpoint for each call. Calls to engines go to the lead of the node's own data
 /// centre, the holder of its placement lease, which may be this node. A lead places them with its
 /// own dispatcher or sends a request to the lead of a data centre that has their adapter. Calls to
-/// plain services, and those whose lead does not answer, are placed by this node's own dispatcher.
+/// plain services take the same way if the setting `plain_calls` is `lead`. Otherwise, and if the
+/// lead does not answer, they are placed by this node's own dispatcher.
 class call_placer {
 public:
     struct hooks {
@@ -80,7 +82,11 @@
         fleet::model_name model;
     };
 
+    [[nodiscard]] bool is_placed_by_lead(const std::string& service) const;
     void place(fleet::pending_call call, std::string_view full_data_centre);
+    [[nodiscard]] std::string data_centre_for(const fleet::pending_call& call,
+                                              std::string_view full_data_centre) const;
+    void note_room(const placement_answer& answer);
     void request_placement(fleet::pending_call call, const std::string& lead,
                            const std::string& data_centre);
     void submit_locally(fleet::pending_call call, const std::string& data_centre);
@@ -94,6 +100,7 @@
     node_view& view_;
     hooks on_;
     fleet::delegated_calls delegated_;
+    fleet::full_data_centres full_; ///< For plain services.
     /// Calls that this node's dispatcher places as a lead and that may be diverted to another data
     /// centre.
     std::map<std::uint64_t, fleet::pending_call> divertible_;
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -405,6 +405,7 @@
     current.retry_window = fresh->retry_window;
     current.shutdown_timeout = fresh->shutdown_timeout;
     current.resolve_lifetime = fresh->resolve_lifetime;
+    current.plain_calls = fresh->plain_calls;
     view_.retries.set_limits(retry_limits_of(current));
     const bool complete = *fresh == current;
     support::log_change("settings_reloaded", {{"restart_needed", complete ? "no" : "yes"},
--- a/unittests/config/gateway_settings_test.cpp
+++ b/unittests/config/gateway_settings_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST_SUITE(gateway_settings_test);
     CPPUNIT_TEST(valid_settings_have_no_findings);
     CPPUNIT_TEST(invalid_settings_give_all_findings_with_their_lines);
+    CPPUNIT_TEST(placement_of_plain_calls_by_leads_is_enabled_by_its_setting);
     CPPUNIT_TEST(gateway_settings_are_distinguished_from_node_settings);
     CPPUNIT_TEST_SUITE_END();
 
@@ -48,6 +49,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("s"), result.values.data_centres.at("south"));
         CPPUNIT_ASSERT(result.values.engines_check_fencing);
         CPPUNIT_ASSERT_EQUAL(0.3, result.values.retry_ratio);
+        CPPUNIT_ASSERT(result.values.plain_calls == plain_placement::node);
     }
 
     void invalid_settings_give_all_findings_with_their_lines() {
@@ -62,6 +64,14 @@
         CPPUNIT_ASSERT_EQUAL(23, result.findings.at(2).line);
     }
 
+    void placement_of_plain_calls_by_leads_is_enabled_by_its_setting() {
+        const auto result = parse_gateway_settings(valid_text + "plain_calls = lead\n", "a.ini");
+        CPPUNIT_ASSERT(result.findings.empty());
+        CPPUNIT_ASSERT(result.values.plain_calls == plain_placement::lead);
+        const auto wrong = parse_gateway_settings(valid_text + "plain_calls = all\n", "a.ini");
+        CPPUNIT_ASSERT_EQUAL(23, wrong.findings.at(0).line);
+    }
+
     void gateway_settings_are_distinguished_from_node_settings() {
         CPPUNIT_ASSERT(has_gateway_settings(valid_text));
         CPPUNIT_ASSERT(!has_gateway_settings("[node]\nname = a\n"));
