Learn the speed of each endpoint

Cause: endpoints of one service differ twofold in speed, but forecasts used the mean speed of the service. A call could be sent to an endpoint that could not finish it in time.

The dispatcher multiplies its forecasts by it; endpoints that would finish a call after its objective come last. Health compares with the scaled forecast, so a permanent difference does not reduce the weight as well. Enabled by `[limits] endpoint_speed = learned`; by default decisions are as before.

Not measured on a deployment.

--- a/include/dragonflystair/config/gateway_settings.h
+++ b/include/dragonflystair/config/gateway_settings.h
@@ -46,6 +46,7 @@
     std::optional<std::chrono::milliseconds> revocation_timeout;
     std::chrono::milliseconds resolve_lifetime{1'000};
     plain_placement plain_calls = plain_placement::node;
+    bool learned_speed = false; ///< Whether the speed of each endpoint is learned.
 
     bool operator==(const gateway_settings&) const = default;
 };
--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflystair/fleet/balancing.h"
 #include "dragonflystair/fleet/call.h"
 #include "dragonflystair/fleet/configuration.h"
 #include "dragonflystair/fleet/endpoint_record.h"
@@ -119,6 +120,10 @@
     /// that could go to several such endpoints counts at the best one.
     [[nodiscard]] std::map<std::string, std::size_t, std::less<>> permit_demand() const;
 
+    /// Sets how calls are distributed over endpoints of unequal speed; by default by the
+    /// mean speed of the service.
+    void balance(const balancing& options);
+
     void configure(const configuration& current);
 
     void update(const endpoint_record& record);
--- a/lib/config/gateway_settings.cpp
+++ b/lib/config/gateway_settings.cpp
@@ -64,6 +64,7 @@
     values.plain_calls = reader.choice("plain_calls", {"lead", "node"}) == "lead"
                              ? plain_placement::lead
                              : plain_placement::node;
+    values.learned_speed = reader.choice("endpoint_speed", {"learned", "service"}) == "learned";
     if (reader.find("revocation_timeout") != nullptr) {
         auto& timeout = values.revocation_timeout.emplace();
         reader.duration("revocation_timeout", timeout);
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -97,6 +97,7 @@
         target.prompts.clear();
         target.suspended_until = {};
         target.paused_until.reset();
+        impl_->speeds.forget(record.id);
     }
     const bool older = !restarted && record.orders_accepted < target.record.orders_accepted;
     target.out_of_service = record.draining;
@@ -124,6 +125,7 @@
     if (found == impl_->endpoints.end()) {
         return;
     }
+    impl_->speeds.forget(endpoint);
     found->second.out_of_service = true;
     impl_->member_index.clear();
     if (found->second.own.calls == 0) {
@@ -286,6 +288,7 @@
         impl_->changed = true;
         const double took_ms = to_ms(now - open.placed_at);
         impl_->health.on_sample(open.endpoint, took_ms / open.expected_ms, now);
+        impl_->learn_speed(open, target->second, took_ms, now);
         auto& service = impl_->services[open.call.service];
         if (service.has_engines &&
             impl_->health.weight(open.endpoint, now) >= min_weight_to_learn) {
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -135,7 +135,8 @@
         !target.serves_model(call.model)) {
         return std::nullopt;
     }
-    const auto load = target.total(now, state.speed.tokens_per_ms());
+    const double slow = slowness(target, now);
+    const auto load = target.total(now, state.speed.tokens_per_ms() / slow);
     const auto slots =
         state.has_engines && state.batch_slots > 0 ? state.batch_slots : target.record.slots;
     if (load.calls >= slots_after_pause(target, slots, now)) {
@@ -151,7 +152,8 @@
         result.pending_prefill_tokens = call.prompt_tokens - std::min(cached, call.prompt_tokens);
         result.tokens_ahead = load.pending_prefill_tokens;
         const double ahead_ms =
-            state.speed.prefill_ms(static_cast<double>(load.pending_prefill_tokens)) / weight;
+            slow * state.speed.prefill_ms(static_cast<double>(load.pending_prefill_tokens)) /
+            weight;
         if (load.pending_prefill_tokens > 0 && ahead_ms > max_prefill_ms(call, state)) {
             return std::nullopt;
         }
@@ -161,11 +163,14 @@
     } else {
         result.expected_ms = state.plain_call_ms;
     }
+    result.mean_ms = result.expected_ms;
+    result.expected_ms *= slow;
     const double fill = static_cast<double>(load.calls) / static_cast<double>(slots);
     const double work_ms =
         state.has_engines ? result.expected_ms * (1 + 0.5 * fill) : result.expected_ms * (1 + fill);
     result.cost_ms = distance + work_ms / weight;
     result.expected_ms += distance;
+    result.late = learns_speed && result.expected_ms > to_ms(call.objective_deadline - now);
     if (is_long_prefill(load.pending_prefill_tokens, state)) {
         result.cost_ms += long_prompt_penalty_ms;
     }
@@ -190,8 +195,8 @@
     return found == member_index.end() ? std::span<endpoint* const>{} : found->second;
 }
 
-/// Returns the endpoint of least cost. One that needs a permit is returned only if no other is
-/// usable.
+/// Returns the endpoint of least cost. One that needs a permit, or would be late, is returned only
+/// if no other is usable.
 std::optional<choice> dispatcher::impl::choose(const open_call& open, const service_state& state,
                                                time_point now) {
     std::optional<choice> best;
@@ -200,8 +205,7 @@
             continue;
         }
         const auto candidate = evaluate(*target, open, state, now);
-        if (candidate && (!best || std::pair(candidate->awaits_permit, candidate->cost_ms) <
-                                       std::pair(best->awaits_permit, best->cost_ms))) {
+        if (candidate && (!best || *candidate < *best)) {
             best = candidate;
         }
     }
@@ -240,6 +244,7 @@
     open.pending_prefill_tokens = chosen.pending_prefill_tokens;
     open.tokens_ahead = chosen.tokens_ahead;
     open.expected_ms = chosen.expected_ms;
+    open.mean_ms = chosen.mean_ms;
     if (permits != nullptr) {
         permits->take(target.record.id, now);
     }
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflystair/fleet/dispatcher.h"
+#include "dragonflystair/fleet/endpoint_speed.h"
 #include "dragonflystair/fleet/engine_speed.h"
 #include "dragonflystair/fleet/send_permits.h"
 #include "dragonflystair/policy/endpoint_health.h"
@@ -17,6 +18,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -102,6 +104,7 @@
     std::size_t pending_prefill_tokens = 0; ///< Prompt tokens without cached prefix, at dispatch.
     std::size_t tokens_ahead = 0;           ///< Pending prefill tokens of other calls, at dispatch.
     double expected_ms = 0;
+    double mean_ms = 0;                   ///< Forecast for an endpoint of mean speed, at dispatch.
     bool is_new = true;                   ///< Not evaluated yet.
     std::optional<time_point> diverts_at; ///< When another data centre is asked.
     bool adapter_missing = false;         ///< Waits for its adapter rather than for a slot.
@@ -114,10 +117,18 @@
     endpoint* target = nullptr;
     double cost_ms = 0;
     double expected_ms = 0;
+    double mean_ms = 0; ///< Forecast for an endpoint of mean speed, without the distance.
+    bool late = false;  ///< Expected after the objective of the call, by its endpoint's speed.
     std::size_t pending_prefill_tokens = 0;
     std::size_t tokens_ahead = 0;
     bool crowded = false;       ///< An endpoint without the adapter would have cost much less.
     bool awaits_permit = false; ///< The endpoint has a rate limit and no permit is left.
+
+    /// Returns whether this choice is better than another one.
+    [[nodiscard]] bool operator<(const choice& other) const {
+        return std::tuple(awaits_permit, late, cost_ms) <
+               std::tuple(other.awaits_permit, other.late, other.cost_ms);
+    }
 };
 
 struct dispatcher::impl {
@@ -152,6 +163,8 @@
     [[nodiscard]] bool awaits_load(open_call& open, time_point now) const;
     void release(open_call& open);
     void record_use(const choice& chosen, const model_name& model);
+    [[nodiscard]] double slowness(const endpoint& target, time_point now) const;
+    void learn_speed(const open_call& open, const endpoint& target, double took_ms, time_point now);
     [[nodiscard]] static bool is_eligible(const endpoint& target, const pending_call& call);
     [[nodiscard]] bool adapter_missing(const open_call& open);
     [[nodiscard]] bool ready_elsewhere(const pending_call& call);
@@ -176,6 +189,8 @@
     time_point evaluated_at;          ///< When all waiting calls were last evaluated.
     bool new_demand = false;          ///< Whether a call began to wait for an adapter.
     policy::endpoint_health health;
+    bool learns_speed = false;
+    endpoint_speed speeds;
     send_permits* permits = nullptr; ///< For endpoints with a rate limit; null without limits.
     std::map<std::string, std::size_t, std::less<>> permit_demand;
     time_point pumped_at;
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -63,6 +63,12 @@
     return {settings.retry_ratio, settings.retry_slack, settings.retry_window};
 }
 
+fleet::balancing balancing_of(const config::gateway_settings& settings) {
+    fleet::balancing result;
+    result.learned_speed = settings.learned_speed;
+    return result;
+}
+
 net::http_response text_response(int status, std::string body, std::string_view type) {
     net::http_response response;
     response.status = status;
@@ -149,6 +155,7 @@
       signals_(io_, SIGTERM, SIGINT, SIGHUP), pump_timer_(io_), grant_timer_(io_) {
     view_.permits = fleet::send_permits(settings.name);
     view_.dispatcher.use_permits(view_.permits);
+    view_.dispatcher.balance(balancing_of(settings));
     view_.freshness = fleet::configuration_freshness(settings.revocation_timeout);
     view_.suspects =
         fleet::crash_suspects([this](const fleet::trait& what) { return test_delay(what); });
@@ -406,6 +413,8 @@
     current.shutdown_timeout = fresh->shutdown_timeout;
     current.resolve_lifetime = fresh->resolve_lifetime;
     current.plain_calls = fresh->plain_calls;
+    current.learned_speed = fresh->learned_speed;
+    view_.dispatcher.balance(balancing_of(current));
     view_.retries.set_limits(retry_limits_of(current));
     const bool complete = *fresh == current;
     support::log_change("settings_reloaded", {{"restart_needed", complete ? "no" : "yes"},
