Choose at random between endpoints that reports cannot tell apart

Cause: nodes with the same reports chose the same endpoint until the next report, so endpoints were overloaded in turn while others were idle.

Change: where a node places calls itself, `balanced_choice` draws two of the endpoints that may be the least costly within the uncertainty of reports of their age, weighted by learned speed, and takes the better one. Enabled by `[limits] endpoint_choice = balanced`. A lead still takes the endpoint of least cost.

--- a/include/dragonflystair/config/gateway_settings.h
+++ b/include/dragonflystair/config/gateway_settings.h
@@ -46,7 +46,8 @@
     std::optional<std::chrono::milliseconds> revocation_timeout;
     std::chrono::milliseconds resolve_lifetime{1'000};
     plain_placement plain_calls = plain_placement::node;
-    bool learned_speed = false; ///< Whether the speed of each endpoint is learned.
+    bool learned_speed = false;   ///< Whether the speed of each endpoint is learned.
+    bool balanced_choice = false; ///< Whether a node chooses at random between similar endpoints.
 
     bool operator==(const gateway_settings&) const = default;
 };
--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -120,8 +120,8 @@
     /// that could go to several such endpoints counts at the best one.
     [[nodiscard]] std::map<std::string, std::size_t, std::less<>> permit_demand() const;
 
-    /// Sets how calls are distributed over endpoints of unequal speed; by default by the
-    /// mean speed of the service.
+    /// Sets how calls are distributed over endpoints of unequal speed; by default by least cost and
+    /// the mean speed of the service.
     void balance(const balancing& options);
 
     void configure(const configuration& current);
--- a/lib/config/gateway_settings.cpp
+++ b/lib/config/gateway_settings.cpp
@@ -65,6 +65,8 @@
                              ? plain_placement::lead
                              : plain_placement::node;
     values.learned_speed = reader.choice("endpoint_speed", {"learned", "service"}) == "learned";
+    values.balanced_choice =
+        reader.choice("endpoint_choice", {"balanced", "least_cost"}) == "balanced";
     if (reader.find("revocation_timeout") != nullptr) {
         auto& timeout = values.revocation_timeout.emplace();
         reader.duration("revocation_timeout", timeout);
--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -198,6 +198,7 @@
     if (found == impl_->endpoints.end()) {
         return;
     }
+    found->second.peers_reported_at = now;
     auto& peers = found->second.peers;
     if (load.calls == 0) {
         if (const auto known = peers.find(peer); known != peers.end()) {
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -195,11 +195,14 @@
     return found == member_index.end() ? std::span<endpoint* const>{} : found->second;
 }
 
-/// Returns the endpoint of least cost. One that needs a permit, or would be late, is returned only
-/// if no other is usable.
+/// Returns the endpoint of least cost, or a random one of those that may be, if
+/// `chooses_at_random`. One that needs a permit, or would be late, is returned only if no other is
+/// usable.
 std::optional<choice> dispatcher::impl::choose(const open_call& open, const service_state& state,
                                                time_point now) {
     std::optional<choice> best;
+    std::vector<choice> usable;
+    const bool random = chooses_at_random(open);
     for (auto* target : members(open.call.service)) {
         if (!is_eligible(*target, open.call) || !has_ready(*target, open.call.model)) {
             continue;
@@ -208,6 +211,12 @@
         if (candidate && (!best || *candidate < *best)) {
             best = candidate;
         }
+        if (candidate && random) {
+            usable.push_back(*candidate);
+        }
+    }
+    if (best && random) {
+        best = choose_at_random(usable, state, now);
     }
     if (!best || best->awaits_permit) {
         return best;
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflystair/fleet/balanced_choice.h"
 #include "dragonflystair/fleet/dispatcher.h"
 #include "dragonflystair/fleet/endpoint_speed.h"
 #include "dragonflystair/fleet/engine_speed.h"
@@ -57,6 +58,7 @@
     std::set<std::string, std::less<>> models;
     endpoint_load own;
     std::map<std::string, peer_load, std::less<>> peers;
+    time_point peers_reported_at; ///< Last report of a peer, also of one that its calls ended.
     prompt_cache prompts;
 
     /// Returns whether the endpoint is in a backoff at that time.
@@ -165,6 +167,9 @@
     void record_use(const choice& chosen, const model_name& model);
     [[nodiscard]] double slowness(const endpoint& target, time_point now) const;
     void learn_speed(const open_call& open, const endpoint& target, double took_ms, time_point now);
+    [[nodiscard]] bool chooses_at_random(const open_call& open) const;
+    choice choose_at_random(std::span<const choice> usable, const service_state& state,
+                            time_point now);
     [[nodiscard]] static bool is_eligible(const endpoint& target, const pending_call& call);
     [[nodiscard]] bool adapter_missing(const open_call& open);
     [[nodiscard]] bool ready_elsewhere(const pending_call& call);
@@ -191,6 +196,7 @@
     policy::endpoint_health health;
     bool learns_speed = false;
     endpoint_speed speeds;
+    std::optional<balanced_choice> random_choice;
     send_permits* permits = nullptr; ///< For endpoints with a rate limit; null without limits.
     std::map<std::string, std::size_t, std::less<>> permit_demand;
     time_point pumped_at;
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -66,6 +66,9 @@
 fleet::balancing balancing_of(const config::gateway_settings& settings) {
     fleet::balancing result;
     result.learned_speed = settings.learned_speed;
+    if (settings.balanced_choice) {
+        result.seed = support::fingerprint(settings.name);
+    }
     return result;
 }
 
@@ -414,6 +417,7 @@
     current.resolve_lifetime = fresh->resolve_lifetime;
     current.plain_calls = fresh->plain_calls;
     current.learned_speed = fresh->learned_speed;
+    current.balanced_choice = fresh->balanced_choice;
     view_.dispatcher.balance(balancing_of(current));
     view_.retries.set_limits(retry_limits_of(current));
     const bool complete = *fresh == current;
