--- a/include/dragonflystair/config/gateway_settings.h
+++ b/include/dragonflystair/config/gateway_settings.h
@@ -12,6 +12,12 @@
 
 namespace dragonflystair::config {
 
+/// Who chooses the endpoints of calls for plain services.
+enum class plain_placement {
+    node, ///< Each node, by its own calls and the loads that peers of its data centre reported.
+    lead, ///< The lead of a data centre, as for engines.
+};
+
 /// Settings of a gateway: a node that runs on the platform of the users. Addresses are `IP:PORT`.
 struct gateway_settings {
     std::string name;
@@ -49,6 +55,9 @@
     std::size_t connections_per_address = 0; ///< Connections of one caller address; 0: no limit.
     std::size_t header_fields = 256;         ///< Header fields of a request.
     std::size_t min_body_rate_kb = 16;       ///< KiB per second of a body in transfer.
+    plain_placement plain_calls = plain_placement::node;
+    bool learned_speed = false;   ///< Whether the speed of each endpoint is learned.
+    bool balanced_choice = false; ///< Whether a node chooses at random between similar endpoints.
 
     bool operator==(const gateway_settings&) const = default;
 };
--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "dragonflystair/fleet/balancing.h"
 #include "dragonflystair/fleet/call.h"
 #include "dragonflystair/fleet/configuration.h"
 #include "dragonflystair/fleet/endpoint_record.h"
 #include "dragonflystair/fleet/topology.h"
 #include "dragonflystair/support/time.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -51,6 +53,11 @@
     std::string data_centre;
     /// Whether another data centre may be asked instead of waiting in this queue.
     bool may_divert = false;
+
+    /// Returns whether the endpoint has been tried already.
+    [[nodiscard]] bool excludes(std::string_view endpoint) const {
+        return std::ranges::find(excluded, endpoint) != excluded.end();
+    }
 };
 
 enum class refusal {
@@ -116,6 +123,10 @@
     /// that could go to several such endpoints counts at the best one.
     [[nodiscard]] std::map<std::string, std::size_t, std::less<>> permit_demand() const;
 
+    /// Sets how calls are distributed over endpoints of unequal speed; by default by least cost and
+    /// the mean speed of the service.
+    void balance(const balancing& options);
+
     void configure(const configuration& current);
 
     void update(const endpoint_record& record);
@@ -162,6 +173,14 @@
     /// other data centre has the adapter ready; empty excludes none.
     [[nodiscard]] std::string lead_data_centre(const pending_call& call,
                                                std::string_view excluded) const;
+    /// Returns the data centre whose lead should place a call for a plain service: the nearest with
+    /// an endpoint that the call has not tried and a free slot. Data centres in `full` have none,
+    /// nor those with as many calls in `sent` as slots. `excluded`, which may be empty, is returned
+    /// if there is no other.
+    [[nodiscard]] std::string
+    plain_data_centre(const pending_call& call, std::string_view excluded,
+                      const std::set<std::string, std::less<>>& full,
+                      const std::map<std::string, std::size_t, std::less<>>& sent) const;
     /// Returns whether the service's endpoints are engines.
     [[nodiscard]] bool has_engines(std::string_view service) const;
     /// Records that another data centre was asked to place a call for the adapter.
--- a/lib/config/gateway_settings.cpp
+++ b/lib/config/gateway_settings.cpp
@@ -75,6 +75,12 @@
     reader.duration("shutdown_timeout", values.shutdown_timeout);
     reader.duration("resolve_lifetime", values.resolve_lifetime);
     read_caller_limits(reader, values);
+    values.plain_calls = reader.choice("plain_calls", {"lead", "node"}) == "lead"
+                             ? plain_placement::lead
+                             : plain_placement::node;
+    values.learned_speed = reader.choice("endpoint_speed", {"learned", "service"}) == "learned";
+    values.balanced_choice =
+        reader.choice("endpoint_choice", {"balanced", "least_cost"}) == "balanced";
     if (reader.find("revocation_timeout") != nullptr) {
         auto& timeout = values.revocation_timeout.emplace();
         reader.duration("revocation_timeout", timeout);
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -84,6 +84,15 @@
     return listener_options(std::move(name), shares_of(settings, system_open_limit()).other);
 }
 
+fleet::balancing balancing_of(const config::gateway_settings& settings) {
+    fleet::balancing result;
+    result.learned_speed = settings.learned_speed;
+    if (settings.balanced_choice) {
+        result.seed = support::fingerprint(settings.name);
+    }
+    return result;
+}
+
 net::http_response text_response(int status, std::string body, std::string_view type) {
     net::http_response response;
     response.status = status;
@@ -172,6 +181,7 @@
       signals_(io_, SIGTERM, SIGINT, SIGHUP), pump_timer_(io_), grant_timer_(io_) {
     view_.permits = fleet::send_permits(settings.name);
     view_.dispatcher.use_permits(view_.permits);
+    view_.dispatcher.balance(balancing_of(settings));
     view_.freshness = fleet::configuration_freshness(settings.revocation_timeout);
     view_.suspects =
         fleet::crash_suspects([this](const fleet::trait& what) { return test_delay(what); });
@@ -444,6 +454,10 @@
     current.retry_window = fresh->retry_window;
     current.shutdown_timeout = fresh->shutdown_timeout;
     current.resolve_lifetime = fresh->resolve_lifetime;
+    current.plain_calls = fresh->plain_calls;
+    current.learned_speed = fresh->learned_speed;
+    current.balanced_choice = fresh->balanced_choice;
+    view_.dispatcher.balance(balancing_of(current));
     view_.retries.set_limits(retry_limits_of(current));
     const bool complete = *fresh == current;
     support::log_change("settings_reloaded", {{"restart_needed", complete ? "no" : "yes"},
