Report the running calls of a lost lead

A lead alone counts the calls that it places. When it was lost, its successor took the memory of the engines that these calls use as free. A node now reports its calls that the lost lead had placed as its own load until they end. Calls without tokens are left out.

--- a/include/dragonflystair/fleet/delegated_calls.h
+++ b/include/dragonflystair/fleet/delegated_calls.h
@@ -61,6 +61,14 @@
     std::vector<returned_call> take_overdue(support::time_point now);
     /// Removes and returns the unplaced calls of a lead whose connection was lost.
     std::vector<returned_call> take_lost(std::string_view lead);
+    /// A call that a lead has placed.
+    struct placed_call {
+        pending_call call;
+        std::string endpoint;
+    };
+
+    /// Returns the calls that a lead has placed.
+    [[nodiscard]] std::vector<placed_call> placed_by(std::string_view lead) const;
     /// Returns when `take_overdue` has to run; empty if no call awaits placement.
     [[nodiscard]] std::optional<support::time_point> next_due() const;
 
--- a/include/dragonflystair/fleet/dispatcher.h
+++ b/include/dragonflystair/fleet/dispatcher.h
@@ -160,6 +160,9 @@
     void set_loads_possible(bool possible);
 
     void submit(pending_call call);
+    /// Counts a call that is running on an endpoint after the lead that placed it was lost, so that
+    /// this node reports its load. No effect if the call names no tokens.
+    void adopt(pending_call call, std::string_view endpoint);
     /// Removes a call in any state, when it has ended or its caller has disconnected.
     void finish(std::uint64_t number, support::time_point now);
     /// Frees the call's slot and enqueues it again; the endpoint is not chosen a second time.
--- a/lib/fleet/delegated_calls.cpp
+++ b/lib/fleet/delegated_calls.cpp
@@ -135,6 +135,16 @@
         [lead](const delegated_call& delegated) { return delegated.lead == lead; });
 }
 
+std::vector<delegated_calls::placed_call> delegated_calls::placed_by(std::string_view lead) const {
+    std::vector<placed_call> result;
+    for (const auto& [number, delegated] : impl_->calls) {
+        if (delegated.placed && delegated.lead == lead) {
+            result.push_back({delegated.call, delegated.endpoint});
+        }
+    }
+    return result;
+}
+
 std::optional<time_point> delegated_calls::next_due() const {
     std::optional<time_point> earliest;
     for (const auto& [number, delegated] : impl_->calls) {
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -159,7 +159,8 @@
     [[nodiscard]] static bool is_long_prefill(std::size_t tokens, const service_state& state);
     /// Returns the number of tokens that a call may reach on an engine; 0 if it names none.
     [[nodiscard]] static std::size_t tokens_of(const pending_call& call) {
-        return call.prompt_tokens + call.output_tokens;
+        constexpr std::size_t max_tokens = 1'000'000'000; // Callers may send any numbers.
+        return std::min(call.prompt_tokens, max_tokens) + std::min(call.output_tokens, max_tokens);
     }
     [[nodiscard]] static bool exceeds_memory(const pending_call& call, const service_state& state);
     bool has_memory(endpoint& target, const pending_call& call, const service_state& state,
--- a/lib/fleet/dispatcher_memory.cpp
+++ b/lib/fleet/dispatcher_memory.cpp
@@ -13,6 +13,24 @@
     return std::exchange(impl_->memory_skips, 0);
 }
 
+void dispatcher::adopt(pending_call call, std::string_view endpoint) {
+    const auto target = impl_->endpoints.find(endpoint);
+    const auto tokens = impl::tokens_of(call);
+    if (target == impl_->endpoints.end() || tokens == 0 || impl_->calls.contains(call.number)) {
+        return;
+    }
+    const auto number = call.number;
+    open_call open;
+    open.call = std::move(call);
+    open.state = call_state::started;
+    open.endpoint = std::string(endpoint);
+    open.held_tokens = tokens;
+    ++target->second.own.calls;
+    target->second.own.held_tokens += tokens;
+    impl_->calls.emplace(number, std::move(open));
+    impl_->changed = true;
+}
+
 /// Returns whether a call does not fit on any engine of its service, even an empty one.
 bool dispatcher::impl::exceeds_memory(const pending_call& call, const service_state& state) {
     return state.cache_tokens > 0 && tokens_of(call) > state.cache_tokens;
--- a/lib/fleet/fair_queue.cpp
+++ b/lib/fleet/fair_queue.cpp
@@ -23,6 +23,9 @@
 /// Cost of a call that names no tokens, about that of a short generation.
 constexpr double unspecified_call_cost = 500;
 
+/// Callers may send any numbers of tokens; no engine holds more than about this many.
+constexpr double max_call_cost = 200'000;
+
 /// Share that a tenant without waiting calls saves up, so that neither calls that arrive together
 /// nor a long prompt delay its other calls. A tenant with one call per second has no burst without
 /// it.
@@ -56,8 +59,9 @@
 }
 
 double cost_of(const pending_call& call) {
-    const auto tokens = call.prompt_tokens + call.output_tokens;
-    return tokens > 0 ? static_cast<double>(tokens) : unspecified_call_cost;
+    const double tokens =
+        static_cast<double>(call.prompt_tokens) + static_cast<double>(call.output_tokens);
+    return tokens > 0 ? std::min(tokens, max_call_cost) : unspecified_call_cost;
 }
 
 /// Returns a tenant's rate in tokens per second.
--- a/lib/gateway/call_placer.cpp
+++ b/lib/gateway/call_placer.cpp
@@ -119,6 +119,7 @@
     const auto lead = delegated_.lead_of(number);
     const auto endpoint = delegated_.endpoint_of(number);
     auto call = delegated_.take(number);
+    view_.dispatcher.finish(number, on_.now()); // In case this node has adopted it.
     on_.send(lead, placement_end_frame({number, outcome}));
     call->excluded.push_back(endpoint);
     submit(std::move(*call));
@@ -137,6 +138,7 @@
     if (delegated_.contains(number)) {
         on_.send(delegated_.lead_of(number), placement_end_frame({number, outcome}));
         delegated_.take(number);
+        view_.dispatcher.finish(number, on_.now()); // In case this node has adopted it.
         return;
     }
     view_.dispatcher.finish(number, on_.now());
@@ -298,6 +300,10 @@
     for (const auto number : ended) {
         end_peer_call(number, send_outcome::none);
     }
+    // The next lead does not know these calls unless this node reports them.
+    for (auto& [call, endpoint] : delegated_.placed_by(peer)) {
+        view_.dispatcher.adopt(std::move(call), endpoint);
+    }
     reclaim(delegated_.take_lost(peer));
 }
 
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -237,7 +237,7 @@
     boost::asio::steady_timer grant_timer_;
     support::time_point last_caller_request_;
     bool pumping_ = false;
-    bool memory_limited_ = false; ///< Engines were passed over in the last second.
+    bool memory_limited_ = false;             ///< Engines were passed over in the last second.
     std::optional<std::uint64_t> listed_era_; ///< Era of the last records of endpoints.
     bool registering_ = false;
     std::uint64_t registered_era_ = 0; ///< Era of the store that has confirmed this node's record.
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -146,10 +146,11 @@
 
 fleet::load_report decode_loads(const json& frame) {
     fleet::load_report report;
+    constexpr std::uint64_t max_tokens = 1'000'000'000; // More means a damaged frame.
     for (const auto& row : rows_of(frame, "e")) {
-        report.loads.emplace(
-            text_at(row, 0),
-            fleet::endpoint_load{number_at(row, 1), number_at(row, 2), number_at(row, 3)});
+        const auto held_tokens = std::min(number_at(row, 3), max_tokens);
+        report.loads.emplace(text_at(row, 0), fleet::endpoint_load{number_at(row, 1),
+                                                                   number_at(row, 2), held_tokens});
     }
     const auto sum = frame.find("s");
     report.sum = sum != frame.end() && *sum == true;
--- a/unittests/gateway/call_placer_test.cpp
+++ b/unittests/gateway/call_placer_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(unresponsive_lead_call_is_placed_locally);
     CPPUNIT_TEST(disconnected_node_slots_are_released_by_lead);
     CPPUNIT_TEST(disconnected_lead_calls_are_placed_locally);
+    CPPUNIT_TEST(running_call_of_lost_lead_counts_until_it_ends);
     CPPUNIT_TEST(late_placement_answer_does_not_send_call_twice);
     CPPUNIT_TEST(adapter_in_other_data_centre_is_requested_from_its_lead);
     CPPUNIT_TEST(call_end_is_reported_to_lead_that_placed_it);
@@ -91,6 +92,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node("one").placed());
     }
 
+    /// Guards against a new lead that takes the memory of running calls as free.
+    void running_call_of_lost_lead_counts_until_it_ends() {
+        submit("one", 1);
+        deliver();
+        CPPUNIT_ASSERT(node("one").dispatcher().own_loads().empty());
+        node("one").placer().on_peer_down("lead");
+        const auto loads = node("one").dispatcher().own_loads();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, loads.size());
+        CPPUNIT_ASSERT(loads.begin()->second.held_tokens > 0);
+        node("one").placer().finish(1, send_outcome::none);
+        CPPUNIT_ASSERT(node("one").dispatcher().own_loads().empty());
+    }
+
     void late_placement_answer_does_not_send_call_twice() {
         submit("one", 1);
         const auto requests = std::exchange(network_->frames, {});
