Believe Not-Run only in refusals

A response with any status and `Not-Run` counted as a refusal, so that a caller was told that its call had not run after a 200 or 500, and the call went to another endpoint.

--- a/unittests/platform/decode_test.cpp
+++ b/unittests/platform/decode_test.cpp
@@ -176,6 +176,10 @@
         CPPUNIT_ASSERT(metadata_of(421, {}).not_run);
         CPPUNIT_ASSERT(metadata_of(503, {{"Not-Run", "1"}}).not_run);
         CPPUNIT_ASSERT(!metadata_of(503, {}).not_run);
+        // The header contradicts these statuses: the call may have run.
+        for (const int status : {200, 404, 500, 502, 504}) {
+            CPPUNIT_ASSERT(!metadata_of(status, {{"Not-Run", "1"}}).not_run);
+        }
         CPPUNIT_ASSERT(metadata_of(200, {{"Server-Stamp", "x"}}).has_signature);
     }
 
