--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -25,6 +25,9 @@
 /// An endpoint that has streamed a response for this time did not crash on its beginning.
 constexpr milliseconds min_served_stream{1'000};
 
+/// A response with this status has no body, so it is not streamed.
+constexpr int no_content = 204;
+
 bool is_success(int status) {
     return status >= 200 && status < 300;
 }
@@ -214,7 +217,8 @@
 net::awaitable<call_relay::attempt_end>
 call_relay::relay_answer(net::http_exchange& exchange, open_call& call, resume_filter& events) {
     const int status = call.exchange->head->status;
-    if (call.route->kind == fleet::call_kind::stream && is_success(status)) {
+    if (call.route->kind == fleet::call_kind::stream && is_success(status) &&
+        status != no_content) {
         if (!events.started() && !call.exchange->body.empty()) {
             placer_.on_started(call.number);
         }
