Pass only whole and valid responses of endpoints on to callers

A response without a length that ended in order while the request was still being sent was passed on as whole, and so was any status from 200 to 999; 000 and 099 gave 500. A caller of HTTP/1.0 could not tell a stream that broke off from one that ended.

A response without a length now counts as whole only once the peer has acknowledged the whole request. A connection is reused only if its request has been received, and not after 204 or 304 with the headers of a body. A stream that breaks off resets the connection of an HTTP/1.0 caller.

--- a/lib/net/exchange_connection.cpp
+++ b/lib/net/exchange_connection.cpp
@@ -2,6 +2,8 @@
 
 #include "dragonflystair/support/hash.h"
 
+#include "send_queue.h"
+
 #include <boost/asio/write.hpp>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -163,9 +165,12 @@
                 self->on_received(bytes);
                 return;
             }
-            if (error == boost::asio::error::eof && self->in_flight_ && self->parser_ &&
-                self->parser_->is_header_done() && self->parser_->need_eof() &&
-                self->matches_request() && !self->lacks_request_id()) {
+            if (error == boost::asio::error::eof && self->ends_with_connection()) {
+                if (!self->peer_has_request()) {
+                    self->lose(exchange_end::broken,
+                               "response without a length ended before the request was sent");
+                    return;
+                }
                 boost::system::error_code code;
                 self->parser_->put_eof(code);
                 if (!code) {
@@ -256,6 +261,30 @@
     return !interim && (echoed.empty() || echoed == request_id_);
 }
 
+/// Returns whether the peer has received the whole request, as far as TCP tells.
+bool exchange_connection::peer_has_request() {
+    return written_ && is_send_queue_empty(socket_.native_handle());
+}
+
+/// Returns whether the response being parsed belongs to the request in flight and is delimited only
+/// by the end of the connection.
+bool exchange_connection::ends_with_connection() {
+    return in_flight_ && parser_ && parser_->is_header_done() && parser_->need_eof() &&
+           matches_request() && !lacks_request_id();
+}
+
+/// Returns whether the connection can carry another request after the response that is complete.
+bool exchange_connection::is_reusable() {
+    const auto& head = parser_->head();
+    const auto length = header(head.headers, "Content-Length");
+    // The peer may send a body with a status that has none, later than the head.
+    const bool body_may_follow =
+        (head.status == 204 || head.status == 304) &&
+        ((!length.empty() && length != "0") || head.headers.contains("Transfer-Encoding"));
+    return peer_has_request() && !head_request_ && !body_may_follow && buffer_.size() == 0 &&
+           parser_->keep_alive() && carried_.size() < limits_.max_requests_per_connection;
+}
+
 /// Returns whether the response has no request id although it may belong to an earlier request on
 /// the connection.
 bool exchange_connection::lacks_request_id() {
@@ -285,9 +314,7 @@
     const auto current = exchange_.lock();
     in_flight_ = false;
     exchange_identity_ = nullptr;
-    const bool reusable = written_ && !head_request_ && buffer_.size() == 0 &&
-                          parser_->keep_alive() &&
-                          carried_.size() < limits_.max_requests_per_connection;
+    const bool reusable = is_reusable();
     if (current) {
         current->head = current->head ? current->head : parser_->head();
         current->body += parser_->body();
--- a/lib/net/exchange_connection.h
+++ b/lib/net/exchange_connection.h
@@ -69,6 +69,9 @@
     [[nodiscard]] bool matches_request();
     [[nodiscard]] bool lacks_request_id();
     [[nodiscard]] bool exceeds_unread_limits(std::size_t unread) const;
+    [[nodiscard]] bool peer_has_request();
+    [[nodiscard]] bool ends_with_connection();
+    [[nodiscard]] bool is_reusable();
     void finish();
     void mark_lost();
     void lose(exchange_end end, std::string fault);
--- a/lib/net/http_session.h
+++ b/lib/net/http_session.h
@@ -62,6 +62,11 @@
     awaitable<bool> write_last_chunk();
     [[nodiscard]] bool wants_close() const { return state_->shutting_down || !keep_alive_; }
     [[nodiscard]] bool is_version_1_0() const { return version_1_0_; }
+    /// Makes the close of the connection a TCP reset, which discards what has not been sent.
+    void reset_on_close() {
+        boost::system::error_code ignored;
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
     [[nodiscard]] bool is_head_request() const { return head_request_; }
 
     /// Sets the hook that runs when the caller's connection closes; an empty hook removes it.
--- a/lib/net/http_session_exchange.cpp
+++ b/lib/net/http_session_exchange.cpp
@@ -68,6 +68,10 @@
             render(problem{500, "internal_error", "the request could not be handled", "unknown"});
         co_await respond_on_strand(std::move(response));
     }
+    if (phase_ == phase::streaming && !chunked_) {
+        // Without chunks, an orderly close would be the regular end of the response.
+        session_.reset_on_close();
+    }
     co_return phase_ == phase::completed && !must_close_;
 }
 
--- a/lib/net/response_parser.h
+++ b/lib/net/response_parser.h
@@ -2,7 +2,10 @@
 
 #include "dragonflystair/net/http_message.h"
 
+#include "response_status.h"
+
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <string>
 
@@ -32,7 +35,8 @@
     }
     void on_response_impl(int status, string_view /*reason*/, int /*version*/,
                           error_code& code) override {
-        code = {};
+        code = is_response_status(status) ? error_code{}
+                                          : make_error_code(boost::beast::http::error::bad_status);
         head_.status = status;
     }
     void on_field_impl(boost::beast::http::field /*field*/, string_view name, string_view value,
--- a/unittests/net/scripted_peer.h
+++ b/unittests/net/scripted_peer.h
@@ -48,6 +48,7 @@
             boost::system::error_code code;
             boost::asio::read(socket_, boost::asio::buffer(&byte, 1), code);
             if (code) {
+                was_reset_ = code == boost::asio::error::connection_reset;
                 return text;
             }
             text += byte;
@@ -71,6 +72,13 @@
         socket_.close();
     }
     void close() { socket_.close(); }
+    /// Returns whether the last `read_until` or `read_all` ended with a TCP reset.
+    [[nodiscard]] bool was_reset() const { return was_reset_; }
+    /// Ends the written direction only.
+    void end_output() {
+        boost::system::error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    }
     /// Ends both directions but keeps the handle, which another thread may use.
     void shut_down() {
         boost::system::error_code ignored;
@@ -79,6 +87,7 @@
 
 private:
     tcp::socket socket_;
+    bool was_reset_ = false;
 };
 
 /// Server that runs one script per accepted connection, sequentially, in its own thread.
