Say that a plain call may have run if any endpoint may have run it

If one endpoint of `node` gave no usable response and the next one could not be reached, the caller was told `not_run`. The outcome is now `unknown` once any send may have run. No test of its own: it compiles, and the scenarios were not run.

--- a/lib/node/plain_calls.cpp
+++ b/lib/node/plain_calls.cpp
@@ -181,6 +181,7 @@
 net::awaitable<void> plain_calls::serve_idempotent(net::http_exchange& exchange, plain_call call) {
     std::set<std::string> excluded;
     std::string reason = "no_endpoint";
+    bool may_have_run = false; // At any of the endpoints.
     for (int attempt = 0; attempt < max_attempts; ++attempt) {
         const auto row = choose(call.service_name, excluded);
         if (!row) {
@@ -205,6 +206,7 @@
         }
         services_.directory.on_failure(id, node_context::now());
         reason = fmt::format("endpoint_{}", to_string(answer.error().kind));
+        may_have_run = may_have_run || answer.error().kind != support::error_kind::unavailable;
         excluded.insert(id);
         bool allowed = false;
         {
@@ -217,7 +219,7 @@
         services_.context.counters.increment("retries_total", reason);
     }
     auto refusal = not_run(503, reason, "no endpoint answered", std::chrono::seconds{1});
-    if (reason == "endpoint_unknown" || reason == "endpoint_malformed") {
+    if (may_have_run) {
         refusal.outcome = "unknown";
     }
     co_await refuse(exchange, std::move(refusal));
