Read responses of `node` while the request is being written

The client wrote the whole request before it read, and after a failed write it took a response without a length for whole when its connection ended. It also returned any status from 000 to 999, and 101. A server that answered early and stopped reading blocked it until the deadline.

The request is now written while the response is read. A response without a length is whole only if the server has acknowledged the whole request; statuses outside 100 to 599 and 101 are malformed, and interim responses before a stream are bounded. Connections that are not kept are closed, so that the rest of a request is not sent.

--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "http_client_stream.h"
 #include "http_pool.h"
+#include "response_status.h"
 #include "run_on.h"
 #include "socket_address.h"
 
@@ -63,12 +64,43 @@
     return {std::move(message), *endpoint, {}};
 }
 
-/// Returns whether another response follows. Status 101 is final here: it would end HTTP on the
-/// connection, and this client never requests it.
+/// Returns whether another response follows.
 bool is_interim(unsigned status) {
-    return status >= 100 && status < 200 && status != 101;
+    return status >= 100 && status < 200;
 }
 
+connection_fault invalid_status(unsigned status) {
+    return {error{error_kind::malformed, "response: status " + std::to_string(status), {}}};
+}
+
+connection_fault ended_before_request() {
+    return {error{
+        error_kind::unknown, "response without a length ended before the request was sent", {}}};
+}
+
+connection_fault too_many_skipped() {
+    return {error{error_kind::malformed, "too many bytes before the matching response", {}}};
+}
+
+/// Closes a connection that is not kept, which also ends a write that is still in progress.
+class closing_guard {
+public:
+    explicit closing_guard(std::shared_ptr<http_connection> connection)
+        : connection_(std::move(connection)) {}
+    ~closing_guard() {
+        if (connection_) {
+            connection_->close_now();
+        }
+    }
+    closing_guard(const closing_guard&) = delete;
+    closing_guard& operator=(const closing_guard&) = delete;
+
+    void keep() { connection_.reset(); }
+
+private:
+    std::shared_ptr<http_connection> connection_;
+};
+
 response_owner owner_of(const http::fields& response, const outgoing_request& request,
                         const std::string& id_header) {
     const auto found = response.find(id_header);
@@ -82,12 +114,35 @@
 
 using exchange_result = std::variant<http_response, connection_fault>;
 
+/// Reads one whole response, which may be interim, and adds its size to `received_bytes`.
+awaitable<std::optional<connection_fault>>
+read_response(std::shared_ptr<http_connection> connection,
+              http::response_parser<http::string_body>& parser, http::verb method,
+              std::size_t& received_bytes) {
+    const auto [head_code, head_bytes] =
+        co_await http::async_read_header(connection->socket, connection->buffer, parser, no_throw);
+    if (head_code) {
+        co_return co_await connection->read_fault(head_code, parser.got_some(), method);
+    }
+    if (!is_response_status(static_cast<int>(parser.get().result_int()))) {
+        co_return invalid_status(parser.get().result_int());
+    }
+    const auto [code, body_bytes] =
+        co_await http::async_read(connection->socket, connection->buffer, parser, no_throw);
+    if (code) {
+        co_return co_await connection->read_fault(code, true, method);
+    }
+    received_bytes += head_bytes + body_bytes;
+    co_return std::nullopt;
+}
+
 /// Sends one request and reads the whole response; runs on the connection's strand.
 awaitable<exchange_result> run_exchange(std::shared_ptr<http_connection> connection,
                                         std::shared_ptr<const outgoing_request> request,
                                         tcp::endpoint address, deadline::time_point until,
                                         std::weak_ptr<http_pool> pool, response_rules rules) {
     const bool identifies = !rules.id_header.empty();
+    closing_guard guard(connection);
     connection->set_deadline(until);
     if (connection->reused && !connection->is_reusable()) {
         co_return connection_fault{
@@ -99,16 +154,15 @@
     }
     std::optional<http::response_parser<http::string_body>> parser;
     auto owner = response_owner::unidentified;
-    std::size_t skipped_bytes = 0;
+    std::size_t received_bytes = 0;
     while (true) {
         parser.emplace();
         parser->header_limit(max_header_bytes);
         parser->body_limit(rules.max_body_bytes);
         parser->skip(request->method() == http::verb::head);
-        const auto [code, bytes] =
-            co_await http::async_read(connection->socket, connection->buffer, *parser, no_throw);
-        if (code) {
-            co_return connection->read_fault(code, parser->got_some(), request->method());
+        fault = co_await read_response(connection, *parser, request->method(), received_bytes);
+        if (fault) {
+            co_return std::move(*fault);
         }
         if (identifies) {
             owner = owner_of(parser->get(), *request, rules.id_header);
@@ -117,13 +171,15 @@
         if (!is_other && !is_interim(parser->get().result_int())) {
             break;
         }
-        skipped_bytes += bytes;
-        if (skipped_bytes > max_skipped_bytes) {
-            co_return connection_fault{
-                error{error_kind::malformed, "too many bytes before the matching response", {}}};
+        if (received_bytes > max_skipped_bytes) {
+            co_return too_many_skipped();
         }
     }
     connection->timer.disarm();
+    const bool has_request = connection->server_has_request();
+    if (parser->need_eof() && !has_request) {
+        co_return ended_before_request();
+    }
     if (owner == response_owner::this_request) {
         connection->echoes_ids = true;
     } else if (connection->echoes_ids) {
@@ -134,7 +190,8 @@
     }
     auto message = parser->release();
     const auto live_pool = pool.lock();
-    if (live_pool && message.keep_alive() && !message.need_eof() && !connection->write_failed) {
+    if (live_pool && message.keep_alive() && !message.need_eof() && has_request) {
+        guard.keep();
         live_pool->release(to_string(address), connection);
     }
     http_response response;
@@ -151,6 +208,8 @@
                std::shared_ptr<const outgoing_request> request, tcp::endpoint address,
                deadline::time_point until,
                std::shared_ptr<std::optional<http_client_stream::body_parser>> parser) {
+    closing_guard guard(connection);
+    std::size_t skipped_bytes = 0;
     connection->set_deadline(until);
     auto fault = co_await connection->send(address, request);
     if (fault) {
@@ -163,10 +222,19 @@
         const auto [code, bytes] = co_await http::async_read_header(
             connection->socket, connection->buffer, **parser, no_throw);
         if (code) {
-            co_return connection->read_fault(code, (*parser)->got_some(), request->method());
+            co_return co_await connection->read_fault(code, (*parser)->got_some(),
+                                                      request->method());
+        }
+        if (!is_response_status(static_cast<int>((*parser)->get().result_int()))) {
+            co_return invalid_status((*parser)->get().result_int());
+        }
+        skipped_bytes += bytes;
+        if (skipped_bytes > max_skipped_bytes) {
+            co_return too_many_skipped();
         }
     } while (is_interim((*parser)->get().result_int()));
     connection->timer.disarm();
+    guard.keep();
     co_return std::nullopt;
 }
 
--- a/lib/net/http_client_stream.cpp
+++ b/lib/net/http_client_stream.cpp
@@ -17,6 +17,10 @@
 /// Holds several events of tens of bytes each. A larger chunk takes several reads.
 constexpr std::size_t read_buffer_bytes = std::size_t{8} * 1024;
 
+error ended_before_request() {
+    return {error_kind::unknown, "response without a length ended before the request was sent", {}};
+}
+
 /// Reads the next part of the body; runs on the connection's strand.
 awaitable<async_result<std::optional<std::string>>>
 read_part(std::shared_ptr<http_connection> connection,
@@ -37,10 +41,14 @@
             co_return std::optional<std::string>(std::move(part));
         }
         if (code && code != http::error::need_buffer) {
-            co_return connection->read_fault(code, true, http::verb::unknown).error;
+            auto fault = co_await connection->read_fault(code, true, http::verb::unknown);
+            co_return std::move(fault.error);
         }
     }
     connection->timer.disarm();
+    if (parser->need_eof() && !connection->server_has_request()) {
+        co_return ended_before_request();
+    }
     co_return std::optional<std::string>();
 }
 
--- a/lib/net/http_connection.cpp
+++ b/lib/net/http_connection.cpp
@@ -1,12 +1,14 @@
 #include "http_connection.h"
 
 #include "run_on.h"
+#include "send_queue.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <chrono>
 #include <string>
 
 namespace dragonflystair::net {
@@ -15,7 +17,8 @@
 using support::error_kind;
 
 http_connection::http_connection(const executor& context)
-    : strand(boost::asio::make_strand(context)), socket(strand), timer(strand) {}
+    : strand(boost::asio::make_strand(context)), socket(strand), timer(strand),
+      write_ended_(strand) {}
 
 void http_connection::set_deadline(deadline::time_point when) {
     timer.arm(when, weak_from_this(), [this] { close_now(); });
@@ -54,24 +57,46 @@
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
     }
-    const auto [code, written] = co_await http::async_write(socket, *request, no_throw);
-    if (!code) {
-        co_return std::nullopt;
-    }
-    if (written == 0) {
-        co_return connection_fault{error{error_kind::unavailable, "write: " + code.message(), {}},
-                                   reused && !timer.expired()};
-    }
-    write_failed = true;
-    // A server may respond and close before it has read the whole request, so the response is read
-    // even after a partial write. After a timeout, the socket is closed and that read fails
-    // immediately.
+    start_write(request);
     co_return std::nullopt;
 }
 
-connection_fault http_connection::read_fault(const boost::system::error_code& code, bool started,
-                                             http::verb method) {
-    if (timer.expired()) {
+void http_connection::start_write(const std::shared_ptr<const outgoing_request>& request) {
+    writing_ = true;
+    written_bytes_ = 0;
+    write_error_ = {};
+    http::async_write(socket, *request,
+                      [self = shared_from_this(), request](const boost::system::error_code& code,
+                                                           std::size_t bytes) {
+                          self->writing_ = false;
+                          self->written_bytes_ = bytes;
+                          self->write_error_ = code;
+                          self->write_ended_.cancel();
+                      });
+}
+
+bool http_connection::server_has_request() {
+    return !writing_ && !write_error_ && is_send_queue_empty(socket.native_handle());
+}
+
+awaitable<connection_fault> http_connection::read_fault(boost::system::error_code code,
+                                                        bool started, http::verb method) {
+    const bool timed_out = timer.expired();
+    close_now();
+    while (writing_) {
+        write_ended_.expires_at(std::chrono::steady_clock::time_point::max());
+        co_await write_ended_.async_wait(no_throw);
+    }
+    co_return fault_of(code, started, timed_out, method);
+}
+
+connection_fault http_connection::fault_of(const boost::system::error_code& code, bool started,
+                                           bool timed_out, http::verb method) const {
+    if (write_error_ && written_bytes_ == 0) {
+        return {error{error_kind::unavailable, "write: " + write_error_.message(), {}},
+                reused && !timed_out};
+    }
+    if (timed_out) {
         return {error{error_kind::unknown, "no complete response within the time limit", {}}};
     }
     const bool ended = code == http::error::end_of_stream || code == http::error::partial_message;
--- a/lib/net/http_connection.h
+++ b/lib/net/http_connection.h
@@ -7,6 +7,7 @@
 #include "deadline.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -38,23 +39,36 @@
     /// Returns false if the server has closed the idle connection or sent unsolicited bytes.
     [[nodiscard]] bool is_reusable();
 
-    /// Connects if necessary, and writes the request.
+    /// Connects if necessary, and starts to write the request. The response is read at the same
+    /// time, since a server may respond before it has read the whole request.
     awaitable<std::optional<connection_fault>>
     send(tcp::endpoint address, std::shared_ptr<const outgoing_request> request);
 
-    /// Returns the fault for a failed read of a response. `started` is whether a byte of it
-    /// arrived.
-    connection_fault read_fault(const boost::system::error_code& code, bool started,
-                                http::verb method);
+    /// Returns whether the server has received the whole request, as far as TCP tells.
+    [[nodiscard]] bool server_has_request();
+
+    /// Closes the connection and returns the fault for a failed read of a response. `started` is
+    /// whether a byte of it arrived.
+    awaitable<connection_fault> read_fault(boost::system::error_code code, bool started,
+                                           http::verb method);
 
     executor strand;
     tcp::socket socket;
     deadline timer;
     /// Holds heads, chunk heads and trailers. A larger one fails the connection.
     boost::beast::flat_buffer buffer{std::size_t{128} * 1024};
-    bool reused = false;       ///< The connection has carried an earlier exchange.
-    bool echoes_ids = false;   ///< The server has echoed the id of a request.
-    bool write_failed = false; ///< The request was written only in part; prevents reuse.
+    bool reused = false;     ///< The connection has carried an earlier exchange.
+    bool echoes_ids = false; ///< The server has echoed the id of a request.
+
+private:
+    void start_write(const std::shared_ptr<const outgoing_request>& request);
+    [[nodiscard]] connection_fault fault_of(const boost::system::error_code& code, bool started,
+                                            bool timed_out, http::verb method) const;
+
+    bool writing_ = false;
+    std::size_t written_bytes_ = 0;         ///< Of the last request, once `writing_` is false.
+    boost::system::error_code write_error_; ///< Of the last request.
+    boost::asio::steady_timer write_ended_; ///< Cancelled when a write ends.
 };
 
 } // namespace dragonflystair::net
