--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -64,25 +64,6 @@
     return {settings.retry_ratio, settings.retry_slack, settings.retry_window};
 }
 
-net::peer_settings peer_settings_of(const config::gateway_settings& settings,
-                                    const std::string& incarnation) {
-    net::peer_settings out{settings.name, incarnation, settings.peer_secret, milliseconds{1'500}};
-    out.max_handshakes = shares_of(settings, system_open_limit()).peer_handshakes;
-    return out;
-}
-
-net::http_server_options listener_options(std::string name,
-                                          const net::http_server_capacity& capacity) {
-    net::http_server_options options;
-    options.name = std::move(name);
-    options.capacity = capacity;
-    return options;
-}
-
-net::http_server_options other_options(std::string name, const config::gateway_settings& settings) {
-    return listener_options(std::move(name), shares_of(settings, system_open_limit()).other);
-}
-
 net::http_response text_response(int status, std::string body, std::string_view type) {
     net::http_response response;
     response.status = status;
@@ -159,15 +140,15 @@
       ready_server_(
           io_.get_executor(), settings.ready_address, other_limits_of(settings),
           [this](net::http_exchange& exchange) { return serve_ready(exchange); }, counters_,
-          other_options("ready", settings)),
+          other_options_of("ready", settings)),
       resolve_server_(
           io_.get_executor(), settings.resolve_address, other_limits_of(settings),
           [this](net::http_exchange& exchange) { return serve_resolve(exchange); }, counters_,
-          other_options("resolve", settings)),
+          other_options_of("resolve", settings)),
       metrics_server_(
           io_.get_executor(), settings.metrics_address, other_limits_of(settings),
           [this](net::http_exchange& exchange) { return serve_metrics(exchange); }, counters_,
-          other_options("metrics", settings)),
+          other_options_of("metrics", settings)),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), pump_timer_(io_), grant_timer_(io_) {
     view_.permits = fleet::send_permits(settings.name);
     view_.dispatcher.use_permits(view_.permits);
@@ -189,7 +170,7 @@
 }
 
 net::http_server_options gateway::impl::caller_options(const config::gateway_settings& settings) {
-    auto options = listener_options("callers", shares_of(settings, system_open_limit()).callers);
+    auto options = caller_options_of(settings);
     options.check_head = [this](const net::http_request& head) {
         last_caller_request_ = boot_clock::now();
         return relay_.refuse_from_head(head);
--- a/lib/gateway/listener_shares.cpp
+++ b/lib/gateway/listener_shares.cpp
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace dragonflystair::gateway {
 
@@ -86,4 +87,30 @@
     return limits;
 }
 
+net::http_server_options caller_options_of(const config::gateway_settings& settings) {
+    net::http_server_options options;
+    options.name = "callers";
+    options.capacity = shares_of(settings, system_open_limit()).callers;
+    return options;
+}
+
+net::http_server_options other_options_of(std::string name,
+                                          const config::gateway_settings& settings) {
+    net::http_server_options options;
+    options.name = std::move(name);
+    options.capacity = shares_of(settings, system_open_limit()).other;
+    return options;
+}
+
+net::peer_settings peer_settings_of(const config::gateway_settings& settings,
+                                    const std::string& incarnation) {
+    net::peer_settings out;
+    out.name = settings.name;
+    out.incarnation = incarnation;
+    out.secret = settings.peer_secret;
+    out.silence_timeout = std::chrono::milliseconds(1'500);
+    out.max_handshakes = shares_of(settings, system_open_limit()).peer_handshakes;
+    return out;
+}
+
 } // namespace dragonflystair::gateway
--- a/lib/gateway/listener_shares.h
+++ b/lib/gateway/listener_shares.h
@@ -2,8 +2,10 @@
 
 #include "dragonflystair/config/gateway_settings.h"
 #include "dragonflystair/net/http_server.h"
+#include "dragonflystair/net/peer_network.h"
 
 #include <cstddef>
+#include <string>
 
 namespace dragonflystair::gateway {
 
@@ -28,4 +30,14 @@
 /// Returns the limits of the ready, resolve and metrics listeners, whose requests have no body.
 net::http_server_limits other_limits_of(const config::gateway_settings& settings);
 
+/// Returns the options of the caller listener without its check of heads.
+net::http_server_options caller_options_of(const config::gateway_settings& settings);
+
+/// Returns the options of the ready, resolve or metrics listener.
+net::http_server_options other_options_of(std::string name,
+                                          const config::gateway_settings& settings);
+
+net::peer_settings peer_settings_of(const config::gateway_settings& settings,
+                                    const std::string& incarnation);
+
 } // namespace dragonflystair::gateway
