--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -149,11 +149,12 @@
 http_server::http_server(executor context, std::string_view address, http_server_limits limits,
                          http_handler handler, support::counters& counters,
                          http_server_options options)
-    : impl_(std::make_shared<impl>(context, address,
-                                   std::make_shared<http_server_state>(
-                                       limits, std::move(handler), counters,
-                                       budget_of(options.capacity), context, std::move(options)))) {
-}
+    : impl_([&] {
+          const auto budget = budget_of(options.capacity);
+          auto state = std::make_shared<http_server_state>(limits, std::move(handler), counters,
+                                                           budget, context, std::move(options));
+          return std::make_shared<impl>(std::move(context), address, std::move(state));
+      }()) {}
 
 http_server::~http_server() {
     stop();
