--- a/include/dragonflystair/net/http_server.h
+++ b/include/dragonflystair/net/http_server.h
@@ -73,7 +73,7 @@
 
 /// HTTP/1.1 server. Requests over a limit are rejected with problem details (413, 431, 408, 400)
 /// and counted under `refusals_total` as `body_too_large`, `header_too_large`, `too_many_fields`,
-/// `slow_request`, `slow_body`, `malformed_http`; a failed handler is counted there as
+/// `slow_request`, `malformed_http`; a failed handler is counted there as
 /// `internal_error`. A request without room gets 503 and is counted as `no_room`. Callers whose
 /// connection is closed to make room for others, or not accepted, are counted under
 /// `caller_limits_total`. Handlers run on their connection's strand. The counters must outlive the
--- a/lib/net/http_session_input.cpp
+++ b/lib/net/http_session_input.cpp
@@ -18,10 +18,9 @@
 
 using boost::system::error_code;
 
-problem problem_for(const error_code& code, bool timed_out, bool head_read) {
+problem problem_for(const error_code& code, bool timed_out) {
     if (timed_out) {
-        return {408, head_read ? "slow_body" : "slow_request",
-                "the request was not sent within the time limit"};
+        return {408, "slow_request", "the request was not sent within the time limit"};
     }
     if (code == http::error::body_limit) {
         return {413, "body_too_large", "the body is over the size limit"};
@@ -306,7 +305,7 @@
         // Its descriptor is needed at once, and without a head there is no request to answer.
         co_return;
     }
-    const auto rejection = fault_ ? *fault_ : problem_for(code, timed_out, head_read_);
+    const auto rejection = fault_ ? *fault_ : problem_for(code, timed_out);
     state_->counters.increment("refusals_total", rejection.reason);
     if (!evicted_ && rejection.status != 400) {
         state_->limits_reached->note(rejection.reason);
