Strengthen the replay of quotas where faults went unnoticed

Cause: the replay passed without reserved shares, without the report of held tokens, without the expiry of grants and without a new allocator's wait.

Change: larger rates, pulses of 2.6 s and direct checks of the two times.

--- a/lib/gateway/call_relay.h
+++ b/lib/gateway/call_relay.h
@@ -33,7 +33,7 @@
         /// Returns whether callers can be served by another node.
         std::function<bool()> other_node_ready;
         /// Called when a call waits for tokens of its tenant's quota.
-        std::function<void()> quota_wanted;
+        std::function<void()> quota_wanted = [] {};
     };
 
     call_relay(node_view& view, call_placer& placer, hooks callbacks)
--- a/unittests/fleet/quota_network.h
+++ b/unittests/fleet/quota_network.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -29,6 +30,8 @@
     static constexpr milliseconds tick{50};
     static constexpr milliseconds travel_time{22};
     static constexpr seconds window{8};
+    /// A window has four pulses, which is more than its length of calls.
+    static constexpr milliseconds pulse_period{2'600};
     static constexpr std::size_t call_tokens = 700;
 
     quota_network(std::size_t count, tenant limits) : tenant_(std::move(limits)) {
@@ -42,7 +45,7 @@
 
     /// Calls per second at each node, at a time since the start.
     std::function<double(std::size_t node, milliseconds at)> demand;
-    bool sends_in_pulses = false; ///< Calls wait for endpoints, which take them all every 2 s.
+    bool sends_in_pulses = false; ///< Calls wait for endpoints, which take them all every 2.6 s.
     double refused_share = 0;     ///< Of the calls with tokens, which no endpoint runs.
     double loss = 0;              ///< Share of the frames that are lost.
 
@@ -174,7 +177,7 @@
             return;
         }
         auto& wallet = *node.wallet;
-        if ((now_ - begin) % seconds{2} == seconds{0}) {
+        if ((now_ - begin) % pulse_period == seconds{0}) {
             send_held(node);
         }
         for (const auto number : wallet.take_granted(now_)) {
@@ -218,7 +221,10 @@
                 nodes_, [](const auto& node) { return !node.cut && !node.dead; });
             allocator_->on_nodes_in_touch("north", static_cast<std::size_t>(in_touch), now_);
         }
-        for (const auto& grant : allocator_->take_grants(now_)) {
+        for (auto& grant : allocator_->take_grants(now_)) {
+            for (auto& row : grant.rows) {
+                row.amount = std::floor(row.amount); // As frames carry it.
+            }
             const auto index = std::stoul(grant.node);
             if (nodes_[index].cut) {
                 continue;
--- a/unittests/fleet/shared_quota_test.cpp
+++ b/unittests/fleet/shared_quota_test.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+using namespace dragonflystair;
 using namespace dragonflystair::fleet;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -15,6 +16,8 @@
 
 constexpr double rate = 40'000;
 constexpr double burst = 80'000;
+/// Faults at this rate cost more than the slack of the bound.
+constexpr double large_rate = 200'000;
 constexpr double calls_at_rate = rate / quota_network::call_tokens;
 
 tenant limits() {
@@ -42,6 +45,8 @@
     CPPUNIT_TEST(lost_frames_keep_the_bound);
     CPPUNIT_TEST(dead_and_replaced_allocator_keeps_the_bound);
     CPPUNIT_TEST(nodes_that_are_cut_off_get_shares_within_the_bound);
+    CPPUNIT_TEST(tokens_expire_after_their_request);
+    CPPUNIT_TEST(new_allocator_waits_for_one_lifetime);
     CPPUNIT_TEST(killed_nodes_lose_little_of_the_limit);
     CPPUNIT_TEST(lower_limit_holds_one_window_later);
     CPPUNIT_TEST(restarted_nodes_have_no_tokens);
@@ -126,7 +131,6 @@
 
     // Guards against calls that are admitted over more than a window and sent within one.
     void calls_that_are_sent_late_keep_the_bound() {
-        constexpr double large_rate = 200'000;
         auto large = limits();
         large.rate_per_s = large_rate;
         quota_network nodes(8, large);
@@ -163,16 +167,50 @@
 
     // Guards against shares that the allocator grants once more, also after a long time.
     void nodes_that_are_cut_off_get_shares_within_the_bound() {
-        quota_network nodes(60, limits());
-        nodes.demand = everywhere(60, 4);
+        auto large = limits();
+        large.rate_per_s = large_rate;
+        quota_network nodes(60, large);
+        nodes.demand = everywhere(60, 20);
         nodes.run(seconds{10});
         for (std::size_t node = 0; node < 20; ++node) {
             nodes.cut_off(node, true);
         }
         nodes.run(seconds{40});
         const double most = nodes.most_in_window();
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most <= bound() + 72'000);
-        CPPUNIT_ASSERT(nodes.use_since(seconds{30}) >= 0.9 * rate);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most <= bound(large_rate) + 72'000);
+        CPPUNIT_ASSERT(nodes.use_since(seconds{30}) >= 0.9 * large_rate);
+    }
+
+    // Guards against tokens that a suspended node spends long after they were granted.
+    void tokens_expire_after_their_request() {
+        const support::time_point asked{std::chrono::hours{1}};
+        quota_wallet wallet;
+        wallet.configure(std::vector{limits()});
+        wallet.on_answer(std::vector{quota_grant::row{"atlas", 2'000, {}}}, asked, asked);
+        const auto take = [&](milliseconds after) {
+            return wallet.take("atlas", 1, 700, asked + after) == quota_decision::granted;
+        };
+        CPPUNIT_ASSERT(take(quota_grant_lifetime - milliseconds{1}));
+        CPPUNIT_ASSERT(!take(quota_grant_lifetime));
+    }
+
+    // Guards against grants while tokens of a former allocator are valid.
+    void new_allocator_waits_for_one_lifetime() {
+        const support::time_point started{std::chrono::hours{1}};
+        quota_allocator allocator;
+        allocator.configure(std::vector{limits()}, started);
+        allocator.set_nodes(1, started);
+        allocator.start(started);
+        allocator.on_nodes_in_touch("north", 1, started);
+        const auto granted = [&](milliseconds after) {
+            const auto now = started + after;
+            allocator.request("node", {1, false, {{"atlas", 700, 700, 700, 0, 0}}}, now);
+            const auto grants = allocator.take_grants(now);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, grants.size());
+            return grants.front().rows.front().amount;
+        };
+        CPPUNIT_ASSERT_EQUAL(0.0, granted(quota_grant_lifetime));
+        CPPUNIT_ASSERT_EQUAL(700.0, granted(quota_grant_lifetime + milliseconds{20}));
     }
 
     // Guards against the loss of a killed node's share for ever.
