--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -2,8 +2,8 @@
 
 #include "dragonflystair/fleet/balanced_choice.h"
 #include "dragonflystair/fleet/dispatcher.h"
-#include "dragonflystair/fleet/engine_memory.h"
 #include "dragonflystair/fleet/endpoint_speed.h"
+#include "dragonflystair/fleet/engine_memory.h"
 #include "dragonflystair/fleet/engine_speed.h"
 #include "dragonflystair/fleet/fair_queue.h"
 #include "dragonflystair/fleet/send_permits.h"
