Hold tokens for typical calls only, and start with the equal share

Each of 69 nodes held tokens for the largest call that it had lately seen, and the estimate of a wait counted tokens that other nodes wanted ahead of need. After a power cut, nodes refused calls for a second before they used their equal share.

Change: nodes hold tokens for a typical call; only waiting calls count for the estimate; a node that never had an answer uses its share after 250 ms.

--- a/include/dragonflystair/fleet/quota_wallet.h
+++ b/include/dragonflystair/fleet/quota_wallet.h
@@ -41,6 +41,8 @@
 public:
     /// Time without an answer after which the equal share is used.
     static constexpr std::chrono::milliseconds answer_timeout{1'000};
+    /// The same for a node that has had no answer since its start.
+    static constexpr std::chrono::milliseconds first_answer_timeout{250};
     /// Interval between requests while there are calls, in small and in large systems.
     static constexpr std::chrono::milliseconds request_period{200};
     static constexpr std::chrono::milliseconds long_request_period{300};
@@ -110,7 +112,7 @@
         std::deque<waiting_call> waiting;
         double arrived = 0;                         ///< Cost of the calls since the last request.
         double use_per_s = 0;                       ///< Smoothed cost of calls.
-        double largest = 0;                         ///< Decaying cost of the largest calls.
+        double typical = 0;                         ///< Smoothed cost of a call without outliers.
         std::optional<support::time_point> next_at; ///< When the missing tokens are expected.
         double share = 0;                           ///< Tokens of the equal share.
         std::optional<support::time_point> refused_at;
--- a/lib/fleet/quota_allocator.cpp
+++ b/lib/fleet/quota_allocator.cpp
@@ -254,8 +254,10 @@
             row->waiting = std::max(row->waiting - amount, 0.0);
             target.served.insert_or_assign(*node, now);
         }
-        ahead += std::max(row->wanted, 0.0);
-        const double wait = std::clamp((ahead - target.level) / rate, 0.0, max_estimate_s);
+        // Tokens that nodes want ahead of need do not delay a call.
+        ahead += row->waiting;
+        const double wait =
+            std::clamp((ahead + row->quantum - target.level) / rate, 0.0, max_estimate_s);
         if (granted || requesters_.find(*node)->second.answer_due) {
             const auto next_in =
                 std::chrono::ceil<milliseconds>(std::chrono::duration<double>(wait));
--- a/lib/fleet/quota_wallet.cpp
+++ b/lib/fleet/quota_wallet.cpp
@@ -21,8 +21,11 @@
 
 /// Weight of the last interval in the smoothed use. Callers move between nodes within seconds.
 constexpr double use_weight = 0.5;
-/// Factor per interval with which the size of the largest calls decays.
-constexpr double largest_decay = 0.9;
+/// Weight of a call in the smoothed cost of calls, and the multiple of that cost at which a call
+/// counts at most. A few long prompts cost fifty times as much as others: tokens held for such a
+/// call on every node would be most of the rate, while other calls are refused for want of them.
+constexpr double cost_weight = 0.1;
+constexpr double max_cost_ratio = 3;
 /// Use below this share of one call per second counts as none.
 constexpr double negligible_use = 0.1;
 
@@ -99,7 +102,8 @@
 }
 
 bool quota_wallet::uses_share(time_point now) const {
-    return unanswered_since_ && now - *unanswered_since_ >= answer_timeout;
+    const auto timeout = answered_request_ ? answer_timeout : first_answer_timeout;
+    return unanswered_since_ && now - *unanswered_since_ >= timeout;
 }
 
 void quota_wallet::fill_shares(time_point now) {
@@ -147,7 +151,9 @@
     }
     auto& known = found->second;
     known.arrived += cost;
-    known.largest = std::max(known.largest, cost);
+    const double counted =
+        known.typical > 0 ? std::min(cost, known.typical * max_cost_ratio) : cost;
+    known.typical += (known.typical > 0 ? cost_weight : 1) * (counted - known.typical);
     if (known.waiting.empty() && try_take(known, cost, now)) {
         return quota_decision::granted;
     }
@@ -261,12 +267,11 @@
     // A longer interval says more of the present use.
     const double weight = std::min(use_weight * elapsed / seconds_of(period), 1.0);
     known.use_per_s += (arrived - known.use_per_s) * weight;
-    known.largest *= largest_decay;
-    if (known.use_per_s < negligible_use * std::max(known.largest, 1.0) * weight) {
+    if (known.use_per_s < negligible_use * std::max(known.typical, 1.0) * weight) {
         known.use_per_s = 0;
     }
     double waiting = 0;
-    double quantum = known.use_per_s > 0 ? known.largest : 0;
+    double quantum = known.use_per_s > 0 ? known.typical : 0;
     for (const auto& call : known.waiting) {
         waiting += call.cost;
         quantum = std::max(quantum, call.cost);
@@ -276,7 +281,7 @@
     // While tokens are scarce, none are held for a next call that may not come.
     const bool scarce = known.next_at && *known.next_at > now;
     const double needed =
-        waiting + (known.use_per_s > 0 && !scarce ? std::max(ahead, known.largest) : ahead);
+        waiting + (known.use_per_s > 0 && !scarce ? std::max(ahead, known.typical) : ahead);
     return_surplus(known, std::ceil(needed));
     quota_request::row row{
         tenant,     std::max(needed - held, 0.0),    std::max(waiting - held, 0.0), quantum,
