--- a/lib/fleet/dispatcher_refusal.cpp
+++ b/lib/fleet/dispatcher_refusal.cpp
@@ -27,6 +27,25 @@
     return static_cast<double>(call.number * 7 % 16) / 16;
 }
 
+/// Updates the rate of placements once a window has passed.
+void measure_rate(service_state& state, time_point now) {
+    if (now - state.window_start < rate_window) {
+        return;
+    }
+    const std::chrono::duration<double> elapsed = now - state.window_start;
+    state.placed_per_s = static_cast<double>(state.placed) / elapsed.count();
+    state.window_start = now;
+    state.placed = 0;
+}
+
+/// No engine can ever serve the call, so it gets no Retry-After.
+dispatch_decision too_large(const pending_call& call) {
+    dispatch_decision decision;
+    decision.number = call.number;
+    decision.reason = refusal::too_large;
+    return decision;
+}
+
 } // namespace
 
 /// Returns the time in seconds after which a waiting call can be expected to start; 0 if nothing is
@@ -129,17 +148,9 @@
 std::optional<dispatch_decision> dispatcher::impl::decide(open_call& open, queue_position position,
                                                           time_point now) {
     auto& state = services[open.call.service];
-    if (now - state.window_start >= rate_window) {
-        state.placed_per_s = static_cast<double>(state.placed) /
-                             std::chrono::duration<double>(now - state.window_start).count();
-        state.window_start = now;
-        state.placed = 0;
-    }
+    measure_rate(state, now);
     if (exceeds_memory(open.call, state)) {
-        dispatch_decision decision;
-        decision.number = open.call.number;
-        decision.reason = refusal::too_large;
-        return decision;
+        return too_large(open.call);
     }
     const auto chosen = choose(open, state, now);
     if (chosen && !chosen->awaits_permit) {
