--- a/unittests/fleet/configuration_freshness_test.cpp
+++ b/unittests/fleet/configuration_freshness_test.cpp
@@ -42,8 +42,8 @@
 
 public:
     void node_without_confirmation_relies_on_no_key() {
-        CPPUNIT_ASSERT(!freshness.reliable(start));
-        CPPUNIT_ASSERT(!freshness.report(1, start));
+        CPPUNIT_ASSERT(!freshness_.reliable(start));
+        CPPUNIT_ASSERT(!freshness_.report(1, start));
     }
 
     void node_without_timeout_relies_on_every_key() {
@@ -74,62 +74,63 @@
 
     /// A VM that was suspended reads the answer to a question from before.
     void late_answer_of_store_confirms_only_the_time_of_the_question() {
-        freshness.on_store_read(start);
-        CPPUNIT_ASSERT(!freshness.reliable(start + revocation));
+        freshness_.on_store_read(start);
+        CPPUNIT_ASSERT(!freshness_.reliable(start + revocation));
     }
 
     void late_answer_of_peer_confirms_only_the_time_of_the_question() {
-        freshness.on_peer_report({7, milliseconds{900}}, 7, start);
-        CPPUNIT_ASSERT(freshness.reliable(start + revocation - milliseconds{1'000}));
-        CPPUNIT_ASSERT(!freshness.reliable(start + revocation - milliseconds{900}));
+        freshness_.on_peer_report({7, milliseconds{900}}, 7, start);
+        CPPUNIT_ASSERT(freshness_.reliable(start + revocation - milliseconds{1'000}));
+        CPPUNIT_ASSERT(!freshness_.reliable(start + revocation - milliseconds{900}));
     }
 
     /// A node that has missed the records of a version must not trust its keys.
     void peer_with_newer_configuration_confirms_nothing() {
-        freshness.on_peer_report({8, milliseconds{0}}, 7, start);
-        CPPUNIT_ASSERT(!freshness.reliable(start));
-        freshness.on_peer_report({8, milliseconds{-5'000}}, 8, start);
-        CPPUNIT_ASSERT(!freshness.reliable(start));
+        freshness_.on_peer_report({8, milliseconds{0}}, 7, start);
+        CPPUNIT_ASSERT(!freshness_.reliable(start));
+        freshness_.on_peer_report({8, milliseconds{-5'000}}, 8, start);
+        CPPUNIT_ASSERT(!freshness_.reliable(start));
     }
 
     void freshness_over_two_peers_is_not_newer_than_the_read() {
         configuration_freshness reader(revocation);
         reader.on_store_read(start);
         const auto first = reader.report(7, start + milliseconds{1'000});
-        freshness.on_peer_report(*first, 7, start + milliseconds{900});
-        const auto second = freshness.report(7, start + milliseconds{2'000});
+        freshness_.on_peer_report(*first, 7, start + milliseconds{900});
+        const auto second = freshness_.report(7, start + milliseconds{2'000});
         CPPUNIT_ASSERT(second->age >= milliseconds{2'000});
     }
 
     void restored_store_confirms_nothing_until_lost_versions_are_back() {
-        freshness.on_store_restored(start);
-        freshness.on_store_read(start + milliseconds{500});
-        CPPUNIT_ASSERT(!freshness.reliable(start + milliseconds{500}));
+        freshness_.on_store_restored(start);
+        freshness_.on_store_read(start + milliseconds{500});
+        CPPUNIT_ASSERT(!freshness_.reliable(start + milliseconds{500}));
         const auto later = start + configuration_freshness::restoration_doubt;
-        freshness.on_store_read(later);
-        CPPUNIT_ASSERT(freshness.reliable(later));
+        freshness_.on_store_read(later);
+        CPPUNIT_ASSERT(freshness_.reliable(later));
     }
 
     void older_confirmation_does_not_replace_newer_one() {
-        freshness.on_store_read(start + milliseconds{2'000});
-        freshness.on_store_read(start);
-        CPPUNIT_ASSERT(freshness.reliable(start + milliseconds{6'000}));
+        freshness_.on_store_read(start + milliseconds{2'000});
+        freshness_.on_store_read(start);
+        CPPUNIT_ASSERT(freshness_.reliable(start + milliseconds{6'000}));
     }
 
     void key_has_its_tenant_and_no_other_key_has_one() {
-        keys.replace(std::vector{tenant("a", {"one", "two"}), tenant("b", {"three"})});
-        CPPUNIT_ASSERT_EQUAL(std::string("a"), keys.tenant_of("two"));
-        CPPUNIT_ASSERT_EQUAL(std::string("b"), keys.tenant_of("three"));
+        keys_.replace(std::vector{tenant("a", {"one", "two"}), tenant("b", {"three"})});
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), keys_.tenant_of("two"));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), keys_.tenant_of("three"));
         for (const auto* other : {"", "on", "one ", "ONE", "one\xff"}) {
-            CPPUNIT_ASSERT_EQUAL(std::string(), keys.tenant_of(other));
+            CPPUNIT_ASSERT_EQUAL(std::string(), keys_.tenant_of(other));
         }
-        keys.replace(std::vector{tenant("a", {"two"})});
-        CPPUNIT_ASSERT_EQUAL(std::string(), keys.tenant_of("one"));
+        keys_.replace(std::vector{tenant("a", {"two"})});
+        CPPUNIT_ASSERT_EQUAL(std::string(), keys_.tenant_of("one"));
     }
 
     void key_of_two_tenants_identifies_neither() {
-        keys.replace(std::vector{tenant("a", {"one"}), tenant("b", {"one"}), tenant("c", {"one"})});
-        CPPUNIT_ASSERT_EQUAL(std::string(), keys.tenant_of("one"));
+        keys_.replace(
+            std::vector{tenant("a", {"one"}), tenant("b", {"one"}), tenant("c", {"one"})});
+        CPPUNIT_ASSERT_EQUAL(std::string(), keys_.tenant_of("one"));
     }
 
 private:
@@ -140,8 +141,8 @@
         return out;
     }
 
-    configuration_freshness freshness{revocation};
-    fleet::key_directory keys;
+    configuration_freshness freshness_{revocation};
+    fleet::key_directory keys_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(configuration_freshness_test);
--- a/unittests/fleet/shared_quota_test.cpp
+++ b/unittests/fleet/shared_quota_test.cpp
@@ -265,8 +265,8 @@
             nodes.run(seconds{20});
             return nodes.frames_of_node(0);
         };
-        CPPUNIT_ASSERT(frames(60) <= 20 * 20);
-        CPPUNIT_ASSERT(frames(360) <= 20 * 20);
+        CPPUNIT_ASSERT(frames(60) <= std::size_t{20} * 20);
+        CPPUNIT_ASSERT(frames(360) <= std::size_t{20} * 20);
     }
 };
 
