--- a/unittests/responses/endpoint_response_test.cpp
+++ b/unittests/responses/endpoint_response_test.cpp
@@ -2,6 +2,8 @@
 #include "gateway_fixture.h"
 #include "response_cases.h"
 
+#include <fmt/format.h>
+
 #include <array>
 #include <map>
 #include <memory>
@@ -101,7 +103,8 @@
     void stop_and_check() {
         stop_threads();
         for (const auto& [id, event, count] : lines_) {
-            report_.expect(id + " " + event, count, output->count({event, "request=" + id + " "}));
+            report_.expect(fmt::format("{} {}", id, event), count,
+                           output->count({event, fmt::format("request={} ", id)}));
         }
         report_.assert_none();
     }
