Write requests of `node` without waiting for the socket where possible

The completion of an asynchronous write could be delivered by another thread after the response had been read. The client then took the request for unfinished: it closed a connection that could be kept, and reported a response without a length as unknown.

A request is now written at once as far as the socket takes it, and the end of a response waits up to 20 ms for the completion of a larger write.

--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -176,7 +176,7 @@
         }
     }
     connection->timer.disarm();
-    const bool has_request = connection->server_has_request();
+    const bool has_request = co_await connection->server_has_request();
     if (parser->need_eof() && !has_request) {
         co_return ended_before_request();
     }
--- a/lib/net/http_client_stream.cpp
+++ b/lib/net/http_client_stream.cpp
@@ -46,7 +46,7 @@
         }
     }
     connection->timer.disarm();
-    if (parser->need_eof() && !connection->server_has_request()) {
+    if (parser->need_eof() && !co_await connection->server_has_request()) {
         co_return ended_before_request();
     }
     co_return std::optional<std::string>();
--- a/lib/net/http_connection.cpp
+++ b/lib/net/http_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <chrono>
@@ -16,6 +17,14 @@
 using support::error;
 using support::error_kind;
 
+namespace {
+
+/// Time allowed for the completion of a write that another thread may be about to deliver. A server
+/// that responds before it reads the whole request delays its response by this time.
+constexpr std::chrono::milliseconds max_completion_delay{20};
+
+} // namespace
+
 http_connection::http_connection(const executor& context)
     : strand(boost::asio::make_strand(context)), socket(strand), timer(strand),
       write_ended_(strand) {}
@@ -62,21 +71,37 @@
 }
 
 void http_connection::start_write(const std::shared_ptr<const outgoing_request>& request) {
-    writing_ = true;
+    const auto serializer = std::make_shared<http::request_serializer<http::string_body>>(*request);
+    writing_ = false;
     written_bytes_ = 0;
     write_error_ = {};
-    http::async_write(socket, *request,
-                      [self = shared_from_this(), request](const boost::system::error_code& code,
-                                                           std::size_t bytes) {
+    // Written at once as far as the socket takes it: another thread may deliver the completion of
+    // an asynchronous write after the response has been read.
+    socket.non_blocking(true, write_error_);
+    while (!write_error_ && !serializer->is_done()) {
+        written_bytes_ += http::write_some(socket, *serializer, write_error_);
+    }
+    if (write_error_ != boost::asio::error::would_block) {
+        return;
+    }
+    writing_ = true;
+    write_error_ = {};
+    http::async_write(socket, *serializer,
+                      [self = shared_from_this(), request,
+                       serializer](const boost::system::error_code& code, std::size_t bytes) {
                           self->writing_ = false;
-                          self->written_bytes_ = bytes;
+                          self->written_bytes_ += bytes;
                           self->write_error_ = code;
                           self->write_ended_.cancel();
                       });
 }
 
-bool http_connection::server_has_request() {
-    return !writing_ && !write_error_ && is_send_queue_empty(socket.native_handle());
+awaitable<bool> http_connection::server_has_request() {
+    if (writing_) {
+        write_ended_.expires_after(max_completion_delay);
+        co_await write_ended_.async_wait(no_throw);
+    }
+    co_return !writing_ && !write_error_ && is_send_queue_empty(socket.native_handle());
 }
 
 awaitable<connection_fault> http_connection::read_fault(boost::system::error_code code,
--- a/lib/net/http_connection.h
+++ b/lib/net/http_connection.h
@@ -45,7 +45,7 @@
     send(tcp::endpoint address, std::shared_ptr<const outgoing_request> request);
 
     /// Returns whether the server has received the whole request, as far as TCP tells.
-    [[nodiscard]] bool server_has_request();
+    awaitable<bool> server_has_request();
 
     /// Closes the connection and returns the fault for a failed read of a response. `started` is
     /// whether a byte of it arrived.
