Move the capacity of a quota's bucket into a header

A check of a configuration has to know which calls a quota can never admit. The smallest capacity was a constant of the allocator's source.

quota_capacity is now a function of its own that the allocator calls. The decisions are unchanged: test_fleet passes (264 tests).

--- a/lib/fleet/quota_allocator.cpp
+++ b/lib/fleet/quota_allocator.cpp
@@ -1,5 +1,7 @@
 #include "dragonflystair/fleet/quota_allocator.h"
 
+#include "dragonflystair/fleet/quota_capacity.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -12,15 +14,11 @@
 
 namespace {
 
-/// Smallest capacity of a bucket in seconds of its rate, so that a quota without a burst can be
-/// used between two rounds of grants.
-constexpr double min_capacity_s = 0.1;
-
 /// Longest time to a grant that is estimated.
 constexpr double max_estimate_s = 60;
 
-/// The overrun covers tokens that are spent later than granted, `min_capacity_s`, and shares that
-/// are not reserved any more. These get the rest.
+/// The overrun covers tokens that are spent later than granted, `min_quota_capacity_s`, and shares
+/// that are not reserved any more. These get the rest.
 constexpr double released_overrun_s = 0.1;
 constexpr double released_slack_share = 0.5;
 /// Seconds of a rate, beyond the burst, that may be granted and not sent yet.
@@ -39,7 +37,7 @@
     const double unsent = 1 + target.rate * unsent_overrun_s + target.burst * (1 + overrun) +
                           target.slack * (1 - released_slack_share);
     return std::clamp(unsent - target.unspent - target.held, 0.0,
-                      std::max({target.burst, target.rate * min_capacity_s, 1.0}));
+                      quota_capacity(target.rate, target.burst));
 }
 
 void quota_allocator::start(time_point now) {
