Check JSON configurations and compare with the version in force

`check` took operators' texts and settings only, and could not say what a publication would change.

Exit code 3 keeps its meaning, the node cannot be reached; 4 means differences only and 5 warnings only.

--- a/lib/cli/command_line.cpp
+++ b/lib/cli/command_line.cpp
@@ -15,7 +15,7 @@
         return gateway_command(args, env);
     }
     if (args.has("check")) {
-        return check_command(args);
+        return check_command(args, env);
     }
     if (args.has("publish")) {
         return publish_command(args, env);
--- a/lib/cli/commands.h
+++ b/lib/cli/commands.h
@@ -10,7 +10,7 @@
 /// variables are accessed through `env` only.
 command_result node_command(const arguments& args, const environment& env);
 command_result gateway_command(const arguments& args, const environment& env);
-command_result check_command(const arguments& args);
+command_result check_command(const arguments& args, const environment& env);
 command_result publish_command(const arguments& args, const environment& env);
 command_result status_command(const arguments& args, const environment& env);
 command_result history_command(const arguments& args, const environment& env);
--- a/unittests/cli/command_line_test.cpp
+++ b/unittests/cli/command_line_test.cpp
@@ -7,6 +7,8 @@
 #include <fstream>
 #include <string>
 #include <unistd.h>
+#include <utility>
+#include <vector>
 
 namespace {
 
@@ -39,6 +41,9 @@
     CPPUNIT_TEST(help_and_version_are_output);
     CPPUNIT_TEST(check_reports_each_finding_with_file_and_line);
     CPPUNIT_TEST(check_distinguishes_settings_from_deployment_text);
+    CPPUNIT_TEST(check_exits_by_severity_and_difference);
+    CPPUNIT_TEST(check_against_node_reads_the_text_in_force);
+    CPPUNIT_TEST(check_against_another_form_is_a_usage_error);
     CPPUNIT_TEST(node_with_findings_does_not_start);
     CPPUNIT_TEST(publish_sends_text_base_author_and_token);
     CPPUNIT_TEST(publish_refusals_exit_with_one);
@@ -99,6 +104,68 @@
                        std::string::npos);
     }
 
+    /// Guards against a script that publishes in spite of errors, or that stops for nothing.
+    void check_exits_by_severity_and_difference() {
+        const scratch_file sound(R"({"version":1,"services":[{"name":"s"}],"routes":[
+            {"host":"h","path-prefix":"/","kind":"safe","service":"s"}]})");
+        const scratch_file changed(R"({"version":2,"services":[{"name":"s","max-conns":8}],
+            "routes":[{"host":"h","path-prefix":"/","kind":"safe","service":"s"}]})");
+        const scratch_file warned(R"({"version":3,"services":[{"name":"s"}]})");
+        const scratch_file broken(R"({"services":[{"name":"s"}]})");
+        const scratch_file unreadable("{");
+        const auto against = [&](const scratch_file& file, const scratch_file& in_force) {
+            return run({"check", file.path(), "--against", in_force.path()});
+        };
+        CPPUNIT_ASSERT(run({"check", sound.path()}).code == exit_code::success);
+        CPPUNIT_ASSERT(run({"check", warned.path()}).code == exit_code::warnings);
+        CPPUNIT_ASSERT(run({"check", broken.path()}).code == exit_code::refused);
+        CPPUNIT_ASSERT(against(sound, sound).code == exit_code::success);
+        CPPUNIT_ASSERT(against(warned, sound).code == exit_code::warnings);
+        const auto different = against(changed, sound);
+        CPPUNIT_ASSERT(different.code == exit_code::different);
+        CPPUNIT_ASSERT_EQUAL(std::string("changed: service 's': connections from 0 to 8\n"),
+                             different.output);
+        const auto incomparable = against(warned, unreadable);
+        CPPUNIT_ASSERT(incomparable.code == exit_code::refused);
+        CPPUNIT_ASSERT(incomparable.output.starts_with(warned.path() + ":services[0].name: w"));
+        CPPUNIT_ASSERT(incomparable.output.find(unreadable.path() + ":0: error: cannot be read") !=
+                       std::string::npos);
+        CPPUNIT_ASSERT(run({"check", sound.path(), "--against", "/nonexistent/file"}).code ==
+                       exit_code::refused);
+    }
+
+    void check_against_node_reads_the_text_in_force() {
+        const scratch_file text("[deployment]\nname = a\ntransit_limit = 2\n");
+        const std::vector<std::string> words{"check", text.path(), "--against", address_};
+        response_.body = "[deployment]\nname = a\ntransit_limit = 2\n";
+        const auto warned = run(words);
+        CPPUNIT_ASSERT(warned.code == exit_code::warnings);
+        CPPUNIT_ASSERT_EQUAL(std::string("GET /v1/text"),
+                             sent_.at(0).method + " " + sent_.at(0).target);
+        CPPUNIT_ASSERT_EQUAL(std::string("Bearer secret"), header("Authorization"));
+        response_.body = "";
+        CPPUNIT_ASSERT_EQUAL(warned.output + "added: [deployment]\n", run(words).output);
+        response_ = {401, "", ""};
+        CPPUNIT_ASSERT(run(words).code == exit_code::refused);
+        failure_ = support::error_kind::unavailable;
+        const auto failed = run(words);
+        CPPUNIT_ASSERT(failed.code == exit_code::unreachable);
+        CPPUNIT_ASSERT_EQUAL(warned.output, failed.output);
+    }
+
+    void check_against_another_form_is_a_usage_error() {
+        const scratch_file json(R"({"version":1})");
+        const scratch_file text("[deployment]\nname = a\n");
+        const scratch_file settings("[node]\nname = a\n");
+        for (const auto& [file, in_force] : {std::pair(json.path(), text.path()),
+                                             {text.path(), json.path()},
+                                             {json.path(), address_},
+                                             {settings.path(), settings.path()}}) {
+            CPPUNIT_ASSERT(run({"check", file, "--against", in_force}).code == exit_code::usage);
+        }
+        CPPUNIT_ASSERT(sent_.empty());
+    }
+
     void node_with_findings_does_not_start() {
         const scratch_file settings("[node]\nname = a\n");
         CPPUNIT_ASSERT(run({"node", "--settings", settings.path()}).code == exit_code::refused);
