Look up the speed and health of endpoints by hash

Each choice looks up every endpoint of its service in two ordered maps, computes the reading speed of engines for plain calls too, and compares with endpoints without the adapter for calls that name none.

The maps are hashed, the two computations are left out where their results are not used, and the random choice reuses the slowness of each candidate.

--- a/include/dragonflystair/fleet/endpoint_speed.h
+++ b/include/dragonflystair/fleet/endpoint_speed.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "dragonflystair/support/string_hash.h"
 #include "dragonflystair/support/time.h"
 
-#include <map>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace dragonflystair::fleet {
 
@@ -45,7 +47,8 @@
         support::time_point updated;
     };
 
-    std::map<std::string, record, std::less<>> records_;
+    /// Hashed, since every choice looks up all endpoints of its service.
+    std::unordered_map<std::string, record, support::string_hash, std::equal_to<>> records_;
 };
 
 } // namespace dragonflystair::fleet
--- a/include/dragonflystair/policy/endpoint_health.h
+++ b/include/dragonflystair/policy/endpoint_health.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "dragonflystair/support/string_hash.h"
 #include "dragonflystair/support/time.h"
 
-#include <map>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace dragonflystair::policy {
 
@@ -31,7 +33,8 @@
     };
     void update_median();
 
-    std::map<std::string, record, std::less<>> records_;
+    /// Hashed, since every choice looks up all endpoints of its service.
+    std::unordered_map<std::string, record, support::string_hash, std::equal_to<>> records_;
     /// Cached, since every weight of a candidate list is relative to it.
     double median_slowness_ = 1;
 };
--- a/lib/fleet/dispatcher_balance.cpp
+++ b/lib/fleet/dispatcher_balance.cpp
@@ -48,19 +48,22 @@
             continue;
         }
         const auto& target = *option.target;
-        const double slow = slowness(target, now);
         const auto slots =
             state.has_engines && state.batch_slots > 0 ? state.batch_slots : target.record.slots;
         balanced_choice::candidate entry;
         entry.cost_ms = option.cost_ms;
         entry.cost_per_call_ms =
-            option.mean_ms * slow / static_cast<double>(std::max<std::size_t>(slots, 1)) +
-            slow * state.speed.prefill_ms(static_cast<double>(option.pending_prefill_tokens));
+            option.mean_ms * option.slowness / static_cast<double>(std::max<std::size_t>(slots, 1));
+        if (option.pending_prefill_tokens > 0) {
+            entry.cost_per_call_ms +=
+                option.slowness *
+                state.speed.prefill_ms(static_cast<double>(option.pending_prefill_tokens));
+        }
         for (const auto& [peer, reported] : target.peers) {
             entry.calls += reported.load.calls;
         }
         entry.report_age = now - target.peers_reported_at;
-        entry.speed = 1 / slow;
+        entry.speed = 1 / option.slowness;
         similar.push_back(&option);
         candidates.push_back(entry);
     }
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -116,7 +116,9 @@
         return std::nullopt;
     }
     const double slow = slowness(target, now);
-    const auto load = target.total(now, state.speed.tokens_per_ms() / slow);
+    // Calls for plain services have no prompt to read.
+    const double tokens_per_ms = state.has_engines ? state.speed.tokens_per_ms() / slow : 0;
+    const auto load = target.total(now, tokens_per_ms);
     const auto slots =
         state.has_engines && state.batch_slots > 0 ? state.batch_slots : target.record.slots;
     if (load.calls >= slots_after_pause(target, slots, now)) {
@@ -147,6 +149,7 @@
         result.expected_ms = state.plain_call_ms;
     }
     result.mean_ms = result.expected_ms;
+    result.slowness = slow;
     result.expected_ms *= slow;
     const double fill = static_cast<double>(load.calls) / static_cast<double>(slots);
     const double work_ms =
@@ -201,7 +204,7 @@
     if (best && random) {
         best = choose_at_random(usable, state, now);
     }
-    if (!best || best->awaits_permit) {
+    if (!best || best->awaits_permit || open.call.model.adapter.empty()) {
         return best;
     }
     best->crowded = std::ranges::any_of(members(open.call.service), [&](auto* target) {
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -125,8 +125,9 @@
     endpoint* target = nullptr;
     double cost_ms = 0;
     double expected_ms = 0;
-    double mean_ms = 0; ///< Forecast for an endpoint of mean speed, without the distance.
-    bool late = false;  ///< Expected after the objective of the call, by its endpoint's speed.
+    double mean_ms = 0;  ///< Forecast for an endpoint of mean speed, without the distance.
+    double slowness = 1; ///< Expected time relative to `mean_ms`, without the distance.
+    bool late = false;   ///< Expected after the objective of the call, by its endpoint's speed.
     std::size_t pending_prefill_tokens = 0;
     std::size_t tokens_ahead = 0;
     bool crowded = false;       ///< An endpoint without the adapter would have cost much less.
