Answer calls of `node` that may have run with 502 or 504

A safe plain call whose endpoint sent a truncated or invalid response got status 503 with the outcome "unknown", and so did a model call after a failed attempt. 503 promises that a call has not run. A model call got 503 with "not_run" if an earlier attempt had been broken off and the last one was refused. A 408, 421, 429 or 503 of a plain endpoint was passed on without a promise of the endpoint, and recorded as the result of a key.

`failed_call` now decides the status for plain and model calls: 503 only if no endpoint may have run the call, else 504 after the deadline and 502 before. `send_result` classifies the responses of plain endpoints. A call that an endpoint refuses with `X-Not-Run` goes to another endpoint also if it is safe. A publication that is not read back in time gets 504; the check of `log_outage` for 503 contradicted its outcome "unknown".

--- a/lib/node/model_calls.h
+++ b/lib/node/model_calls.h
@@ -69,6 +69,7 @@
         std::vector<std::string> excluded;
         int broken_attempts = 0; ///< Consecutive failed attempts without a new token.
         bool first_token_seen = false;
+        bool may_have_run = false; ///< An attempt has reached its endpoint or may have done so.
         support::time_point began;
         std::optional<support::time_point> owner_missing_since;
         /// Whether another endpoint was tried after a refusal specific to one endpoint.
@@ -96,7 +97,8 @@
     void cancel(const attempt& outgoing);
     [[nodiscard]] bool may_wait_for_owner(call_state& call, support::time_point now);
     [[nodiscard]] bool may_retry(call_state& call, const attempt_end& end);
-    net::awaitable<void> refuse(answer_writer& writer, const attempt_end& end);
+    net::awaitable<void> refuse(answer_writer& writer, const call_state& call,
+                                const attempt_end& end);
 
     model_call_services services_;
     policy::router router_;
--- a/lib/node/operator_api.cpp
+++ b/lib/node/operator_api.cpp
@@ -202,11 +202,10 @@
         co_await services_.config_writer.append_and_wait(std::move(record), publish_timeout);
     if (!position) {
         services_.context.counters.increment("operator_refusals_total", "log_unavailable");
-        auto refusal = not_run(
-            503, "log_unavailable",
+        auto refusal = failed_call(
+            {true, true}, "log_unavailable",
             "the change was not read back from the log in time; see the history for its outcome",
             std::chrono::seconds{2});
-        refusal.outcome = "unknown";
         co_return problem_response(refusal);
     }
     auto conflict = conflict_response(*position);
--- a/lib/node/plain_calls.cpp
+++ b/lib/node/plain_calls.cpp
@@ -3,6 +3,7 @@
 #include "dragonflystair/support/hash.h"
 
 #include "model_request.h"
+#include "send_result.h"
 
 #include <boost/asio/experimental/concurrent_channel.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -69,13 +70,13 @@
     return {calls::call_outcome::completed, {}, std::move(outcome)};
 }
 
-problem problem_of(const calls::call_answer& result) {
-    auto refusal = not_run(503, result.reason, "the call was not run", std::chrono::seconds{1});
-    if (result.outcome == calls::call_outcome::unknown) {
-        refusal.status = 504;
-        refusal.outcome = "unknown";
-        refusal.detail = "the call may have run; retry with the same key to get its outcome";
-    }
+problem problem_of(const calls::call_answer& result, bool timed_out) {
+    const bool may_have_run = result.outcome == calls::call_outcome::unknown;
+    auto refusal = failed_call(
+        {may_have_run, timed_out || result.reason == "deadline"}, result.reason,
+        may_have_run ? "the call may have run; retry with the same key to get its outcome"
+                     : "the call was not run",
+        std::chrono::seconds{1});
     if (result.reason == "key_conflict") {
         refusal.status = 409;
         refusal.retry_after = {};
@@ -84,10 +85,6 @@
     return refusal;
 }
 
-bool refused_before_running(const net::http_response& response) {
-    return response.status == 503 && net::header(response.headers, "X-Not-Run") == "true";
-}
-
 /// Returns the answer in a step of a dispatched call, or `unknown` if the step has none, since the
 /// endpoint may have run the call.
 calls::call_answer answer_after_dispatch(const calls::call_step& step) {
@@ -109,8 +106,9 @@
     : services_(services), budget_(retry_share, retry_burst), random_(std::random_device{}()) {}
 
 std::chrono::milliseconds plain_calls::time_left(const plain_call& call) {
+    // Rounded up, so that the deadline has passed when a request times out.
     const auto left =
-        std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - node_context::now());
+        std::chrono::ceil<std::chrono::milliseconds>(call.deadline - node_context::now());
     return std::max(left, std::chrono::milliseconds{1});
 }
 
@@ -181,7 +179,7 @@
 net::awaitable<void> plain_calls::serve_idempotent(net::http_exchange& exchange, plain_call call) {
     std::set<std::string> excluded;
     std::string reason = "no_endpoint";
-    bool may_have_run = false; // At any of the endpoints.
+    bool may_have_run = false;
     for (int attempt = 0; attempt < max_attempts; ++attempt) {
         const auto row = choose(call.service_name, excluded);
         if (!row) {
@@ -193,7 +191,8 @@
         auto answer = co_await services_.http.request(row->status.vm.address, call.request,
                                                       time_left(call), reuses_connections);
         services_.directory.on_attempt_end(id);
-        if (answer.has_value()) {
+        const auto result = result_of(answer);
+        if (result == send_result::answered) {
             const auto answered_at = node_context::now();
             services_.directory.on_latency(id, answered_at - sent_at, answered_at);
             {
@@ -205,8 +204,8 @@
             co_return;
         }
         services_.directory.on_failure(id, node_context::now());
-        reason = fmt::format("endpoint_{}", to_string(answer.error().kind));
-        may_have_run = may_have_run || answer.error().kind != support::error_kind::unavailable;
+        reason = failure_reason(answer);
+        may_have_run = may_have_run || result == send_result::unknown;
         excluded.insert(id);
         bool allowed = false;
         {
@@ -218,10 +217,8 @@
         }
         services_.context.counters.increment("retries_total", reason);
     }
-    auto refusal = not_run(503, reason, "no endpoint answered", std::chrono::seconds{1});
-    if (may_have_run) {
-        refusal.outcome = "unknown";
-    }
+    auto refusal = failed_call({may_have_run, node_context::now() >= call.deadline}, reason,
+                               "no endpoint answered", std::chrono::seconds{1});
     co_await refuse(exchange, std::move(refusal));
 }
 
@@ -297,7 +294,8 @@
         auto answer = co_await services_.http.request(row->status.vm.address, call.request,
                                                       time_left(call), reuses_connections);
         services_.directory.on_attempt_end(id);
-        if (answer.has_value() && !refused_before_running(answer.value())) {
+        const auto result = result_of(answer);
+        if (result == send_result::answered) {
             const auto& response = answer.value();
             const auto step = services_.claims.on_event([&](auto& coordinator) {
                 return coordinator.on_answer(number, response.status,
@@ -306,7 +304,7 @@
             });
             co_return answer_after_dispatch(step);
         }
-        if (!answer.has_value() && answer.error().kind != support::error_kind::unavailable) {
+        if (result == send_result::unknown) {
             services_.directory.on_failure(id, node_context::now());
             const auto found = co_await look_up_status(call);
             const auto step = services_.claims.on_event([&](auto& coordinator) {
@@ -380,7 +378,7 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    auto refusal = problem_of(result);
+    auto refusal = problem_of(result, node_context::now() >= call.deadline);
     services_.context.counters.increment("claimed_calls_total", refusal.outcome);
     co_await refuse(exchange, std::move(refusal));
 }
--- a/lib/node/problem.cpp
+++ b/lib/node/problem.cpp
@@ -31,6 +31,16 @@
     return refusal;
 }
 
+problem failed_call(call_progress progress, std::string reason, std::string detail,
+                    std::chrono::milliseconds retry_after) {
+    auto refusal = not_run(503, std::move(reason), std::move(detail), retry_after);
+    if (progress.may_have_run) {
+        refusal.status = progress.timed_out ? 504 : 502;
+        refusal.outcome = "unknown";
+    }
+    return refusal;
+}
+
 std::string problem_body(const problem& refusal) {
     const support::json body{{"type", fmt::format("urn:dragonflystair:problem:{}", refusal.reason)},
                              {"title", title_of(refusal.reason)},
--- a/lib/node/problem.h
+++ b/lib/node/problem.h
@@ -23,6 +23,18 @@
 problem not_run(int status, std::string reason, std::string detail,
                 std::chrono::milliseconds retry_after = {});
 
+/// How far a call has come that ends without a usable response.
+struct call_progress {
+    bool may_have_run = false; ///< At any of the endpoints that it was sent to.
+    bool timed_out = false;    ///< Its deadline has passed.
+};
+
+/// Constructs the refusal of a call that ends without a usable response. Status 503 promises that
+/// the call has not run, so one that may have run gets 504 after its deadline and 502 before, with
+/// the outcome `unknown`.
+problem failed_call(call_progress progress, std::string reason, std::string detail,
+                    std::chrono::milliseconds retry_after);
+
 /// Returns the JSON body of the problem details, which includes an OpenAI error object.
 std::string problem_body(const problem& refusal);
 
