Count a stream that fails after its head under its cause

Whether a caller had got anything of a stream was taken from the events that had arrived. A stream that failed between its head and its first byte therefore got a second response, which the server counted as `internal_error` while the call was counted as `endpoint_failed`. So did a resumed stream whose next endpoint answered with an error status.

`open_call` now keeps whether the head has been sent. Such a call ends as `broken_off` or `not_resumed`, and its connection is closed without the last chunk, as before. A second attempt sends no second head.

`endpoint_response_test` checks for each row that a stream whose head was sent is not refused and that a failed one is counted as `broken_off`.

--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -250,6 +250,11 @@
         note_served(call);
     }
     placer_.on_started(call.number);
+    if (call.head_sent) {
+        // The caller has the head of the stream that this response does not continue.
+        finish(call, "not_resumed", status);
+        co_return attempt_end::answered;
+    }
     net::http_response response;
     response.status = status;
     response.headers = platform::forwarded_headers(call.exchange->head->headers);
@@ -266,7 +271,8 @@
                                               resume_filter& events) {
     const auto upstream = call.exchange;
     const bool resumed = events.started();
-    if (!resumed) {
+    // The head has also been sent if an earlier attempt broke off before its first event.
+    if (!std::exchange(call.head_sent, true)) {
         net::http_response head;
         head.status = upstream->head->status;
         head.headers = platform::forwarded_headers(upstream->head->headers);
--- a/lib/gateway/call_relay.cpp
+++ b/lib/gateway/call_relay.cpp
@@ -254,15 +254,15 @@
     while (true) {
         const bool decided = co_await wait_for_decision(call);
         if (!decided) {
-            co_await give_up(exchange, call, events.started());
+            co_await give_up(exchange, call);
             co_return;
         }
         if (auto problem = blocked_problem(call)) {
-            co_await give_up_blocked(exchange, call, *problem, events.started());
+            co_await give_up_blocked(exchange, call, *problem);
             co_return;
         }
         if (call.decision->endpoint.empty()) {
-            if (events.started()) {
+            if (call.head_sent) {
                 finish(call, "not_resumed", 0);
                 co_return;
             }
@@ -285,7 +285,7 @@
             continue;
         }
         if (end == attempt_end::given_up || call.caller_gone) {
-            co_await give_up(exchange, call, events.started());
+            co_await give_up(exchange, call);
             co_return;
         }
         if (may_retry(call, end, events.started())) {
@@ -296,7 +296,7 @@
             placer_.retry(call.number, std::exchange(call.last_send, send_outcome::none));
             continue;
         }
-        if (events.started()) {
+        if (call.head_sent) {
             finish(call, "broken_off", 0);
             co_return;
         }
@@ -325,8 +325,8 @@
 
 /// Ends a call that is blocked before it is sent, for the first time or once more.
 net::awaitable<void> call_relay::give_up_blocked(net::http_exchange& exchange, open_call& call,
-                                                 net::problem problem, bool started) {
-    if (started) {
+                                                 net::problem problem) {
+    if (call.head_sent) {
         finish(call, "not_resumed", 0);
         co_return;
     }
@@ -347,9 +347,8 @@
 }
 
 /// Ends a call whose caller has disconnected or whose deadline has passed.
-net::awaitable<void> call_relay::give_up(net::http_exchange& exchange, open_call& call,
-                                         bool started) {
-    if (!call.caller_gone && !started) {
+net::awaitable<void> call_relay::give_up(net::http_exchange& exchange, open_call& call) {
+    if (!call.caller_gone && !call.head_sent) {
         const auto problem = call.ends_with_node ? stopping_problem(call) : deadline_problem();
         co_await refuse(exchange, call, problem);
     } else {
--- a/lib/gateway/call_relay.h
+++ b/lib/gateway/call_relay.h
@@ -83,7 +83,7 @@
     std::optional<net::problem> blocked_problem(const open_call& call) const;
     [[nodiscard]] net::problem stopping_problem(const open_call& call) const;
     net::awaitable<void> give_up_blocked(net::http_exchange& exchange, open_call& call,
-                                         net::problem problem, bool started);
+                                         net::problem problem);
     void note_connection_lost(const open_call& call);
     void note_served(const open_call& call);
     net::awaitable<attempt_end> run_attempt(net::http_exchange& exchange, open_call& call,
@@ -93,7 +93,7 @@
     net::awaitable<bool> relay_stream(net::http_exchange& exchange, open_call& call,
                                       resume_filter& events);
     net::awaitable<void> serve_admitted(net::http_exchange& exchange, open_call& call);
-    net::awaitable<void> give_up(net::http_exchange& exchange, open_call& call, bool started);
+    net::awaitable<void> give_up(net::http_exchange& exchange, open_call& call);
     net::awaitable<void> refuse(net::http_exchange& exchange, const open_call& call,
                                 net::problem problem);
     net::http_response record_refusal(const open_call& call, const net::problem& problem);
--- a/lib/gateway/open_call.h
+++ b/lib/gateway/open_call.h
@@ -46,6 +46,7 @@
     std::size_t runs = 0;               ///< Sends whose endpoint may have run the call.
     support::time_point sent_at;        ///< Time of the last send.
     std::uint64_t endpoint_started = 0; ///< Start time of the endpoint of the last send.
+    bool head_sent = false;             ///< The head of a stream has been sent to the caller.
     std::size_t received_bytes = 0;     ///< Of streams, from all sends.
     /// When the stream of the last send began; empty before its first bytes.
     std::optional<support::time_point> stream_began;
--- a/unittests/gateway/second_endpoint_test.cpp
+++ b/unittests/gateway/second_endpoint_test.cpp
@@ -140,6 +140,7 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(errors[number], "f\r\n" + event + "\r\n", body);
         }
         CPPUNIT_ASSERT(sends > 0);
+        output->expect({"event=call ", "request=stream-1 ", "outcome=not_resumed"});
         stop_threads();
     }
 
--- a/unittests/responses/endpoint_response_test.cpp
+++ b/unittests/responses/endpoint_response_test.cpp
@@ -54,7 +54,8 @@
     }
 
     /// The head of a stream is passed on before its end is known. A caller that speaks HTTP/1.0
-    /// gets no chunks and can tell only by a reset.
+    /// gets no chunks and can tell only by a reset. Guards also against a second response after the
+    /// head, which the server would count as an internal error.
     void caller_of_stream_can_tell_that_it_is_not_whole() {
         start();
         for (const auto& item : net::response_cases()) {
@@ -66,6 +67,9 @@
                     expect_answer(item, id, answer.text);
                     continue;
                 }
+                const bool failed = item.result == response_result::failed;
+                lines_.emplace_back(id, "event=call_refused", 0);
+                lines_.emplace_back(id, "outcome=broken_off", failed ? 1 : 0);
                 const bool whole =
                     version == "1.1" ? answer.text.ends_with("\r\n0\r\n\r\n") : !answer.reset;
                 report_.expect(id + " whole", item.result == response_result::complete, whole);
