Ignore members of other types in frames of peers

The decoders of status, demand and record frames threw an exception if a member had another type, although they promise to leave damaged rows out or to return nothing. The link caught it and counted `peer_hook_errors_total`, so no process ended. The replay of the fuzzing corpus ended at once with "type must be number, but is array".

Flags and texts of another type now count as missing. A page of records with a damaged bound is empty, so that it implies nothing about records before it.

--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -39,6 +39,18 @@
     return found != frame.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
 }
 
+/// Returns whether a member of a frame is true.
+bool flag_in(const json& frame, const char* name) {
+    const auto found = frame.find(name);
+    return found != frame.end() && *found == true;
+}
+
+/// Returns a text member of a frame; empty if it is missing or of another type.
+std::string text_in(const json& frame, const char* name) {
+    const auto found = frame.find(name);
+    return found != frame.end() && found->is_string() ? found->get<std::string>() : std::string{};
+}
+
 /// Returns the era, or 0, which is older than any, if it is damaged.
 std::uint64_t checked_era(std::uint64_t era) {
     return era <= fleet::max_store_era ? era : 0;
@@ -51,18 +63,16 @@
 std::vector<held_lease> leases_of(const json& frame, const char* name) {
     std::vector<held_lease> leases;
     for (const auto& row : rows_of(frame, name)) {
-        leases.push_back({text_at(row, 0), number_at(row, 1),
-                          row.size() > 2 && row[2].is_boolean() && row[2].get<bool>()});
+        const bool active = row.size() > 2 && row[2] == true;
+        leases.push_back({text_at(row, 0), number_at(row, 1), active});
     }
     return leases;
 }
 
 std::chrono::milliseconds silence_of(const json& frame) {
     constexpr std::uint64_t max_ms = 60'000; // Of a node that has been without the store for long.
-    const auto found = frame.find("a");
-    const bool valid = found != frame.end() && found->is_number_unsigned();
     return std::chrono::milliseconds{
-        valid ? static_cast<std::int64_t>(std::min(found->get<std::uint64_t>(), max_ms)) : 0};
+        static_cast<std::int64_t>(std::min(unsigned_in(frame, "a"), max_ms))};
 }
 
 std::chrono::milliseconds returns_after_of(const json& row) {
@@ -110,15 +120,13 @@
     status.name = frame["n"].get<std::string>();
     status.data_centre = frame["d"].get<std::string>();
     status.caller_address = frame["c"].get<std::string>();
-    status.ready = frame.value("r", false);
-    status.leaving = frame.value("x", false);
-    status.reads_store = frame.value("b", false);
+    status.ready = flag_in(frame, "r");
+    status.leaving = flag_in(frame, "x");
+    status.reads_store = flag_in(frame, "b");
     status.store_silence = silence_of(frame);
     status.leases = leases_of(frame, "l");
     status.observed_leases = leases_of(frame, "k");
-    if (const auto lead = frame.find("p"); lead != frame.end() && lead->is_string()) {
-        status.lead = lead->get<std::string>();
-    }
+    status.lead = text_in(frame, "p");
     for (const auto& row : rows_of(frame, "e")) {
         status.topic_ends.emplace(
             text_at(row, 0),
@@ -152,8 +160,7 @@
         report.loads.emplace(text_at(row, 0), fleet::endpoint_load{number_at(row, 1),
                                                                    number_at(row, 2), held_tokens});
     }
-    const auto sum = frame.find("s");
-    report.sum = sum != frame.end() && *sum == true;
+    report.sum = flag_in(frame, "s");
     return report;
 }
 
@@ -173,7 +180,7 @@
 
 demand_notice decode_demand(const json& frame) {
     demand_notice notice;
-    notice.data_centre = frame.value("d", std::string());
+    notice.data_centre = text_in(frame, "d");
     for (const auto& row : rows_of(frame, "w")) {
         notice.demand.push_back({{text_at(row, 0), text_at(row, 1)},
                                  notice.data_centre,
@@ -234,15 +241,18 @@
 }
 
 bool was_just_read(const json& frame) {
-    const auto found = frame.find("a");
-    return found != frame.end() && *found == true;
+    return flag_in(frame, "a");
 }
 
 fleet::keyed_page decode_records(const json& frame) {
     fleet::keyed_page page;
-    page.next = frame.value("e", std::uint64_t{0});
+    const auto damaged = [](const json& bound) { return !bound.is_number_unsigned(); };
+    if (damaged(frame.value("e", json(0U))) || damaged(frame.value("f", json(0U)))) {
+        return page; // Without its bounds, a page implies nothing about any record.
+    }
+    page.next = unsigned_in(frame, "e");
     // A page without a start offset implies nothing about the records before it.
-    page.from = frame.value("f", page.next);
+    page.from = frame.contains("f") ? unsigned_in(frame, "f") : page.next;
     page.era = era_in(frame);
     for (const auto& row : rows_of(frame, "v")) {
         fleet::keyed_record record;
--- a/unittests/gateway/record_frames_test.cpp
+++ b/unittests/gateway/record_frames_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(frames_of_a_peer_without_eras_are_of_era_0);
     CPPUNIT_TEST(frames_are_read_by_a_peer_without_eras);
     CPPUNIT_TEST(damaged_eras_count_as_0);
+    CPPUNIT_TEST(page_with_damaged_bounds_implies_nothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -36,6 +37,16 @@
         }
     }
 
+    /// Guards against exceptions and against records that count as removed because of a page whose
+    /// bounds are of another type.
+    void page_with_damaged_bounds_implies_nothing() {
+        for (const auto* text : {R"({"type":"r","e":7,"f":"2","v":[["a",4,true,"x"]]})",
+                                 R"({"type":"r","e":-7,"f":2,"v":[["a",4,true,"x"]]})"}) {
+            const auto page = decode_records(json::parse(text));
+            CPPUNIT_ASSERT(page.records.empty() && page.from == 0 && page.next == 0);
+        }
+    }
+
     void request_keeps_the_end_of_the_copy() {
         const fleet::log_position end{3, 41};
         CPPUNIT_ASSERT(decode_records_request(records_request("keyed.op", end)) == end);
