--- a/unittests/responses/plain_response_test.cpp
+++ b/unittests/responses/plain_response_test.cpp
@@ -58,6 +58,7 @@
         const auto now = node_context::now();
         directory_.update_deployment(config_.view()->deployment, now);
         std::vector<membership::listed_vm> vms;
+        vms.reserve(endpoints.size());
         for (const auto& address : endpoints) {
             vms.push_back({address, address, "north", "desk", false});
         }
