Refuse fewer calls of tenants within their quotas on many nodes

Cause: a replay of 69 nodes and 16 tenants of uneven size shows that calls wait or are refused although there is credit. A node held no more than the mean cost of a call ahead, and replaced its tokens only after they had expired. The expected time of a long call's tokens refused short calls. Fractions of returned tokens, tokens of late answers and those in overtaken requests were lost.

Change: a node holds 1.6 times the usual cost for its next call and replaces tokens that expire before its next request. Fractions stay at the node, and tokens of late answers and overtaken requests go back to the bucket.

The bound holds in all tests of the replay.

--- a/include/dragonflystair/fleet/quota_allocator.h
+++ b/include/dragonflystair/fleet/quota_allocator.h
@@ -99,6 +99,7 @@
     [[nodiscard]] double reserved(const bucket& target) const;
     void update_touched(support::time_point now);
     void fill(support::time_point now);
+    void accept_returned(const quota_request& message, support::time_point now);
     void release_held(requester& node);
     static double capacity(const bucket& target);
     void divide(const std::string& tenant, bucket& target, grants& out, support::time_point now);
--- a/include/dragonflystair/fleet/quota_wallet.h
+++ b/include/dragonflystair/fleet/quota_wallet.h
@@ -110,9 +110,10 @@
         double held = 0;                   ///< Of calls that are not sent yet.
         double returned = 0;               ///< Not reported to the allocator yet.
         std::deque<waiting_call> waiting;
-        double arrived = 0;                         ///< Cost of the calls since the last request.
-        double use_per_s = 0;                       ///< Smoothed cost of calls.
-        double typical = 0;                         ///< Smoothed cost of a call without outliers.
+        double arrived = 0;   ///< Cost of the calls since the last request.
+        double use_per_s = 0; ///< Smoothed cost of calls.
+        double typical = 0;   ///< Smoothed cost of a call without outliers.
+        double requested = 0; ///< Cost of the waiting calls and of one more at the last request.
         std::optional<support::time_point> next_at; ///< When the missing tokens are expected.
         double share = 0;                           ///< Tokens of the equal share.
         std::optional<support::time_point> refused_at;
--- a/lib/fleet/quota_allocator.cpp
+++ b/lib/fleet/quota_allocator.cpp
@@ -168,12 +168,26 @@
     node.held.clear();
 }
 
+/// Puts the tokens that a node returns into the buckets, also if a later request overtook this one.
+void quota_allocator::accept_returned(const quota_request& message, time_point now) {
+    if (now < grants_from_ + quota_grant_lifetime) {
+        return; // Tokens of a former allocator could be returned.
+    }
+    for (const auto& row : message.rows) {
+        if (const auto found = buckets_.find(row.tenant); found != buckets_.end()) {
+            auto& target = found->second;
+            target.level = std::min(target.level + row.returned, capacity(target));
+        }
+    }
+}
+
 void quota_allocator::request(std::string_view node, const quota_request& message, time_point now) {
     if (!running_) {
         return;
     }
     fill(now);
     auto& known = requesters_[std::string(node)];
+    accept_returned(message, now);
     if (message.stamp < known.stamp) {
         return;
     }
@@ -191,10 +205,6 @@
         auto& tokens = target->second;
         known.held[row.tenant] += row.held;
         tokens.held += row.held;
-        if (now >= grants_from_ + quota_grant_lifetime) {
-            // Earlier, tokens of a former allocator could be returned.
-            tokens.level = std::min(tokens.level + row.returned, capacity(tokens));
-        }
         known.rows.insert_or_assign(
             row.tenant,
             pending_row{std::ceil(row.wanted), std::ceil(row.waiting), std::ceil(row.quantum)});
--- a/lib/fleet/quota_wallet.cpp
+++ b/lib/fleet/quota_wallet.cpp
@@ -26,6 +26,11 @@
 /// call on every node would be most of the rate, while other calls are refused for want of them.
 constexpr double cost_weight = 0.1;
 constexpr double max_cost_ratio = 3;
+/// Tokens held for a node's next call, as a multiple of the smoothed cost: those of most calls.
+constexpr double next_call_ratio = 1.6;
+/// Age of a request up to which the tokens of its answer, which came too late, are returned. An
+/// allocator takes none in its first 1.2 s, so that those of its predecessor are not credited.
+constexpr milliseconds max_answer_age{900};
 /// Use below this share of one call per second counts as none.
 constexpr double negligible_use = 0.1;
 
@@ -157,13 +162,16 @@
     if (known.waiting.empty() && try_take(known, cost, now)) {
         return quota_decision::granted;
     }
-    if (uses_share(now) || (known.next_at && *known.next_at > now + max_wait)) {
-        return quota_decision::refused;
-    }
     double before = 0;
     for (const auto& call : known.waiting) {
         before += call.cost;
     }
+    // `next_at` is the time for all calls of the last request; those that wait now may cost less.
+    const double less_s = std::max(known.requested - before - cost, 0.0) / known.rate;
+    if (uses_share(now) ||
+        (known.next_at && seconds_of(*known.next_at - now) - less_s > seconds_of(max_wait))) {
+        return quota_decision::refused;
+    }
     if (before > known.rate * seconds_of(max_wait) + known.burst) {
         return quota_decision::refused;
     }
@@ -277,17 +285,25 @@
         quantum = std::max(quantum, call.cost);
     }
     const double held = usable(known, now);
+    double lasting = 0; // Until the answer to the next request, as far as that is not late.
+    for (const auto& granted : known.tokens) {
+        lasting += granted.expires > now + period ? granted.amount : 0;
+    }
     const double ahead = known.use_per_s * seconds_of(period + ahead_margin);
     // While tokens are scarce, none are held for a next call that may not come.
     const bool scarce = known.next_at && *known.next_at > now;
     const double needed =
-        waiting + (known.use_per_s > 0 && !scarce ? std::max(ahead, known.typical) : ahead);
-    return_surplus(known, std::ceil(needed));
+        waiting +
+        (known.use_per_s > 0 && !scarce ? std::max(ahead, known.typical * next_call_ratio) : ahead);
+    return_surplus(known, std::ceil(needed + held - lasting));
+    known.requested = waiting + quantum;
     quota_request::row row{
-        tenant,     std::max(needed - held, 0.0),    std::max(waiting - held, 0.0), quantum,
-        known.held, std::exchange(known.returned, 0)};
+        tenant,     std::max(needed - lasting, 0.0), std::max(waiting - held, 0.0), quantum,
+        known.held, std::floor(known.returned)};
+    known.returned -= row.returned; // Frames carry whole tokens.
     if (uses_share(now)) {
         row.returned = 0; // They may be from long ago.
+        known.returned = 0;
     }
     if (row.wanted <= 0 && row.returned <= 0 && known.use_per_s <= 0 && known.held <= 0) {
         known.next_at.reset();
@@ -340,7 +356,10 @@
         }
         auto& known = found->second;
         known.next_at = now + row.next_in;
-        if (row.amount > 0 && expires > now) {
+        if (expires <= now) {
+            // The allocator would count tokens of late answers as spent.
+            known.returned += now - requested <= max_answer_age ? row.amount : 0;
+        } else if (row.amount > 0) {
             const auto place =
                 std::ranges::upper_bound(known.tokens, expires, {}, &granted_tokens::expires);
             known.tokens.insert(place, {expires, row.amount});
--- a/unittests/fleet/shared_quota_test.cpp
+++ b/unittests/fleet/shared_quota_test.cpp
@@ -1,3 +1,4 @@
+#include "quota_load.h"
 #include "quota_network.h"
 
 #include <cppunit/TestFixture.h>
@@ -12,6 +13,7 @@
 using namespace dragonflystair::fleet;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::quota_load;
 using testing::quota_network;
 
 constexpr double rate = 40'000;
@@ -41,6 +43,7 @@
     CPPUNIT_TEST(tenant_that_moves_between_nodes_uses_its_limit);
     CPPUNIT_TEST(quota_of_a_few_requests_is_used);
     CPPUNIT_TEST(calls_below_the_limit_are_all_served);
+    CPPUNIT_TEST(uneven_calls_of_many_tenants_are_refused_no_more_than_by_one_bucket);
     CPPUNIT_TEST(calls_that_are_sent_late_keep_the_bound);
     CPPUNIT_TEST(lost_frames_keep_the_bound);
     CPPUNIT_TEST(dead_and_replaced_allocator_keeps_the_bound);
@@ -129,6 +132,31 @@
         }
     }
 
+    // Guards against credit that is lost at 69 nodes, and against a node's long call for which its
+    // short ones are refused. Calls may wait for their tokens here, in the buckets they may not.
+    void uneven_calls_of_many_tenants_are_refused_no_more_than_by_one_bucket() {
+        constexpr std::size_t count = 69;
+        constexpr seconds from{10};
+        quota_load load(count, 1);
+        quota_network nodes(count, load.limits());
+        nodes.arrivals = [&](auto now) { return load.arrivals(now, quota_network::begin + from); };
+        nodes.travel = [](auto node) {
+            return std::chrono::microseconds{500 + 22'000 * node / (count - 1)};
+        };
+        nodes.run(seconds{60});
+        double refused = 0;
+        double refused_by_buckets = 0;
+        for (std::size_t index = 0; index < quota_load::tenants; ++index) {
+            refused += load.demanded(index) - nodes.use_since(from, index) * 50;
+            refused_by_buckets += load.refused(index);
+            const auto& limit = load.limits()[index];
+            CPPUNIT_ASSERT(nodes.most_in_window(seconds{0}, index) <=
+                           (limit.rate_per_s * 8 + limit.burst) * 1.1 + 72'000);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(refused / refused_by_buckets),
+                               refused <= 0.88 * refused_by_buckets);
+    }
+
     // Guards against calls that are admitted over more than a window and sent within one.
     void calls_that_are_sent_late_keep_the_bound() {
         auto large = limits();
