Use the equal share as soon as all grants have expired

Cause: after the loss of the allocator a node's grants expire within 0.6 s, but it spent its share only after 1 s without an answer, and refused calls meanwhile. The share grew only while calls arrived.

Change: the share is used after 0.6 s without an answer, the lifetime of grants. Up to 1 s, calls that it does not cover wait for an answer as before; later they are refused only if the share cannot cover them within 250 ms. The share grows on every tick.

The wallet and the allocator are as before for a node that gets its answers.

--- a/include/dragonflystair/fleet/quota_wallet.h
+++ b/include/dragonflystair/fleet/quota_wallet.h
@@ -39,8 +39,10 @@
 /// and does no I/O. Work per call is a lookup by tenant.
 class quota_wallet {
 public:
-    /// Time without an answer after which the equal share is used.
-    static constexpr std::chrono::milliseconds answer_timeout{1'000};
+    /// Time without an answer after which the equal share is used. All grants have expired then.
+    static constexpr std::chrono::milliseconds answer_timeout = quota_grant_lifetime;
+    /// Time without an answer up to which calls still wait for one.
+    static constexpr std::chrono::milliseconds answer_wait{1'000};
     /// The same for a node that has had no answer since its start.
     static constexpr std::chrono::milliseconds first_answer_timeout{250};
     /// Interval between requests while there are calls, in small and in large systems.
@@ -124,6 +126,8 @@
     static void spend(account& known, double cost);
     static void return_surplus(account& known, double needed);
     void fill_shares(support::time_point now);
+    [[nodiscard]] bool comes_in_time(const account& known, double needed,
+                                     support::time_point now) const;
     bool try_take(account& known, double cost, support::time_point now);
     [[nodiscard]] bool request_due(support::time_point now) const;
     std::optional<quota_request::row> make_row(const std::string& tenant, account& known,
--- a/lib/fleet/quota_wallet.cpp
+++ b/lib/fleet/quota_wallet.cpp
@@ -148,6 +148,20 @@
     return false;
 }
 
+/// Returns whether `needed` tokens, for a call and those that wait before it, may arrive in time.
+bool quota_wallet::comes_in_time(const account& known, double needed, time_point now) const {
+    if (!uses_share(now)) {
+        // `next_at` is the time for all calls of the last request; these may cost less.
+        const double less_s = std::max(known.requested - needed, 0.0) / known.rate;
+        return !known.next_at || seconds_of(*known.next_at - now) - less_s <= seconds_of(max_wait);
+    }
+    if (answered_request_ && now - *unanswered_since_ < answer_wait) {
+        return true;
+    }
+    const double more = known.rate * seconds_of(max_wait);
+    return nodes_ > 0 && known.share + more / static_cast<double>(nodes_) >= needed;
+}
+
 quota_decision quota_wallet::take(std::string_view tenant, std::uint64_t number, double cost,
                                   time_point now) {
     const auto found = tenants_.find(tenant);
@@ -166,10 +180,7 @@
     for (const auto& call : known.waiting) {
         before += call.cost;
     }
-    // `next_at` is the time for all calls of the last request; those that wait now may cost less.
-    const double less_s = std::max(known.requested - before - cost, 0.0) / known.rate;
-    if (uses_share(now) ||
-        (known.next_at && seconds_of(*known.next_at - now) - less_s > seconds_of(max_wait))) {
+    if (!comes_in_time(known, before + cost, now)) {
         return quota_decision::refused;
     }
     if (before > known.rate * seconds_of(max_wait) + known.burst) {
@@ -182,6 +193,7 @@
 
 std::vector<std::uint64_t> quota_wallet::take_granted(time_point now) {
     std::vector<std::uint64_t> granted;
+    fill_shares(now); // The share grows also while there are no calls.
     for (auto& [name, known] : tenants_) {
         while (!known.waiting.empty() && try_take(known, known.waiting.front().cost, now)) {
             granted.push_back(known.waiting.front().number);
--- a/unittests/fleet/shared_quota_test.cpp
+++ b/unittests/fleet/shared_quota_test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(dead_and_replaced_allocator_keeps_the_bound);
     CPPUNIT_TEST(nodes_that_are_cut_off_get_shares_within_the_bound);
     CPPUNIT_TEST(tokens_expire_after_their_request);
+    CPPUNIT_TEST(share_is_used_once_all_grants_have_expired);
     CPPUNIT_TEST(new_allocator_waits_for_one_lifetime);
     CPPUNIT_TEST(killed_nodes_lose_little_of_the_limit);
     CPPUNIT_TEST(lower_limit_holds_one_window_later);
@@ -222,6 +223,25 @@
         CPPUNIT_ASSERT(!take(quota_grant_lifetime));
     }
 
+    // Guards against refusals between the expiry of the last grants and the use of the share.
+    void share_is_used_once_all_grants_have_expired() {
+        const support::time_point asked{std::chrono::hours{1}};
+        quota_wallet wallet;
+        wallet.configure(std::vector{limits()});
+        wallet.set_nodes(8);
+        CPPUNIT_ASSERT(wallet.take("atlas", 1, 700, asked) == quota_decision::waits);
+        CPPUNIT_ASSERT(wallet.take_due_request(asked));
+        wallet.on_answer({}, asked, asked);
+        const auto unanswered = asked + quota_wallet::request_period;
+        CPPUNIT_ASSERT(wallet.take_due_request(unanswered));
+        const auto granted_after = [&](milliseconds time) {
+            return wallet.take_granted(unanswered + quota_grant_lifetime + time).size();
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, granted_after(milliseconds{-10}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, granted_after(milliseconds{0}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, granted_after(milliseconds{150}));
+    }
+
     // Guards against grants while tokens of a former allocator are valid.
     void new_allocator_waits_for_one_lifetime() {
         const support::time_point started{std::chrono::hours{1}};
