--- a/unittests/fleet/shared_quota_test.cpp
+++ b/unittests/fleet/shared_quota_test.cpp
@@ -1,3 +1,4 @@
+#include "quota_load.h"
 #include "quota_network.h"
 
 #include <cppunit/TestFixture.h>
@@ -12,6 +13,7 @@
 using namespace dragonflystair::fleet;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::quota_load;
 using testing::quota_network;
 
 constexpr double rate = 40'000;
@@ -41,11 +43,13 @@
     CPPUNIT_TEST(tenant_that_moves_between_nodes_uses_its_limit);
     CPPUNIT_TEST(quota_of_a_few_requests_is_used);
     CPPUNIT_TEST(calls_below_the_limit_are_all_served);
+    CPPUNIT_TEST(uneven_calls_of_many_tenants_are_refused_no_more_than_by_one_bucket);
     CPPUNIT_TEST(calls_that_are_sent_late_keep_the_bound);
     CPPUNIT_TEST(lost_frames_keep_the_bound);
     CPPUNIT_TEST(dead_and_replaced_allocator_keeps_the_bound);
     CPPUNIT_TEST(nodes_that_are_cut_off_get_shares_within_the_bound);
     CPPUNIT_TEST(tokens_expire_after_their_request);
+    CPPUNIT_TEST(share_is_used_once_all_grants_have_expired);
     CPPUNIT_TEST(new_allocator_waits_for_one_lifetime);
     CPPUNIT_TEST(killed_nodes_lose_little_of_the_limit);
     CPPUNIT_TEST(lower_limit_holds_one_window_later);
@@ -129,6 +133,31 @@
         }
     }
 
+    // Guards against credit that is lost at 69 nodes, and against a node's long call for which its
+    // short ones are refused. Calls may wait for their tokens here, in the buckets they may not.
+    void uneven_calls_of_many_tenants_are_refused_no_more_than_by_one_bucket() {
+        constexpr std::size_t count = 69;
+        constexpr seconds from{10};
+        quota_load load(count, 1);
+        quota_network nodes(count, load.limits());
+        nodes.arrivals = [&](auto now) { return load.arrivals(now, quota_network::begin + from); };
+        nodes.travel = [](auto node) {
+            return std::chrono::microseconds{500 + 22'000 * node / (count - 1)};
+        };
+        nodes.run(seconds{60});
+        double refused = 0;
+        double refused_by_buckets = 0;
+        for (std::size_t index = 0; index < quota_load::tenants; ++index) {
+            refused += load.demanded(index) - nodes.use_since(from, index) * 50;
+            refused_by_buckets += load.refused(index);
+            const auto& limit = load.limits()[index];
+            CPPUNIT_ASSERT(nodes.most_in_window(seconds{0}, index) <=
+                           (limit.rate_per_s * 8 + limit.burst) * 1.1 + 72'000);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(refused / refused_by_buckets),
+                               refused <= 0.88 * refused_by_buckets);
+    }
+
     // Guards against calls that are admitted over more than a window and sent within one.
     void calls_that_are_sent_late_keep_the_bound() {
         auto large = limits();
@@ -194,6 +223,25 @@
         CPPUNIT_ASSERT(!take(quota_grant_lifetime));
     }
 
+    // Guards against refusals between the expiry of the last grants and the use of the share.
+    void share_is_used_once_all_grants_have_expired() {
+        const support::time_point asked{std::chrono::hours{1}};
+        quota_wallet wallet;
+        wallet.configure(std::vector{limits()});
+        wallet.set_nodes(8);
+        CPPUNIT_ASSERT(wallet.take("atlas", 1, 700, asked) == quota_decision::waits);
+        CPPUNIT_ASSERT(wallet.take_due_request(asked));
+        wallet.on_answer({}, asked, asked);
+        const auto unanswered = asked + quota_wallet::request_period;
+        CPPUNIT_ASSERT(wallet.take_due_request(unanswered));
+        const auto granted_after = [&](milliseconds time) {
+            return wallet.take_granted(unanswered + quota_grant_lifetime + time).size();
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, granted_after(milliseconds{-10}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, granted_after(milliseconds{0}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, granted_after(milliseconds{150}));
+    }
+
     // Guards against grants while tokens of a former allocator are valid.
     void new_allocator_waits_for_one_lifetime() {
         const support::time_point started{std::chrono::hours{1}};
