Read the bounds of quotas from the settings

The window, the overrun and the slack were constants, so a deployment with other bounds was held to those of one customer. They are now the settings quota_window, quota_overrun and quota_slack, filled in from the platform's fields, with the former values as defaults. The parts of the overrun scale with them.

--- a/include/dragonflystair/config/gateway_settings.h
+++ b/include/dragonflystair/config/gateway_settings.h
@@ -45,6 +45,11 @@
     /// Time within which a revoked key stops to be accepted, also on nodes that have lost touch
     /// with the store; empty if such nodes may go on accepting it.
     std::optional<std::chrono::milliseconds> revocation_timeout;
+    /// Use of a quota by all nodes together: in any `quota_window`, at most (rate x window + burst)
+    /// x (1 + `quota_overrun`), and `quota_slack` more if the quota is in tokens.
+    std::chrono::milliseconds quota_window{8'000};
+    double quota_overrun = 0.1;
+    double quota_slack = 72'000;
     std::chrono::milliseconds resolve_lifetime{1'000};
     double memory_mb = 0;   ///< Memory of the VM in MB; 0 if unknown.
     double descriptors = 0; ///< Descriptors that the process may open; 0 if unknown.
--- a/include/dragonflystair/fleet/quota_allocator.h
+++ b/include/dragonflystair/fleet/quota_allocator.h
@@ -15,13 +15,22 @@
 
 namespace dragonflystair::fleet {
 
+/// How far the use of a quota may exceed it, over all nodes: in any `window`, no more than (rate x
+/// window + burst) x (1 + `overrun`) + `slack_tokens` reach endpoints. The slack does not apply to
+/// quotas in requests.
+struct quota_bounds {
+    std::chrono::milliseconds window{8'000};
+    double overrun = 0.1;
+    double slack_tokens = 72'000;
+};
+
 /// Divides the quotas of tenants among all nodes. Run by the one node whose lease the store
 /// confirms. Each tenant has a token bucket; a node gets tokens for the calls that it has or
 /// expects, in amounts with which it can send at least one call. Has no clock and does no I/O.
 ///
 /// Nodes without answers spend an equal share of the rate each. The allocator cannot tell them from
 /// dead ones, so it reserves the shares of all nodes that are not in touch. After `reserve_time` it
-/// releases what `overrun` and `slack_tokens` cover: a few nodes may have died, while many at once
+/// releases what the overrun and the slack cover: a few nodes may have died, while many at once
 /// are probably cut off.
 class quota_allocator {
 public:
@@ -31,11 +40,8 @@
     static constexpr std::chrono::milliseconds touch_lifetime{1'200};
     /// Validity of a node's request.
     static constexpr std::chrono::milliseconds request_lifetime{400};
-    /// Window over which the use of a quota is limited.
-    static constexpr std::chrono::seconds window{8};
-    /// Share of a quota, and number of tokens, by which the use in one window may exceed it.
-    static constexpr double overrun = 0.1;
-    static constexpr double slack_tokens = 72'000;
+
+    explicit quota_allocator(quota_bounds bounds = {}) : bounds_(bounds) {}
 
     /// Starts with empty buckets. Grants nothing until the tokens of a former allocator expired.
     void start(support::time_point now);
@@ -101,9 +107,11 @@
     void fill(support::time_point now);
     void accept_returned(const quota_request& message, support::time_point now);
     void release_held(requester& node);
-    static double capacity(const bucket& target);
+    [[nodiscard]] double overrun_s() const;
+    [[nodiscard]] double capacity(const bucket& target) const;
     void divide(const std::string& tenant, bucket& target, grants& out, support::time_point now);
 
+    quota_bounds bounds_;
     bool running_ = false;
     support::time_point grants_from_;
     std::size_t nodes_ = 0;
--- a/lib/config/gateway_settings.cpp
+++ b/lib/config/gateway_settings.cpp
@@ -81,6 +81,9 @@
     values.learned_speed = reader.choice("endpoint_speed", {"learned", "service"}) == "learned";
     values.balanced_choice =
         reader.choice("endpoint_choice", {"balanced", "least_cost"}) == "balanced";
+    reader.duration("quota_window", values.quota_window);
+    reader.number("quota_overrun", values.quota_overrun);
+    reader.number("quota_slack", values.quota_slack);
     if (reader.find("revocation_timeout") != nullptr) {
         auto& timeout = values.revocation_timeout.emplace();
         reader.duration("revocation_timeout", timeout);
--- a/lib/fleet/quota_allocator.cpp
+++ b/lib/fleet/quota_allocator.cpp
@@ -17,12 +17,11 @@
 /// Longest time to a grant that is estimated.
 constexpr double max_estimate_s = 60;
 
-/// The overrun covers tokens that are spent later than granted, `min_quota_capacity_s`, and shares
-/// that are not reserved any more. These get the rest.
-constexpr double released_overrun_s = 0.1;
+/// Parts of the overrun and of the slack for shares that are not reserved any more. The rest covers
+/// tokens that are granted and not sent yet: of a window of 8 s and an overrun of 0.1, this leaves
+/// 0.7 s of the rate, which are the lifetime of grants and `min_quota_capacity_s`.
+constexpr double released_overrun_share = 0.125;
 constexpr double released_slack_share = 0.5;
-/// Seconds of a rate, beyond the burst, that may be granted and not sent yet.
-constexpr double unsent_overrun_s = 0.7;
 
 double seconds_of(duration value) {
     return std::chrono::duration<double>(value).count();
@@ -30,11 +29,17 @@
 
 } // namespace
 
+/// Returns the seconds of a rate by which the use in one window may exceed it.
+double quota_allocator::overrun_s() const {
+    return bounds_.overrun * seconds_of(bounds_.window);
+}
+
 /// Returns the most tokens that a bucket may have. What is granted and not sent yet may all be sent
 /// in the same window as what is granted next, so it counts too.
-double quota_allocator::capacity(const bucket& target) {
+double quota_allocator::capacity(const bucket& target) const {
     // One more, since tokens are granted as whole numbers.
-    const double unsent = 1 + target.rate * unsent_overrun_s + target.burst * (1 + overrun) +
+    const double unsent = 1 + target.rate * overrun_s() * (1 - released_overrun_share) +
+                          target.burst * (1 + bounds_.overrun) +
                           target.slack * (1 - released_slack_share);
     return std::clamp(unsent - target.unspent - target.held, 0.0,
                       quota_capacity(target.rate, target.burst));
@@ -75,7 +80,7 @@
         }
         target.rate = tenant.rate_per_s;
         target.burst = tenant.burst;
-        target.slack = tenant.unit == quota_unit::tokens ? slack_tokens : 0;
+        target.slack = tenant.unit == quota_unit::tokens ? bounds_.slack_tokens : 0;
         target.level = std::min(target.level, capacity(target));
         kept.emplace(tenant.name, std::move(target));
     }
@@ -129,9 +134,10 @@
         return target.rate; // Nothing is known of the other nodes yet.
     }
     const double share = target.rate / static_cast<double>(nodes_);
-    const double released = (target.rate * released_overrun_s +
-                             (target.burst * overrun + target.slack) * released_slack_share) /
-                            seconds_of(window);
+    const double released =
+        (target.rate * overrun_s() * released_overrun_share +
+         (target.burst * bounds_.overrun + target.slack) * released_slack_share) /
+        seconds_of(bounds_.window);
     return std::max(share * static_cast<double>(recently_silent_),
                     share * static_cast<double>(silent_) - released);
 }
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -140,6 +140,7 @@
            },
            [this](std::string_view peer) { on_peer_down(peer); }},
           counters_),
+      quota_allocator_({settings.quota_window, settings.quota_overrun, settings.quota_slack}),
       caller_server_(
           io_.get_executor(), settings.caller_address, caller_limits_of(settings),
           [this](net::http_exchange& exchange) {
--- a/unittests/config/gateway_settings_test.cpp
+++ b/unittests/config/gateway_settings_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(valid_settings_have_no_findings);
     CPPUNIT_TEST(invalid_settings_give_all_findings_with_their_lines);
     CPPUNIT_TEST(placement_of_plain_calls_by_leads_is_enabled_by_its_setting);
+    CPPUNIT_TEST(bounds_of_quotas_are_read);
     CPPUNIT_TEST(gateway_settings_are_distinguished_from_node_settings);
     CPPUNIT_TEST_SUITE_END();
 
@@ -76,6 +77,16 @@
         CPPUNIT_ASSERT_EQUAL(25, wrong.findings.at(0).line);
     }
 
+    /// Guards against a bound of another deployment that stays in force.
+    void bounds_of_quotas_are_read() {
+        const auto result = parse_gateway_settings(
+            valid_text + "quota_window = 5s\nquota_overrun = 0.2\nquota_slack = 110000\n", "a.ini");
+        CPPUNIT_ASSERT(result.findings.empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{5'000}, std::int64_t{result.values.quota_window.count()});
+        CPPUNIT_ASSERT_EQUAL(0.2, result.values.quota_overrun);
+        CPPUNIT_ASSERT_EQUAL(110'000.0, result.values.quota_slack);
+    }
+
     void gateway_settings_are_distinguished_from_node_settings() {
         CPPUNIT_ASSERT(has_gateway_settings(valid_text));
         CPPUNIT_ASSERT(!has_gateway_settings("[node]\nname = a\n"));
