--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -265,19 +265,24 @@
     co_return attempt_end::answered;
 }
 
+/// Sends the head of a stream, unless an earlier attempt did so and then broke off.
+net::awaitable<void> call_relay::send_stream_head(net::http_exchange& exchange, open_call& call) {
+    if (std::exchange(call.head_sent, true)) {
+        co_return;
+    }
+    net::http_response head;
+    head.status = call.exchange->head->status;
+    head.headers = platform::forwarded_headers(call.exchange->head->headers);
+    co_await exchange.begin_stream(std::move(head));
+}
+
 /// Relays events as they arrive. Returns false if the stream broke off or stalled, if the caller
 /// disconnected or if its deadline passed.
 net::awaitable<bool> call_relay::relay_stream(net::http_exchange& exchange, open_call& call,
                                               resume_filter& events) {
     const auto upstream = call.exchange;
     const bool resumed = events.started();
-    // The head has also been sent if an earlier attempt broke off before its first event.
-    if (!std::exchange(call.head_sent, true)) {
-        net::http_response head;
-        head.status = upstream->head->status;
-        head.headers = platform::forwarded_headers(upstream->head->headers);
-        co_await exchange.begin_stream(std::move(head));
-    }
+    co_await send_stream_head(exchange, call);
     bool first = true;
     stream_progress progress(stall_timeout(*call.route), boot_clock::now());
     while (true) {
--- a/lib/gateway/call_relay.h
+++ b/lib/gateway/call_relay.h
@@ -90,6 +90,7 @@
                                             resume_filter& events);
     net::awaitable<attempt_end> relay_answer(net::http_exchange& exchange, open_call& call,
                                              resume_filter& events);
+    static net::awaitable<void> send_stream_head(net::http_exchange& exchange, open_call& call);
     net::awaitable<bool> relay_stream(net::http_exchange& exchange, open_call& call,
                                       resume_filter& events);
     net::awaitable<void> serve_admitted(net::http_exchange& exchange, open_call& call);
