--- a/lib/net/byte_budget.cpp
+++ b/lib/net/byte_budget.cpp
@@ -105,6 +105,21 @@
     return out;
 }
 
+bool byte_budget::hold_ahead(holder id, std::size_t bytes) {
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.closing) {
+        return false;
+    }
+    auto& self = found->second;
+    if (held() - self.bytes + bytes > limits_.bytes - std::min(limits_.reserved, limits_.bytes)) {
+        return false;
+    }
+    uncount(self);
+    self.bytes = bytes;
+    count(self);
+    return true;
+}
+
 void byte_budget::receive(holder id, std::size_t bytes, time_point now) {
     const auto found = entries_.find(id);
     if (found == entries_.end()) {
--- a/lib/net/http_session.cpp
+++ b/lib/net/http_session.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -237,7 +238,7 @@
 /// Reads while a response is in progress: the end of input shows that the caller has disconnected.
 /// Bytes that arrive belong to the next request.
 void http_session::watch_for_disconnect() {
-    const bool granted = hold();
+    const bool granted = hold() && hold_ahead();
     if (buffer_.size() > max_pipelined_bytes || !granted) {
         keep_alive_ = false;
         return;
@@ -261,6 +262,16 @@
         }));
 }
 
+/// Makes room for bytes of the next requests. Returns false if there is none.
+bool http_session::hold_ahead() {
+    if (buffer_.size() == 0 || buffer_.capacity() - buffer_.size() >= read_bytes) {
+        return true;
+    }
+    // The buffer doubles its size.
+    const auto grown = buffer_.size() + std::max(buffer_.size(), read_bytes);
+    return state_->registry.hold_ahead(id_, connection_bytes + grown + request_bytes_);
+}
+
 /// Detects a caller that disconnected before its request was read, as when this process was
 /// suspended for a while. The pending read would report it only after the handler has started.
 void http_session::detect_closed_connection() {
--- a/lib/net/http_session.h
+++ b/lib/net/http_session.h
@@ -129,6 +129,7 @@
     void begin_write();
     void end_write(const boost::system::error_code& code);
     void watch_for_disconnect();
+    bool hold_ahead();
     void detect_closed_connection();
     awaitable<void> stop_watching();
     void report_disconnect();
--- a/lib/net/session_registry.cpp
+++ b/lib/net/session_registry.cpp
@@ -81,6 +81,11 @@
     return budget_.has_room(bytes);
 }
 
+bool session_registry::hold_ahead(byte_budget::holder id, std::size_t bytes) {
+    const std::lock_guard lock(mutex_);
+    return budget_.hold_ahead(id, bytes);
+}
+
 void session_registry::refuse_all() {
     const std::lock_guard lock(mutex_);
     refusing_ = true;
--- a/lib/net/session_registry.h
+++ b/lib/net/session_registry.h
@@ -28,6 +28,7 @@
     /// Sets the bytes that a session holds; closes others if necessary. Returns false if the bytes
     /// are not granted.
     bool hold(byte_budget::holder id, std::size_t bytes);
+    bool hold_ahead(byte_budget::holder id, std::size_t bytes);
     void receive(byte_budget::holder id, std::size_t bytes);
     void set_busy(byte_budget::holder id, bool busy);
     void set_writing(byte_budget::holder id, bool writing);
--- a/unittests/net/http_server_test.cpp
+++ b/unittests/net/http_server_test.cpp
@@ -13,6 +13,8 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <thread>
+#include <vector>
 
 namespace {
 
@@ -77,6 +79,7 @@
     CPPUNIT_TEST(request_refused_from_its_head_keeps_the_connection);
     CPPUNIT_TEST(long_body_is_refused_before_it_is_sent);
     CPPUNIT_TEST(body_without_room_is_refused_and_others_are_served);
+    CPPUNIT_TEST(requests_sent_ahead_leave_room_for_new_connections);
     CPPUNIT_TEST(idle_connections_make_room_for_new_ones);
     CPPUNIT_TEST(handler_that_throws_gives_500_and_server_continues);
     CPPUNIT_TEST(handler_without_response_gives_500);
@@ -337,6 +340,36 @@
         assert_contains("200 OK", connection.read_until("GET "));
     }
 
+    /// Guards against callers that send requests ahead of responses and take all the room: a new
+    /// connection was closed without a response.
+    void requests_sent_ahead_leave_room_for_new_connections() {
+        constexpr std::size_t held_bytes = std::size_t{128} * 1024;
+        http_server_options options;
+        options.capacity.held_bytes = held_bytes;
+        const auto server = start(
+            [](http_exchange& exchange) -> awaitable<void> {
+                if (exchange.request().target == "/waits") {
+                    co_await sleep_for(milliseconds(60'000));
+                }
+                co_await handle(exchange);
+            },
+            {}, std::move(options));
+        std::vector<raw_connection> senders;
+        for (int i = 0; i < 4; ++i) {
+            senders.push_back(raw_connection::to(server->address()));
+            senders.back().write("GET /waits HTTP/1.1\r\nHost: a\r\n\r\n" +
+                                 std::string(40'000, 'x'));
+        }
+        // The server reads ahead until its room, or the part of it that is not reserved, is taken.
+        while (server->held_bytes() <= held_bytes / 2) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        std::this_thread::sleep_for(milliseconds(50));
+        auto connection = raw_connection::to(server->address());
+        connection.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert_contains("200 OK", connection.read_until("GET "));
+    }
+
     void idle_connections_make_room_for_new_ones() {
         http_server_options options;
         options.capacity.connections = 2;
