Grant returned quota tokens again only where the bound allows it

Tokens in a request that a suspended VM forwarded seconds later were granted again in a later window, and with more than 120 nodes those of a late answer could be returned to a new allocator. A request now names the last request that was answered, so the allocator knows how old it is at most, and the age of the tokens that it returns. They are credited within 0.9 s of the request, not in the first 3.5 s of an allocator, and only as far as the grants of the last 3.5 s without those returned stay within the bucket.

--- a/include/dragonflystair/fleet/quota_allocator.h
+++ b/include/dragonflystair/fleet/quota_allocator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflystair/fleet/configuration.h"
+#include "dragonflystair/fleet/grant_history.h"
 #include "dragonflystair/fleet/quota_messages.h"
 #include "dragonflystair/support/time.h"
 
@@ -8,6 +9,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -40,6 +42,11 @@
     static constexpr std::chrono::milliseconds touch_lifetime{1'200};
     /// Validity of a node's request.
     static constexpr std::chrono::milliseconds request_lifetime{400};
+    /// Longest time for which a request may have been on its way, so that the tokens that it
+    /// returns are granted again. One that a suspended VM forwards may be seconds old.
+    static constexpr std::chrono::milliseconds max_request_age{900};
+    /// Longest time between the grant of tokens and their return.
+    static constexpr std::chrono::milliseconds max_return_age = quota_return_time + max_request_age;
 
     explicit quota_allocator(quota_bounds bounds = {}) : bounds_(bounds) {}
 
@@ -63,18 +70,13 @@
     std::vector<quota_grant> take_grants(support::time_point now);
 
 private:
-    struct granted_amount {
-        support::time_point at;
-        double amount = 0;
-    };
     struct bucket {
         double rate = 0;
         double burst = 0;
         double slack = 0;
         double level = 0;
         support::time_point filled_at;
-        std::deque<granted_amount> granted; ///< Within the lifetime of grants.
-        double unspent = 0;                 ///< Sum of `granted`.
+        grant_history granted{max_return_age};
         double held = 0; ///< Tokens that nodes hold for calls they have not sent yet.
         std::map<std::string, support::time_point, std::less<>> served; ///< Last grant by node.
     };
@@ -83,8 +85,13 @@
         double waiting = 0;
         double quantum = 0;
     };
+    struct answer {
+        std::uint64_t stamp = 0; ///< Of the request.
+        support::time_point at;  ///< When it was first answered.
+    };
     struct requester {
         std::uint64_t stamp = 0;
+        std::deque<answer> answers; ///< Within `max_request_age`.
         bool uses_share = false;
         bool answer_due = false;
         support::time_point received;
@@ -105,15 +112,22 @@
     [[nodiscard]] double reserved(const bucket& target) const;
     void update_touched(support::time_point now);
     void fill(support::time_point now);
-    void accept_returned(const quota_request& message, support::time_point now);
+    void accept_returned(const quota_request& message, support::time_point sent_after,
+                         support::time_point now);
+    static void record_answer(requester& node, support::time_point now);
     void release_held(requester& node);
     [[nodiscard]] double overrun_s() const;
-    [[nodiscard]] double capacity(const bucket& target) const;
+    [[nodiscard]] double potential(const bucket& target) const;
+    [[nodiscard]] double capacity(const bucket& target, support::time_point now) const;
+    [[nodiscard]] double room_for_returned(const bucket& target, support::time_point now) const;
+    static std::optional<support::time_point>
+    sent_after(requester& node, const quota_request& message, support::time_point now);
     void divide(const std::string& tenant, bucket& target, grants& out, support::time_point now);
 
     quota_bounds bounds_;
     bool running_ = false;
     support::time_point grants_from_;
+    support::time_point returns_from_;
     std::size_t nodes_ = 0;
     std::size_t silent_ = 0;          ///< Nodes that are not in touch.
     std::size_t recently_silent_ = 0; ///< Those of them that were within `reserve_time`.
--- a/include/dragonflystair/fleet/quota_wallet.h
+++ b/include/dragonflystair/fleet/quota_wallet.h
@@ -52,9 +52,6 @@
     static constexpr std::chrono::milliseconds min_request_period{50};
     /// Longest wait of a call for its tokens.
     static constexpr std::chrono::milliseconds max_wait{250};
-    /// Time for which a call's tokens can be given back.
-    static constexpr std::chrono::milliseconds give_back_time{2'000};
-
     /// Sets the tenants; only those with a rate are limited.
     void configure(std::span<const tenant> tenants);
     /// Sets the number of nodes that share the rates while there are no answers; 0 if it is not
@@ -99,6 +96,10 @@
         support::time_point expires;
         double amount = 0;
     };
+    struct returned_tokens {
+        support::time_point requested; ///< When their grant was requested, or earlier.
+        double amount = 0;
+    };
     struct waiting_call {
         std::uint64_t number = 0;
         double cost = 0;
@@ -108,9 +109,9 @@
         double burst = 0;
         quota_unit unit = quota_unit::requests;
         double plain_cost = 1;
-        std::deque<granted_tokens> tokens; ///< In the order of their expiry.
-        double held = 0;                   ///< Of calls that are not sent yet.
-        double returned = 0;               ///< Not reported to the allocator yet.
+        std::deque<granted_tokens> tokens;    ///< In the order of their expiry.
+        double held = 0;                      ///< Of calls that are not sent yet.
+        std::deque<returned_tokens> returned; ///< Not reported to the allocator yet.
         std::deque<waiting_call> waiting;
         double arrived = 0;   ///< Cost of the calls since the last request.
         double use_per_s = 0; ///< Smoothed cost of calls.
@@ -125,6 +126,7 @@
     static double usable(account& known, support::time_point now);
     static void spend(account& known, double cost);
     static void return_surplus(account& known, double needed);
+    static void report_returned(account& known, quota_request::row& row, support::time_point now);
     void fill_shares(support::time_point now);
     [[nodiscard]] bool comes_in_time(const account& known, double needed,
                                      support::time_point now) const;
--- a/lib/fleet/quota_allocator.cpp
+++ b/lib/fleet/quota_allocator.cpp
@@ -34,20 +34,36 @@
     return bounds_.overrun * seconds_of(bounds_.window);
 }
 
+/// Returns the most tokens that may be sent at once, at any time: the bucket's and those that are
+/// granted and not sent yet.
+double quota_allocator::potential(const bucket& target) const {
+    // One more, since tokens are granted as whole numbers.
+    return 1 + target.rate * overrun_s() * (1 - released_overrun_share) +
+           target.burst * (1 + bounds_.overrun) + target.slack * (1 - released_slack_share);
+}
+
 /// Returns the most tokens that a bucket may have. What is granted and not sent yet may all be sent
 /// in the same window as what is granted next, so it counts too.
-double quota_allocator::capacity(const bucket& target) const {
-    // One more, since tokens are granted as whole numbers.
-    const double unsent = 1 + target.rate * overrun_s() * (1 - released_overrun_share) +
-                          target.burst * (1 + bounds_.overrun) +
-                          target.slack * (1 - released_slack_share);
-    return std::clamp(unsent - target.unspent - target.held, 0.0,
+double quota_allocator::capacity(const bucket& target, time_point now) const {
+    const double unspent = target.granted.sum_since(now - quota_grant_lifetime);
+    return std::clamp(potential(target) - unspent - target.held, 0.0,
                       quota_capacity(target.rate, target.burst));
 }
 
+/// Returns how many returned tokens a bucket may take. They may have been granted before the window
+/// in which they are granted again. So what was granted since any time in `max_return_age`, without
+/// what was returned of it, must not exceed what a bucket allows that takes no tokens back.
+double quota_allocator::room_for_returned(const bucket& target, time_point now) const {
+    const double rate = std::max(target.rate - reserved(target), 0.0);
+    const double allowed = target.granted.level(potential(target) - target.held, rate, now);
+    return std::max(std::min(allowed, capacity(target, now)) - target.level, 0.0);
+}
+
 void quota_allocator::start(time_point now) {
     running_ = true;
     grants_from_ = now + quota_grant_lifetime;
+    // Until then, tokens of a former allocator could be returned.
+    returns_from_ = now + max_return_age;
     requesters_.clear();
     touches_.clear();
     history_.clear();
@@ -57,7 +73,6 @@
         target.filled_at = now;
         target.served.clear();
         target.granted.clear();
-        target.unspent = 0;
         target.held = 0;
     }
 }
@@ -81,7 +96,7 @@
         target.rate = tenant.rate_per_s;
         target.burst = tenant.burst;
         target.slack = tenant.unit == quota_unit::tokens ? bounds_.slack_tokens : 0;
-        target.level = std::min(target.level, capacity(target));
+        target.level = std::min(target.level, capacity(target, now));
         kept.emplace(tenant.name, std::move(target));
     }
     buckets_ = std::move(kept);
@@ -150,13 +165,11 @@
     for (auto& [name, target] : buckets_) {
         const double rate = std::max(target.rate - reserved(target), 0.0);
         // Nothing accumulates in the time in which tokens of a former allocator may be spent.
-        while (!target.granted.empty() && now - target.granted.front().at > quota_grant_lifetime) {
-            target.unspent -= target.granted.front().amount;
-            target.granted.pop_front();
-        }
+        target.granted.expire(now);
         const auto from = std::max(target.filled_at, grants_from_);
         if (now > from) {
-            target.level = std::min(target.level + rate * seconds_of(now - from), capacity(target));
+            target.level =
+                std::min(target.level + rate * seconds_of(now - from), capacity(target, now));
             target.filled_at = now;
         }
     }
@@ -173,25 +186,46 @@
 }
 
 /// Puts the tokens that a node returns into the buckets, also if a later request overtook this one.
-void quota_allocator::accept_returned(const quota_request& message, time_point now) {
-    if (now < grants_from_ + quota_grant_lifetime) {
-        return; // Tokens of a former allocator could be returned.
+void quota_allocator::accept_returned(const quota_request& message, time_point sent_after,
+                                      time_point now) {
+    if (now < returns_from_) {
+        return;
     }
     for (const auto& row : message.rows) {
-        if (const auto found = buckets_.find(row.tenant); found != buckets_.end()) {
+        const auto found = buckets_.find(row.tenant);
+        if (row.returned > 0 && row.returned_age <= quota_return_time && found != buckets_.end()) {
             auto& target = found->second;
-            target.level = std::min(target.level + row.returned, capacity(target));
+            target.granted.remove(sent_after - row.returned_age, row.returned);
+            target.level += std::min(row.returned, room_for_returned(target, now));
         }
     }
 }
 
+/// Returns a time after which a node sent its request, since it had received the answer that the
+/// request names. Returns nothing for a request that may be older than `max_request_age`.
+std::optional<time_point> quota_allocator::sent_after(requester& node, const quota_request& message,
+                                                      time_point now) {
+    std::erase_if(node.answers,
+                  [now](const answer& item) { return now - item.at > max_request_age; });
+    const auto found = std::ranges::find(node.answers, message.answered, &answer::stamp);
+    return found == node.answers.end() ? std::nullopt : std::optional(found->at);
+}
+
+void quota_allocator::record_answer(requester& node, time_point now) {
+    if (node.answers.empty() || node.answers.back().stamp != node.stamp) {
+        node.answers.push_back({node.stamp, now});
+    }
+}
+
 void quota_allocator::request(std::string_view node, const quota_request& message, time_point now) {
     if (!running_) {
         return;
     }
     fill(now);
     auto& known = requesters_[std::string(node)];
-    accept_returned(message, now);
+    if (const auto sent = sent_after(known, message, now)) {
+        accept_returned(message, *sent, now);
+    }
     if (message.stamp < known.stamp) {
         return;
     }
@@ -256,14 +290,13 @@
     for (const auto& [node, row, served] : candidates) {
         const double asked = only_waiting ? row->waiting : row->wanted;
         const double least =
-            std::min({asked, row->quantum, std::max(capacity(target), target.level)});
+            std::min({asked, row->quantum, std::max(capacity(target, now), target.level)});
         const double amount = std::floor(std::min(asked, std::max(asked * share, least)));
         const bool granted = !blocked && amount > 0 && target.level >= amount;
         blocked = blocked || (!granted && asked > 0);
         if (granted) {
             target.level -= amount;
-            target.unspent += amount;
-            target.granted.push_back({now, amount});
+            target.granted.add(now, amount);
             row->wanted -= amount;
             row->waiting = std::max(row->waiting - amount, 0.0);
             target.served.insert_or_assign(*node, now);
@@ -301,6 +334,7 @@
             continue;
         }
         known.answer_due = false;
+        record_answer(known, now);
         auto grant = found == out.end() ? quota_grant{} : std::move(found->second);
         grant.node = node;
         grant.stamp = known.stamp;
--- a/lib/fleet/quota_wallet.cpp
+++ b/lib/fleet/quota_wallet.cpp
@@ -28,9 +28,6 @@
 constexpr double max_cost_ratio = 3;
 /// Tokens held for a node's next call, as a multiple of the smoothed cost: those of most calls.
 constexpr double next_call_ratio = 1.6;
-/// Age of a request up to which the tokens of its answer, which came too late, are returned. An
-/// allocator takes none in its first 1.2 s, so that those of its predecessor are not credited.
-constexpr milliseconds max_answer_age{900};
 /// Use below this share of one call per second counts as none.
 constexpr double negligible_use = 0.1;
 
@@ -84,7 +81,8 @@
 /// Returns the tokens that have not expired. Expired ones go back to the allocator.
 double quota_wallet::usable(account& known, time_point now) {
     while (!known.tokens.empty() && known.tokens.front().expires <= now) {
-        known.returned += known.tokens.front().amount;
+        const auto& expired = known.tokens.front();
+        known.returned.push_back({expired.expires - quota_grant_lifetime, expired.amount});
         known.tokens.pop_front();
     }
     double sum = 0;
@@ -252,8 +250,8 @@
     if (uses_share(now)) {
         known.share += cost;
         fill_shares(now);
-    } else if (now - taken <= give_back_time) {
-        known.returned += cost;
+    } else {
+        known.returned.push_back({taken - quota_grant_lifetime, cost});
     }
 }
 
@@ -270,13 +268,38 @@
     double held = 0;
     for (auto granted = known.tokens.rbegin(); granted != known.tokens.rend(); ++granted) {
         const double kept = std::min(granted->amount, std::max(needed - held, 0.0));
-        known.returned += granted->amount - kept;
+        if (granted->amount > kept) {
+            known.returned.push_back(
+                {granted->expires - quota_grant_lifetime, granted->amount - kept});
+        }
         granted->amount = kept;
         held += kept;
     }
     std::erase_if(known.tokens, [](const auto& granted) { return granted.amount <= 0; });
 }
 
+/// Adds the tokens to return to a row, as a whole number, since frames carry no fractions. Tokens
+/// of requests too long ago are lost, as after a suspension of the VM: the allocator's bucket has
+/// been refilled since.
+void quota_wallet::report_returned(account& known, quota_request::row& row, time_point now) {
+    std::erase_if(known.returned,
+                  [now](const auto& item) { return now - item.requested > quota_return_time; });
+    double sum = 0;
+    auto oldest = now;
+    auto latest = time_point::min();
+    for (const auto& item : known.returned) {
+        sum += item.amount;
+        oldest = std::min(oldest, item.requested);
+        latest = std::max(latest, item.requested);
+    }
+    known.returned.clear();
+    row.returned = std::floor(sum);
+    row.returned_age = std::chrono::ceil<milliseconds>(now - oldest);
+    if (sum > row.returned) {
+        known.returned.push_back({latest, sum - row.returned});
+    }
+}
+
 /// Returns a tenant's row of a request; empty if it has no use for tokens and returns none.
 std::optional<quota_request::row> quota_wallet::make_row(const std::string& tenant, account& known,
                                                          duration period, time_point now) {
@@ -309,14 +332,15 @@
         (known.use_per_s > 0 && !scarce ? std::max(ahead, known.typical * next_call_ratio) : ahead);
     return_surplus(known, std::ceil(needed + held - lasting));
     known.requested = waiting + quantum;
-    quota_request::row row{
-        tenant,     std::max(needed - lasting, 0.0), std::max(waiting - held, 0.0), quantum,
-        known.held, std::floor(known.returned)};
-    known.returned -= row.returned; // Frames carry whole tokens.
     if (uses_share(now)) {
-        row.returned = 0; // They may be from long ago.
-        known.returned = 0;
-    }
+        known.returned.clear(); // The allocator may be another one.
+    }
+    quota_request::row row{.tenant = tenant,
+                           .wanted = std::max(needed - lasting, 0.0),
+                           .waiting = std::max(waiting - held, 0.0),
+                           .quantum = quantum,
+                           .held = known.held};
+    report_returned(known, row, now);
     if (row.wanted <= 0 && row.returned <= 0 && known.use_per_s <= 0 && known.held <= 0) {
         known.next_at.reset();
         return std::nullopt;
@@ -342,6 +366,10 @@
     }
     unanswered_since_ = unanswered_since_.value_or(now);
     request.stamp = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    if (answered_request_) {
+        request.answered =
+            static_cast<std::uint64_t>(answered_request_->time_since_epoch().count());
+    }
     request.uses_share = uses_share(now);
     return request;
 }
@@ -368,9 +396,9 @@
         }
         auto& known = found->second;
         known.next_at = now + row.next_in;
-        if (expires <= now) {
+        if (expires <= now && row.amount > 0) {
             // The allocator would count tokens of late answers as spent.
-            known.returned += now - requested <= max_answer_age ? row.amount : 0;
+            known.returned.push_back({requested, row.amount});
         } else if (row.amount > 0) {
             const auto place =
                 std::ranges::upper_bound(known.tokens, expires, {}, &granted_tokens::expires);
--- a/lib/gateway/quota_frames.cpp
+++ b/lib/gateway/quota_frames.cpp
@@ -32,6 +32,13 @@
     return value <= max_tokens ? std::optional(value) : std::nullopt;
 }
 
+std::optional<std::chrono::milliseconds> wait_at(const json& row, std::size_t index) {
+    if (!row.at(index).is_number_unsigned() || row.at(index).get<std::uint64_t>() > max_wait_ms) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds{row.at(index).get<std::int64_t>()};
+}
+
 bool is_row(const json& row, std::size_t members) {
     return row.is_array() && row.size() == members && row.at(0).is_string();
 }
@@ -65,10 +72,14 @@
     for (const auto& row : message.request.rows) {
         rows.push_back(json::array({row.tenant, whole(std::ceil(row.wanted)),
                                     whole(std::ceil(row.waiting)), whole(std::ceil(row.quantum)),
-                                    whole(std::ceil(row.held)), whole(row.returned)}));
+                                    whole(std::ceil(row.held)), whole(row.returned),
+                                    static_cast<std::uint64_t>(row.returned_age.count())}));
     }
     json frame{{"type", "y"}, {"o", message.origin}, {"t", message.request.stamp}};
     frame["r"] = std::move(rows);
+    if (message.request.answered > 0) {
+        frame["a"] = message.request.answered;
+    }
     if (message.request.uses_share) {
         frame["f"] = true;
     }
@@ -76,14 +87,15 @@
 }
 
 std::optional<quota_request_message> decode_quota_request(const json& frame) {
-    constexpr std::size_t members = 6;
+    constexpr std::size_t members = 7;
     const auto origin = text_member(frame, "o");
     const auto stamp = unsigned_member(frame, "t");
     const auto* rows = rows_of(frame);
     if (!origin || !stamp || rows == nullptr) {
         return std::nullopt;
     }
-    quota_request_message message{*origin, {*stamp, frame.contains("f"), {}}};
+    const auto answered = unsigned_member(frame, "a").value_or(0);
+    quota_request_message message{*origin, {*stamp, answered, frame.contains("f"), {}}};
     for (const auto& row : *rows) {
         if (!is_row(row, members)) {
             return std::nullopt;
@@ -93,11 +105,12 @@
         const auto quantum = tokens_at(row, 3);
         const auto held = tokens_at(row, 4);
         const auto returned = tokens_at(row, 5);
-        if (!wanted || !waiting || !quantum || !held || !returned) {
+        const auto age = wait_at(row, 6);
+        if (!wanted || !waiting || !quantum || !held || !returned || !age) {
             return std::nullopt;
         }
         message.request.rows.push_back(
-            {row.at(0).get<std::string>(), *wanted, *waiting, *quantum, *held, *returned});
+            {row.at(0).get<std::string>(), *wanted, *waiting, *quantum, *held, *returned, *age});
     }
     return message;
 }
@@ -144,12 +157,11 @@
             return std::nullopt;
         }
         const auto amount = tokens_at(row, 1);
-        if (!amount || !row.at(2).is_number_unsigned() ||
-            row.at(2).get<std::uint64_t>() > max_wait_ms) {
+        const auto next_in = wait_at(row, 2);
+        if (!amount || !next_in) {
             return std::nullopt;
         }
-        grant.rows.push_back({row.at(0).get<std::string>(), *amount,
-                              std::chrono::milliseconds{row.at(2).get<std::int64_t>()}});
+        grant.rows.push_back({row.at(0).get<std::string>(), *amount, *next_in});
     }
     return grant;
 }
--- a/unittests/fleet/shared_quota_test.cpp
+++ b/unittests/fleet/shared_quota_test.cpp
@@ -252,7 +252,7 @@
         allocator.on_nodes_in_touch("north", 1, started);
         const auto granted = [&](milliseconds after) {
             const auto now = started + after;
-            allocator.request("node", {1, false, {{"atlas", 700, 700, 700, 0, 0}}}, now);
+            allocator.request("node", {1, 0, false, {{"atlas", 700, 700, 700, 0, 0}}}, now);
             const auto grants = allocator.take_grants(now);
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, grants.size());
             return grants.front().rows.front().amount;
