--- a/include/dragonflystair/net/byte_budget.h
+++ b/include/dragonflystair/net/byte_budget.h
@@ -60,9 +60,9 @@
     /// release them, and a busy one must not take more.
     verdict hold(holder id, std::size_t bytes, time_point now);
 
-    /// Sets the bytes that a busy connection holds together with those of its next requests. Returns
-    /// false, and changes nothing, if they would take the reserved part: new connections have no room
-    /// if requests that were sent ahead take everything.
+    /// Sets the bytes that a busy connection holds together with those of its next requests.
+    /// Returns false, and changes nothing, if they would take the reserved part: new connections
+    /// have no room if requests that were sent ahead take everything.
     bool hold_ahead(holder id, std::size_t bytes);
 
     /// Counts bytes that a waiting connection has sent.
