--- a/include/dragonflystair/net/byte_budget.h
+++ b/include/dragonflystair/net/byte_budget.h
@@ -42,6 +42,9 @@
     static constexpr std::size_t connections_per_batch = 16;
     static constexpr std::size_t min_batch = 4;
 
+    /// Bytes of a connection with a short request, rounded up.
+    static constexpr std::size_t connection_bytes = std::size_t{16} * 1024;
+
     struct verdict {
         bool granted = false;
         std::vector<holder> closed; ///< Connections that must be closed.
@@ -61,8 +64,9 @@
     verdict hold(holder id, std::size_t bytes, time_point now);
 
     /// Sets the bytes that a busy connection holds together with those of its next requests.
-    /// Returns false, and changes nothing, if they would take the reserved part: new connections
-    /// have no room if requests that were sent ahead take everything.
+    /// Returns false, and changes nothing, if they would take the reserved part or what the
+    /// connections that may still come need: those have no room if requests that were sent ahead
+    /// take everything.
     bool hold_ahead(holder id, std::size_t bytes);
 
     /// Counts bytes that a waiting connection has sent.
@@ -94,6 +98,7 @@
     using entries = std::map<holder, entry>;
 
     [[nodiscard]] bool over(bool busy) const;
+    [[nodiscard]] std::size_t kept_for_connections() const;
     entries::iterator first_to_close(time_point now);
     std::vector<entries::iterator> stalled(time_point now);
     void uncount(const entry& item);
--- a/lib/net/byte_budget.cpp
+++ b/lib/net/byte_budget.cpp
@@ -111,7 +111,7 @@
         return false;
     }
     auto& self = found->second;
-    if (held() - self.bytes + bytes > limits_.bytes - std::min(limits_.reserved, limits_.bytes)) {
+    if (held() - self.bytes + bytes + kept_for_connections() > limits_.bytes) {
         return false;
     }
     uncount(self);
@@ -164,6 +164,15 @@
            (!busy && waiting_bytes_ > limits_.bytes - std::min(limits_.reserved, limits_.bytes));
 }
 
+/// Returns the bytes that requests sent ahead may not take: the reserved part, or half of all if
+/// the connections that may still come need it.
+std::size_t byte_budget::kept_for_connections() const {
+    const auto more = limits_.connections - std::min(entries_.size(), limits_.connections);
+    const auto half = limits_.bytes / 2;
+    const auto needed = more > half / connection_bytes ? half : more * connection_bytes;
+    return std::max(limits_.reserved, needed);
+}
+
 byte_budget::entries::iterator byte_budget::first_to_close(time_point now) {
     auto first = entries_.end();
     double highest = -1;
--- a/unittests/net/http_server_test.cpp
+++ b/unittests/net/http_server_test.cpp
@@ -360,10 +360,10 @@
             senders.back().write("GET /waits HTTP/1.1\r\nHost: a\r\n\r\n" +
                                  std::string(40'000, 'x'));
         }
-        // The server reads ahead until its room, or the part of it that is not reserved, is taken.
-        while (server->held_bytes() <= held_bytes / 2) {
+        while (server->open_exchanges() < senders.size()) {
             std::this_thread::sleep_for(milliseconds(1));
         }
+        // The server reads ahead meanwhile, on former code until all its room was taken.
         std::this_thread::sleep_for(milliseconds(50));
         auto connection = raw_connection::to(server->address());
         connection.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
