Close the test endpoint's connections after each framed response

test_gateway failed once beside load, in framed_stream_that_ends_inside_an_event_looks_complete with 502: the test endpoint closes each connection after one call, and the node used one again before the close arrived. With a delay of 20 ms before the close the test failed each time; it passes with Connection: close.

--- a/unittests/gateway/second_endpoint_test.cpp
+++ b/unittests/gateway/second_endpoint_test.cpp
@@ -258,15 +258,18 @@
     }
 
 private:
+    /// Each script serves one call and ends its connection, so the node must not use it again.
     static std::string chunked_answer(const std::string& id, const std::string& text) {
         std::array<char, 17> size{};
         const auto end = std::to_chars(size.begin(), size.end(), text.size(), 16).ptr;
-        return answer(id, "Transfer-Encoding: chunked\r\n",
+        return answer(id, "Connection: close\r\nTransfer-Encoding: chunked\r\n",
                       std::string(size.begin(), end) + "\r\n" + text + "\r\n0\r\n\r\n");
     }
 
     static std::string sized_answer(const std::string& id, const std::string& text) {
-        return answer(id, "Content-Length: " + std::to_string(text.size()) + "\r\n", text);
+        return answer(
+            id, "Connection: close\r\nContent-Length: " + std::to_string(text.size()) + "\r\n",
+            text);
     }
 
     static std::string answer(const std::string& id, const std::string& framing,
