Count nodes led from another data centre as in touch with the quota allocator

After a restart of all, one node led two to four of the six data centres, but a lead reported the nodes in touch of its own data centre only. The allocator took the others for cut off and kept a third to two thirds of each rate for them. A lead now reports each data centre that it leads, and the allocator counts the nodes without a lead itself. The log says while shares are reserved.

The new test fails without the change: the share is reserved for ever.

--- a/include/dragonflystair/fleet/quota_allocator.h
+++ b/include/dragonflystair/fleet/quota_allocator.h
@@ -65,6 +65,9 @@
     /// Records a node's request.
     void request(std::string_view node, const quota_request& message, support::time_point now);
 
+    /// Returns the number of nodes that are not in touch, whose shares are reserved.
+    [[nodiscard]] std::size_t silent_nodes() const { return silent_; }
+
     /// Returns an answer for each new request, possibly without tokens, and further tokens for
     /// those that could not be met before.
     std::vector<quota_grant> take_grants(support::time_point now);
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -161,6 +161,7 @@
     void update_quotas();
     void send_quota_request();
     void report_nodes_in_touch();
+    void report_nodes_in_touch(const std::string& data_centre);
     void on_quota_request(std::string_view peer, const support::json& frame);
     void send_quota_grants();
     void on_quota_grant(const support::json& frame);
@@ -222,6 +223,7 @@
     fleet::permit_divider divider_;
     /// Peers over which requests for permits came, by the incarnation of the requesting node.
     std::map<std::string, std::string, std::less<>> permit_routes_;
+    bool reserves_quota_shares_ = false; ///< For nodes that are not in touch with the allocator.
     fleet::quota_allocator quota_allocator_;
     /// Peers over which requests for tokens came, by the incarnation of the requesting node.
     std::map<std::string, std::string, std::less<>> quota_routes_;
--- a/lib/gateway/gateway_quotas.cpp
+++ b/lib/gateway/gateway_quotas.cpp
@@ -81,16 +81,29 @@
     }
 }
 
-/// Tells the allocator how many nodes of this data centre are in touch with this node, its lead.
+/// Tells the allocator how many nodes of each data centre that this node leads are in touch with
+/// it. The lead of a data centre may be located in another one. The allocator itself counts the
+/// nodes without a lead, which connect to it directly.
 void gateway::impl::report_nodes_in_touch() {
-    if (!view_.quotas.any_limited() || !leads_own_data_centre()) {
+    if (!view_.quotas.any_limited()) {
         return;
     }
+    for (const auto& [data_centre, holder] : holders_) {
+        const bool unled = quota_allocator_.running() && lead_of(data_centre).empty();
+        if (holder->lease().holds() || unled) {
+            report_nodes_in_touch(data_centre);
+        }
+    }
+}
+
+void gateway::impl::report_nodes_in_touch(const std::string& data_centre) {
     const auto now = boot_clock::now();
     const auto peers = std::ranges::count_if(peers_, [&](const auto& entry) {
-        return in_own_data_centre(entry.second) && now - entry.second.status_received <= touch_age;
+        const auto& peer = entry.second;
+        return peer.status.data_centre == data_centre && now - peer.status_received <= touch_age;
     });
-    const touch_report report{view_.settings.data_centre, static_cast<std::size_t>(peers) + 1};
+    const std::size_t self = data_centre == view_.settings.data_centre ? 1 : 0;
+    const touch_report report{data_centre, static_cast<std::size_t>(peers) + self};
     if (quota_allocator_.running()) {
         quota_allocator_.on_nodes_in_touch(report.data_centre, report.nodes, now);
         return;
@@ -136,7 +149,14 @@
         return;
     }
     const auto now = boot_clock::now();
-    for (const auto& grant : quota_allocator_.take_grants(now)) {
+    const auto grants = quota_allocator_.take_grants(now);
+    const bool reserves = quota_allocator_.silent_nodes() > 0;
+    if (std::exchange(reserves_quota_shares_, reserves) != reserves) {
+        support::log_change("quota_shares_reserved",
+                            {{"state", reserves ? "begun" : "ended"},
+                             {"silent_nodes", std::to_string(quota_allocator_.silent_nodes())}});
+    }
+    for (const auto& grant : grants) {
         if (grant.node == view_.incarnation) {
             view_.quotas.on_answer(grant.rows, from_stamp(grant.stamp), now);
         } else if (const auto route = quota_routes_.find(grant.node);
--- a/unittests/gateway_limits/tenant_quota_test.cpp
+++ b/unittests/gateway_limits/tenant_quota_test.cpp
@@ -28,6 +28,7 @@
 class tenant_quota_test : public gateway_fixture {
     CPPUNIT_TEST_SUITE(tenant_quota_test);
     CPPUNIT_TEST(calls_of_two_nodes_stay_within_quota);
+    CPPUNIT_TEST(nodes_led_from_another_data_centre_are_in_touch);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,8 +79,28 @@
         CPPUNIT_ASSERT_EQUAL(200, call_with("key-b", "other").status);
     }
 
+    // Guards against shares that are reserved for nodes in touch, because the node that leads their
+    // data centre is located in another one: refusals of two thirds of the calls after a restart.
+    void nodes_led_from_another_data_centre_are_in_touch() {
+        auto settings = settings_of("node-1");
+        settings.data_centres = {{"north", "n"}, {"west", "w"}};
+        start(settings);
+        output->expect({"event=lease_won", "data_centre=west"});
+        output->expect({"event=quota_shares_reserved", "state=ended"});
+        settings = settings_of("node-2");
+        settings.data_centres = {{"north", "n"}, {"west", "w"}};
+        settings.data_centre = "west";
+        settings.peers = {peer_address};
+        second_node second(settings, running);
+        output->expect({"event=quota_shares_reserved", "state=begun"}, 2);
+        output->expect({"event=quota_shares_reserved", "state=ended"}, 2);
+        CPPUNIT_ASSERT_EQUAL(1, output->count({"event=lease_won", "data_centre=west"}));
+    }
+
 private:
-    void start() {
+    void start() { start(settings_of("node-1")); }
+
+    void start(const config::gateway_settings& settings) {
         endpoint_ = std::make_unique<endpoint_stand_in>(
             context->get(), [](net::http_exchange& exchange) -> net::awaitable<void> {
                 co_await exchange.respond(endpoint_stand_in::signed_head(exchange));
@@ -88,7 +109,7 @@
             "keyed.servers", "endpoint-1",
             R"({"service":"register","addr":")" + endpoint_->address() +
                 R"(","zone":"north","slots":6,"state":"ready","seq":0,"born":1,"models":[]})");
-        start_gateway();
+        start_gateway(settings);
         output->expect({"event=endpoint ", "endpoint=endpoint-1"});
         output->expect({"event=configuration"});
     }
