--- a/lib/fleet/quota_wallet.cpp
+++ b/lib/fleet/quota_wallet.cpp
@@ -1,7 +1,6 @@
 #include "dragonflystair/fleet/quota_wallet.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace dragonflystair::fleet {
