--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -538,6 +538,8 @@
     return re.sub(r"\{\{([\w.-]+)\}\}", lambda match: text(lookup(values, match.group(1))), filled)
 
 
+# Of the largest VMs of the design (docs/design/shared-load.md).
+LIMITS = {"cpu-share": 0.25, "memory-mb": 512, "max-fds": 10250}
 BOUNDS = {"drain-ms": 2500, "grace-s": 8, "config-apply-ms": 2500, "retry-ratio": 0.2,
           "retry-window-s": 10, "retry-slack": 52, "lease-ms": 3000, "require-fence": True,
           "stable-ms": 4000, "ttl_max_s": 5}
@@ -567,7 +569,7 @@
                   "ip": self.host, "zones": self.zones, "seeds": seeds,
                   "listen": {"front": self.front, "ready": self.ready,
                              "directory": self.directory, "control": self.control},
-                  "platform": {"addr": store}, "limits": {"cpu-share": 0.25}, "bounds": BOUNDS}
+                  "platform": {"addr": store}, "limits": LIMITS, "bounds": BOUNDS}
         with open(TEMPLATE, encoding="utf-8") as template, \
                 open(self.settings, "w", encoding="utf-8") as out:
             text = fill_in(template.read(), values)
