Explain a conflict by every order that can have caused it

Cause: the conflict of a repeated order was always taken for the acceptance of its first attempt. A late order that was given up, or one of a former lease holder, changes the engine's count as well. The planner then believed in an adapter that the engine did not hold, and its check, which engines execute as a load, exceeded the room.

Change: the planner tracks the highest count that other orders can have led to. If one of them can have caused the conflict, the order counts as rejected and one adapter of unknown name as held, since each order changes the engine's adapters by one at most. Loads into room that is certainly free and evictions go on. A report clears the reserved room as soon as it is newer than the last accepted order, after 2 s at the latest with orders suspended for it. An outcome that arrives after a report changed the count is not counted again.

--- a/include/dragonflystair/fleet/adapter_planner.h
+++ b/include/dragonflystair/fleet/adapter_planner.h
@@ -72,7 +72,12 @@
 /// Decides which adapters the engines of one data centre load and unload. Run only by the holder of
 /// the data centre's placement lease. At most one order is in flight to each engine. Each order
 /// carries the number of orders that the engine is expected to have accepted; the engine rejects
-/// it on any other count, so an order that arrives late has no effect.
+/// it on any other count, so of the orders with the same count it executes one at most, which may
+/// be a late one.
+///
+/// A rejected repeat is taken for the acceptance of its first attempt only if no other order, of
+/// this node or of a former lease holder, can have changed the count. Otherwise one more adapter
+/// counts as held until a report, so that no order exceeds an engine's room.
 ///
 /// Load patterns it is designed for: a long tail of rare adapters, each requested once, beside a
 /// few busy ones; demand that shifts to other adapters within seconds; engines that restart empty.
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -71,6 +71,10 @@
     target.limit_per_s.reset();
     target.limited_until = {};
     target.orders_accepted = record.orders_accepted;
+    // Orders given up before a restart may match a count of the new run.
+    target.reachable_count = std::max(target.reachable_count, record.orders_accepted);
+    target.unexplained_conflicts = 0;
+    target.unknown_adapters = 0;
     target.order_in_flight = false;
     target.unanswered = 0;
     target.repeat.reset();
@@ -164,6 +168,9 @@
 void adapter_planner::on_lease_acquired() {
     for (auto& [id, target] : impl_->engines) {
         target.needs_report = true;
+        // An order of an earlier lease of this node may be in flight.
+        target.reachable_count = std::max(target.reachable_count, target.orders_accepted + 1);
+        target.former_holder_orders = true;
         target.order_in_flight = false;
         target.unanswered = 0;
         target.repeat.reset();
@@ -208,7 +215,7 @@
             continue;
         }
         std::optional<planned_order> order;
-        if (target.needs_report) {
+        if (target.needs_report || impl::report_due(target, now)) {
             order = impl_->make_order(target, order_kind::report, {}, false);
         }
         order = order ? order : impl_->due_check(target, now);
--- a/lib/fleet/adapter_planner_impl.h
+++ b/lib/fleet/adapter_planner_impl.h
@@ -58,6 +58,18 @@
 struct engine {
     endpoint_record record;
     std::uint64_t orders_accepted = 0;
+    /// Highest count that all orders but the one in flight and its earlier attempts can have led
+    /// to: those that were accepted and those that were given up without an answer.
+    std::uint64_t reachable_count = 0;
+    /// Orders of a former lease holder may still be executed: until the engine has accepted one
+    /// with the present fencing number.
+    bool former_holder_orders = false;
+    /// Conflicts since the last report that more than one order may have caused.
+    std::size_t unexplained_conflicts = 0;
+    /// Adapters that the engine holds at most beside `adapters`, whichever orders it executed.
+    std::size_t unknown_adapters = 0;
+    time_point unexplained_since; ///< When the first of these conflicts occurred.
+    time_point count_changed_at;  ///< When `orders_accepted` last changed.
     bool order_in_flight = false;
     bool needs_report = false;
     std::size_t conflicts = 0;           ///< Consecutive.
@@ -114,6 +126,8 @@
     std::optional<model_name> eviction_candidate(const engine& target, double max_rate,
                                                  time_point now) const;
     [[nodiscard]] bool fits(const engine& target, const model_name& model) const;
+    [[nodiscard]] bool has_room(const engine& target, std::size_t more, double more_mb) const;
+    static bool report_due(engine& target, time_point now);
     [[nodiscard]] bool should_load(const model_name& model, const demand_state& demand,
                                    time_point now) const;
     [[nodiscard]] bool awaits_retry(const model_name& model, time_point now) const;
@@ -125,6 +139,8 @@
     void on_accepted(engine& target, const planned_order& order, time_point now);
     void on_in_effect(engine& target, const planned_order& order, time_point now);
     void on_conflict(engine& target, const planned_order& order, time_point now);
+    void on_unexplained_conflict(engine& target, const planned_order& order, time_point now);
+    static void count_order(engine& target, time_point now);
     static void on_unanswered(engine& target, const planned_order& order, time_point now);
     static void request_report(engine& target, time_point now);
 
--- a/lib/fleet/adapter_planner_orders.cpp
+++ b/lib/fleet/adapter_planner_orders.cpp
@@ -133,13 +133,20 @@
     return std::nullopt;
 }
 
-bool adapter_planner::impl::fits(const engine& target, const model_name& model) const {
+/// Returns whether the engine has room for so many more adapters of this total size beside all that
+/// it may hold.
+bool adapter_planner::impl::has_room(const engine& target, std::size_t more, double more_mb) const {
     const auto* engines_class = class_of(target);
-    const auto* base = engines_class == nullptr ? nullptr : engines_class->find(model.model);
-    if (base == nullptr || target.adapters.size() >= engines_class->adapter_slots) {
+    if (engines_class == nullptr ||
+        target.adapters.size() + target.unknown_adapters + more > engines_class->adapter_slots) {
         return false;
     }
-    double used_mb = base->adapter_mb;
+    double used_mb = more_mb;
+    double largest_mb = 0;
+    for (const auto& model : engines_class->models) {
+        largest_mb = std::max(largest_mb, model.adapter_mb);
+    }
+    used_mb += static_cast<double>(target.unknown_adapters) * largest_mb;
     for (const auto& [name, entry] : target.models) {
         const auto* other = engines_class->find(name);
         used_mb += other == nullptr ? 0 : other->weights_mb;
@@ -151,6 +158,12 @@
     return used_mb <= engines_class->weights_mb;
 }
 
+bool adapter_planner::impl::fits(const engine& target, const model_name& model) const {
+    const auto* engines_class = class_of(target);
+    const auto* base = engines_class == nullptr ? nullptr : engines_class->find(model.model);
+    return base != nullptr && has_room(target, 1, base->adapter_mb);
+}
+
 /// Returns the least popular adapter that is idle, is not awaited by retries and has a request rate
 /// of at most `max_rate`; empty if there is none.
 std::optional<model_name> adapter_planner::impl::eviction_candidate(const engine& target,
--- a/lib/fleet/adapter_planner_outcomes.cpp
+++ b/lib/fleet/adapter_planner_outcomes.cpp
@@ -24,18 +24,40 @@
 /// An engine's report shows its state of some hundred milliseconds ago, so orders are suspended for
 /// this long before a report is requested.
 constexpr milliseconds report_delay{350};
+/// Time for which unexplained conflicts may take up room while the engine accepts orders all the
+/// time. After that, orders are suspended for a report.
+constexpr milliseconds max_unexplained_time{2'000};
 /// Unanswered attempts of an order after which the engine has probably failed.
 constexpr std::size_t max_repeats = 4;
 
 } // namespace
 
+/// Records that the engine accepted one more order.
+void adapter_planner::impl::count_order(engine& target, time_point now) {
+    ++target.orders_accepted;
+    target.reachable_count = std::max(target.reachable_count, target.orders_accepted);
+    target.count_changed_at = now;
+}
+
+/// Returns whether a report is needed to show what the engine holds after unexplained conflicts and
+/// would be newer than the last accepted order.
+bool adapter_planner::impl::report_due(engine& target, time_point now) {
+    if (target.unexplained_conflicts == 0) {
+        return false;
+    }
+    if (now - target.unexplained_since >= max_unexplained_time) {
+        target.paused_until = std::max(target.paused_until, target.count_changed_at + report_delay);
+    }
+    return now - target.count_changed_at >= report_delay;
+}
+
 /// Records that the engine executes the order; `due_check` polls for its completion.
 void adapter_planner::impl::on_accepted(engine& target, const planned_order& order,
                                         time_point now) {
     if (order.check) {
         return;
     }
-    ++target.orders_accepted;
+    count_order(target, now);
     if (order.model.adapter.empty()) {
         target.models[order.model.model] =
             make_slot(slot_state::loading, 0, now, now + model_check_period);
@@ -64,7 +86,7 @@
                                          time_point now) {
     // If the repeat of an unanswered load is in effect already, the first attempt was executed.
     if (order.repeat && order.kind == order_kind::load) {
-        ++target.orders_accepted;
+        count_order(target, now);
     }
     if (order.model.adapter.empty()) {
         target.models[order.model.model] = make_slot(slot_state::ready, 0, now);
@@ -74,7 +96,9 @@
     if (order.kind == order_kind::unload) {
         // An adapter that no call uses is unloaded at once, without a check, which counts as an
         // order.
-        target.orders_accepted += order.check ? 0 : 1;
+        if (!order.check) {
+            count_order(target, now);
+        }
         target.adapters.erase(order.model);
         target.recent_adapters.insert(order.model);
         return;
@@ -105,6 +129,7 @@
                                           time_point now) {
     target.unanswered_at = now;
     if (++target.unanswered > max_repeats) {
+        target.reachable_count = std::max(target.reachable_count, order.orders_accepted + 1);
         request_report(target, now);
         return;
     }
@@ -114,13 +139,39 @@
     }
 }
 
+/// Records a conflict that an unanswered attempt of the order or an earlier order may have caused.
+/// One order changes the count by one and loads at most one adapter, so the engine holds at most
+/// one more than is known. It held no more than its slots when the order was accepted.
+void adapter_planner::impl::on_unexplained_conflict(engine& target, const planned_order& order,
+                                                    time_point now) {
+    revert_order(target, order);
+    const auto* engines_class = class_of(target);
+    const bool was_full = target.unexplained_conflicts == 0 && engines_class != nullptr &&
+                          std::ranges::none_of(engines_class->models, [&](const auto& model) {
+                              return has_room(target, 1, model.adapter_mb);
+                          });
+    if (target.unexplained_conflicts++ == 0) {
+        target.unexplained_since = now;
+    }
+    target.unknown_adapters += was_full ? 0 : 1;
+    count_order(target, now);
+    // Checks are load orders too, which the engine executes if it does not hold the adapter.
+    if (!has_room(target, 0, 0)) {
+        request_report(target, now);
+    }
+}
+
 void adapter_planner::impl::on_conflict(engine& target, const planned_order& order,
                                         time_point now) {
     if (order.repeat) {
-        // Only this node sends orders, so the conflict shows that the engine accepted an unanswered
-        // attempt, which changed its order count.
         target.unanswered = 0;
-        on_accepted(target, order, now);
+        if (target.former_holder_orders || target.reachable_count > order.orders_accepted) {
+            on_unexplained_conflict(target, order, now);
+        } else {
+            // No other order can have changed the engine's count, so it accepted an unanswered
+            // attempt of this one.
+            on_accepted(target, order, now);
+        }
         return;
     }
     revert_order(target, order);
@@ -139,7 +190,21 @@
         return;
     }
     auto& target = found->second;
+    if (order.orders_accepted != target.orders_accepted) {
+        // A report or a restart came first, so the outcome tells nothing about the present count.
+        target.reachable_count = std::max(target.reachable_count, order.orders_accepted + 1);
+        impl_->revert_order(target, order);
+        return;
+    }
     target.order_in_flight = false;
+    if (order.check && target.unexplained_conflicts > 0) {
+        // The engine executed the check if it does not hold the adapter.
+        target.reachable_count = std::max(target.reachable_count, order.orders_accepted + 1);
+    }
+    if (!order.check &&
+        (outcome == order_outcome::accepted || outcome == order_outcome::in_effect)) {
+        target.former_holder_orders = false;
+    }
     if (outcome != order_outcome::conflict) {
         target.conflicts = 0;
     }
@@ -157,6 +222,7 @@
         return;
     case order_outcome::failed:
         if (order.repeat) {
+            target.reachable_count = std::max(target.reachable_count, order.orders_accepted + 1);
             impl_->request_report(target, now);
             return;
         }
@@ -181,6 +247,9 @@
     target.unanswered = 0;
     target.repeat.reset();
     target.orders_accepted = report.orders_accepted;
+    target.reachable_count = std::max(target.reachable_count, report.orders_accepted);
+    target.unexplained_conflicts = 0;
+    target.unknown_adapters = 0;
     const auto former = std::exchange(target.adapters, {});
     const auto models = std::exchange(target.models, {});
     for (const auto& model : report.models) {
