--- a/unittests/fleet/late_orders_test.cpp
+++ b/unittests/fleet/late_orders_test.cpp
@@ -85,6 +85,7 @@
     CPPUNIT_TEST(conflict_caused_by_an_order_of_the_former_holder_exceeds_no_room);
     CPPUNIT_TEST(conflict_of_unknown_cause_leaves_certain_room_in_use);
     CPPUNIT_TEST(conflict_of_unknown_cause_is_resolved_by_a_report);
+    CPPUNIT_TEST(outcome_that_arrives_after_a_report_is_not_counted_again);
     CPPUNIT_TEST(random_late_orders_and_hand_overs_never_exceed_the_room);
     CPPUNIT_TEST_SUITE_END();
 
@@ -153,6 +154,20 @@
         load_answered("a3");
     }
 
+    /// Guards against a count that is ahead of the engine's after a node has lost and regained the
+    /// lease while an order was in flight.
+    void outcome_that_arrives_after_a_report_is_not_counted_again() {
+        planner->on_demand(waiting_for("x"), now);
+        const auto order = planner->plan(now).at(0);
+        const auto outcome = simulated_.execute(order, fence_, now);
+        planner->on_lease_acquired();
+        deliver_report();
+        planner->on_outcome(order, outcome, now);
+        now += milliseconds{300};
+        planner->on_demand(waiting_for("y"), now);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, planner->plan(now).at(0).orders_accepted);
+    }
+
     /// Replays 30 s of calls for eight adapters on three slots, with orders that are executed 2 to
     /// 12 s late, lost answers and hand-overs. Guards against orders beyond the room in any
     /// sequence of these, and against adapters that are no longer loaded.
