Play tenants and callers without control in the soak

The soak did not know keys, quotas, shares of tenants or limits on callers. Settings that may change while a process runs are drawn with SIGHUP. Streams are read slowly or left.

It checks that calls without a valid key are answered 401 and reach no endpoint, that keys are neither passed on nor logged, the tenant's name, the bound on what reaches endpoints in a window, the memory of each process, and the shares of tenants in a surge after the last fault. Endpoints then have the queue places of the customers' endpoints.

--- a/unittests/soak/fault_plan.cpp
+++ b/unittests/soak/fault_plan.cpp
@@ -33,6 +33,12 @@
     fault_kind::restart_endpoint,        fault_kind::restart_endpoint,
     fault_kind::endpoint_full,           fault_kind::endpoint_fails};
 constexpr milliseconds min_repeat_time{2'000};
+
+constexpr std::array tenant_kinds{fault_kind::replace_key, fault_kind::tenant_surge,
+                                  fault_kind::bad_callers};
+constexpr int tenant_fault_ratio = 3;
+/// Longer than the time in which a revoked key may still be accepted.
+constexpr milliseconds min_unread_time{4'500};
 constexpr int longest_repeated_gap_ms = 200;
 
 /// Faults between two restorations, most of which change what the store holds.
@@ -47,6 +53,37 @@
 constexpr int shortest_outage_ms = 300;
 constexpr int longest_outage_ms = 2'000;
 
+/// By value of `fault_kind`.
+constexpr std::array<std::string_view, 29> kind_names{"kill_gateway",
+                                                      "suspend_gateway",
+                                                      "stop_gateway",
+                                                      "hang_up_gateway",
+                                                      "cut_store_link",
+                                                      "silence_store_link",
+                                                      "silence_store_answers",
+                                                      "reset_store_link",
+                                                      "delay_store_link",
+                                                      "cut_endpoint_link",
+                                                      "silence_endpoint_link",
+                                                      "reset_endpoint_link",
+                                                      "delay_endpoint_link",
+                                                      "endpoint_fails",
+                                                      "endpoint_loses_answers",
+                                                      "endpoint_full",
+                                                      "replace_endpoint",
+                                                      "restart_endpoint",
+                                                      "store_refuses",
+                                                      "store_loses_answers",
+                                                      "change_configuration",
+                                                      "endpoint_names_limit",
+                                                      "partition_store_link",
+                                                      "unlist_endpoint",
+                                                      "repeat_endpoint_answers",
+                                                      "restore_store",
+                                                      "replace_key",
+                                                      "tenant_surge",
+                                                      "bad_callers"};
+
 /// `below` returns a random number from 0 to below its argument.
 milliseconds draw_duration(fault_kind kind, fault_choice choice,
                            const std::function<int(int)>& below) {
@@ -58,11 +95,14 @@
         return usual + min_limit_time;
     case fault_kind::repeat_endpoint_answers:
         return usual + min_repeat_time;
+    case fault_kind::replace_key:
+        return usual + min_unread_time;
     case fault_kind::restore_store:
         return milliseconds(shortest_outage_ms + below(longest_outage_ms - shortest_outage_ms));
     default:
         const bool outlasts_records =
-            choice == fault_choice::store_links || kind == fault_kind::unlist_endpoint;
+            choice == fault_choice::store_links || kind == fault_kind::unlist_endpoint ||
+            (choice == fault_choice::tenants && kind == fault_kind::suspend_gateway);
         return usual + (outlasts_records ? min_store_link_time : milliseconds{0});
     }
 }
@@ -70,61 +110,7 @@
 } // namespace
 
 std::string_view to_string(fault_kind kind) {
-    switch (kind) {
-    case fault_kind::kill_gateway:
-        return "kill_gateway";
-    case fault_kind::suspend_gateway:
-        return "suspend_gateway";
-    case fault_kind::stop_gateway:
-        return "stop_gateway";
-    case fault_kind::hang_up_gateway:
-        return "hang_up_gateway";
-    case fault_kind::cut_store_link:
-        return "cut_store_link";
-    case fault_kind::silence_store_link:
-        return "silence_store_link";
-    case fault_kind::silence_store_answers:
-        return "silence_store_answers";
-    case fault_kind::reset_store_link:
-        return "reset_store_link";
-    case fault_kind::delay_store_link:
-        return "delay_store_link";
-    case fault_kind::cut_endpoint_link:
-        return "cut_endpoint_link";
-    case fault_kind::silence_endpoint_link:
-        return "silence_endpoint_link";
-    case fault_kind::reset_endpoint_link:
-        return "reset_endpoint_link";
-    case fault_kind::delay_endpoint_link:
-        return "delay_endpoint_link";
-    case fault_kind::endpoint_fails:
-        return "endpoint_fails";
-    case fault_kind::endpoint_loses_answers:
-        return "endpoint_loses_answers";
-    case fault_kind::endpoint_full:
-        return "endpoint_full";
-    case fault_kind::replace_endpoint:
-        return "replace_endpoint";
-    case fault_kind::restart_endpoint:
-        return "restart_endpoint";
-    case fault_kind::store_refuses:
-        return "store_refuses";
-    case fault_kind::store_loses_answers:
-        return "store_loses_answers";
-    case fault_kind::change_configuration:
-        return "change_configuration";
-    case fault_kind::endpoint_names_limit:
-        return "endpoint_names_limit";
-    case fault_kind::partition_store_link:
-        return "partition_store_link";
-    case fault_kind::unlist_endpoint:
-        return "unlist_endpoint";
-    case fault_kind::repeat_endpoint_answers:
-        return "repeat_endpoint_answers";
-    case fault_kind::restore_store:
-        return "restore_store";
-    }
-    return "unknown";
+    return kind_names.at(static_cast<std::size_t>(kind));
 }
 
 std::vector<fault> plan_faults(std::uint64_t seed, std::size_t count, fault_choice choice) {
@@ -146,6 +132,9 @@
         if (choice == fault_choice::limits && below(2) == 0) {
             item.kind = fault_kind::endpoint_names_limit;
         }
+        if (choice == fault_choice::tenants && below(tenant_fault_ratio) == 0) {
+            item.kind = tenant_kinds.at(random() % tenant_kinds.size());
+        }
         if (choice == fault_choice::repeated_answers) {
             item.kind = repeated_answers_kinds.at(random() % repeated_answers_kinds.size());
         }
--- a/unittests/soak/fault_plan.h
+++ b/unittests/soak/fault_plan.h
@@ -42,6 +42,10 @@
                              ///< Drawn only by `fault_choice::repeated_answers`.
     restore_store, ///< The store is down, then returns in the state of some seconds before. Drawn
                    ///< only by `fault_choice::restored_store`.
+    // Drawn only by `fault_choice::tenants`.
+    replace_key,  ///< A key of a tenant is revoked and another one is issued.
+    tenant_surge, ///< A tenant sends many times its usual load.
+    bad_callers,  ///< Callers do not finish what they send, or do not read responses.
 };
 
 /// Number of kinds that `fault_choice::any` draws from.
@@ -60,6 +64,7 @@
     store_links,      ///< Silent links to the store, each followed by an endpoint that leaves.
     repeated_answers, ///< Copies of answers, with many restarts and rejections of endpoints.
     restored_store,   ///< A store that returns in an earlier state, among changes of what it holds.
+    tenants,          ///< A third of the faults concern tenants, the others are of any kind.
 };
 
 /// A fault with its start time, relative to the start of the plan, its duration and its target.
--- a/unittests/soak/main.cpp
+++ b/unittests/soak/main.cpp
@@ -3,6 +3,8 @@
 #include "net/test_context.h"
 #include "soak_callers.h"
 #include "soak_cluster.h"
+#include "tenant_checker.h"
+#include "tenant_faults.h"
 
 #include <docopt/docopt.h>
 #include <fmt/format.h>
@@ -11,6 +13,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <string>
 #include <thread>
@@ -29,7 +32,7 @@
 Usage:
   dragonflystair-soak [--seed N] [--seeds N] [--faults N] [--callers N]
                       [--planned | --limits | --store-links | --repeated-answers |
-                       --restored-store]
+                       --restored-store | --tenants]
                       [--keep] PROGRAM
 
 Options:
@@ -42,6 +45,7 @@
   --store-links  Links to the store that fall silent just before an endpoint leaves.
   --repeated-answers  Endpoints that send answers twice, reject calls and restart.
   --restored-store  A store that returns in the state of some seconds before.
+  --tenants    Tenants with keys and quotas, surges, and callers that behave badly.
   --keep       Keep the logs of a run that passed.
 )";
 
@@ -57,14 +61,16 @@
 constexpr std::uint64_t first_eras = 3;
 
 /// Starts and ends the faults of a plan at their scheduled times.
-void inject_faults(const std::vector<fault>& plan, soak_cluster& cluster) {
+/// `begin` starts a fault and returns the function that ends it.
+void inject_faults(const std::vector<fault>& plan,
+                   const std::function<std::function<void()>(const fault&)>& begin) {
     std::multimap<milliseconds, std::function<void()>> steps;
     for (const auto& item : plan) {
-        steps.emplace(item.at, [&cluster, &steps, item] {
+        steps.emplace(item.at, [&begin, &steps, item] {
             std::printf("%6lld ms  %s %zu for %lld ms\n", static_cast<long long>(item.at.count()),
                         std::string(to_string(item.kind)).c_str(), item.target,
                         static_cast<long long>(item.lasts.count()));
-            steps.emplace(item.at + item.lasts, cluster.begin(item));
+            steps.emplace(item.at + item.lasts, begin(item));
         });
     }
     const auto start = steady::now();
@@ -105,6 +111,16 @@
     return static_cast<std::size_t>(value.asLong());
 }
 
+fault_choice choice_of(std::map<std::string, docopt::value>& options) {
+    return options["--planned"].asBool()            ? fault_choice::planned
+           : options["--limits"].asBool()           ? fault_choice::limits
+           : options["--store-links"].asBool()      ? fault_choice::store_links
+           : options["--repeated-answers"].asBool() ? fault_choice::repeated_answers
+           : options["--restored-store"].asBool()   ? fault_choice::restored_store
+           : options["--tenants"].asBool()          ? fault_choice::tenants
+                                                    : fault_choice::any;
+}
+
 /// Runs one seed and returns whether no guarantee was violated. Keeps the logs of a failed run.
 bool run_seed(std::uint64_t seed, std::map<std::string, docopt::value>& options) {
     auto folder =
@@ -113,38 +129,42 @@
         std::perror("mkdtemp");
         return false;
     }
-    const bool planned = options["--planned"].asBool();
-    const auto choice = planned                                  ? fault_choice::planned
-                        : options["--limits"].asBool()           ? fault_choice::limits
-                        : options["--store-links"].asBool()      ? fault_choice::store_links
-                        : options["--repeated-answers"].asBool() ? fault_choice::repeated_answers
-                        : options["--restored-store"].asBool()   ? fault_choice::restored_store
-                                                                 : fault_choice::any;
-    guarantee_checker checked(!planned, [](std::string_view text) {
+    const auto choice = choice_of(options);
+    guarantee_checker checked(choice != fault_choice::planned, [](std::string_view text) {
         std::printf("broken: %s\n", std::string(text).c_str());
         std::fflush(stdout);
     });
+    tenant_checker tenants(checked, seed);
+    auto* const used_tenants = choice == fault_choice::tenants ? &tenants : nullptr;
     net::test_context context;
     {
         soak_cluster cluster(context.get(), options["PROGRAM"].asString(), folder, checked,
-                             choice == fault_choice::store_links, seed % first_eras);
-        soak_callers callers(context.get(), cluster, checked, seed);
+                             choice == fault_choice::store_links, seed % first_eras, used_tenants);
+        soak_callers callers(context.get(), cluster, checked, seed, used_tenants);
+        tenant_faults faults(cluster, callers, tenants);
         callers.start(number_of(options["--callers"]));
         wait_recovered(checked);
         if (choice == fault_choice::restored_store) {
             cluster.watch_configurations();
         }
-        inject_faults(plan_faults(seed, number_of(options["--faults"]), choice), cluster);
+        inject_faults(plan_faults(seed, number_of(options["--faults"]), choice),
+                      [&](const fault& item) { return faults.begin(item); });
         if (choice == fault_choice::restored_store) {
             std::this_thread::sleep_for(settling_time);
         }
         wait_recovered(checked);
+        if (used_tenants != nullptr) {
+            faults.check_after_faults(checked);
+        }
         callers.stop();
         cluster.stop();
         context.stop();
     }
     std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed),
                 checked.summary().c_str());
+    if (used_tenants != nullptr) {
+        std::printf("tenants: %s\n", tenants.summary().c_str());
+    }
     const bool kept = checked.violations() == 0;
     if (kept && !options["--keep"].asBool()) {
         std::filesystem::remove_all(folder);
--- a/unittests/soak/soak_cluster.cpp
+++ b/unittests/soak/soak_cluster.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr double usual_retry_slack = 50;
+/// Queue places of the customers' endpoints; used with tenants.
+constexpr std::size_t queue_places = 24;
 
 json route(const std::string& name, const std::string& kind, const std::string& service) {
     return {{"name", name},    {"host", "desk"},     {"path-prefix", "/" + name + "/"},
@@ -71,9 +73,9 @@
 
 soak_cluster::soak_cluster(const net::executor& context, const std::string& program,
                            std::string folder, guarantee_checker& checked, bool one_data_centre,
-                           std::uint64_t store_era)
-    : context_(context), folder_(std::move(folder)), checked_(checked), store_(context),
-      watch_(context, checked, store_.address()) {
+                           std::uint64_t store_era, tenant_checker* tenants)
+    : context_(context), folder_(std::move(folder)), checked_(checked), tenants_(tenants),
+      store_(context), watch_(context, checked, store_.address()) {
     store_.set_era(store_era);
     publish_configuration();
     add_endpoint(context, "register", "register-1", "north");
@@ -89,7 +91,7 @@
             store_.address()));
     }
     for (const auto& item : gateways_) {
-        write_settings(*item, usual_retry_slack);
+        write_settings(*item, usual_retry_slack, 0);
         item->start();
     }
 }
@@ -105,21 +107,26 @@
                                             write("keyed.servers", id, record);
                                         });
     item.link = std::make_unique<scenarios::tcp_relay>(item.self->address());
+    if (tenants_ != nullptr) {
+        item.self->set_queue(queue_places);
+        item.self->on_arrival([this](const net::http_request& request, bool runs) {
+            tenants_->note_arrival(request, runs);
+        });
+    }
     item.self->register_at(item.link->address());
     endpoints_.push_back(std::move(item));
 }
 
-void soak_cluster::write_settings(soak_gateway& item, double retry_slack) {
+void soak_cluster::write_settings(soak_gateway& item, double retry_slack, std::size_t draw) {
     std::vector<std::string> peers;
     peers.reserve(gateways_.size());
     for (const auto& other : gateways_) {
         peers.push_back(other->peer_address());
     }
-    item.write_settings(peers, retry_slack);
+    item.write_settings(peers, retry_slack,
+                        tenants_ == nullptr ? std::string{} : tenants_->setting_lines(draw));
 }
 
-/// Publishes a configuration with a higher version; each version replaces the route that the
-/// previous one had added.
 void soak_cluster::publish_configuration() {
     version_ += 3;
     auto routes =
@@ -134,10 +141,13 @@
         {"weights-mb", 100},
         {"adapter-slots", soak_endpoint::adapter_slots},
         {"models", json::array({{{"name", "base"}, {"weights-mb", 50}, {"adapter-mb", 1}}})}};
-    const json text{{"version", version_},
-                    {"routes", routes},
-                    {"services", json::array({{{"name", "register"}},
-                                              {{"name", "assistant"}, {"engine", engine}}})}};
+    json text{{"version", version_},
+              {"routes", routes},
+              {"services",
+               json::array({{{"name", "register"}}, {{"name", "assistant"}, {"engine", engine}}})}};
+    if (tenants_ != nullptr) {
+        text["tenants"] = tenants_->configuration();
+    }
     write(operator_topic, "config", text.dump());
 }
 
@@ -297,6 +307,7 @@
         if (!target.started()) {
             return [] {};
         }
+        check_process(target);
         target.kill();
         return [&target] { target.start(); };
     case fault_kind::stop_gateway:
@@ -321,7 +332,8 @@
             }
         };
     case fault_kind::hang_up_gateway:
-        write_settings(target, usual_retry_slack + static_cast<double>(item.target % 10));
+        write_settings(target, usual_retry_slack + static_cast<double>(item.target % 10),
+                       item.target / 10);
         if (target.started()) {
             target.hang_up();
         }
@@ -353,12 +365,23 @@
     };
 }
 
+/// Reports a process that took more memory than its machine has, or has logged a key.
+void soak_cluster::check_process(const soak_gateway& item) {
+    const auto peak = item.peak_memory_mb();
+    const bool logged = item.has_logged(tenant_checker::key_prefix);
+    if (tenants_ != nullptr && (logged || peak > tenant_checker::memory_mb)) {
+        checked_.report_violation(fmt::format("{} has {}taken {} MB of memory", item.name(),
+                                              logged ? "logged a key and " : "", peak));
+    }
+}
+
 /// Ends the gateway's process and reports a violation unless it exited with 0 or was killed by
 /// SIGKILL; any other code means a crash.
 void soak_cluster::reap(soak_gateway& item) {
     if (!item.started()) {
         return;
     }
+    check_process(item);
     const int code = item.reap();
     if (code != 0 && code != 128 + SIGKILL) {
         checked_.report_violation(fmt::format("{} ended with exit code {}", item.name(), code));
--- a/unittests/soak/soak_cluster.h
+++ b/unittests/soak/soak_cluster.h
@@ -6,9 +6,11 @@
 #include "guarantee_checker.h"
 #include "soak_endpoint.h"
 #include "soak_gateway.h"
+#include "tenant_checker.h"
 
 #include <array>
 #include <atomic>
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <map>
@@ -32,13 +34,18 @@
 class soak_cluster {
 public:
     /// `one_data_centre` places all gateways together. Nodes of another data centre would pass on
-    /// records that a silent reader withholds. `store_era` is the store's first era.
+    /// records that a silent reader withholds. `store_era` is the store's first era. `tenants` may
+    /// be null; then configurations have no tenants.
     soak_cluster(const net::executor& context, const std::string& program, std::string folder,
-                 guarantee_checker& checked, bool one_data_centre, std::uint64_t store_era);
+                 guarantee_checker& checked, bool one_data_centre, std::uint64_t store_era,
+                 tenant_checker* tenants);
     ~soak_cluster();
     soak_cluster(const soak_cluster&) = delete;
     soak_cluster& operator=(const soak_cluster&) = delete;
 
+    /// Publishes a configuration with a higher version; each version replaces the route that the
+    /// previous one had added.
+    void publish_configuration();
     /// Starts a fault and returns the function that ends it.
     std::function<void()> begin(const fault& item);
 
@@ -59,8 +66,8 @@
 
     void add_endpoint(const net::executor& context, const std::string& service,
                       const std::string& name, const std::string& data_centre);
-    void write_settings(soak_gateway& item, double retry_slack);
-    void publish_configuration();
+    void write_settings(soak_gateway& item, double retry_slack, std::size_t draw);
+    void check_process(const soak_gateway& item);
     void write(const std::string& topic, const std::string& key, const std::string& value);
     void write_locked(const std::string& topic, const std::string& key, const std::string& value);
     net::awaitable<void> write_again(std::vector<written_record> lost, bool newest_only);
@@ -74,6 +81,7 @@
     net::executor context_;
     std::string folder_;
     guarantee_checker& checked_;
+    tenant_checker* tenants_;
     gateway::store_stand_in store_;
     configuration_watch watch_;
     std::mutex write_mutex_;
--- a/unittests/soak/soak_endpoint.cpp
+++ b/unittests/soak/soak_endpoint.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds work_time{15};
 constexpr milliseconds event_pause{10};
 constexpr milliseconds load_time{60};
+constexpr milliseconds queue_interval{2};
 
 /// One call in `slow_call_ratio` takes this long: less than callers wait, and longer than a gateway
 /// that stops has left after it has closed its listening socket.
@@ -273,7 +274,7 @@
             return 421;
         }
     }
-    return running_ >= slots || failure_ == endpoint_failure::full ? 503 : 0;
+    return held_ >= slots + queue_places_ || failure_ == endpoint_failure::full ? 503 : 0;
 }
 
 net::awaitable<void> soak_endpoint::serve(net::http_exchange& exchange) {
@@ -299,7 +300,11 @@
 net::awaitable<void> soak_endpoint::serve_call(net::http_exchange& exchange) {
     const auto& request = exchange.request();
     const std::string id(net::header(request.headers, platform::request_id_header));
-    if (const int status = rejection(request); status != 0) {
+    const int status = rejection(request);
+    if (on_arrival_) {
+        on_arrival_(request, status == 0);
+    }
+    if (status != 0) {
         auto response = status_only(status);
         response.headers[std::string(platform::request_id_header)] = id;
         response.headers[std::string(platform::not_run_header)] = "1";
@@ -317,7 +322,10 @@
     }
     {
         const std::lock_guard lock(mutex_);
-        ++running_;
+        ++held_;
+    }
+    while (!take_slot()) {
+        co_await pause_for(queue_interval);
     }
     if (is_engine()) {
         co_await serve_stream(exchange, id);
@@ -325,6 +333,7 @@
         co_await serve_plain(exchange, id);
     }
     const std::lock_guard lock(mutex_);
+    --held_;
     --running_;
 }
 
--- a/unittests/soak/soak_endpoint.h
+++ b/unittests/soak/soak_endpoint.h
@@ -14,6 +14,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace dragonflystair::soak {
 
@@ -40,6 +41,14 @@
 
     [[nodiscard]] std::string address() const { return server_.address(); }
 
+    /// Is told of each call that arrives and whether it runs.
+    using arrival_hook = std::function<void(const net::http_request& request, bool runs)>;
+    /// Sets the hook; before `register_at`.
+    void on_arrival(arrival_hook hook) { on_arrival_ = std::move(hook); }
+
+    /// Lets calls beyond the slots wait, as the platform's endpoints do; before `register_at`.
+    void set_queue(std::size_t places) { queue_places_ = places; }
+
     /// Registers the endpoint under the address at which gateways reach it.
     void register_at(const std::string& advertised);
     void set_failure(endpoint_failure failure);
@@ -63,6 +72,12 @@
 
     net::awaitable<void> serve(net::http_exchange& exchange);
     net::awaitable<void> serve_call(net::http_exchange& exchange);
+    bool take_slot() {
+        const std::lock_guard lock(mutex_);
+        const bool free = running_ < slots;
+        running_ += free ? 1 : 0;
+        return free;
+    }
     net::awaitable<void> serve_plain(net::http_exchange& exchange, const std::string& id);
     net::awaitable<void> serve_stream(net::http_exchange& exchange, const std::string& id);
     net::http_response take_order(const support::json& order);
@@ -83,11 +98,14 @@
     std::string name_;
     std::string data_centre_;
     registry publish_;
+    arrival_hook on_arrival_;
     std::mutex mutex_;
     std::string id_;
     std::string advertised_;
     int starts_ = 0;
+    std::size_t held_ = 0; ///< Calls that run or wait for a slot.
     std::size_t running_ = 0;
+    std::size_t queue_places_ = 0;
     bool draining_ = false;
     std::optional<support::time_point> unlisted_at_;
     endpoint_failure failure_ = endpoint_failure::none;
--- a/unittests/soak/soak_gateway.cpp
+++ b/unittests/soak/soak_gateway.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <cstdint>
 #include <fstream>
+#include <iterator>
 #include <set>
 #include <unistd.h>
 #include <utility>
@@ -38,6 +39,11 @@
     }
 }
 
+std::string contents(const std::string& path) {
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
 } // namespace
 
 soak_gateway::soak_gateway(std::string program, std::string folder, location where,
@@ -47,7 +53,8 @@
       resolve_address_(free_address()), peer_address_(free_address()),
       metrics_address_(free_address()) {}
 
-void soak_gateway::write_settings(const std::vector<std::string>& peers, double retry_slack) {
+void soak_gateway::write_settings(const std::vector<std::string>& peers, double retry_slack,
+                                  const std::string& more_limits) {
     std::ofstream file(folder_ + "/" + location_.name + ".ini");
     file << fmt::format("[gateway]\nname = {}\ndata_centre = {}\nregion = {}\n", location_.name,
                         location_.data_centre, location_.region)
@@ -61,7 +68,23 @@
          << fmt::format("[limits]\nretry_ratio = 0.2\nretry_slack = {}\nretry_window = 10s\n",
                         retry_slack)
          << fmt::format("lease = 3000ms\nengines_check_fencing = true\nshutdown_timeout = {}ms\n",
-                        shutdown_time.count());
+                        shutdown_time.count())
+         << more_limits;
+}
+
+std::size_t soak_gateway::peak_memory_mb() const {
+    static constexpr std::string_view field = "VmHWM:";
+    constexpr std::size_t kb_per_mb = 1024;
+    if (!process_) {
+        return 0;
+    }
+    const auto status = contents(fmt::format("/proc/{}/status", process_->id()));
+    const auto at = status.find(field);
+    return at == std::string::npos ? 0 : std::stoul(status.substr(at + field.size())) / kb_per_mb;
+}
+
+bool soak_gateway::has_logged(std::string_view text) const {
+    return contents(folder_ + "/" + location_.name + ".log").find(text) != std::string::npos;
 }
 
 void soak_gateway::start() {
--- a/unittests/soak/soak_gateway.h
+++ b/unittests/soak/soak_gateway.h
@@ -4,9 +4,11 @@
 #include "scenarios/tcp_relay.h"
 
 #include <atomic>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace dragonflystair::soak {
@@ -31,7 +33,9 @@
     [[nodiscard]] scenarios::tcp_relay& store_link() { return store_link_; }
 
     /// Writes the settings file. A running process reloads some of the settings on SIGHUP.
-    void write_settings(const std::vector<std::string>& peers, double retry_slack);
+    /// `more_limits` are further lines of the section `limits`.
+    void write_settings(const std::vector<std::string>& peers, double retry_slack,
+                        const std::string& more_limits);
 
     /// Starts the process; does nothing if it is already running.
     void start();
@@ -45,6 +49,10 @@
     /// Kills the process if it is still running, as the platform does after the shutdown timeout.
     /// Returns the exit code, or 128 plus the number of the signal that ended the process.
     int reap();
+    /// Returns the largest resident memory of the running process so far, in MB, or 0.
+    [[nodiscard]] std::size_t peak_memory_mb() const;
+    /// Returns whether the log of all starts contains a text.
+    [[nodiscard]] bool has_logged(std::string_view text) const;
     [[nodiscard]] bool started() const { return process_ != nullptr; }
     /// Returns whether SIGTERM has been sent to the running process.
     [[nodiscard]] bool stopping() const { return stopping_; }
