--- a/unittests/soak/tenant_checker.cpp
+++ b/unittests/soak/tenant_checker.cpp
@@ -217,7 +217,11 @@
     constexpr int over_quota = 429;
     const auto known = keys_.find(item.key);
     const bool lasting = known != keys_.end() && known->second.lasting;
-    if (counts_shares_ && item.in_shares && lasting && status != over_quota) {
+    if (!lasting || status == over_quota) {
+        return;
+    }
+    served_in_a_row_ = status == 200 ? served_in_a_row_ + 1 : 0;
+    if (counts_shares_ && item.in_shares) {
         auto& count = shares_.at(item.tenant);
         ++count.ended;
         count.served += status == 200 ? 1 : 0;
@@ -231,6 +235,11 @@
     }
 }
 
+std::size_t tenant_checker::served_in_a_row() const {
+    const std::lock_guard lock(mutex_);
+    return served_in_a_row_;
+}
+
 void tenant_checker::begin_shares() {
     const std::lock_guard lock(mutex_);
     shares_.assign(tenants, {});
--- a/unittests/soak/tenant_checker.h
+++ b/unittests/soak/tenant_checker.h
@@ -51,6 +51,9 @@
     /// sent apart.
     void note_stall(support::duration delay);
 
+    /// Number of calls with lasting keys and within quotas that were served without one that was
+    /// not in between.
+    [[nodiscard]] std::size_t served_in_a_row() const;
     /// Counts from now on how each tenant is served.
     void begin_shares();
     /// Returns the smallest number of calls that ended since `begin_shares`, over all tenants
@@ -103,6 +106,7 @@
     std::vector<quota_window> windows_; ///< Of the tenants with a quota.
     std::vector<share> shares_;
     bool counts_shares_ = false;
+    std::size_t served_in_a_row_ = 0;
     std::size_t unknown_keys_refused_ = 0;
     std::size_t revoked_keys_refused_ = 0;
 };
--- a/unittests/soak/tenant_faults.cpp
+++ b/unittests/soak/tenant_faults.cpp
@@ -14,6 +14,8 @@
 /// Calls of each tenant without a quota in the surge that is checked.
 constexpr std::size_t compared_calls = 60;
 constexpr std::size_t refused_calls = 5;
+/// So many calls in a row reach all gateways.
+constexpr std::size_t undisturbed_calls = 40;
 /// The timeout of each check; generous, so that the result does not depend on the machine's load.
 constexpr milliseconds check_timeout{60'000};
 constexpr milliseconds poll_interval{20};
@@ -56,6 +58,10 @@
 }
 
 void tenant_faults::check_after_faults(guarantee_checker& checked) {
+    // A gateway that was suspended may refuse keys until it is told that its copy is the newest.
+    if (!wait_until([this] { return tenants_.served_in_a_row() >= undisturbed_calls; })) {
+        checked.report_violation("calls are still refused after the last fault");
+    }
     const auto end_surge = callers_.begin_surge(0);
     tenants_.begin_shares();
     if (!wait_until([this] { return tenants_.least_calls() >= compared_calls; })) {
