Send the crowds of untrusted callers to node as well

`node` had no test of what callers that are not under our control make it hold. The eight crowds, the checks and the observed process are now a fixture that the tests of `gateway` and `node` share; crowds and bounds of the gateway are unchanged. The crowds of `node` come to a path with a service, a path without one, the ready path, the path for publishing and the listener of peers. The platform of the node is the stand-ins program.

The bounds are those of the gateway, 64 MB and 240 descriptors.

--- a/unittests/untrusted_callers/gateway_process.h
+++ b/unittests/untrusted_callers/observed_process.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace dragonflystair::untrusted {
 
@@ -12,24 +13,20 @@
 inline constexpr std::size_t memory_mb = 64;
 inline constexpr std::size_t descriptors = 240;
 
-/// Addresses on which the gateway listens.
-struct gateway_addresses {
-    std::string callers;
-    std::string ready;
-    std::string resolve;
-    std::string peers;
-    std::string metrics;
-};
+/// Returns distinct unused addresses. The loopback host is derived from the process id, so that no
+/// other process takes the ports before they are bound.
+std::vector<std::string> unused_addresses(std::size_t count);
 
-/// A gateway in a child process whose files are in a temporary folder.
-class gateway_process {
+/// A program in a child process whose memory and descriptors are observed. Its settings and its log
+/// are in a temporary folder.
+class observed_process {
 public:
-    explicit gateway_process(const std::string& store_address);
-    ~gateway_process();
-    gateway_process(const gateway_process&) = delete;
-    gateway_process& operator=(const gateway_process&) = delete;
+    /// Starts `command` with the option `--settings` and a file that contains `settings`.
+    observed_process(std::vector<std::string> command, const std::string& settings);
+    ~observed_process();
+    observed_process(const observed_process&) = delete;
+    observed_process& operator=(const observed_process&) = delete;
 
-    [[nodiscard]] const gateway_addresses& addresses() const { return addresses_; }
     [[nodiscard]] bool alive() const;
     /// Returns the largest resident memory so far, in MB.
     [[nodiscard]] std::size_t peak_memory_mb() const;
@@ -38,10 +35,7 @@
     [[nodiscard]] std::string log() const;
 
 private:
-    void write_settings(const std::string& store_address) const;
-
     std::string folder_;
-    gateway_addresses addresses_;
     std::unique_ptr<scenarios::child_process> process_;
 };
 
