Derive the allowance of callers where gateways and nodes can use it

Only `gateway` derived what callers may take from the VM's memory and descriptors. The settings are now config::caller_limits, with one reader of their keys, and the derivation is net::caller_allowance; the gateway keeps its shares.

--- a/include/dragonflystair/config/gateway_settings.h
+++ b/include/dragonflystair/config/gateway_settings.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "dragonflystair/config/caller_limits.h"
 #include "dragonflystair/support/finding.h"
 
 #include <chrono>
-#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -51,15 +51,7 @@
     double quota_overrun = 0.1;
     double quota_slack = 72'000;
     std::chrono::milliseconds resolve_lifetime{1'000};
-    double memory_mb = 0;   ///< Memory of the VM in MB; 0 if unknown.
-    double descriptors = 0; ///< Descriptors that the process may open; 0 if unknown.
-    /// Bytes that callers may make the process hold, in MB; 0 derives them from `memory_mb`.
-    std::size_t held_mb = 0;
-    /// Connections of callers; 0 derives their number from `descriptors` and `held_mb`.
-    std::size_t connections = 0;
-    std::size_t connections_per_address = 0; ///< Connections of one caller address; 0: no limit.
-    std::size_t header_fields = 256;         ///< Header fields of a request.
-    std::size_t min_body_rate_kb = 16;       ///< KiB per second of a body in transfer.
+    caller_limits callers;
     plain_placement plain_calls = plain_placement::node;
     bool learned_speed = false;   ///< Whether the speed of each endpoint is learned.
     bool balanced_choice = false; ///< Whether a node chooses at random between similar endpoints.
--- a/lib/config/gateway_settings.cpp
+++ b/lib/config/gateway_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflystair/config/address.h"
 
+#include "caller_limits_section.h"
 #include "section_table.h"
 #include "values.h"
 
@@ -51,19 +52,6 @@
     }
 }
 
-/// Reads the limits on what callers may make the process hold.
-void read_caller_limits(section_reader& reader, gateway_settings& values) {
-    constexpr std::size_t max_mb = std::size_t{1024} * 1024;
-    constexpr std::size_t max_count = 10'000'000;
-    reader.number("memory_mb", values.memory_mb);
-    reader.number("descriptors", values.descriptors);
-    reader.count("held_mb", max_mb, values.held_mb);
-    reader.count("connections", max_count, values.connections);
-    reader.count("connections_per_address", max_count, values.connections_per_address);
-    reader.count("header_fields", max_count, values.header_fields);
-    reader.count("min_body_rate_kb", max_mb, values.min_body_rate_kb);
-}
-
 void read_limits(section_reader& reader, gateway_settings& values) {
     reader.number("cores", values.cores);
     reader.number("retry_ratio", values.retry_ratio);
@@ -74,7 +62,7 @@
         reader.choice("engines_check_fencing", {"true", "false"}) == "true";
     reader.duration("shutdown_timeout", values.shutdown_timeout);
     reader.duration("resolve_lifetime", values.resolve_lifetime);
-    read_caller_limits(reader, values);
+    read_caller_limits(reader, values.callers);
     values.plain_calls = reader.choice("plain_calls", {"lead", "node"}) == "lead"
                              ? plain_placement::lead
                              : plain_placement::node;
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -1,5 +1,6 @@
 #include "gateway_impl.h"
 
+#include "dragonflystair/net/caller_allowance.h"
 #include "dragonflystair/net/spawn.h"
 #include "dragonflystair/support/hash.h"
 #include "dragonflystair/support/log.h"
@@ -142,7 +143,7 @@
           counters_),
       quota_allocator_({settings.quota_window, settings.quota_overrun, settings.quota_slack}),
       caller_server_(
-          io_.get_executor(), settings.caller_address, caller_limits_of(settings),
+          io_.get_executor(), settings.caller_address, net::request_limits_of(settings.callers),
           [this](net::http_exchange& exchange) {
               last_caller_request_ = boot_clock::now();
               return relay_.serve(exchange);
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -1,9 +1,9 @@
+#include "dragonflystair/net/caller_allowance.h"
 #include "dragonflystair/net/json_text.h"
 #include "dragonflystair/net/spawn.h"
 #include "dragonflystair/support/log.h"
 
 #include "gateway_impl.h"
-#include "listener_shares.h"
 #include "platform/decode.h"
 #include "platform/names.h"
 #include "sleep.h"
@@ -71,7 +71,7 @@
     for (const auto& [name, holder] : holders_) {
         holder->planner().configure(current);
     }
-    auto limits = caller_limits_of(view_.settings);
+    auto limits = net::request_limits_of(view_.settings.callers);
     limits.header_bytes = current.limits.header_bytes;
     limits.body_bytes = current.limits.body_bytes;
     limits.request_timeout = current.limits.header_timeout;
--- a/lib/gateway/listener_shares.h
+++ b/lib/gateway/listener_shares.h
@@ -21,12 +21,6 @@
 /// the system lets the process open.
 listener_shares shares_of(const config::gateway_settings& settings, std::size_t open_limit);
 
-/// Returns the largest number of descriptors that the system lets this process open.
-std::size_t system_open_limit();
-
-/// Returns the limits of the caller listener; the configuration replaces sizes and times.
-net::http_server_limits caller_limits_of(const config::gateway_settings& settings);
-
 /// Returns the limits of the ready, resolve and metrics listeners, whose requests have no body.
 net::http_server_limits other_limits_of(const config::gateway_settings& settings);
 
--- a/unittests/config/gateway_settings_test.cpp
+++ b/unittests/config/gateway_settings_test.cpp
@@ -52,8 +52,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("s"), result.values.data_centres.at("south"));
         CPPUNIT_ASSERT(result.values.engines_check_fencing);
         CPPUNIT_ASSERT_EQUAL(0.3, result.values.retry_ratio);
-        CPPUNIT_ASSERT_EQUAL(120.0, result.values.memory_mb);
-        CPPUNIT_ASSERT_EQUAL(3'075.0, result.values.descriptors);
+        CPPUNIT_ASSERT_EQUAL(120.0, result.values.callers.memory_mb);
+        CPPUNIT_ASSERT_EQUAL(3'075.0, result.values.callers.descriptors);
         CPPUNIT_ASSERT(result.values.plain_calls == plain_placement::node);
     }
 
--- a/unittests/untrusted_callers/listener_shares_test.cpp
+++ b/unittests/untrusted_callers/listener_shares_test.cpp
@@ -13,8 +13,8 @@
 
 config::gateway_settings settings_of(double memory_mb, double descriptors) {
     config::gateway_settings settings;
-    settings.memory_mb = memory_mb;
-    settings.descriptors = descriptors;
+    settings.callers.memory_mb = memory_mb;
+    settings.callers.descriptors = descriptors;
     return settings;
 }
 
@@ -53,9 +53,9 @@
 
     void explicit_settings_replace_derived_ones() {
         auto settings = settings_of(120, 3'075);
-        settings.held_mb = 64;
-        settings.connections = 7;
-        settings.connections_per_address = 3;
+        settings.callers.held_mb = 64;
+        settings.callers.connections = 7;
+        settings.callers.connections_per_address = 3;
         const auto shares = shares_of(settings, no_open_limit);
         CPPUNIT_ASSERT_EQUAL(64 * mib, shares.callers.held_bytes + 3 * shares.other.held_bytes);
         CPPUNIT_ASSERT_EQUAL(std::size_t{7}, shares.callers.connections);
