Derive the limits of a node's listeners from its VM

It now takes the section [limits] with the keys of the gateway. Callers have 4/5 and operators 1/5 of a quarter of the memory; callers have a third of the descriptors, since a call that is served may need a connection to an endpoint, operators and handshakes of peers 1/16 each. The largest text that can be published follows from the share of operators, so that a text is refused with 413 rather than for lack of room however often it is sent. The gauges caller_connections and caller_bytes_held are new.

Without the section the bytes are the same as before; the connections are a third of the system's descriptors instead of half, at most 10,240, and 1/16 for operators, 16 to 128, instead of 128.

--- a/include/dragonflystair/config/settings.h
+++ b/include/dragonflystair/config/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflystair/config/caller_limits.h"
 #include "dragonflystair/support/finding.h"
 
 #include <chrono>
@@ -30,6 +31,7 @@
     std::chrono::milliseconds answer_lifetime{30'000};
     std::chrono::milliseconds progress_timeout{5'000};
     std::chrono::milliseconds drain_timeout{600'000};
+    caller_limits callers;
 };
 
 /// Settings and all findings; the settings are usable only if there are none.
--- a/lib/config/settings.cpp
+++ b/lib/config/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflystair/config/address.h"
 
+#include "caller_limits_section.h"
 #include "section_table.h"
 #include "values.h"
 
@@ -78,11 +79,16 @@
     }
 }
 
-constexpr std::array<section_kind<settings>, 5> kinds{{{"node", true, read_node},
+void read_limits(section_reader& reader, settings& values) {
+    read_caller_limits(reader, values.callers);
+}
+
+constexpr std::array<section_kind<settings>, 6> kinds{{{"node", true, read_node},
                                                        {"peers", false, read_peers},
                                                        {"platform", true, read_platform},
                                                        {"secrets", true, read_secrets},
-                                                       {"timing", false, read_timing}}};
+                                                       {"timing", false, read_timing},
+                                                       {"limits", false, read_limits}}};
 
 } // namespace
 
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -1,9 +1,11 @@
 #include "node_impl.h"
 
+#include "dragonflystair/net/caller_allowance.h"
 #include "dragonflystair/net/spawn.h"
 #include "dragonflystair/support/hash.h"
 #include "dragonflystair/support/log.h"
 
+#include "server_options.h"
 #include "sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,30 +26,6 @@
 /// callers.
 constexpr std::chrono::milliseconds isolation_timeout{10'000};
 
-/// Limits of the operator API. The body limit leaves room for large deployments: one with 23,000
-/// adapters has about 1.5 MB.
-net::http_server_limits operator_limits() {
-    net::http_server_limits limits;
-    limits.body_bytes = 16UL * 1024 * 1024;
-    return limits;
-}
-
-/// Callers may hold most of what callers can make a node hold, and operators have a share of their
-/// own, so that they can act while callers are many.
-net::http_server_options caller_options() {
-    net::http_server_options options;
-    options.name = "callers";
-    return options;
-}
-
-net::http_server_options operator_options() {
-    net::http_server_options options;
-    options.name = "operators";
-    options.capacity.held_bytes = 64UL * 1024 * 1024;
-    options.capacity.connections = 128;
-    return options;
-}
-
 membership::lease_timing timing_of(const config::settings& settings) {
     return {settings.lease, settings.lease_margin, settings.renewal_period};
 }
@@ -139,7 +117,7 @@
       claim_follower(context, log, "claims",
                      follower_hooks(claims, *claim_writer, claim_snapshots)),
       network(context.executor, context.settings.peer_address,
-              {context.settings.name, context.incarnation, context.settings.peer_secret},
+              peer_settings_of(context.settings, context.incarnation),
               {[this](std::string_view peer, const support::json& frame) {
                    protocol.on_frame(peer, frame);
                },
@@ -147,13 +125,14 @@
                [this](std::string_view peer) { protocol.on_down(peer); }},
               context.counters),
       caller_server(
-          context.executor, context.settings.caller_address, {},
+          context.executor, context.settings.caller_address,
+          net::request_limits_of(context.settings.callers),
           [this](net::http_exchange& exchange) { return callers.serve(exchange); },
-          context.counters, caller_options()),
+          context.counters, caller_options_of(context.settings)),
       operator_server(
-          context.executor, context.settings.operator_address, operator_limits(),
+          context.executor, context.settings.operator_address, operator_limits_of(context.settings),
           [this](net::http_exchange& exchange) { return operators.serve(exchange); },
-          context.counters, operator_options()),
+          context.counters, operator_options_of(context.settings)),
       agent(context, members, *member_writer, member_follower, session_record(),
             {[this] { return ownables(); },
              [this](ledger::session_id session) { claims.set_session(session); }, [] {},
@@ -255,6 +234,8 @@
     counters.set_gauge("endpoints_owned", static_cast<double>(owners.all().size()));
     counters.set_gauge("attempts_running", static_cast<double>(owners.running()));
     counters.set_gauge("exchanges_open", static_cast<double>(caller_server.open_exchanges()));
+    counters.set_gauge("caller_connections", static_cast<double>(caller_server.open_connections()));
+    counters.set_gauge("caller_bytes_held", static_cast<double>(caller_server.held_bytes()));
     counters.set_gauge("idempotency_keys", static_cast<double>(claims.keys()));
     counters.set_gauge("load_permits_outstanding", static_cast<double>(permits.outstanding()));
     counters.set_gauge("requests_quarantined",
--- a/unittests/config/settings_test.cpp
+++ b/unittests/config/settings_test.cpp
@@ -30,6 +30,9 @@
 lease = 5s
 progress_timeout = 500ms
 drain_timeout = 2min
+[limits]
+memory_mb = 120
+header_fields = 64
 )";
 
 std::string findings_after_replacing(const std::string& from, const std::string& to) {
@@ -62,6 +65,8 @@
         CPPUNIT_ASSERT(values.progress_timeout == std::chrono::milliseconds{500});
         CPPUNIT_ASSERT(values.drain_timeout == std::chrono::minutes{2});
         CPPUNIT_ASSERT(values.lease_margin == std::chrono::seconds{2});
+        CPPUNIT_ASSERT_EQUAL(120.0, values.callers.memory_mb);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{64}, values.callers.header_fields);
     }
 
     void address_without_ip_or_port_is_reported() {
--- a/unittests/untrusted_callers/node_crowds_test.cpp
+++ b/unittests/untrusted_callers/node_crowds_test.cpp
@@ -39,7 +39,8 @@
            fmt::format("caller_address = {}\npeer_address = {}\noperator_address = {}\n",
                        at.callers, at.peers, at.operators) +
            fmt::format("[platform]\nlog = {}\nvm_list = {}\n", at.log, at.vms) +
-           "[secrets]\noperator_token = token\npeer_secret = secret\n";
+           "[secrets]\noperator_token = token\npeer_secret = secret\n" +
+           fmt::format("[limits]\nmemory_mb = {}\ndescriptors = {}\n", memory_mb, descriptors);
 }
 
 /// `node`, whose crowds come to a path with a service, a path without one, the ready path, the path
