Answer a node's callers and operators from the head where it suffices

A node read the whole body, up to 16 MB on the operator listener, of requests without the token, for an unknown path, or while it takes no callers. Now only an authorized request to publish, a completion and a call of /services/ are read to their end; the others are answered from their head. The responses and their reasons are the same.

--- a/lib/node/caller_api.cpp
+++ b/lib/node/caller_api.cpp
@@ -14,19 +14,17 @@
 
 net::awaitable<void> caller_api::serve(net::http_exchange& exchange) {
     const auto& request = exchange.request();
-    const auto path = net::path_of(request.target);
-    if (!serves_()) {
-        co_await refuse(exchange, not_run(503, "not_ready",
-                                          "this node is not accepting callers; resolve again",
-                                          std::chrono::seconds{1}));
+    if (auto refusal = refuse_from_head(request)) {
+        co_await exchange.respond(std::move(*refusal));
         co_return;
     }
-    if (path == "/v1/resolve" && request.method == "GET") {
+    const auto path = net::path_of(request.target);
+    if (path == "/v1/resolve") {
         auto response = resolver_.resolve(request);
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    if (path == "/v1/models" && request.method == "GET") {
+    if (path == "/v1/models") {
         auto response = list_models();
         co_await exchange.respond(std::move(response));
         co_return;
@@ -35,16 +33,35 @@
         co_await plain_.serve(exchange);
         co_return;
     }
-    const bool chat = path == "/v1/chat/completions";
-    if (!chat && path != "/v1/completions") {
-        co_await refuse(exchange, not_run(404, "unknown_path", "unknown request path"));
-        co_return;
+    co_await models_.serve(exchange, path == "/v1/chat/completions");
+}
+
+std::optional<net::http_response> caller_api::refuse_from_head(const net::http_request& head) {
+    const auto refusal = refusal_of(head);
+    if (!refusal) {
+        return std::nullopt;
+    }
+    context_.counters.increment("refusals_total", refusal->reason);
+    return problem_response(*refusal);
+}
+
+std::optional<problem> caller_api::refusal_of(const net::http_request& request) const {
+    if (!serves_()) {
+        return not_run(503, "not_ready", "this node is not accepting callers; resolve again",
+                       std::chrono::seconds{1});
+    }
+    const auto path = net::path_of(request.target);
+    const bool listed = path == "/v1/resolve" || path == "/v1/models";
+    if (path.starts_with("/services/") || (listed && request.method == "GET")) {
+        return std::nullopt;
+    }
+    if (path != "/v1/chat/completions" && path != "/v1/completions") {
+        return not_run(404, "unknown_path", "unknown request path");
     }
     if (request.method != "POST") {
-        co_await refuse(exchange, not_run(405, "wrong_method", "this path requires POST"));
-        co_return;
+        return not_run(405, "wrong_method", "this path requires POST");
     }
-    co_await models_.serve(exchange, chat);
+    return std::nullopt;
 }
 
 /// Lists the models in the format of the OpenAI API, whose clients request this list first.
@@ -60,9 +77,4 @@
     return response;
 }
 
-net::awaitable<void> caller_api::refuse(net::http_exchange& exchange, problem refusal) {
-    context_.counters.increment("refusals_total", refusal.reason);
-    co_await exchange.respond(problem_response(refusal));
-}
-
 } // namespace dragonflystair::node
--- a/lib/node/caller_api.h
+++ b/lib/node/caller_api.h
@@ -7,6 +7,11 @@
 #include "plain_calls.h"
 #include "resolver.h"
 
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
 namespace dragonflystair::node {
 
 /// The HTTP interface for callers: resolution, model list, completions and plain services.
@@ -17,9 +22,12 @@
 
     net::awaitable<void> serve(net::http_exchange& exchange);
 
+    /// Returns the refusal of a request that can be refused before its body has arrived.
+    [[nodiscard]] std::optional<net::http_response> refuse_from_head(const net::http_request& head);
+
 private:
+    [[nodiscard]] std::optional<problem> refusal_of(const net::http_request& request) const;
     [[nodiscard]] net::http_response list_models() const;
-    net::awaitable<void> refuse(net::http_exchange& exchange, problem refusal);
 
     node_context& context_;
     resolver& resolver_;
--- a/lib/node/node_impl.cpp
+++ b/lib/node/node_impl.cpp
@@ -128,11 +128,16 @@
           context.executor, context.settings.caller_address,
           net::request_limits_of(context.settings.callers),
           [this](net::http_exchange& exchange) { return callers.serve(exchange); },
-          context.counters, caller_options_of(context.settings)),
+          context.counters,
+          caller_options_of(context.settings,
+                            [this](const auto& head) { return callers.refuse_from_head(head); })),
       operator_server(
           context.executor, context.settings.operator_address, operator_limits_of(context.settings),
           [this](net::http_exchange& exchange) { return operators.serve(exchange); },
-          context.counters, operator_options_of(context.settings)),
+          context.counters,
+          operator_options_of(
+              context.settings,
+              [this](const auto& head) { return operators.answer_from_head(head); })),
       agent(context, members, *member_writer, member_follower, session_record(),
             {[this] { return ownables(); },
              [this](ledger::session_id session) { claims.set_session(session); }, [] {},
--- a/lib/node/operator_api.cpp
+++ b/lib/node/operator_api.cpp
@@ -82,8 +82,11 @@
 operator_api::operator_api(operator_services services) : services_(std::move(services)) {}
 
 net::awaitable<void> operator_api::serve(net::http_exchange& exchange) {
-    auto response = co_await route(exchange.request());
-    co_await exchange.respond(std::move(response));
+    auto response = answer_from_head(exchange.request());
+    if (!response) {
+        response = co_await publish(exchange.request());
+    }
+    co_await exchange.respond(std::move(*response));
 }
 
 bool operator_api::authorized(const net::http_request& request) const {
@@ -94,40 +97,38 @@
                                   services_.context.settings.operator_token);
 }
 
-net::awaitable<net::http_response> operator_api::route(const net::http_request& request) {
+std::optional<net::http_response>
+operator_api::answer_from_head(const net::http_request& request) const {
     const auto path = net::path_of(request.target);
     if (path == "/healthz") {
-        co_return text_response("ok\n");
+        return text_response("ok\n");
     }
     if (path == "/readyz") {
         const bool ready = services_.ready();
-        co_return text_response(ready ? "ready\n" : services_.lifecycle() + "\n",
-                                ready ? 200 : 503);
+        return text_response(ready ? "ready\n" : services_.lifecycle() + "\n", ready ? 200 : 503);
     }
     if (path == "/metrics") {
-        co_return metrics();
+        return metrics();
     }
     if (!authorized(request)) {
         services_.context.counters.increment("operator_refusals_total", "unauthorized");
-        co_return problem_response(
-            not_run(401, "unauthorized", "a valid bearer token is required"));
+        return problem_response(not_run(401, "unauthorized", "a valid bearer token is required"));
     }
     if (path == "/v1/status") {
-        co_return status();
+        return status();
     }
     if (path == "/v1/history") {
-        co_return history();
+        return history();
     }
     if (path == "/v1/text") {
         auto response = text_response(config::render(services_.config.view()->sections));
         response.headers["X-Revision"] = std::to_string(services_.config.view()->revision);
-        co_return response;
+        return response;
     }
     if (path == "/v1/publish" && request.method == "POST") {
-        auto response = co_await publish(request);
-        co_return response;
+        return std::nullopt;
     }
-    co_return problem_response(
+    return problem_response(
         not_run(404, "unknown_path", "the operator API has no such path or method"));
 }
 
--- a/lib/node/operator_api.h
+++ b/lib/node/operator_api.h
@@ -42,8 +42,12 @@
 
     net::awaitable<void> serve(net::http_exchange& exchange);
 
+    /// Returns the response to a request that needs no body, which is any other than an authorized
+    /// one to publish.
+    [[nodiscard]] std::optional<net::http_response>
+    answer_from_head(const net::http_request& request) const;
+
 private:
-    net::awaitable<net::http_response> route(const net::http_request& request);
     [[nodiscard]] bool authorized(const net::http_request& request) const;
     [[nodiscard]] net::http_response metrics() const;
     [[nodiscard]] net::http_response status() const;
--- a/lib/node/server_options.cpp
+++ b/lib/node/server_options.cpp
@@ -3,6 +3,7 @@
 #include "dragonflystair/net/caller_allowance.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dragonflystair::node {
 
@@ -53,17 +54,19 @@
     return limits;
 }
 
-net::http_server_options caller_options_of(const config::settings& settings) {
+net::http_server_options caller_options_of(const config::settings& settings, head_check check) {
     net::http_server_options options;
     options.name = "callers";
     options.capacity = capacity_of(settings, net::system_open_limit()).callers;
+    options.check_head = std::move(check);
     return options;
 }
 
-net::http_server_options operator_options_of(const config::settings& settings) {
+net::http_server_options operator_options_of(const config::settings& settings, head_check check) {
     net::http_server_options options;
     options.name = "operators";
     options.capacity = capacity_of(settings, net::system_open_limit()).operators;
+    options.check_head = std::move(check);
     return options;
 }
 
--- a/lib/node/server_options.h
+++ b/lib/node/server_options.h
@@ -5,6 +5,8 @@
 #include "dragonflystair/net/peer_network.h"
 
 #include <cstddef>
+#include <functional>
+#include <optional>
 #include <string>
 
 namespace dragonflystair::node {
@@ -24,8 +26,11 @@
 /// Returns the limits of the operator listener. A text has room in the listener's share.
 net::http_server_limits operator_limits_of(const config::settings& settings);
 
-net::http_server_options caller_options_of(const config::settings& settings);
-net::http_server_options operator_options_of(const config::settings& settings);
+/// Responds to a request whose body has not arrived yet, as in `net::http_server_options`.
+using head_check = std::function<std::optional<net::http_response>(const net::http_request& head)>;
+
+net::http_server_options caller_options_of(const config::settings& settings, head_check check);
+net::http_server_options operator_options_of(const config::settings& settings, head_check check);
 
 net::peer_settings peer_settings_of(const config::settings& settings,
                                     const std::string& incarnation);
--- a/unittests/node/server_options_test.cpp
+++ b/unittests/node/server_options_test.cpp
@@ -50,7 +50,7 @@
         const auto settings = settings_of(120, 3'075);
         const auto limit = operator_limits_of(settings).body_bytes;
         CPPUNIT_ASSERT(limit > 3 * mib);
-        CPPUNIT_ASSERT(limit < operator_options_of(settings).capacity.held_bytes / 4 * 3);
+        CPPUNIT_ASSERT(limit < capacity_of(settings, no_open_limit).operators.held_bytes / 4 * 3);
     }
 
     void unknown_machine_has_room_for_the_largest_text() {
--- a/unittests/untrusted_callers/node_crowds_test.cpp
+++ b/unittests/untrusted_callers/node_crowds_test.cpp
@@ -1,5 +1,6 @@
 #include "crowd_fixture.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <fmt/format.h>
 
 #include <memory>
@@ -47,6 +48,7 @@
 /// at which operators publish and the listener of peers.
 class node_crowds_test : public crowd_fixture {
     CPPUNIT_TEST_SUB_SUITE(node_crowds_test, crowd_fixture);
+    CPPUNIT_TEST(requests_that_are_refused_anyway_are_answered_without_their_body);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -72,6 +74,13 @@
         crowd_fixture::tearDown();
     }
 
+    /// Guards against bodies that are held although the head shows that they are not used.
+    void requests_that_are_refused_anyway_are_answered_without_their_body() {
+        CPPUNIT_ASSERT_EQUAL(std::string("401"), status_without_body(at_.operators, "/v1/publish"));
+        CPPUNIT_ASSERT_EQUAL(std::string("404"), status_without_body(at_.callers, "/nowhere"));
+        CPPUNIT_ASSERT_EQUAL(std::string("200"), status_without_body(at_.operators, "/healthz"));
+    }
+
 protected:
     const observed_process& process() const override { return *process_; }
 
@@ -96,6 +105,20 @@
                          {{"Idempotency-Key", key}, {"X-Deadline-Ms", "9000"}}, "{}");
     }
 
+    /// Sends a head that announces a body, and returns the status of the response.
+    static std::string status_without_body(const std::string& address, const std::string& path) {
+        boost::asio::ip::tcp::iostream stream;
+        const auto colon = address.rfind(':');
+        stream.connect(address.substr(0, colon), address.substr(colon + 1));
+        stream << "POST " << path
+               << " HTTP/1.1\r\nHost: desk\r\nContent-Length: " << legal_body_bytes << "\r\n\r\n"
+               << std::flush;
+        std::string version;
+        std::string status;
+        stream >> version >> status;
+        return status;
+    }
+
     node_addresses at_;
     std::unique_ptr<observed_process> platform_;
     std::unique_ptr<observed_process> process_;
