Share sample calls, endpoints and configurations between tests of the fleet

Twelve tests filled in the same records, calls and services field by field. They now take them from unittests/fleet/samples.h, as does the fixture of the gateway's placement tests. Configurations of some tests now also have the service `register`, without endpoints.

--- a/unittests/fleet/adapter_planner_fixture.h
+++ b/unittests/fleet/adapter_planner_fixture.h
@@ -2,6 +2,8 @@
 
 #include "dragonflystair/fleet/adapter_planner.h"
 
+#include "samples.h"
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -12,20 +14,22 @@
 
 using std::chrono::milliseconds;
 
-inline constexpr support::time_point start{std::chrono::hours{1}};
-
 inline endpoint_record engine(const std::string& id) {
-    endpoint_record record;
-    record.id = id;
-    record.service = "assistant";
-    record.address = "10.0.0.1:80";
-    record.data_centre = "north";
-    record.slots = 4;
-    record.started_ms = 1;
+    auto record = sample_endpoint(id, "assistant", 4);
     record.models = {{"base", 1, {}}};
     return record;
 }
 
+/// Returns a configuration whose engines have `batch_slots` slots and three adapter slots.
+inline configuration planned_configuration(std::size_t batch_slots) {
+    auto current = sample_configuration(batch_slots);
+    auto& engines = current.services["assistant"].engines;
+    engines.weights_mb = 100;
+    engines.adapter_slots = 3;
+    engines.models = {{"base", 50, 1, milliseconds{600}}};
+    return current;
+}
+
 inline adapter_demand waiting_for(const std::string& adapter) {
     return {{"base", adapter}, "north", 1, 0, 0, {}};
 }
@@ -40,16 +44,7 @@
 public:
     void setUp() override {
         planner = std::make_unique<adapter_planner>();
-        configuration current;
-        service assistant;
-        assistant.name = "assistant";
-        assistant.has_engines = true;
-        assistant.engines.batch_slots = 4;
-        assistant.engines.weights_mb = 100;
-        assistant.engines.adapter_slots = 3;
-        assistant.engines.models = {{"base", 50, 1, milliseconds{600}}};
-        current.services = {{"assistant", assistant}};
-        planner->configure(current);
+        planner->configure(planned_configuration(4));
         planner->update(engine("a"));
         now = start;
     }
--- a/unittests/fleet/delegated_calls_test.cpp
+++ b/unittests/fleet/delegated_calls_test.cpp
@@ -1,5 +1,7 @@
 #include "dragonflystair/fleet/delegated_calls.h"
 
+#include "samples.h"
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -11,16 +13,8 @@
 using namespace dragonflystair::fleet;
 using std::chrono::milliseconds;
 
-constexpr support::time_point start{std::chrono::hours{1}};
-
 pending_call generation(std::uint64_t number) {
-    pending_call call;
-    call.number = number;
-    call.service = "assistant";
-    call.arrived = start;
-    call.objective_deadline = start + milliseconds{600};
-    call.queue_deadline = call.objective_deadline;
-    return call;
+    return sample_call(number, "assistant", start, milliseconds{600});
 }
 
 /// Calls whose placement is delegated to another node.
--- a/unittests/fleet/endpoint_notices_test.cpp
+++ b/unittests/fleet/endpoint_notices_test.cpp
@@ -3,6 +3,8 @@
 #include "dragonflystair/fleet/endpoint_backoff.h"
 #include "dragonflystair/fleet/endpoint_watch.h"
 
+#include "adapter_planner_fixture.h"
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -19,7 +21,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr support::time_point start{std::chrono::hours{1}};
 constexpr std::uint64_t first_run = 1;
 constexpr std::uint64_t second_run = 2;
 /// Requests that an endpoint receives within this time after its rejection are not counted.
@@ -166,15 +167,7 @@
 
 public:
     void setUp() override {
-        configuration current;
-        service assistant;
-        assistant.name = "assistant";
-        assistant.has_engines = true;
-        assistant.engines.batch_slots = slots;
-        assistant.engines.weights_mb = 100;
-        assistant.engines.adapter_slots = 3;
-        assistant.engines.models = {{"base", 50, 1, milliseconds{600}}};
-        current.services = {{"assistant", assistant}};
+        const auto current = planned_configuration(slots);
         dispatcher_ = std::make_unique<dispatcher>(topology("north", {{"north", "n"}}));
         dispatcher_->configure(current);
         planner_ = std::make_unique<adapter_planner>();
@@ -256,12 +249,7 @@
     const model_name rare_{"base", "rare"};
 
     static endpoint_record engine(const std::string& id, bool has_rare = false) {
-        endpoint_record record;
-        record.id = id;
-        record.service = "assistant";
-        record.address = "10.0.0.1:80";
-        record.data_centre = "north";
-        record.slots = slots;
+        auto record = sample_endpoint(id, "assistant", slots);
         record.started_ms = first_run;
         record.models = {{"base", 1, {}}};
         if (has_rare) {
@@ -271,13 +259,8 @@
     }
 
     static pending_call call(std::uint64_t number) {
-        pending_call made;
-        made.number = number;
-        made.service = "assistant";
+        auto made = sample_call(number, "assistant", start, seconds{3});
         made.model = {"base", {}};
-        made.arrived = start;
-        made.objective_deadline = start + seconds{3};
-        made.queue_deadline = made.objective_deadline;
         return made;
     }
 
--- a/unittests/fleet/engine_memory_test.cpp
+++ b/unittests/fleet/engine_memory_test.cpp
@@ -1,4 +1,4 @@
-#include "dragonflystair/fleet/dispatcher.h"
+#include "samples.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -17,40 +17,25 @@
 using namespace dragonflystair::fleet;
 using std::chrono::milliseconds;
 
-constexpr support::time_point start{std::chrono::hours{1}};
 constexpr std::size_t cache_tokens = 122'581;
 
 /// A dispatcher of a service with three engines of 32 slots.
 std::unique_ptr<dispatcher> make_node(std::size_t cache) {
     auto node = std::make_unique<dispatcher>(topology("north", {{"north", "n"}}));
-    configuration current;
-    auto& assistant = current.services["assistant"];
-    assistant.name = "assistant";
-    assistant.has_engines = true;
-    assistant.engines.batch_slots = 32;
-    assistant.engines.cache_tokens = cache;
+    auto current = sample_configuration(32);
+    current.services["assistant"].engines.cache_tokens = cache;
     node->configure(current);
     for (const std::string id : {"a", "b", "c"}) {
-        endpoint_record record;
-        record.id = id;
-        record.service = "assistant";
-        record.data_centre = "north";
-        record.slots = 32;
-        node->update(record);
+        node->update(sample_endpoint(id, "assistant", 32));
     }
     return node;
 }
 
 pending_call call_of(std::uint64_t number, std::size_t prompt, std::size_t output,
                      support::time_point now) {
-    pending_call call;
-    call.number = number;
-    call.service = "assistant";
+    auto call = sample_call(number, "assistant", now, milliseconds{2'000});
     call.prompt_tokens = prompt;
     call.output_tokens = output;
-    call.arrived = now;
-    call.objective_deadline = now + milliseconds{2'000};
-    call.queue_deadline = call.objective_deadline;
     return call;
 }
 
--- a/unittests/fleet/even_load_test.cpp
+++ b/unittests/fleet/even_load_test.cpp
@@ -11,8 +11,6 @@
 using namespace dragonflystair;
 using namespace dragonflystair::fleet;
 
-constexpr support::time_point start{std::chrono::hours{1}};
-
 balancing balanced() {
     balancing result;
     result.learned_speed = true;
@@ -69,7 +67,7 @@
     void lead_still_takes_the_least_costly_endpoint() {
         auto node = two_endpoints("north");
         for (std::uint64_t number = 1; number <= 8; ++number) {
-            auto call = sample_call(number, start, milliseconds{400});
+            auto call = sample_call(number, "register", start, milliseconds{400});
             call.data_centre = "north";
             node->submit(call);
             CPPUNIT_ASSERT_EQUAL(std::string(number % 2 == 1 ? "a" : "b"),
@@ -88,7 +86,7 @@
         std::uint64_t number = 0;
         for (int i = 0; i < 120; ++i) {
             const bool near = i % 2 == 0;
-            auto call = sample_call(++number, now, milliseconds{400});
+            auto call = sample_call(++number, "register", now, milliseconds{400});
             call.excluded = {near ? "b" : "a"};
             node->submit(call);
             node->pump(now);
@@ -97,10 +95,10 @@
             node->on_started(number, now);
             node->finish(number, now);
         }
-        node->submit(sample_call(++number, now, milliseconds{400}));
+        node->submit(sample_call(++number, "register", now, milliseconds{400}));
         CPPUNIT_ASSERT_EQUAL(std::string("a"), node->pump(now).at(0).endpoint);
         node->finish(number, now);
-        node->submit(sample_call(++number, now, milliseconds{95}));
+        node->submit(sample_call(++number, "register", now, milliseconds{95}));
         CPPUNIT_ASSERT_EQUAL(std::string("b"), node->pump(now).at(0).endpoint);
     }
 
@@ -117,29 +115,10 @@
         auto node =
             std::make_unique<dispatcher>(topology("north", {{"north", "n"}, {"south", "s"}}));
         node->balance(balanced());
-        endpoint_record record;
-        record.service = "register";
-        record.slots = 4;
-        record.started_ms = 1;
-        record.id = "a";
-        record.data_centre = "north";
-        node->update(record);
-        record.id = "b";
-        record.data_centre = second_data_centre;
-        node->update(record);
+        node->update(sample_endpoint("a", "register", 4));
+        node->update(sample_endpoint("b", "register", 4, second_data_centre));
         return node;
     }
-
-    static pending_call sample_call(std::uint64_t number, support::time_point now,
-                                    milliseconds objective) {
-        pending_call call;
-        call.number = number;
-        call.service = "register";
-        call.arrived = now;
-        call.objective_deadline = now + objective;
-        call.queue_deadline = call.objective_deadline;
-        return call;
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(even_load_test);
--- a/unittests/fleet/fair_queue_test.cpp
+++ b/unittests/fleet/fair_queue_test.cpp
@@ -1,6 +1,7 @@
-#include "dragonflystair/fleet/dispatcher.h"
 #include "dragonflystair/fleet/fair_queue.h"
 
+#include "samples.h"
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -18,7 +19,6 @@
 using namespace dragonflystair::fleet;
 using std::chrono::milliseconds;
 
-constexpr support::time_point start{std::chrono::hours{1}};
 constexpr std::size_t tenant_count = 16;
 /// Tenants 0 and 1 usually send four times as much as each of the others.
 constexpr std::size_t flooding = 1;
@@ -70,12 +70,7 @@
             added.rate_per_s = usual_load(i);
         }
         dispatcher_.configure(current);
-        endpoint_record record;
-        record.id = "a";
-        record.service = "s";
-        record.data_centre = "north";
-        record.slots = slots;
-        dispatcher_.update(record);
+        dispatcher_.update(sample_endpoint("a", "s", slots));
     }
 
     outcome run(bool with_tenants) {
@@ -123,14 +118,9 @@
     };
 
     void submit(std::size_t tenant, support::time_point arrived) {
-        pending_call call;
-        call.number = ++last_number_;
-        call.service = "s";
+        auto call = sample_call(++last_number_, "s", now_, objective);
         call.prompt_tokens = tokens_;
         call.tenant = with_tenants_ ? std::to_string(tenant) : std::string();
-        call.arrived = now_;
-        call.objective_deadline = now_ + objective;
-        call.queue_deadline = call.objective_deadline;
         calls_[call.number] = {tenant, arrived};
         dispatcher_.submit(call);
     }
@@ -183,12 +173,9 @@
 
 pending_call waiting_call(std::uint64_t number, const std::string& tenant, milliseconds due,
                           int priority = 0) {
-    pending_call call;
-    call.number = number;
-    call.service = "s";
+    auto call = sample_call(number, "s", start, due);
     call.tenant = tenant;
     call.priority = priority;
-    call.objective_deadline = start + due;
     return call;
 }
 
--- a/unittests/fleet/limited_calls_test.cpp
+++ b/unittests/fleet/limited_calls_test.cpp
@@ -1,7 +1,8 @@
-#include "dragonflystair/fleet/dispatcher.h"
 #include "dragonflystair/fleet/permit_divider.h"
 #include "dragonflystair/fleet/send_permits.h"
 
+#include "samples.h"
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -27,25 +28,14 @@
 constexpr milliseconds travel_time{20};
 constexpr milliseconds objective{500};
 constexpr milliseconds work_time{50};
-constexpr time_point start{std::chrono::hours{1}};
 
 /// One node with its dispatcher and permits, the calls that it was given, and their outcomes.
 struct node {
     node(std::size_t index, std::size_t nodes, double per_s)
         : name("node-" + std::to_string(index)), permits(name),
           calls(topology("north", {{"north", "n"}})) {
-        service registry;
-        registry.name = "register";
-        configuration current;
-        current.services = {{"register", registry}};
-        calls.configure(current);
-        endpoint_record record;
-        record.id = "endpoint";
-        record.service = "register";
-        record.data_centre = "north";
-        record.slots = 100;
-        record.started_ms = 1;
-        calls.update(record);
+        calls.configure(sample_configuration());
+        calls.update(sample_endpoint("endpoint", "register", 100));
         permits.set_limit("endpoint", per_s);
         permits.set_nodes(nodes);
         calls.use_permits(permits);
@@ -148,14 +138,8 @@
     }
 
     static void submit(node& at, time_point now) {
-        pending_call call;
-        call.number = ++at.last_call;
-        call.service = "register";
-        call.arrived = now;
-        call.objective_deadline = now + objective;
-        call.queue_deadline = call.objective_deadline;
-        arrivals()[{&at, call.number}] = now;
-        at.calls.submit(std::move(call));
+        arrivals()[{&at, ++at.last_call}] = now;
+        at.calls.submit(sample_call(at.last_call, "register", now, objective));
     }
 
     void turn(node& at, time_point now) {
--- a/unittests/fleet/limited_endpoint_test.cpp
+++ b/unittests/fleet/limited_endpoint_test.cpp
@@ -1,4 +1,3 @@
-#include "dragonflystair/fleet/dispatcher.h"
 #include "dragonflystair/fleet/send_permits.h"
 
 #include "adapter_planner_fixture.h"
@@ -37,15 +36,7 @@
         dispatcher_ = std::make_unique<dispatcher>(topology("north", {{"north", "n"}}));
         permits_ = std::make_unique<send_permits>("node");
         dispatcher_->use_permits(*permits_);
-        service assistant;
-        assistant.name = "assistant";
-        assistant.has_engines = true;
-        assistant.engines.batch_slots = 4;
-        service registry;
-        registry.name = "register";
-        configuration current;
-        current.services = {{"assistant", assistant}, {"register", registry}};
-        dispatcher_->configure(current);
+        dispatcher_->configure(sample_configuration(4));
     }
 
     void call_goes_to_endpoint_without_limit() {
@@ -150,19 +141,10 @@
 
 private:
     static endpoint_record plain(const std::string& id) {
-        auto record = engine(id);
-        record.service = "register";
-        record.models.clear();
-        return record;
+        return sample_endpoint(id, "register", 4);
     }
     static pending_call plain_call(std::uint64_t number) {
-        pending_call call;
-        call.number = number;
-        call.service = "register";
-        call.arrived = start;
-        call.objective_deadline = start + milliseconds{500};
-        call.queue_deadline = call.objective_deadline;
-        return call;
+        return sample_call(number, "register", start, milliseconds{500});
     }
     void add_limited(const std::string& id) {
         dispatcher_->update(plain(id));
--- a/unittests/fleet/missing_adapter_test.cpp
+++ b/unittests/fleet/missing_adapter_test.cpp
@@ -1,4 +1,4 @@
-#include "dragonflystair/fleet/dispatcher.h"
+#include "samples.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -12,7 +12,6 @@
 using namespace dragonflystair::fleet;
 using std::chrono::milliseconds;
 
-constexpr support::time_point start{std::chrono::hours{1}};
 constexpr milliseconds objective{600};
 /// A load that started shortly before a call's deadline completes after it, but before a rejected
 /// caller retries.
@@ -33,29 +32,13 @@
 public:
     void setUp() override {
         dispatcher_ = std::make_unique<dispatcher>(topology("north", {{"north", "n"}}));
-        configuration current;
-        service assistant;
-        assistant.name = "assistant";
-        assistant.has_engines = true;
-        assistant.engines.batch_slots = 4;
-        current.services = {{"assistant", assistant}};
-        dispatcher_->configure(current);
-        endpoint_record record;
-        record.id = "engine";
-        record.service = "assistant";
-        record.data_centre = "north";
-        record.slots = 4;
-        record.started_ms = 1;
+        dispatcher_->configure(sample_configuration(4));
+        auto record = sample_endpoint("engine", "assistant", 4);
         record.models = {{"base", 1, {}}};
         dispatcher_->update(record);
 
-        pending_call call;
-        call.number = 1;
-        call.service = "assistant";
+        auto call = sample_call(1, "assistant", start, objective);
         call.model = rare;
-        call.arrived = start;
-        call.objective_deadline = start + objective;
-        call.queue_deadline = call.objective_deadline;
         call.load_deadline = start + 3 * objective / 2;
         dispatcher_->submit(call);
     }
--- a/unittests/gateway/call_placer_test.cpp
+++ b/unittests/gateway/call_placer_test.cpp
@@ -173,14 +173,9 @@
 
 private:
     fleet::pending_call sample_call(std::uint64_t number) const {
-        fleet::pending_call call;
-        call.number = number;
-        call.service = "assistant";
+        auto call = fleet::sample_call(number, "assistant", network_->now, milliseconds{600});
         call.model = patterns;
         call.prompt_tokens = 10;
-        call.arrived = network_->now;
-        call.objective_deadline = network_->now + milliseconds{600};
-        call.queue_deadline = call.objective_deadline;
         return call;
     }
 
--- a/unittests/gateway/placing_node.h
+++ b/unittests/gateway/placing_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call_placer.h"
+#include "fleet/samples.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -22,26 +23,8 @@
 inline const std::map<std::string, std::string, std::less<>> regions{
     {"east", "n"}, {"north", "n"}, {"south", "s"}, {"west", "w"}};
 
-inline fleet::configuration sample_configuration() {
-    fleet::configuration current;
-    fleet::service assistant;
-    assistant.name = "assistant";
-    assistant.has_engines = true;
-    assistant.engines.batch_slots = engine_slots;
-    fleet::service registry;
-    registry.name = "register";
-    current.services = {{"assistant", assistant}, {"register", registry}};
-    return current;
-}
-
 inline fleet::endpoint_record sample_engine(const std::string& id, const std::string& data_centre) {
-    fleet::endpoint_record record;
-    record.id = id;
-    record.service = "assistant";
-    record.address = "10.0.0.1:80";
-    record.data_centre = data_centre;
-    record.slots = engine_slots;
-    record.started_ms = 1;
+    auto record = fleet::sample_endpoint(id, "assistant", engine_slots, data_centre);
     record.models = {{"base", 1, {{"patterns", 1}}}};
     return record;
 }
@@ -97,7 +80,7 @@
                           },
                           [this](const auto& decision) { decisions.push_back(decision); },
                           [this, &now] { pump(now); }, [&now] { return now; }}) {
-        view_.dispatcher.configure(sample_configuration());
+        view_.dispatcher.configure(fleet::sample_configuration(engine_slots));
         view_.dispatcher.update(sample_engine("engine", "north"));
     }
 
--- a/unittests/gateway/plain_placement_test.cpp
+++ b/unittests/gateway/plain_placement_test.cpp
@@ -140,26 +140,16 @@
     }
 
     void add_endpoint(const std::string& data_centre) {
-        fleet::endpoint_record record;
-        record.id = data_centre;
-        record.service = "register";
-        record.address = "10.0.0.1:80";
-        record.data_centre = data_centre;
-        record.slots = plain_slots;
-        record.started_ms = 1;
+        const auto record =
+            fleet::sample_endpoint(data_centre, "register", plain_slots, data_centre);
         for (const std::string name : {"lead", "one", "two", "eastern", "southern"}) {
             node(name).dispatcher().update(record);
         }
     }
 
     void submit(const std::string& name, std::uint64_t number) {
-        fleet::pending_call call;
-        call.number = number;
-        call.service = "register";
-        call.arrived = network_->now;
-        call.objective_deadline = network_->now + milliseconds{400};
-        call.queue_deadline = call.objective_deadline;
-        node(name).placer().submit(call);
+        node(name).placer().submit(
+            fleet::sample_call(number, "register", network_->now, milliseconds{400}));
     }
 
     /// Occupies all slots of the data centre of a lead with calls of its own.
--- a/unittests/replays/even_load_replay.h
+++ b/unittests/replays/even_load_replay.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dragonflystair/fleet/dispatcher.h"
+#include "fleet/samples.h"
 
 #include <algorithm>
 #include <array>
@@ -14,7 +14,6 @@
 #include <random>
 #include <span>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -69,10 +68,6 @@
             indices_.emplace(id, i);
             endpoints_.push_back({id, speeds.at(i % speeds.size()), 0, {}});
         }
-        configuration current;
-        service registry;
-        registry.name = "register";
-        current.services = {{"register", registry}};
         for (std::size_t i = 0; i < chosen.nodes; ++i) {
             auto node = std::make_unique<dispatcher>(topology("north", {{"north", "n"}}));
             auto balance = chosen.balance;
@@ -80,9 +75,9 @@
                 balance.seed = *balance.seed + i;
             }
             node->balance(balance);
-            node->configure(current);
+            node->configure(sample_configuration());
             for (const auto& target : endpoints_) {
-                node->update(record_of(target.id));
+                node->update(sample_endpoint(target.id, "register", slots));
             }
             nodes_.push_back(std::move(node));
         }
@@ -119,7 +114,6 @@
     }
 
 private:
-    static constexpr support::time_point start{std::chrono::hours{1}};
     static constexpr std::array speeds{0.55, 0.75, 1.0, 1.2};
     static constexpr std::size_t slots = 4;
     static constexpr std::size_t queue_places = 4;
@@ -147,16 +141,6 @@
         bool operator>(const end& other) const { return at > other.at; }
     };
 
-    static endpoint_record record_of(std::string_view id) {
-        endpoint_record record;
-        record.id = id;
-        record.service = "register";
-        record.data_centre = "north";
-        record.slots = slots;
-        record.started_ms = 1;
-        return record;
-    }
-
     void arrive(double load) {
         const double per_step = load * static_cast<double>(slots * options_.endpoints) /
                                 static_cast<double>(call_time.count());
@@ -164,16 +148,11 @@
         // One draw for any number of nodes, so that all replays have the same arrivals.
         std::uniform_int_distribution<std::size_t> any_number;
         for (int left = count(arrivals_); left > 0; --left) {
-            pending_call pending;
-            pending.number = ++last_number_;
-            pending.service = "register";
-            pending.arrived = now_;
-            pending.objective_deadline = now_ + objective;
-            pending.queue_deadline = pending.objective_deadline;
             const auto node = any_number(arrivals_) % nodes_.size();
-            calls_[pending.number] = {node, pending.number, now_, counted_};
+            const auto number = ++last_number_;
+            calls_[number] = {node, number, now_, counted_};
             result_.calls += counted_ ? 1 : 0;
-            nodes_[node]->submit(std::move(pending));
+            nodes_[node]->submit(sample_call(number, "register", now_, objective));
         }
     }
 
