--- a/unittests/gateway/copied_refusal_test.cpp
+++ b/unittests/gateway/copied_refusal_test.cpp
@@ -1,5 +1,4 @@
 #include "gateway_fixture.h"
-#include "net/scripted_peer.h"
 
 #include <atomic>
 #include <string>
@@ -10,18 +9,6 @@
 using namespace dragonflystair;
 using namespace dragonflystair::gateway;
 
-constexpr std::string_view end_of_head = "\r\n\r\n";
-
-/// Returns the value of a header in the text of a request; empty if it has none.
-std::string header_in(std::string_view text, std::string_view name) {
-    const auto at = text.find(std::string(name) + ": ");
-    if (at == std::string_view::npos) {
-        return {};
-    }
-    const auto value = text.substr(at + name.size() + 2);
-    return std::string(value.substr(0, value.find('\r')));
-}
-
 /// An endpoint that has restarted under another id at the same address. It refuses the call that
 /// was sent for its former id, and sends a second copy of that refusal when the call is in flight
 /// again on the same connection.
@@ -43,39 +30,37 @@
         std::atomic<int> runs{0};
         const net::concurrent_server other([&](net::raw_connection& connection) {
             ++runs;
-            connection.write(stamp_for(connection.read_until(end_of_head)));
+            connection.write(stamp_for(connection.read_until(net::end_of_head)));
         });
         const net::concurrent_server restarted([&](net::raw_connection& connection) {
             std::string refusal;
             while (true) {
-                const auto text = connection.read_until(end_of_head);
+                const auto text = connection.read_until(net::end_of_head);
                 if (text.empty()) {
                     return;
                 }
-                if (header_in(text, "Expect-Instance") == "former") {
+                if (net::header_in(text, "Expect-Instance") == "former") {
                     refusal = "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: " +
-                              header_in(text, "Request-Id") +
+                              net::header_in(text, "Request-Id") +
                               "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
                     connection.write(refusal);
-                    put_endpoint("present", own_address_);
+                    put_record("present", own_address_);
                     continue;
                 }
                 ++runs;
                 if (with_other_endpoint) {
-                    put_endpoint("other", other.address());
+                    put_record("other", other.address());
                 }
                 connection.write(refusal + stamp_for(text));
             }
         });
         own_address_ = restarted.address();
-        put_endpoint("former", own_address_);
+        put_record("former", own_address_);
         store->put("keyed.op", "config",
                    R"({"version":3,"services":[{"name":"register"}],"routes":[)"
                    R"({"name":"stamps","host":"desk","path-prefix":"/stamps/","kind":"unsafe",)"
                    R"("attempts":2,"timeout-ms":9000,"slo-ms":8000,"service":"register"}]})");
-        start_gateway();
-        output->expect({"event=configuration"});
-        output->expect({"event=endpoint ", "state=ready"});
+        start_gateway_with(1);
         const auto answer = call("/stamps/1", "stamp-1");
         stop_threads();
         CPPUNIT_ASSERT_EQUAL(1, runs.load());
@@ -83,17 +68,10 @@
     }
 
     static std::string stamp_for(std::string_view request) {
-        return "HTTP/1.1 200 OK\r\nRequest-Id: " + header_in(request, "Request-Id") +
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " + net::header_in(request, "Request-Id") +
                "\r\nServer-Stamp: s\r\nContent-Length: 5\r\n\r\nstamp";
     }
 
-    void put_endpoint(const std::string& id, const std::string& endpoint_address) {
-        store->put("keyed.servers", id,
-                   R"({"service":"register","addr":")" + endpoint_address +
-                       R"(","zone":"north","slots":4,"state":"ready","seq":0,"born":1,)"
-                       R"("models":[]})");
-    }
-
     std::string own_address_; ///< Of the restarted endpoint.
 };
 
--- a/unittests/gateway/endpoint_stand_in.h
+++ b/unittests/gateway/endpoint_stand_in.h
@@ -16,6 +16,20 @@
 
 namespace dragonflystair::gateway {
 
+/// Returns the store's record of an endpoint. Engines have the adapter `known` of the model `base`.
+inline std::string endpoint_record(const std::string& service, const std::string& address,
+                                   const std::string& state = "ready", int heartbeat = 0,
+                                   int slots = 6) {
+    auto models = support::json::array();
+    if (service == "assistant") {
+        models.push_back({{"name", "base"}, {"version", 1}, {"adapters", {"known@1"}}});
+    }
+    return support::json{{"service", service}, {"addr", address}, {"zone", "north"},
+                         {"slots", slots},     {"born", 1},       {"seq", heartbeat},
+                         {"state", state},     {"models", models}}
+        .dump();
+}
+
 /// Stand-in of an endpoint whose responses to orders and calls are set by the test.
 class endpoint_stand_in {
 public:
@@ -57,6 +71,15 @@
         }
     }
 
+    /// Handler that responds with the head of `signed_head`, the headers, and the body.
+    static call_handler answer_with(std::string body, int status = 200,
+                                    net::http_headers headers = {}) {
+        return [body = std::move(body), status,
+                headers = std::move(headers)](net::http_exchange& exchange) {
+            return answer(exchange, body, status, headers);
+        };
+    }
+
     /// Returns a response head that repeats the request id and has a signature.
     static net::http_response signed_head(const net::http_exchange& exchange) {
         net::http_response head;
@@ -67,6 +90,15 @@
     }
 
 private:
+    static net::awaitable<void> answer(net::http_exchange& exchange, const std::string& body,
+                                       int status, const net::http_headers& headers) {
+        auto response = signed_head(exchange);
+        response.status = status;
+        response.body = body;
+        response.headers.insert(headers.begin(), headers.end());
+        co_await exchange.respond(std::move(response));
+    }
+
     /// Returns the status of the response to an order.
     int accept_order(const net::http_request& request) {
         constexpr int fenced = 412;
--- a/unittests/gateway/gateway_fixture.h
+++ b/unittests/gateway/gateway_fixture.h
@@ -3,6 +3,7 @@
 #include "dragonflystair/gateway/gateway.h"
 
 #include "endpoint_stand_in.h"
+#include "net/scripted_peer.h"
 #include "net/test_context.h"
 #include "store_stand_in.h"
 
@@ -15,12 +16,14 @@
 #include <cstdio>
 #include <fstream>
 #include <initializer_list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace dragonflystair::gateway {
 
@@ -82,18 +85,26 @@
     int saved_;
 };
 
-/// A complete gateway with a stand-in of the platform's store.
+/// A complete gateway with stand-ins of the platform's store and of endpoints.
 class gateway_fixture : public CppUnit::TestFixture {
 public:
+    /// The configuration is in the store when a test begins; none if it is empty.
+    explicit gateway_fixture(std::string configuration = {})
+        : configuration_(std::move(configuration)) {}
+
     void setUp() override {
         output = std::make_unique<captured_output>();
         context = std::make_unique<net::test_context>();
         store = std::make_unique<store_stand_in>(context->get());
         client = std::make_unique<net::http_client>(context->get());
+        if (!configuration_.empty()) {
+            store->put("keyed.op", "config", configuration_);
+        }
     }
 
     void tearDown() override {
         stop_threads();
+        endpoints.clear();
         client.reset();
         store.reset();
         context.reset();
@@ -133,6 +144,49 @@
         return settings;
     }
 
+    /// Returns the settings of a node that gets the records of this node.
+    config::gateway_settings peer_settings_of(const std::string& name) const {
+        auto settings = settings_of(name);
+        settings.peers = {peer_address};
+        return settings;
+    }
+
+    /// Starts the stand-in of an endpoint, which is not yet in the store.
+    endpoint_stand_in&
+    add_endpoint(const std::string& id,
+                 endpoint_stand_in::call_handler on_call = endpoint_stand_in::answer_with("")) {
+        auto& endpoint = endpoints[id];
+        endpoint = std::make_unique<endpoint_stand_in>(context->get(), std::move(on_call));
+        return *endpoint;
+    }
+
+    void put_endpoint(const std::string& id, const std::string& state,
+                      const std::string& service = "register", int heartbeat = 0) {
+        put_record(id, endpoints.at(id)->address(), service, state, heartbeat);
+    }
+
+    void put_record(const std::string& id, const std::string& endpoint_address,
+                    const std::string& service = "register", const std::string& state = "ready",
+                    int heartbeat = 0) {
+        store->put("keyed.servers", id,
+                   endpoint_record(service, endpoint_address, state, heartbeat));
+    }
+
+    /// Starts an endpoint and lists it as ready.
+    void
+    list_endpoint(const std::string& id, const std::string& service = "register",
+                  endpoint_stand_in::call_handler on_call = endpoint_stand_in::answer_with("")) {
+        add_endpoint(id, std::move(on_call));
+        put_endpoint(id, "ready", service);
+    }
+
+    /// Starts the gateway and waits until it has a configuration and the number of endpoints.
+    void start_gateway_with(std::size_t ready_endpoints) {
+        start_gateway();
+        output->expect({"event=configuration"});
+        output->expect({"event=endpoint ", "state=ready"}, static_cast<int>(ready_endpoints));
+    }
+
     /// Starts the gateway with the current records of the store.
     void start_gateway() { start_gateway(settings_of("node-1")); }
 
@@ -150,18 +204,38 @@
     net::async_result<net::http_response> send(const std::string& path, const std::string& id,
                                                const std::string& model = {},
                                                milliseconds patience = milliseconds{9'000}) {
+        net::http_headers headers{{"Deadline-Ms", std::to_string(patience.count())}};
+        if (!model.empty()) {
+            headers["Model"] = model;
+        }
+        return send_with(std::move(headers), path, id);
+    }
+
+    /// Sends a call with headers besides the usual ones, which they take precedence of.
+    net::async_result<net::http_response> send_with(net::http_headers headers,
+                                                    const std::string& path, const std::string& id,
+                                                    const std::string& body = {}) {
+        headers.insert({{"Host", "desk"}, {"Request-Id", id}, {"Deadline-Ms", "9000"}});
         net::http_request request;
         request.method = "POST";
         request.target = path;
-        request.headers = {{"Host", "desk"},
-                           {"Request-Id", id},
-                           {"Deadline-Ms", std::to_string(patience.count())}};
-        if (!model.empty()) {
-            request.headers["Model"] = model;
-        }
+        request.headers = std::move(headers);
+        request.body = body;
         return context->run(client->request(address, request, generous_timeout, false));
     }
 
+    /// Sends a call on a connection of its own, which the node is to close after its answer.
+    net::raw_connection open_call(const std::string& path, const std::string& id,
+                                  milliseconds patience, const std::string& version = "1.1",
+                                  const std::string& body = {}) const {
+        auto connection = net::raw_connection::to(address);
+        connection.write("POST " + path + " HTTP/" + version + "\r\nHost: desk\r\nRequest-Id: " +
+                         id + "\r\nDeadline-Ms: " + std::to_string(patience.count()) +
+                         "\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) +
+                         "\r\n\r\n" + body);
+        return connection;
+    }
+
     net::http_response call(const std::string& path, const std::string& id,
                             const std::string& model = {}) {
         const auto answer = send(path, id, model);
@@ -173,12 +247,16 @@
     std::unique_ptr<net::test_context> context;
     std::unique_ptr<store_stand_in> store;
     std::unique_ptr<net::http_client> client;
+    std::map<std::string, std::unique_ptr<endpoint_stand_in>> endpoints; ///< By their ids.
     std::string address;
     std::string peer_address;
     std::optional<config::gateway_settings> reloaded; ///< Settings that a reload returns.
     milliseconds shutdown_timeout = short_shutdown;
     std::thread running;
     std::atomic<bool> ended{false}; ///< Then a signal would end the test process itself.
+
+private:
+    std::string configuration_;
 };
 
 /// A second gateway in this process. It stops together with the first one, since both get the
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -1,5 +1,4 @@
 #include "gateway_fixture.h"
-#include "net/scripted_peer.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -25,14 +24,6 @@
     "services":[{"name":"register"},{"name":"assistant","engine":{"slots":4,"weights-mb":100,
      "adapter-slots":2,"models":[{"name":"base","weights-mb":50,"adapter-mb":1}]}}]})";
 
-std::string record(const std::string& service, const std::string& address, int slots) {
-    return R"({"service":")" + service + R"(","addr":")" + address +
-           R"(","zone":"north","slots":)" + std::to_string(slots) +
-           R"(,"state":"ready","seq":0,"born":1,"models":)" +
-           (service == "assistant" ? R"([{"name":"base","version":1,"adapters":["known@1"]}]})"
-                                   : "[]}");
-}
-
 /// The gateway with stand-ins of the store and an endpoint. Operators use the log lines to trace a
 /// failed request from its id to the cause (docs/OPERATIONS.md).
 class gateway_test : public gateway_fixture {
@@ -51,25 +42,20 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override {
-        gateway_fixture::setUp();
-        store->put("keyed.op", "config", configuration);
-    }
+    gateway_test() : gateway_fixture(configuration) {}
 
     void tearDown() override {
         release_.set_value();
-        stop_threads();
-        endpoint_.reset();
         gateway_fixture::tearDown();
         release_ = {};
     }
 
     void plain_call_is_sent_to_service_once() {
-        start("register", 6, answer_with("stamped"));
+        start("register", 6, endpoint_stand_in::answer_with("stamped"));
         const auto answer = call("/stamps/1", "id-1");
         CPPUNIT_ASSERT_EQUAL(200, answer.status);
         CPPUNIT_ASSERT_EQUAL(std::string("stamped"), answer.body);
-        CPPUNIT_ASSERT_EQUAL(1, endpoint_->calls());
+        CPPUNIT_ASSERT_EQUAL(1, endpoint().calls());
         output->expect({"event=call ", "request=id-1", "outcome=served"});
     }
 
@@ -93,13 +79,13 @@
             }
         });
         std::thread holder([this] { std::ignore = send("/stamps/1", "id-3"); });
-        while (endpoint_->calls() == 0) {
+        while (endpoint().calls() == 0) {
             std::this_thread::sleep_for(milliseconds{1});
         }
         const auto answer = call("/stamps/2", "id-4");
         CPPUNIT_ASSERT_EQUAL(503, answer.status);
         CPPUNIT_ASSERT(!net::header(answer.headers, "Retry-After").empty());
-        CPPUNIT_ASSERT_EQUAL(1, endpoint_->calls());
+        CPPUNIT_ASSERT_EQUAL(1, endpoint().calls());
         output->expect({"event=call_refused", "request=id-4", "reason=no_capacity", "sends=0",
                         "configuration=3"});
         ::kill(::getpid(), SIGTERM);
@@ -117,7 +103,7 @@
 
     void order_refused_by_fencing_is_logged_with_adapter() {
         start("assistant", 4, stream_of({}, true));
-        endpoint_->set_order_status(412);
+        endpoint().set_order_status(412);
         // A new lease holder sends no orders for a short time; until then calls are refused
         // immediately.
         int calls = 0;
@@ -156,9 +142,8 @@
     /// rely on the records from its peer until its own store was reachable again.
     void node_without_store_removes_endpoint_reported_gone_by_peer() {
         start("register", 6, stream_of({}, true));
-        auto settings = settings_of("node-2");
+        auto settings = peer_settings_of("node-2");
         settings.store_address = "127.0.0.1:1";
-        settings.peers = {peer_address};
         dragonflystair::gateway::gateway second(settings, [] { return std::nullopt; });
         std::thread second_run([&] { second.run(); });
         output->expect({"event=endpoint ", "endpoint=endpoint-1", "state=ready"}, 2);
@@ -175,7 +160,7 @@
         changed.retry_slack = 7;
         changed.region = "elsewhere";
         reloaded = changed;
-        start("register", 6, answer_with("stamped"));
+        start("register", 6, endpoint_stand_in::answer_with("stamped"));
         ::kill(::getpid(), SIGHUP);
         output->expect({"event=settings_reloaded", "restart_needed=yes"});
         CPPUNIT_ASSERT_EQUAL(200, call("/stamps/1", "id-7").status);
@@ -201,7 +186,7 @@
             const auto answer = send("/stamps/1", "id-8");
             status = answer ? answer.value().status : 0;
         });
-        while (endpoint_->calls() == 0) {
+        while (endpoint().calls() == 0) {
             std::this_thread::sleep_for(milliseconds{1});
         }
         ::kill(::getpid(), SIGTERM);
@@ -217,7 +202,7 @@
     /// read.
     void partially_read_call_at_shutdown_is_answered() {
         shutdown_timeout = generous_timeout;
-        start("register", 6, answer_with("stamped"));
+        start("register", 6, endpoint_stand_in::answer_with("stamped"));
         auto caller = net::raw_connection::to(address);
         caller.write("POST /stamps/1 HTTP/1.1\r\nHost: desk\r\nRequest-Id: id-9\r\n");
         ::kill(::getpid(), SIGTERM);
@@ -233,7 +218,9 @@
     /// sound one. The node serves, gives calls to sound endpoints only, and follows later entries.
     void odd_entries_among_the_endpoints_end_the_node_or_its_reading() {
         constexpr std::size_t levels = 20'000;
-        const auto with_address = [](const std::string& odd) { return record("register", odd, 6); };
+        const auto with_address = [](const std::string& odd) {
+            return endpoint_record("register", odd);
+        };
         const std::vector<std::string> odd{
             R"({"service":)" + std::string(levels, '[') + std::string(levels, ']') + "}",
             R"({"service":"register","addr":"127.0.0.1:1","zone":"north","slots":1e999})",
@@ -252,12 +239,12 @@
             }
         };
         put_all("before-");
-        start("register", 6, answer_with("stamped"));
+        start("register", 6, endpoint_stand_in::answer_with("stamped"));
         put_all("after-");
         for (const auto& text : odd) {
             store->put("keyed.servers", "endpoint-1", text);
         }
-        store->put("keyed.servers", "endpoint-2", record("register", endpoint_->address(), 6));
+        put_record("endpoint-2", endpoint().address());
         output->expect({"event=endpoint ", "endpoint=endpoint-2", "state=ready"});
         for (int number = 0; number < 20; ++number) {
             CPPUNIT_ASSERT_EQUAL(200, call("/stamps/1", "odd-" + std::to_string(number)).status);
@@ -268,14 +255,6 @@
     }
 
 private:
-    static endpoint_stand_in::call_handler answer_with(std::string body) {
-        return [body = std::move(body)](net::http_exchange& exchange) -> net::awaitable<void> {
-            auto response = endpoint_stand_in::signed_head(exchange);
-            response.body = body;
-            co_await exchange.respond(std::move(response));
-        };
-    }
-
     static endpoint_stand_in::call_handler stream_of(std::vector<std::string> events, bool whole) {
         return [events = std::move(events),
                 whole](net::http_exchange& exchange) -> net::awaitable<void> {
@@ -292,14 +271,15 @@
     /// Starts the endpoint and the gateway, and waits until the endpoint is known and the lease is
     /// acquired.
     void start(const std::string& service, int slots, endpoint_stand_in::call_handler on_call) {
-        endpoint_ = std::make_unique<endpoint_stand_in>(context->get(), std::move(on_call));
-        store->put("keyed.servers", "endpoint-1", record(service, endpoint_->address(), slots));
+        const auto at = add_endpoint("endpoint-1", std::move(on_call)).address();
+        store->put("keyed.servers", "endpoint-1", endpoint_record(service, at, "ready", 0, slots));
         start_gateway();
         output->expect({"event=endpoint ", "endpoint=endpoint-1"});
         output->expect({"event=lease_won"});
     }
 
-    std::unique_ptr<endpoint_stand_in> endpoint_;
+    endpoint_stand_in& endpoint() { return *endpoints.at("endpoint-1"); }
+
     std::promise<void> release_;
 };
 
--- a/unittests/gateway/lost_answer_test.cpp
+++ b/unittests/gateway/lost_answer_test.cpp
@@ -1,5 +1,4 @@
 #include "gateway_fixture.h"
-#include "net/scripted_peer.h"
 
 #include <array>
 #include <map>
@@ -13,15 +12,13 @@
 using namespace dragonflystair;
 using namespace dragonflystair::gateway;
 
-constexpr std::string_view end_of_head = "\r\n\r\n";
-
 /// Returns a script that reads a request and responds with `text`, in which ID is replaced by `id`.
 net::scripted_server::script answers(std::string text, const std::string& id) {
     if (const auto position = text.find("ID"); position != std::string::npos) {
         text.replace(position, 2, id);
     }
     return [text = std::move(text)](net::raw_connection& connection) {
-        connection.read_until(end_of_head);
+        connection.read_until(net::end_of_head);
         connection.write(text);
     };
 }
@@ -35,11 +32,11 @@
 
 public:
     void call_with_lost_response_runs_once_and_has_unknown_outcome() {
-        const std::map<std::string, net::scripted_server::script> losses{
+        std::map<std::string, net::scripted_server::script> losses{
             {"closed", answers("", "closed")},
             {"reset",
              [](net::raw_connection& connection) {
-                 connection.read_until(end_of_head);
+                 connection.read_until(net::end_of_head);
                  connection.reset();
              }},
             {"half-head", answers("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n", "half-head")},
@@ -57,31 +54,25 @@
                                    "another-id")},
             {"no-http", answers("\x01\x02 this is no answer\r\n\r\n", "no-http")},
             {"only-continue", answers("HTTP/1.1 100 Continue\r\n\r\n", "only-continue")},
-            {"status-408", answers("HTTP/1.1 408 Request Timeout\r\nRequest-Id: ID\r\n"
-                                   "Content-Length: 0\r\n\r\n",
-                                   "status-408")},
-            {"status-429", answers("HTTP/1.1 429 Too Many Requests\r\nRequest-Id: ID\r\n"
-                                   "Content-Length: 0\r\n\r\n",
-                                   "status-429")},
-            {"status-500", answers("HTTP/1.1 500 Internal Server Error\r\nRequest-Id: ID\r\n"
-                                   "Content-Length: 0\r\n\r\n",
-                                   "status-500")},
-            {"status-502", answers("HTTP/1.1 502 Bad Gateway\r\nRequest-Id: ID\r\n"
-                                   "Content-Length: 0\r\n\r\n",
-                                   "status-502")},
-            {"status-503", answers("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: ID\r\n"
-                                   "Retry-After: 1\r\nContent-Length: 0\r\n\r\n",
-                                   "status-503")},
             {"silent", [](net::raw_connection& connection) { connection.read_all(); }}};
-        endpoint_pairs endpoints;
+        for (const std::string status :
+             {"408 Request Timeout", "429 Too Many Requests", "500 Internal Server Error",
+              "502 Bad Gateway", "503 Service Unavailable"}) {
+            const auto name = "status-" + status.substr(0, 3);
+            losses[name] = answers("HTTP/1.1 " + status + "\r\nRequest-Id: ID\r\n" +
+                                       (name == "status-503" ? "Retry-After: 1\r\n" : "") +
+                                       "Content-Length: 0\r\n\r\n",
+                                   name);
+        }
+        endpoint_pairs pairs;
         for (const auto& [loss, script] : losses) {
-            for (auto& endpoint : endpoints[loss]) {
+            for (auto& endpoint : pairs[loss]) {
                 endpoint = std::make_unique<net::scripted_server>(
                     std::vector<net::scripted_server::script>{script, script});
             }
         }
-        serve(endpoints);
-        for (const auto& [loss, pair] : endpoints) {
+        serve(pairs);
+        for (const auto& [loss, pair] : pairs) {
             const auto answer = send("/" + loss + "/1", loss, {}, milliseconds{2'000});
             CPPUNIT_ASSERT_MESSAGE(loss, answer);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(loss, loss == "silent" ? 504 : 502, answer.value().status);
@@ -98,10 +89,10 @@
         std::map<std::string, std::array<std::unique_ptr<net::scripted_server>, 2>>;
 
     /// Starts the gateway with a route and a service for each pair.
-    void serve(const endpoint_pairs& endpoints) {
+    void serve(const endpoint_pairs& pairs) {
         auto routes = support::json::array();
         auto services = support::json::array();
-        for (const auto& [name, pair] : endpoints) {
+        for (const auto& [name, pair] : pairs) {
             routes.push_back({{"name", name},
                               {"host", "desk"},
                               {"path-prefix", "/" + name + "/"},
@@ -111,28 +102,13 @@
                               {"service", name}});
             services.push_back({{"name", name}});
             for (const auto& endpoint : pair) {
-                put_record(name, endpoint->address());
+                put_record(name + " at " + endpoint->address(), endpoint->address(), name);
             }
         }
         store->put(
             "keyed.op", "config",
             support::json{{"version", 3}, {"routes", routes}, {"services", services}}.dump());
-        start_gateway();
-        output->expect({"event=configuration"});
-        output->expect({"event=endpoint ", "state=ready"}, static_cast<int>(2 * endpoints.size()));
-    }
-
-    void put_record(const std::string& service, const std::string& endpoint_address) {
-        store->put("keyed.servers", service + " at " + endpoint_address,
-                   support::json{{"service", service},
-                                 {"addr", endpoint_address},
-                                 {"zone", "north"},
-                                 {"slots", 4},
-                                 {"state", "ready"},
-                                 {"seq", 0},
-                                 {"born", 1},
-                                 {"models", support::json::array()}}
-                       .dump());
+        start_gateway_with(2 * pairs.size());
     }
 };
 
--- a/unittests/gateway/planned_stop_test.cpp
+++ b/unittests/gateway/planned_stop_test.cpp
@@ -1,5 +1,4 @@
 #include "gateway_fixture.h"
-#include "net/scripted_peer.h"
 
 #include <atomic>
 #include <memory>
@@ -12,8 +11,6 @@
 using namespace dragonflystair;
 using namespace dragonflystair::gateway;
 
-constexpr std::string_view end_of_head = "\r\n\r\n";
-
 const std::string configuration = R"({"version":3,"routes":[
     {"name":"stamps","host":"desk","path-prefix":"/stamps/","kind":"unsafe","timeout-ms":9000,
      "slo-ms":2000,"attempts":2,"service":"register"},
@@ -35,10 +32,7 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override {
-        gateway_fixture::setUp();
-        store->put("keyed.op", "config", configuration);
-    }
+    planned_stop_test() : gateway_fixture(configuration) {}
 
     /// Calls whose time ends after the node's are refused before they are sent.
     void call_accepted_late_in_a_planned_stop_is_cut_off() {
@@ -98,7 +92,7 @@
     void short_call_in_a_planned_stop_is_refused() {
         shutdown_timeout = generous_timeout;
         start([](net::raw_connection& connection) {
-            connection.read_until(end_of_head);
+            connection.read_until(net::end_of_head);
             connection.write("HTTP/1.1 200 OK\r\nRequest-Id: short\r\nServer-Stamp: s\r\n"
                              "Content-Length: 7\r\n\r\nstamped");
         });
@@ -121,19 +115,8 @@
     void start(const net::scripted_server::script& script) {
         endpoint_ = std::make_unique<net::scripted_server>(
             std::vector<net::scripted_server::script>{script, script});
-        store->put("keyed.servers", "endpoint-1",
-                   support::json{{"service", "register"},
-                                 {"addr", endpoint_->address()},
-                                 {"zone", "north"},
-                                 {"slots", 4},
-                                 {"state", "ready"},
-                                 {"seq", 0},
-                                 {"born", 1},
-                                 {"models", support::json::array()}}
-                       .dump());
-        start_gateway();
-        output->expect({"event=configuration"});
-        output->expect({"event=endpoint ", "state=ready"});
+        put_record("endpoint-1", endpoint_->address());
+        start_gateway_with(1);
     }
 
     std::unique_ptr<net::scripted_server> endpoint_;
--- a/unittests/gateway/reported_outcome_test.cpp
+++ b/unittests/gateway/reported_outcome_test.cpp
@@ -1,4 +1,6 @@
 #include "call_relay.h"
+#include "fleet/samples.h"
+#include "net/exchange_stand_in.h"
 #include "net/scripted_peer.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -21,26 +23,6 @@
 using namespace dragonflystair::gateway;
 using std::chrono::milliseconds;
 
-/// A call whose caller stays until the test disconnects it.
-class waiting_caller : public net::http_exchange {
-public:
-    explicit waiting_caller(net::http_request request) : request_(std::move(request)) {}
-
-    [[nodiscard]] const net::http_request& request() const override { return request_; }
-    net::awaitable<void> respond(net::http_response /*response*/) override { co_return; }
-    net::awaitable<void> begin_stream(net::http_response /*head*/) override { co_return; }
-    net::awaitable<bool> write(std::string_view /*bytes*/) override { co_return true; }
-    net::awaitable<void> end_stream() override { co_return; }
-    [[nodiscard]] bool disconnected() const override { return false; }
-    void on_disconnect(std::function<void()> hook) override { hook_ = std::move(hook); }
-
-    void disconnect() const { hook_(); }
-
-private:
-    net::http_request request_;
-    std::function<void()> hook_;
-};
-
 std::shared_ptr<const fleet::configuration> sample_configuration() {
     auto current = std::make_shared<fleet::configuration>();
     fleet::service assistant;
@@ -85,7 +67,7 @@
         net::http_request request;
         request.target = "/answers/1";
         request.headers = {{"Host", "desk"}, {"Request-Id", "call"}, {"Model", "base/patterns"}};
-        waiting_caller caller(std::move(request));
+        net::exchange_stand_in caller(std::move(request));
         bool served = false;
         boost::asio::co_spawn(io_, relay_.serve(caller),
                               [&](const std::exception_ptr&) { served = true; });
@@ -108,13 +90,8 @@
     void add_engine(const std::string& address) {
         view_.configuration = sample_configuration();
         view_.dispatcher.configure(*view_.configuration);
-        fleet::endpoint_record record;
-        record.id = "engine";
-        record.service = "assistant";
+        auto record = fleet::sample_endpoint("engine", "assistant", 1);
         record.address = address;
-        record.data_centre = "north";
-        record.slots = 1;
-        record.started_ms = 1;
         view_.dispatcher.update(record);
     }
 
--- a/unittests/gateway/second_endpoint_test.cpp
+++ b/unittests/gateway/second_endpoint_test.cpp
@@ -1,12 +1,10 @@
 #include "gateway_fixture.h"
-#include "net/scripted_peer.h"
 
 #include <array>
 #include <atomic>
 #include <charconv>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -14,8 +12,7 @@
 
 using namespace dragonflystair;
 using namespace dragonflystair::gateway;
-
-constexpr std::string_view end_of_head = "\r\n\r\n";
+using net::end_of_head;
 
 const std::string configuration = R"({"version":3,"routes":[
     {"name":"stamps","host":"desk","path-prefix":"/stamps/","kind":"unsafe","timeout-ms":9000,
@@ -40,9 +37,10 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    second_endpoint_test() : gateway_fixture(configuration) {}
+
     void setUp() override {
         gateway_fixture::setUp();
-        store->put("keyed.op", "config", configuration);
         runs_ = 0;
     }
 
@@ -110,7 +108,7 @@
             failure("503 Service Unavailable", "Not-Run: 1\r\n" + sized),
             failure("302 Found", signed_head + "Location: /\r\n" + sized)};
         const std::string event = "id: 1\ndata: a\n\n";
-        std::vector<std::unique_ptr<net::scripted_server>> endpoints;
+        std::vector<std::unique_ptr<net::scripted_server>> servers;
         std::atomic<int> sends{0};
         // Either endpoint may be first: the first send of a call breaks off, the later ones fail.
         const auto script = [&](net::raw_connection& connection) {
@@ -128,9 +126,9 @@
         };
         std::vector<std::string> addresses;
         for (int number = 0; number < 2; ++number) {
-            endpoints.push_back(std::make_unique<net::scripted_server>(
+            servers.push_back(std::make_unique<net::scripted_server>(
                 std::vector<net::scripted_server::script>(40, script)));
-            addresses.push_back(endpoints.back()->address());
+            addresses.push_back(servers.back()->address());
         }
         start(addresses);
         for (std::size_t number = 0; number < errors.size(); ++number) {
@@ -282,30 +280,18 @@
         return "HTTP/1.1 " + status + "\r\nRequest-Id: ID\r\n" + headers + "\r\nerror: text";
     }
 
-    static std::string id_in(const std::string& head) {
-        const std::string_view name = "Request-Id: ";
-        const auto at = head.find(name) + name.size();
-        return head.substr(at, head.find('\r', at) - at);
-    }
+    static std::string id_in(const std::string& head) { return net::header_in(head, "Request-Id"); }
 
     void start(const std::vector<std::string>& addresses) {
         for (const auto& endpoint : addresses) {
-            store->put("keyed.servers", "at " + endpoint,
-                       R"({"service":"register","addr":")" + endpoint +
-                           R"(","zone":"north","slots":6,"state":"ready","seq":0,"born":1,)"
-                           R"("models":[]})");
+            put_record("at " + endpoint, endpoint);
         }
-        start_gateway();
-        output->expect({"event=endpoint ", "state=ready"}, static_cast<int>(addresses.size()));
-        output->expect({"event=configuration"});
+        start_gateway_with(addresses.size());
     }
 
     /// Sends a call and returns all bytes until the node closes the connection.
     std::string raw_call(const std::string& path, const std::string& id) const {
-        auto connection = net::raw_connection::to(address);
-        connection.write("POST " + path + " HTTP/1.1\r\nHost: desk\r\nRequest-Id: " + id +
-                         "\r\nDeadline-Ms: 3000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
-        return connection.read_all();
+        return open_call(path, id, milliseconds{3'000}).read_all();
     }
 
     std::atomic<int> runs_{0};
--- a/unittests/gateway_crashes/crashing_prompt_part_test.cpp
+++ b/unittests/gateway_crashes/crashing_prompt_part_test.cpp
@@ -29,10 +29,7 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override {
-        gateway_fixture::setUp();
-        store->put("keyed.op", "config", configuration);
-    }
+    crashing_prompt_part_test() : gateway_fixture(configuration) {}
 
     void tearDown() override {
         stop_threads();
@@ -58,9 +55,7 @@
     void node_that_starts_later_sends_the_part_that_others_block() {
         start(framing::chunks);
         send_until_blocked();
-        auto settings = settings_of("node-2");
-        settings.peers = {peer_address};
-        second_node second(settings, running);
+        second_node second(peer_settings_of("node-2"), running);
         output->expect({"event=prompt_part_blocked", "part=dead", "source=peer"});
         address = second.node.caller_address();
         assert_deadly_calls_are_refused();
@@ -73,24 +68,17 @@
             engine = std::make_unique<crashing_engine>(*store, "engine-" + std::to_string(++count),
                                                        framed);
         }
-        start_gateway();
-        output->expect({"event=endpoint ", "state=ready"}, count);
-        output->expect({"event=configuration"});
+        start_gateway_with(engines_.size());
     }
 
     /// Returns the status of a call, 0 if its response broke off. No two calls are alike.
     int call_with_prompt(const std::string& parts) {
         const auto number = std::to_string(++calls_);
-        net::http_request request;
-        request.method = "POST";
-        request.target = "/patterns/1";
-        request.body = "prompt " + number;
-        request.headers = {
-            {"Host", "desk"},          {"Request-Id", "call-" + number},
-            {"Deadline-Ms", "3000"},   {"Model", "base"},
-            {"Token-Usage", "300,20"}, {"Prompt-Prefix", parts + "a" + number + ":10"}};
-        const auto answer =
-            context->run(client->request(address, request, generous_timeout, false));
+        const auto answer = send_with({{"Deadline-Ms", "3000"},
+                                       {"Model", "base"},
+                                       {"Token-Usage", "300,20"},
+                                       {"Prompt-Prefix", parts + "a" + number + ":10"}},
+                                      "/patterns/1", "call-" + number, "prompt " + number);
         return answer ? answer.value().status : 0;
     }
 
--- a/unittests/gateway_limits/endpoint_limit_test.cpp
+++ b/unittests/gateway_limits/endpoint_limit_test.cpp
@@ -1,11 +1,10 @@
 #include "gateway/gateway_fixture.h"
+#include "most_in_window.h"
 
-#include <algorithm>
 #include <array>
 #include <chrono>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace {
 
@@ -26,17 +25,6 @@
 /// Requests that the platform's rule LIMIT allows in any window.
 constexpr std::size_t allowed = 1.5 * limit_per_s * window.count() + 5;
 
-/// Returns the largest number of arrivals in any window.
-std::size_t most_in_window(const std::vector<support::time_point>& arrivals) {
-    std::size_t most = 0;
-    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-        const auto end = std::ranges::find_if(first, arrivals.end(),
-                                              [&](auto at) { return at - *first >= window; });
-        most = std::max(most, static_cast<std::size_t>(end - first));
-    }
-    return most;
-}
-
 /// Gateways with endpoints that name a limit in their responses.
 class endpoint_limit_test : public gateway_fixture {
     CPPUNIT_TEST_SUITE(endpoint_limit_test);
@@ -48,27 +36,13 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override {
-        gateway_fixture::setUp();
-        store->put("keyed.op", "config", configuration);
-    }
-
-    void tearDown() override {
-        stop_threads();
-        endpoint_.reset();
-        gateway_fixture::tearDown();
-    }
+    endpoint_limit_test() : gateway_fixture(configuration) {}
 
     /// The incident: eight nodes sent an endpoint 77 requests in 4 s; 33 were allowed.
     void endpoint_gets_more_calls_of_two_nodes_than_its_limit() {
-        start("register", "2.0");
-        auto settings = settings_of("node-2");
-        settings.peers = {peer_address};
-        second_node second(settings, running);
-        output->expect({"event=endpoint ", "endpoint=endpoint-1", "state=ready"}, 2);
-        output->expect({"event=peer_regained"}, 2);
+        const auto second = start_two_nodes();
         constexpr int many_calls = 30;
-        const std::array nodes{address, second.node.caller_address()};
+        const std::array nodes{address, second->node.caller_address()};
         for (int number = 0; number < many_calls; ++number) {
             for (const auto& node : nodes) {
                 address = node;
@@ -103,12 +77,7 @@
     }
 
     void limit_is_forwarded_to_peer_that_has_sent_nothing() {
-        start("register", "2.0");
-        auto settings = settings_of("node-2");
-        settings.peers = {peer_address};
-        second_node second(settings, running);
-        output->expect({"event=endpoint ", "endpoint=endpoint-1", "state=ready"}, 2);
-        output->expect({"event=peer_regained"}, 2);
+        const auto second = start_two_nodes();
         call("/stamps/1", "first");
         output->expect({"event=endpoint_limit ", "per_s=2.000", "source=peer"});
     }
@@ -119,7 +88,7 @@
         for (int number = 0; number < many_calls; ++number) {
             call("/stamps/1", "limited-" + std::to_string(number));
         }
-        endpoint_->set_limit("");
+        endpoint().set_limit("");
         int served = 0;
         for (int number = 0; served < many_calls && number < 2'000; ++number) {
             const auto status = call("/stamps/1", "later-" + std::to_string(number)).status;
@@ -143,32 +112,33 @@
 
 private:
     void start(const std::string& service, const std::string& limit) {
-        endpoint_ = std::make_unique<endpoint_stand_in>(
-            context->get(), [this](net::http_exchange& exchange) -> net::awaitable<void> {
-                auto response = endpoint_stand_in::signed_head(exchange);
-                endpoint_->add_limit(response);
-                co_await exchange.respond(std::move(response));
-            });
-        endpoint_->set_limit(limit);
-        store->put("keyed.servers", "endpoint-1",
-                   R"({"service":")" + service + R"(","addr":")" + endpoint_->address() +
-                       R"(","zone":"north","slots":6,"state":"ready","seq":0,"born":1,"models":)" +
-                       (service == "assistant"
-                            ? R"([{"name":"base","version":1,"adapters":["known@1"]}]})"
-                            : "[]}"));
-        start_gateway();
-        output->expect({"event=endpoint ", "endpoint=endpoint-1"});
-        output->expect({"event=configuration"});
+        list_endpoint("endpoint-1", service,
+                      [this](net::http_exchange& exchange) -> net::awaitable<void> {
+                          auto response = endpoint_stand_in::signed_head(exchange);
+                          endpoint().add_limit(response);
+                          co_await exchange.respond(std::move(response));
+                      });
+        endpoint().set_limit(limit);
+        start_gateway_with(1);
+    }
+
+    /// Starts a limited endpoint and two gateways that are connected.
+    std::unique_ptr<second_node> start_two_nodes() {
+        start("register", "2.0");
+        auto second = std::make_unique<second_node>(peer_settings_of("node-2"), running);
+        output->expect({"event=endpoint ", "endpoint=endpoint-1", "state=ready"}, 2);
+        output->expect({"event=peer_regained"}, 2);
+        return second;
     }
 
     void assert_within_limit() {
-        const auto most = most_in_window(endpoint_->arrivals());
+        const auto most = most_in_window(endpoint().arrivals(), window);
         CPPUNIT_ASSERT_MESSAGE(std::to_string(most) + " requests in 4 s, allowed " +
                                    std::to_string(allowed),
                                most <= allowed);
     }
 
-    std::unique_ptr<endpoint_stand_in> endpoint_;
+    endpoint_stand_in& endpoint() { return *endpoints.at("endpoint-1"); }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endpoint_limit_test);
--- a/unittests/gateway_limits/tenant_quota_test.cpp
+++ b/unittests/gateway_limits/tenant_quota_test.cpp
@@ -1,12 +1,9 @@
-#include "gateway/endpoint_stand_in.h"
 #include "gateway/gateway_fixture.h"
+#include "most_in_window.h"
 
-#include <algorithm>
 #include <array>
 #include <chrono>
-#include <memory>
 #include <string>
-#include <vector>
 
 namespace {
 
@@ -31,24 +28,14 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override {
-        gateway_fixture::setUp();
-        store->put("keyed.op", "config", configuration);
-    }
-
-    void tearDown() override {
-        stop_threads();
-        endpoint_.reset();
-        gateway_fixture::tearDown();
-    }
+    tenant_quota_test() : gateway_fixture(configuration) {}
 
     // Guards against a quota that each node applies on its own, and against refusals of tenants
     // without one.
     void calls_of_two_nodes_stay_within_quota() {
-        start();
-        auto settings = settings_of("node-2");
-        settings.peers = {peer_address};
-        second_node second(settings, running);
+        list_endpoint("endpoint-1");
+        start_gateway_with(1);
+        second_node second(peer_settings_of("node-2"), running);
         output->expect({"event=endpoint ", "state=ready"}, 2);
         output->expect({"event=quota_allocator_started"});
         const std::array nodes{address, second.node.caller_address()};
@@ -74,51 +61,17 @@
             }
         }
         output->expect({"event=quota_takes_effect", "tenant=atlas"});
-        CPPUNIT_ASSERT(most_in_window() <= allowed);
+        const auto arrivals = endpoints.at("endpoint-1")->arrivals();
+        CPPUNIT_ASSERT(most_in_window(arrivals, window) <= allowed);
         CPPUNIT_ASSERT_EQUAL(200, call_with("key-b", "other").status);
     }
 
 private:
-    void start() {
-        endpoint_ = std::make_unique<endpoint_stand_in>(
-            context->get(), [](net::http_exchange& exchange) -> net::awaitable<void> {
-                co_await exchange.respond(endpoint_stand_in::signed_head(exchange));
-            });
-        store->put(
-            "keyed.servers", "endpoint-1",
-            R"({"service":"register","addr":")" + endpoint_->address() +
-                R"(","zone":"north","slots":6,"state":"ready","seq":0,"born":1,"models":[]})");
-        start_gateway();
-        output->expect({"event=endpoint ", "endpoint=endpoint-1"});
-        output->expect({"event=configuration"});
-    }
-
     net::http_response call_with(const std::string& key, const std::string& id) {
-        net::http_request request;
-        request.method = "POST";
-        request.target = "/stamps/1";
-        request.headers = {{"Host", "desk"},
-                           {"Request-Id", address + "-" + id},
-                           {"Deadline-Ms", "9000"},
-                           {"Api-Key", key}};
-        const auto answer =
-            context->run(client->request(address, request, generous_timeout, false));
+        const auto answer = send_with({{"Api-Key", key}}, "/stamps/1", address + "-" + id);
         CPPUNIT_ASSERT(answer);
         return answer.value();
     }
-
-    [[nodiscard]] std::size_t most_in_window() const {
-        const auto arrivals = endpoint_->arrivals();
-        std::size_t most = 0;
-        for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-            const auto end = std::ranges::find_if(first, arrivals.end(),
-                                                  [&](auto at) { return at - *first >= window; });
-            most = std::max(most, static_cast<std::size_t>(end - first));
-        }
-        return most;
-    }
-
-    std::unique_ptr<endpoint_stand_in> endpoint_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(tenant_quota_test);
--- a/unittests/gateway_restored/restored_store_fixture.h
+++ b/unittests/gateway_restored/restored_store_fixture.h
@@ -67,16 +67,11 @@
 /// Gateways whose store is restored from a copy that lacks its newest records.
 class restored_store_fixture : public gateway_fixture {
 public:
+    restored_store_fixture() : gateway_fixture(configuration_with(3)) {}
+
     void setUp() override {
         gateway_fixture::setUp();
         store->set_era(first_era);
-        store->put("keyed.op", "config", configuration_with(3));
-    }
-
-    void tearDown() override {
-        stop_threads();
-        endpoints.clear();
-        gateway_fixture::tearDown();
     }
 
 protected:
@@ -100,40 +95,6 @@
         return settings;
     }
 
-    static std::string endpoint_record(const std::string& service, const std::string& at,
-                                       const std::string& state, int heartbeat = 0) {
-        auto models = support::json::array();
-        if (service == "assistant") {
-            models.push_back({{"name", "base"}, {"version", 1}, {"adapters", {"known@1"}}});
-        }
-        return support::json{{"service", service}, {"addr", at},      {"zone", "north"},
-                             {"slots", 6},         {"born", 1},       {"seq", heartbeat},
-                             {"state", state},     {"models", models}}
-            .dump();
-    }
-
-    /// Starts the stand-in of an endpoint, which is not yet in the store.
-    endpoint_stand_in& add_endpoint(const std::string& id) {
-        auto& endpoint = endpoints[id];
-        endpoint = std::make_unique<endpoint_stand_in>(
-            context->get(), [](net::http_exchange& exchange) -> net::awaitable<void> {
-                co_await exchange.respond(endpoint_stand_in::signed_head(exchange));
-            });
-        return *endpoint;
-    }
-
-    void put_endpoint(const std::string& id, const std::string& state,
-                      const std::string& service = "register", int heartbeat = 0) {
-        store->put("keyed.servers", id,
-                   endpoint_record(service, endpoints.at(id)->address(), state, heartbeat));
-    }
-
-    /// Starts an endpoint and lists it as ready.
-    void list_endpoint(const std::string& id, const std::string& service = "register") {
-        add_endpoint(id);
-        put_endpoint(id, "ready", service);
-    }
-
     void expect_endpoint(const std::string& id, const std::string& state, int nodes = 1) const {
         output->expect({"event=endpoint ", "endpoint=" + id + " ", "state=" + state}, nodes);
     }
@@ -183,8 +144,6 @@
         eventually("a list of " + topic, [this, &topic] { return store->lists_served(topic) > 0; });
     }
 
-    std::map<std::string, std::unique_ptr<endpoint_stand_in>> endpoints;
-
 private:
     std::map<std::string, reserved_address> addresses_;
     int markers_ = 0;
--- a/unittests/gateway_restored/tenant_keys_test.cpp
+++ b/unittests/gateway_restored/tenant_keys_test.cpp
@@ -22,12 +22,6 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void tearDown() override {
-        stop_threads();
-        endpoint_.reset();
-        restored_store_fixture::tearDown();
-    }
-
     /// UNASKED: a caller that names a tenant, in any case and twice, gets its own all the same.
     void endpoint_gets_tenant_and_never_the_key() {
         start(5'000);
@@ -102,10 +96,8 @@
 private:
     void start(int revocation_ms) {
         put_tenants(3, {"alpha"});
-        endpoint_ = std::make_unique<endpoint_stand_in>(
-            context->get(), [this](net::http_exchange& exchange) { return serve(exchange); });
-        store->put("keyed.servers", "i-1",
-                   endpoint_record("register", endpoint_->address(), "ready"));
+        list_endpoint("i-1", "register",
+                      [this](net::http_exchange& exchange) { return serve(exchange); });
         auto settings = reachable_settings_of("node-1");
         settings.revocation_timeout = milliseconds{revocation_ms};
         start_gateway(settings);
@@ -137,19 +129,10 @@
     }
 
     int keyed(const net::http_headers& headers, const std::string& path = "/stamps/1") {
-        net::http_request request;
-        request.method = "POST";
-        request.target = path;
-        request.headers = headers;
-        request.headers["Host"] = "desk";
-        request.headers["Request-Id"] = "k-" + std::to_string(++calls_);
-        request.headers["Deadline-Ms"] = "9000";
-        const auto answer =
-            context->run(client->request(address, request, generous_timeout, false));
+        const auto answer = send_with(headers, path, "k-" + std::to_string(++calls_));
         return answer ? answer.value().status : 0;
     }
 
-    std::unique_ptr<endpoint_stand_in> endpoint_;
     mutable std::mutex mutex_;
     net::http_headers headers_;
     std::atomic<int> runs_{0};
--- a/unittests/net/scripted_peer.h
+++ b/unittests/net/scripted_peer.h
@@ -20,6 +20,18 @@
 
 using tcp = boost::asio::ip::tcp;
 
+inline constexpr std::string_view end_of_head = "\r\n\r\n";
+
+/// Returns the value of a header in the text of a request; empty if it has none.
+inline std::string header_in(std::string_view text, std::string_view name) {
+    const auto at = text.find(std::string(name) + ": ");
+    if (at == std::string_view::npos) {
+        return {};
+    }
+    const auto value = text.substr(at + name.size() + 2);
+    return std::string(value.substr(0, value.find('\r')));
+}
+
 /// Blocking connection that a test reads and writes directly.
 class raw_connection {
 public:
--- a/unittests/responses/client_response_test.cpp
+++ b/unittests/responses/client_response_test.cpp
@@ -24,10 +24,6 @@
     return item.result == response_result::complete;
 }
 
-std::string body_of(const response_case& item) {
-    return std::string(item.has_body ? case_body : "");
-}
-
 /// Returns whether a whole response says that the call may have run, as the gateway decides.
 bool is_usable(int status) {
     return status < 500;
@@ -62,7 +58,7 @@
             const bool ended = first->end == exchange_end::complete;
             report.expect(item.name, is_complete(item), ended && is_usable(first->head->status));
             if (ended && is_complete(item)) {
-                report.expect(item.name + " body", body_of(item), first->body);
+                report.expect(item.name + " body", item.passed_body(), first->body);
             }
             const auto second = send("2");
             report.expect(item.name + " reuse", item.reused, second->reused_connection);
@@ -89,7 +85,7 @@
             report.expect(item.name, is_complete(item),
                           first.has_value() && is_usable(first.value().status));
             if (first.has_value() && is_complete(item)) {
-                report.expect(item.name + " body", body_of(item), first.value().body);
+                report.expect(item.name + " body", item.passed_body(), first.value().body);
             }
             report.expect(item.name + " not sent", false,
                           !first.has_value() && first.error().kind == error_kind::unavailable);
@@ -128,14 +124,14 @@
         http_request request;
         request.method = "POST";
         request.headers["Request-Id"] = id;
-        request.body = std::string(item.early ? upload_bytes : 0, 'u');
+        request.body = item.request_body();
         return request;
     }
 
     static std::string text_of(const response_case& item, const std::string& id) {
-        const std::size_t size = item.early ? upload_bytes : 0;
+        const auto body = item.request_body();
         return "POST / HTTP/1.1\r\nRequest-Id: " + id +
-               "\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n" + std::string(size, 'u');
+               "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 };
 
--- a/unittests/responses/endpoint_response_test.cpp
+++ b/unittests/responses/endpoint_response_test.cpp
@@ -93,8 +93,7 @@
                        const std::string& text) {
         if (item.result == response_result::complete) {
             report_.expect(id, std::to_string(item.status), status_in(text));
-            report_.expect(id + " body", std::string(item.has_body ? net::case_body : ""),
-                           body_in(text));
+            report_.expect(id + " body", item.passed_body(), body_in(text));
             return;
         }
         const bool refused = item.result == response_result::refused;
@@ -116,7 +115,6 @@
     void start() {
         auto routes = support::json::array();
         auto services = support::json::array();
-        std::size_t endpoints = 0;
         for (const auto& item : net::response_cases()) {
             services.push_back({{"name", item.name}});
             for (const std::string kind : {"unsafe", "safe", "stream"}) {
@@ -129,32 +127,16 @@
                                   {"slo-ms", 4000},
                                   {"service", item.name}});
             }
-            auto& pair = endpoints_[item.name];
-            for (auto& endpoint : pair) {
+            for (auto& endpoint : endpoints_[item.name]) {
                 endpoint = std::make_unique<net::case_endpoint>(item);
-                put_record(item.name, endpoint->address());
-                ++endpoints;
+                put_record(item.name + " at " + endpoint->address(), endpoint->address(),
+                           item.name);
             }
         }
         store->put(
             "keyed.op", "config",
             support::json{{"version", 3}, {"routes", routes}, {"services", services}}.dump());
-        start_gateway();
-        output->expect({"event=configuration"});
-        output->expect({"event=endpoint ", "state=ready"}, static_cast<int>(endpoints));
-    }
-
-    void put_record(const std::string& service, const std::string& endpoint_address) {
-        store->put("keyed.servers", service + " at " + endpoint_address,
-                   support::json{{"service", service},
-                                 {"addr", endpoint_address},
-                                 {"zone", "north"},
-                                 {"slots", 4},
-                                 {"state", "ready"},
-                                 {"seq", 0},
-                                 {"born", 1},
-                                 {"models", support::json::array()}}
-                       .dump());
+        start_gateway_with(2 * endpoints_.size());
     }
 
     int requests(const std::string& name) const {
@@ -171,12 +153,8 @@
     /// Sends a call and returns all bytes until the node closes the connection.
     received raw_call(const net::response_case& item, const std::string& kind,
                       const std::string& id, const std::string& version) const {
-        auto connection = net::raw_connection::to(address);
-        const std::size_t size = item.early ? net::upload_bytes : 0;
-        connection.write("POST /" + item.name + "/" + kind + "/" + id + " HTTP/" + version +
-                         "\r\nHost: desk\r\nRequest-Id: " + id +
-                         "\r\nDeadline-Ms: 5000\r\nConnection: close\r\nContent-Length: " +
-                         std::to_string(size) + "\r\n\r\n" + std::string(size, 'u'));
+        auto connection = open_call("/" + item.name + "/" + kind + "/" + id, id,
+                                    milliseconds{5'000}, version, item.request_body());
         auto text = connection.read_all();
         return {std::move(text), connection.was_reset()};
     }
--- a/unittests/responses/plain_response_test.cpp
+++ b/unittests/responses/plain_response_test.cpp
@@ -1,4 +1,5 @@
 #include "case_report.h"
+#include "net/exchange_stand_in.h"
 #include "net/test_context.h"
 #include "plain_calls.h"
 #include "response_cases.h"
@@ -20,27 +21,6 @@
 using namespace dragonflystair::node;
 using net::response_result;
 
-/// Exchange that keeps the response.
-class recording_exchange : public net::http_exchange {
-public:
-    explicit recording_exchange(net::http_request request) : request_(std::move(request)) {}
-    [[nodiscard]] const net::http_request& request() const override { return request_; }
-    net::awaitable<void> respond(net::http_response given) override {
-        response = std::move(given);
-        co_return;
-    }
-    net::awaitable<void> begin_stream(net::http_response /*head*/) override { co_return; }
-    net::awaitable<bool> write(std::string_view /*bytes*/) override { co_return true; }
-    net::awaitable<void> end_stream() override { co_return; }
-    [[nodiscard]] bool disconnected() const override { return false; }
-    void on_disconnect(std::function<void()> /*hook*/) override {}
-
-    net::http_response response;
-
-private:
-    net::http_request request_;
-};
-
 /// The plain calls of a node that is alone and whose log holds every record at once.
 class plain_node {
 public:
@@ -77,7 +57,7 @@
                            {"Idempotency-Key", "key"},
                            {"X-Deadline-Ms", std::to_string(patience.count())}};
         request.body = std::string(body_bytes, 'u');
-        recording_exchange exchange(std::move(request));
+        net::exchange_stand_in exchange(std::move(request));
         threads_.run(serve(exchange));
         return std::move(exchange.response);
     }
@@ -197,8 +177,7 @@
         const auto id = item.name + "-" + kind;
         if (item.result == response_result::complete) {
             report_.expect(id, item.status, answer.status);
-            report_.expect(id + " body", std::string(item.has_body ? net::case_body : ""),
-                           answer.body);
+            report_.expect(id + " body", item.passed_body(), answer.body);
             report_.expect(id + " sends", 1, sends);
             return;
         }
--- a/unittests/responses/response_cases.h
+++ b/unittests/responses/response_cases.h
@@ -27,6 +27,10 @@
     repeated, ///< Writes the same text again, many times.
 };
 
+inline constexpr std::string_view case_body = "data: a\n\n";
+/// More than a peer that does not read takes into its receive buffer.
+inline constexpr std::size_t upload_bytes = std::size_t{3} * 1024 * 1024;
+
 /// A response of an endpoint and what becomes of it. docs/platform.md has the same table.
 struct response_case {
     std::string name;
@@ -38,11 +42,12 @@
     bool early = false;
     int status = 200; ///< Of a response that is passed on.
     bool has_body = true;
-};
 
-inline constexpr std::string_view case_body = "data: a\n\n";
-/// More than a peer that does not read takes into its receive buffer.
-inline constexpr std::size_t upload_bytes = std::size_t{3} * 1024 * 1024;
+    [[nodiscard]] std::string passed_body() const { return std::string(has_body ? case_body : ""); }
+    [[nodiscard]] std::string request_body() const {
+        return std::string(early ? upload_bytes : 0, 'u');
+    }
+};
 
 inline std::vector<response_case> response_cases() {
     using enum response_ending;
@@ -126,7 +131,7 @@
 private:
     void serve(raw_connection& peer) {
         while (true) {
-            const auto head = peer.read_until("\r\n\r\n");
+            const auto head = peer.read_until(end_of_head);
             if (head.empty()) {
                 return;
             }
@@ -158,10 +163,8 @@
 
     [[nodiscard]] std::string text_for(std::string_view head) const {
         auto text = case_.text;
-        constexpr std::string_view name = "Request-Id: ";
-        const auto at = head.find(name) + name.size();
         if (const auto position = text.find(": ID"); position != std::string::npos) {
-            text.replace(position + 2, 2, head.substr(at, head.find('\r', at) - at));
+            text.replace(position + 2, 2, header_in(head, "Request-Id"));
         }
         return text;
     }
--- a/unittests/untrusted_callers/untrusted_callers_test.cpp
+++ b/unittests/untrusted_callers/untrusted_callers_test.cpp
@@ -88,12 +88,11 @@
         context_ = std::make_unique<net::test_context>();
         store_ = std::make_unique<gateway::store_stand_in>(context_->get());
         client_ = std::make_unique<net::http_client>(context_->get());
-        endpoint_ = std::make_unique<gateway::endpoint_stand_in>(context_->get(), answer);
+        endpoint_ = std::make_unique<gateway::endpoint_stand_in>(
+            context_->get(), gateway::endpoint_stand_in::answer_with("stamped"));
         store_->put("keyed.op", "config", configuration);
-        store_->put(
-            "keyed.servers", "endpoint-1",
-            R"({"service":"register","addr":")" + endpoint_->address() +
-                R"(","zone":"north","slots":6,"state":"ready","seq":0,"born":1,"models":[]})");
+        store_->put("keyed.servers", "endpoint-1",
+                    gateway::endpoint_record("register", endpoint_->address()));
         process_ = std::make_unique<gateway_process>(store_->address());
         wait_until_ready();
     }
@@ -164,12 +163,6 @@
     }
 
 private:
-    static net::awaitable<void> answer(net::http_exchange& exchange) {
-        auto response = gateway::endpoint_stand_in::signed_head(exchange);
-        response.body = "stamped";
-        co_await exchange.respond(std::move(response));
-    }
-
     int status_of(const std::string& address, const std::string& method,
                   const std::string& path) const {
         net::http_request request;
