--- a/unittests/fleet/dispatcher_fixture.h
+++ b/unittests/fleet/dispatcher_fixture.h
@@ -47,21 +47,21 @@
 public:
     void setUp() override {
         topology layout("north", {{"north", "n"}, {"south", "s"}});
-        dispatcher_ = std::make_unique<dispatcher>(layout);
+        fleet_dispatcher = std::make_unique<dispatcher>(layout);
         auto current = sample_configuration(4);
         route stream_route;
         stream_route.kind = call_kind::stream;
         stream_route.max_event_gap = allowed_gap;
         stream_route.services = {{"assistant", 1}};
         current.routes = {stream_route};
-        dispatcher_->configure(current);
+        fleet_dispatcher->configure(current);
     }
 
 protected:
     std::string place(pending_call call) {
         const auto number = call.number;
-        dispatcher_->submit(std::move(call));
-        for (const auto& decision : dispatcher_->pump(start)) {
+        fleet_dispatcher->submit(std::move(call));
+        for (const auto& decision : fleet_dispatcher->pump(start)) {
             if (decision.number == number) {
                 return decision.endpoint;
             }
@@ -69,7 +69,7 @@
         return {};
     }
 
-    std::unique_ptr<dispatcher> dispatcher_;
+    std::unique_ptr<dispatcher> fleet_dispatcher;
 };
 
 } // namespace dragonflystair::fleet
--- a/unittests/fleet/dispatcher_queue_test.cpp
+++ b/unittests/fleet/dispatcher_queue_test.cpp
@@ -23,10 +23,10 @@
 public:
     void call_to_a_full_service_waits_for_the_next_free_slot() {
         fill_plain_endpoint();
-        dispatcher_->submit(plain_call(5));
-        CPPUNIT_ASSERT(dispatcher_->pump(start).empty());
-        dispatcher_->finish(1, start);
-        CPPUNIT_ASSERT_EQUAL(std::string("a"), dispatcher_->pump(start).at(0).endpoint);
+        fleet_dispatcher->submit(plain_call(5));
+        CPPUNIT_ASSERT(fleet_dispatcher->pump(start).empty());
+        fleet_dispatcher->finish(1, start);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), fleet_dispatcher->pump(start).at(0).endpoint);
     }
 
     /// Guards against urgent calls being served less often than less urgent ones in a burst.
@@ -34,30 +34,30 @@
         fill_plain_endpoint();
         auto less_urgent = plain_call(5);
         less_urgent.priority = 2;
-        dispatcher_->submit(less_urgent);
+        fleet_dispatcher->submit(less_urgent);
         auto urgent = plain_call(6);
         urgent.arrived = start + milliseconds{100};
         urgent.objective_deadline = start + milliseconds{600};
-        dispatcher_->submit(urgent);
-        dispatcher_->finish(1, start);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, dispatcher_->pump(start).at(0).number);
+        fleet_dispatcher->submit(urgent);
+        fleet_dispatcher->finish(1, start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, fleet_dispatcher->pump(start).at(0).number);
     }
 
     /// Replays arrivals at three times the rate at which slots become free.
     void call_behind_too_long_a_queue_is_rejected_on_arrival() {
-        dispatcher_->update(plain("a", "north"));
+        fleet_dispatcher->update(plain("a", "north"));
         std::uint64_t number = 0;
         std::size_t rejected = 0;
         support::duration longest_wait{};
         std::vector<std::uint64_t> running;
         for (int step = 0; step < 600; ++step) {
             const auto now = start + milliseconds{10 * step};
-            dispatcher_->submit(sample_call(++number, "register", now, milliseconds{250}));
+            fleet_dispatcher->submit(sample_call(++number, "register", now, milliseconds{250}));
             if (step % 3 == 0 && !running.empty()) {
-                dispatcher_->finish(running.front(), now);
+                fleet_dispatcher->finish(running.front(), now);
                 running.erase(running.begin());
             }
-            for (const auto& decision : dispatcher_->pump(now)) {
+            for (const auto& decision : fleet_dispatcher->pump(now)) {
                 if (!decision.endpoint.empty()) {
                     running.push_back(decision.number);
                     continue;
@@ -66,7 +66,7 @@
                     start + milliseconds{10 * static_cast<int>(decision.number - 1)};
                 longest_wait = std::max(longest_wait, now - arrived);
                 rejected += decision.reason == refusal::overloaded ? 1 : 0;
-                dispatcher_->finish(decision.number, now);
+                fleet_dispatcher->finish(decision.number, now);
             }
         }
         CPPUNIT_ASSERT(rejected > 100);
@@ -75,12 +75,12 @@
 
     /// Guards against rejected calls that are all retried at the same time.
     void rejected_calls_get_different_retry_after_times() {
-        dispatcher_->update(plain("a", "north"));
+        fleet_dispatcher->update(plain("a", "north"));
         for (std::uint64_t number = 1; number <= 12; ++number) {
-            dispatcher_->submit(plain_call(number));
+            fleet_dispatcher->submit(plain_call(number));
         }
         std::vector<milliseconds> retry_afters;
-        for (const auto& decision : dispatcher_->pump(start + milliseconds{600})) {
+        for (const auto& decision : fleet_dispatcher->pump(start + milliseconds{600})) {
             if (decision.endpoint.empty()) {
                 retry_afters.push_back(decision.retry_after);
             }
@@ -92,28 +92,28 @@
     }
 
     void call_without_any_endpoint_is_rejected_at_once() {
-        dispatcher_->submit(plain_call(1));
-        const auto decisions = dispatcher_->pump(start);
+        fleet_dispatcher->submit(plain_call(1));
+        const auto decisions = fleet_dispatcher->pump(start);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
         CPPUNIT_ASSERT(decisions.front().reason == refusal::no_endpoints);
     }
 
     void call_is_not_rejected_while_slots_are_free() {
-        dispatcher_->update(plain("a", "north"));
+        fleet_dispatcher->update(plain("a", "north"));
         for (std::uint64_t number = 1; number <= 200; ++number) {
             const auto now = start + milliseconds{static_cast<int>(number)};
             auto call = plain_call(number);
             call.queue_deadline = now;
-            dispatcher_->submit(call);
-            CPPUNIT_ASSERT_EQUAL(std::string("a"), dispatcher_->pump(now).at(0).endpoint);
-            dispatcher_->finish(number, now);
+            fleet_dispatcher->submit(call);
+            CPPUNIT_ASSERT_EQUAL(std::string("a"), fleet_dispatcher->pump(now).at(0).endpoint);
+            fleet_dispatcher->finish(number, now);
         }
     }
 
 private:
     /// Adds a plain endpoint and occupies its four slots with the calls 1 to 4.
     void fill_plain_endpoint() {
-        dispatcher_->update(plain("a", "north"));
+        fleet_dispatcher->update(plain("a", "north"));
         for (std::uint64_t number = 1; number <= 4; ++number) {
             CPPUNIT_ASSERT_EQUAL(std::string("a"), place(plain_call(number)));
         }
--- a/unittests/net/peer_handshake_test.cpp
+++ b/unittests/net/peer_handshake_test.cpp
@@ -23,16 +23,16 @@
 
 public:
     void wrong_secret_is_rejected() {
-        recorder a(context_, settings("a"));
+        recorder a(context, settings("a"));
         auto other = settings("b");
         other.secret = "other";
-        recorder b(context_, other);
+        recorder b(context, other);
         b.network().dial({a.network().address()});
         a.wait_for_count("peer_refusals_total", "bad_proof");
         b.wait_for_count("peer_refusals_total", "handshake_closed");
         CPPUNIT_ASSERT(a.network().connected().empty());
         CPPUNIT_ASSERT(a.recorded_events().empty());
-        context_.stop();
+        context.stop();
     }
 
     /// The dialler must check the proof too: it would otherwise send its frames to any acceptor.
@@ -70,15 +70,15 @@
     void silent_handshakes_make_room_for_peers() {
         auto own = settings("a");
         own.max_handshakes = 2;
-        recorder a(context_, own);
+        recorder a(context, own);
         const auto first = raw_connection::to(a.network().address());
         const auto second = raw_connection::to(a.network().address());
         const auto third = raw_connection::to(a.network().address());
-        recorder b(context_, settings("b"));
+        recorder b(context, settings("b"));
         b.network().dial({a.network().address()});
         a.wait_for_event("up b-1");
         CPPUNIT_ASSERT(a.counted().value("peer_refusals_total", "handshake_limit") > 0);
-        context_.stop();
+        context.stop();
     }
 
     /// Guards against allocating memory for a length that a stranger claims.
@@ -98,21 +98,21 @@
     }
 
     void assert_stranger_is_rejected(const std::string& text, std::string_view reason) {
-        recorder a(context_, settings("a"));
+        recorder a(context, settings("a"));
         auto stranger = raw_connection::to(a.network().address());
         stranger.write(text);
         stranger.read_all();
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, a.counted().value("peer_refusals_total", reason));
         CPPUNIT_ASSERT(a.recorded_events().empty());
-        context_.stop();
+        context.stop();
     }
 
     void assert_acceptor_is_rejected(const scripted_server::script& script) {
         const scripted_server server({script});
-        recorder a(context_, settings("a"));
+        recorder a(context, settings("a"));
         a.network().dial({server.address()});
         a.wait_for_count("peer_refusals_total", "bad_proof");
-        context_.stop();
+        context.stop();
     }
 };
 
--- a/unittests/net/peer_network_test.cpp
+++ b/unittests/net/peer_network_test.cpp
@@ -29,19 +29,19 @@
 
 public:
     void dialled_peer_is_up_on_both_sides() {
-        recorder a(context_, settings("a"));
-        recorder b(context_, settings("b"));
+        recorder a(context, settings("a"));
+        recorder b(context, settings("b"));
         b.network().dial({a.network().address()});
         a.wait_for_event("up b-1");
         b.wait_for_event("up a-1");
         CPPUNIT_ASSERT(a.network().connected() == std::vector<std::string>{"b-1"});
         CPPUNIT_ASSERT(!a.network().send("c-1", numbered(0)));
-        context_.stop();
+        context.stop();
     }
 
     void frames_arrive_in_order() {
-        recorder a(context_, settings("a"));
-        recorder b(context_, settings("b"));
+        recorder a(context, settings("a"));
+        recorder b(context, settings("b"));
         a.network().dial({b.network().address()});
         a.wait_for_event("up b-1");
         std::vector<std::string> expected{"up a-1"};
@@ -51,12 +51,12 @@
         }
         b.wait([&] { return b.events.size() == expected.size(); });
         CPPUNIT_ASSERT(expected == b.recorded_events());
-        context_.stop();
+        context.stop();
     }
 
     void nodes_that_dial_each_other_keep_one_link() {
-        recorder a(context_, settings("a"));
-        recorder b(context_, settings("b"));
+        recorder a(context, settings("a"));
+        recorder b(context, settings("b"));
         a.network().dial({b.network().address()});
         b.network().dial({a.network().address()});
         a.wait_for_event("up b-1");
@@ -67,15 +67,15 @@
         }
         a.wait_for_event("b-1 99");
         b.wait_for_event("a-1 99");
-        context_.stop();
+        context.stop();
         CPPUNIT_ASSERT_EQUAL(std::size_t{101}, a.events.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{101}, b.events.size());
     }
 
     /// Guards against frames that are lost or reordered when the nodes choose one of two links.
     void frames_sent_while_both_dial_arrive_once_in_order() {
-        recorder a(context_, settings("a"));
-        recorder b(context_, settings("b"));
+        recorder a(context, settings("a"));
+        recorder b(context, settings("b"));
         a.network().dial({b.network().address()});
         b.network().dial({a.network().address()});
         std::vector<std::string> expected{"up b-1"};
@@ -87,7 +87,7 @@
         }
         a.wait_for_event("b-1 199");
         CPPUNIT_ASSERT(expected == a.recorded_events());
-        context_.stop();
+        context.stop();
     }
 
     /// Guards against races of simultaneous dials, which are rare with only two nodes.
@@ -99,7 +99,7 @@
         for (std::size_t i = 0; i < count; ++i) {
             auto chosen = settings("n" + std::to_string(i));
             chosen.redial_period = milliseconds(2);
-            nodes.push_back(std::make_unique<recorder>(context_, chosen));
+            nodes.push_back(std::make_unique<recorder>(context, chosen));
             addresses.push_back(nodes.back()->network().address());
         }
         for (const auto& node : nodes) {
@@ -118,7 +118,7 @@
             constexpr std::size_t expected = (count - 1) * (frames + 1);
             node.wait([&] { return node.events.size() >= expected; });
         }
-        context_.stop();
+        context.stop();
         for (std::size_t i = 0; i < count; ++i) {
             for (std::size_t j = 0; j < count; ++j) {
                 const auto peer = "n" + std::to_string(j) + "-1";
@@ -138,8 +138,8 @@
     void oversized_frame_is_rejected() {
         auto small = settings("a");
         small.max_frame_bytes = 1000;
-        recorder a(context_, small);
-        recorder b(context_, settings("b"));
+        recorder a(context, small);
+        recorder b(context, settings("b"));
         b.network().dial({a.network().address()});
         b.wait_for_event("up a-1");
         a.wait_for_event("up b-1");
@@ -148,7 +148,7 @@
         a.wait_for_event("down b-1");
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
                              a.counted().value("peer_refusals_total", "oversized_frame"));
-        context_.stop();
+        context.stop();
     }
 
     /// The connections of a suspended process stay open; only the lack of frames reveals it.
@@ -157,12 +157,12 @@
         short_timeout.silence_timeout = milliseconds(100);
         auto without_keep_alive = settings("b");
         without_keep_alive.silence_timeout = milliseconds(1'000'000);
-        recorder a(context_, short_timeout);
-        recorder b(context_, without_keep_alive);
+        recorder a(context, short_timeout);
+        recorder b(context, without_keep_alive);
         b.network().dial({a.network().address()});
         a.wait_for_event("down b-1");
         CPPUNIT_ASSERT(a.counted().value("peer_links_closed_total", "silent") > 0);
-        context_.stop();
+        context.stop();
     }
 
     /// Guards against a link that closes because no node sends frames of its own.
@@ -171,26 +171,26 @@
         quick.silence_timeout = milliseconds(600);
         auto other = settings("b");
         other.silence_timeout = milliseconds(600);
-        recorder a(context_, quick);
-        recorder b(context_, other);
+        recorder a(context, quick);
+        recorder b(context, other);
         b.network().dial({a.network().address()});
         a.wait_for_event("up b-1");
         std::this_thread::sleep_for(milliseconds(1'500));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, a.recorded_events().size());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
                              a.counted().value("peer_links_closed_total", "silent"));
-        context_.stop();
+        context.stop();
     }
 
     /// Guards against memory that grows with frames that a peer does not read.
     void peer_that_does_not_read_is_closed() {
         auto bounded = settings("a");
         bounded.max_queued_bytes = 1'000'000;
-        recorder a(context_, bounded);
+        recorder a(context, bounded);
         std::promise<void> stalled;
         std::promise<void> release;
         counters counted;
-        peer_network b(context_.get(), "127.0.0.1:0", settings("b"),
+        peer_network b(context.get(), "127.0.0.1:0", settings("b"),
                        {[&](std::string_view, const json&) {
                             stalled.set_value();
                             release.get_future().wait();
@@ -211,14 +211,14 @@
                              a.counted().value("peer_links_closed_total", "queue_full"));
         b.stop();
         release.set_value();
-        context_.stop();
+        context.stop();
     }
 
     void lost_link_is_redialled() {
-        recorder a(context_, settings("a"));
+        recorder a(context, settings("a"));
         std::string address;
         {
-            recorder b(context_, settings("b"));
+            recorder b(context, settings("b"));
             address = b.network().address();
             a.network().dial({address});
             b.wait_for_event("up a-1");
@@ -232,7 +232,7 @@
         while (!replacement) {
             try {
                 replacement = std::make_unique<peer_network>(
-                    context_.get(), address, settings("c"),
+                    context.get(), address, settings("c"),
                     peer_network::hooks{{}, [&](std::string_view) { up.set_value(); }, {}},
                     counted);
             } catch (const boost::system::system_error&) {
@@ -241,38 +241,38 @@
         }
         replacement->start();
         up.get_future().wait();
-        context_.stop();
+        context.stop();
     }
 
     void node_that_dials_itself_stops_dialling() {
-        recorder a(context_, settings("a"));
-        recorder b(context_, settings("b"));
+        recorder a(context, settings("a"));
+        recorder b(context, settings("b"));
         a.network().dial({a.network().address(), b.network().address()});
         a.wait_for_event("up b-1");
         std::this_thread::sleep_for(milliseconds(100));
         CPPUNIT_ASSERT(a.network().connected() == std::vector<std::string>{"b-1"});
-        context_.stop();
+        context.stop();
     }
 
     void address_removed_from_the_dial_set_is_not_dialled() {
-        recorder a(context_, settings("a"));
+        recorder a(context, settings("a"));
         std::string address;
         {
             const scripted_server unused_port({});
             address = unused_port.address();
         }
-        recorder b(context_, settings("b"));
+        recorder b(context, settings("b"));
         a.network().dial({address});
         a.network().dial({b.network().address()});
         a.wait_for_event("up b-1");
         counters counted;
         std::atomic<bool> up{false};
-        peer_network late(context_.get(), address, settings("c"),
+        peer_network late(context.get(), address, settings("c"),
                           {{}, [&](std::string_view) { up = true; }, {}}, counted);
         late.start();
         std::this_thread::sleep_for(milliseconds(100));
         CPPUNIT_ASSERT(!up);
-        context_.stop();
+        context.stop();
     }
 };
 
--- a/unittests/net/peer_recorder.h
+++ b/unittests/net/peer_recorder.h
@@ -100,10 +100,10 @@
 /// Nodes on one context. Tests stop it while their nodes still exist.
 class peer_network_fixture : public CppUnit::TestFixture {
 public:
-    void tearDown() override { context_.stop(); }
+    void tearDown() override { context.stop(); }
 
 protected:
-    test_context context_;
+    test_context context;
 };
 
 } // namespace dragonflystair::net
