--- a/review/lib-2/stand_ins.py
+++ b/review/lib-2/stand_ins.py
@@ -239,8 +239,9 @@
     """A worker. `run` answers the requests of clients; orders and reports follow PROTOCOL.md."""
 
     def __init__(self, store, ident, service, zone, slots, models=None, adapter_slots=17,
-                 adapter_s=0.25, run=None):
+                 adapter_s=0.25, run=None, known_adapters=None):
         super().__init__()
+        self.known_adapters = known_adapters  # those named a1 to aN exist; None for any name
         self.store, self.ident, self.service, self.zone = store, ident, service, zone
         self.slots, self.models = slots, models
         self.adapter_slots, self.adapter_s = adapter_slots, adapter_s
@@ -330,6 +331,10 @@
         model, adapter = body["model"], body.get("adapter")
         if self.models is None or model not in self.models or not adapter:
             return (200, b"") if self.models and model in self.models else (400, b"")
+        if self.known_adapters is not None and not (
+                adapter[1:].isdigit() and adapter[0] == "a"
+                and 1 <= int(adapter[1:]) <= self.known_adapters):
+            return 400, b""
         present = adapter in self.models[model]
         if (body["op"] == "load") == present and (model, adapter) not in self.loading:
             return 200, b""
