--- a/review/lib-2/stand_ins.py
+++ b/review/lib-2/stand_ins.py
@@ -15,7 +15,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 HOST = "127.0.0.1"
-REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+REPOSITORY = os.path.abspath(
+    os.path.join(os.path.dirname(os.path.realpath(__file__)), "..", ".."))
 PROGRAM = os.path.join(REPOSITORY, "target", "dragonflystair")
 
 
