--- a/review/10/run.py
+++ b/review/10/run.py
@@ -1,7 +1,8 @@
-"""A planned stop while workers pause in the middle of streams that may be resumed."""
+"""A worker starts again under its id and then leaves; a report of its former run reaches the store
+late."""
 import asyncio
+import json
 import os
-import signal
 import sys
 import tempfile
 import time
@@ -12,80 +13,95 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-STREAMS = 8
-EVENTS = 10
-PAUSE_AFTER = 3        # events
-PAUSE_S = 3.0          # a client abandons a stream after 4 s: four times the objective of 1,000 ms
 STABLE_S = 4.0         # stable-ms
-SIGTERM_AFTER_S = 1.0  # after the requests were sent
+DRAIN_S = 2.5          # drain-ms
+DOWN_S = 1.2           # the crash of the worker
+LATE_S = 5.8           # the late write: 1 to 6 s (fleetbench kinds, platform_lost, late)
+SERVES_S = 5.0         # drain-ms "and a little longer (at times many seconds)"
+CLIENTS = 9
 
 record = s.Record(os.path.join(FOLDER, "record.txt"))
-runs = {}              # by request id: how often a worker began it
+sent = {}              # when a client sent a request, by id
+passed_on = {}         # when a machine first passed on an answer with Server-Leaving, by machine
+faults = []
 
 
-def event(number):
-    text = f"id: {number}\ndata: token {number}\n\n".encode()
-    return f"{len(text):x}\r\n".encode() + text + b"\r\n"
+class Leaver(s.Worker):
+    def headers(self, request, stamp=True):
+        out = super().headers(request, stamp)
+        if self.state == "draining":
+            out["Server-Leaving"] = "1"
+        return out
 
 
-async def run_stream(worker, request, reader, writer):
-    """The first run of a request is preempted after some events, is read anew, and goes on; a run
-    that is resumed goes on at once."""
+async def stamp(worker, request, reader, writer):
     ident = request.headers["request-id"]
-    after = int(request.headers.get("last-event-id", "0"))
-    runs[ident] = runs.get(ident, 0) + 1
-    record.line(f"worker {worker.ident} runs {ident} after event {after}, "
-                f"Deadline-Ms {request.headers.get('deadline-ms')}")
-    head = {**worker.headers(request), "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked"}
-    writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in head.items())
-                  + "\r\n").encode())
-    for number in range(after + 1, EVENTS + 1):
-        if number == PAUSE_AFTER + 1 and after == 0:
-            record.line(f"worker {worker.ident} preempts {ident} for {PAUSE_S} s")
-            # A worker drops a request when its connection closes.
-            if await closed_within(reader, PAUSE_S):
-                record.line(f"worker {worker.ident} drops {ident}: its connection was closed")
-                return False
-        await asyncio.sleep(0.05)
-        writer.write(event(number))
-        await writer.drain()
-    writer.write(b"0\r\n\r\n")
-    record.line(f"worker {worker.ident} has run {ident} to its end")
+    machine = ident.split("/")[0]
+    if worker.ident == "i-cert0" and machine in passed_on:
+        after = sent[ident] - passed_on[machine]
+        if after > DRAIN_S:
+            faults.append(ident)
+            record.line(f"FAULT {ident} reaches {worker.ident} from {machine}; its client sent it "
+                        f"{after:.3f} s after {machine} had passed on that the worker leaves")
+    await asyncio.sleep(0.03)
+    writer.write(s.render(200, worker.headers(request), b"x" * 800))
     return True
 
 
-async def closed_within(reader, seconds):
-    try:
-        return await asyncio.wait_for(reader.read(1), seconds) == b""
-    except (asyncio.TimeoutError, ConnectionError):
-        return False
+async def client(gateway, number, stop):
+    turn, connection = 0, s.Client(gateway.front)
+    while not stop.is_set():
+        turn += 1
+        ident = f"{gateway.name}/{number}-{turn}"
+        sent[ident] = time.monotonic()
+        answer = await connection.ask("POST", f"/stamp/{number}", s.request_headers(ident),
+                                      b"y" * 600, 6)
+        if answer and answer.headers.get("server-leaving") == "1" and gateway.name not in passed_on:
+            passed_on[gateway.name] = time.monotonic()
+            record.line(f"{gateway.name} passes on an answer with Server-Leaving")
+        if answer is None or answer.headers.get("connection", "").lower() == "close":
+            connection.close()
+            connection = s.Client(gateway.front)
+        await asyncio.sleep(0.03)
+    connection.close()
 
 
-async def stream(gateway, number):
-    """Returns whether the client got the complete stream."""
-    ident = f"d-{number}"
-    client = s.Client(gateway.front)
-    sent = time.monotonic()
-    answer = await client.ask(
-        "POST", f"/draft/{number}",
-        s.request_headers(ident, 6000, Model="m0/a1", Token_Usage="646,70",
-                          Prompt_Prefix=f"5c1e07a2:155,{number + 1:x}:491"), b"z" * 1300, 6)
-    client.close()
-    events = answer.body.count(b"data:") if answer else 0
-    complete = answer is not None and answer.status == 200 and answer.complete
-    record.line(f"client {ident} got {events} events, "
-                f"{'complete' if complete else 'the connection ended without the end of the stream'}"
-                f", {time.monotonic() - sent:.2f} s after it was sent")
-    return complete and events == EVENTS
+async def start_worker(store, port=0):
+    worker = Leaver(store, "i-cert0", "cert-registry", "lahore-a", 6, run=stamp)
+    await worker.start(port)
+    record.line(f"worker i-cert0 starts, born {worker.born}")
+    return worker
+
+
+async def crash(worker):
+    worker.beat_task.cancel()
+    worker.server.close()
+    for writer in list(worker.writers):
+        writer.transport.abort()
+    record.line(f"worker i-cert0, born {worker.born}, crashes")
+
+
+async def late_report(store, worker):
+    """The last heartbeat of the former run: its write got no answer and is executed late."""
+    entry = json.dumps(worker.entry())
+    await asyncio.sleep(LATE_S if TROUBLE else 0)
+    await store.put("keyed.servers", "i-cert0", entry)
+    record.line(f"the store executes a report of the run born {worker.born}: {worker.state}")
+
+
+async def until(condition, seconds):
+    ends = time.monotonic() + seconds
+    while not condition() and time.monotonic() < ends:
+        await asyncio.sleep(0.005)
 
 
 async def main():
     store = await s.Store().start()
     await store.put("keyed.op", "config", s.configuration())
     zones = list(s.ZONES)
-    workers = [await s.Worker(store, f"i-fold{k}", "fold-assistant", zones[k % 3], 64,
-                              {"m0": {"a1"}}, run=run_stream).start() for k in range(9)]
+    first = await start_worker(store)
+    others = [await s.Worker(store, f"i-cert{k}", "cert-registry", zones[k], 6, run=stamp).start()
+              for k in (1, 2)]
     with tempfile.TemporaryDirectory() as folder:
         gateways = [s.Gateway(folder, f"front-{zone}-1", zone, store) for zone in zones]
         seeds = [gateway.control for gateway in gateways]
@@ -95,25 +111,37 @@
             for gateway in gateways:
                 if not await gateway.wait_ready():
                     return 2
-            await asyncio.sleep(STABLE_S)  # all machines are in touch
-            target = gateways[0]
-            tasks = [asyncio.ensure_future(stream(target, k)) for k in range(STREAMS)]
-            await asyncio.sleep(SIGTERM_AFTER_S)
-            if TROUBLE:
-                record.line(f"machine {target.name} gets SIGTERM; grace-s is {target.grace_s}")
-                target.signal(signal.SIGTERM)
-            results = await asyncio.gather(*tasks)
-            lost = results.count(False)
-            record.line(f"{STREAMS} streams, {lost} without a complete answer; "
-                        f"machine {target.name} {'runs' if target.alive() else 'has ended'}")
-            if not any(runs.values()):
+            await asyncio.sleep(STABLE_S)
+            stop = asyncio.Event()
+            tasks = [asyncio.ensure_future(client(gateways[k % 3], k, stop))
+                     for k in range(CLIENTS)]
+            await asyncio.sleep(1)
+            late = asyncio.ensure_future(late_report(store, first))
+            await asyncio.sleep(0.05)
+            await crash(first)
+            await asyncio.sleep(DOWN_S)
+            second = await start_worker(store, int(first.address.rsplit(":", 1)[1]))
+            await until(lambda: second.running > 0, 1.5)  # a machine uses it again
+            await asyncio.sleep(0.2)
+            second.state = "draining"
+            record.line("worker i-cert0 leaves and says so in all its answers")
+            await until(lambda: passed_on, 1)
+            await second.register()
+            record.line("worker i-cert0 reports draining to the store")
+            await asyncio.sleep(SERVES_S)
+            await late
+            await crash(second)
+            await store.put("keyed.servers", "i-cert0", "")
+            stop.set()
+            await asyncio.wait(tasks, timeout=6)
+            record.line(f"{len(sent)} requests sent, {len(passed_on)} of 3 machines passed on that the "
+                        f"worker leaves, {len(faults)} requests reached it too late")
+            if not passed_on:
                 return 2
         finally:
             for gateway in gateways:
                 gateway.end()
-            for worker in workers:
-                worker.beat_task.cancel()
-    return 1 if lost > 0 else 0
+    return 1 if faults else 0
 
 
 if __name__ == "__main__":
