Doubt entries of an endpoint's former run

Cause: endpoint_watch took the order in which entries are read for the order of runs. An endpoint crashed, started again under its id and left; a heartbeat of its former run, whose write got no answer, was executed 4.8 s after it had been sent. The watch made that run the one in force, and it was not the run that leaves, so the endpoint counted as ready; the dispatcher took it for a restart and forgot the rest. After a removal, any other start than the last one was accepted at once.

Change: a run that starts later than all before it is accepted as before. Any other one only at its second entry in a row, and only 8 s or more after the run in force was first listed: by then nothing that was written before that run began can still arrive (6 s by the platform, 2 s to read it). So an endpoint whose clock was set back is used again, at its second heartbeat if the former run had lasted that long; the same holds after a restoration.

The log names the run in event=endpoint, and event=endpoint_record_doubted has the run of an entry that is not believed and the one in force.

--- a/include/dragonflystair/fleet/endpoint_watch.h
+++ b/include/dragonflystair/fleet/endpoint_watch.h
@@ -13,21 +13,27 @@
 
 namespace dragonflystair::fleet {
 
-/// Decides which entries of the VM list are valid. While the store is unavailable, entries expire
-/// although their endpoints are running; they are listed again within two seconds of its recovery.
-/// Heartbeats may be written late, so an entry may be older than the previous one: a draining
-/// endpoint stays draining for the rest of its run, and a removed endpoint is accepted again only
-/// at its second heartbeat. A store that was restored from a copy may list removed endpoints again
-/// and lacks recent ones; both are corrected within the same two seconds. Has no clock and does no
+/// Decides which entries of the VM list are valid, and which run of an endpoint is in force. While
+/// the store is unavailable, entries expire although their endpoints are running; they are listed
+/// again within two seconds of its recovery. A store that was restored from a copy may list removed
+/// endpoints again and lacks recent ones; both are corrected within the same two seconds.
+///
+/// Heartbeats may be written late, so an entry may be older than the previous one, and of a former
+/// run of its endpoint. A draining endpoint stays draining for the rest of its run, and a removed
+/// one is accepted again only at its second heartbeat. A run that did not start later than all
+/// others is accepted at its second heartbeat in a row, once nothing that was written before the
+/// run in force began can still arrive: its clock may have been set back. Has no clock and does no
 /// I/O.
 class endpoint_watch {
 public:
     /// Time after the store's recovery by which entries are listed again; specified by the
     /// platform.
     static constexpr std::chrono::milliseconds relist_time{2'000};
+    /// Time within which a write that got no response is executed, 6 s by the platform, and read.
+    static constexpr std::chrono::milliseconds late_write_time{8'000};
 
     /// Returns the record with its draining flag corrected; empty if the record is stale.
-    std::optional<endpoint_record> on_listed(endpoint_record record);
+    std::optional<endpoint_record> on_listed(endpoint_record record, support::time_point now);
     /// Records that the run of the endpoint that started at `started_ms` reported in an answer that
     /// it is draining. Returns whether that is new; reports of previous runs are ignored.
     bool on_draining_reported(std::string_view endpoint, std::uint64_t started_ms);
@@ -41,14 +47,22 @@
     [[nodiscard]] std::optional<support::time_point> next_due() const;
 
 private:
+    /// What is known of one endpoint. A run is identified by its start time.
+    struct known_endpoint {
+        std::optional<std::uint64_t> run; ///< In force, or the last one if gone; empty if unlisted.
+        std::uint64_t latest_run = 0;     ///< Of all that were in force.
+        support::time_point run_listed;   ///< When the run in force was first listed.
+        bool gone = false;
+        std::optional<std::uint64_t> doubted_run; ///< Of the last record, if that was not accepted.
+        std::optional<std::uint64_t> draining_run;
+    };
+
+    [[nodiscard]] bool accepts(known_endpoint& known, std::uint64_t run,
+                               support::time_point now) const;
     [[nodiscard]] support::time_point gone_at(support::time_point missing_since) const;
 
+    std::map<std::string, known_endpoint, std::less<>> endpoints_;
     std::map<std::string, support::time_point, std::less<>> missing_;
-    /// Start times of draining endpoints.
-    std::map<std::string, std::uint64_t, std::less<>> draining_;
-    std::map<std::string, std::uint64_t> gone_; ///< Start times of endpoints that are gone.
-    /// Start times of all listed endpoints.
-    std::map<std::string, std::uint64_t, std::less<>> started_;
     bool reachable_ = true;
     bool restoring_ = false; ///< The store may list entries that were removed before.
     std::optional<support::time_point> recovered_at_;
--- a/lib/fleet/endpoint_watch.cpp
+++ b/lib/fleet/endpoint_watch.cpp
@@ -7,44 +7,55 @@
 
 using support::time_point;
 
-std::optional<endpoint_record> endpoint_watch::on_listed(endpoint_record record) {
-    const auto known = started_.find(record.id);
-    if (restoring_ && known != started_.end() && record.started_ms < known->second) {
+std::optional<endpoint_record> endpoint_watch::on_listed(endpoint_record record, time_point now) {
+    auto& known = endpoints_[record.id];
+    if (!accepts(known, record.started_ms, now)) {
         return std::nullopt;
     }
-    if (const auto gone = gone_.find(record.id); gone != gone_.end()) {
-        const bool same_run = gone->second == record.started_ms;
-        if (restoring_ && record.started_ms <= gone->second) {
-            return std::nullopt;
-        }
-        gone_.erase(gone);
-        if (same_run) {
-            started_.insert_or_assign(record.id, record.started_ms);
-            return std::nullopt;
-        }
+    if (known.run != record.started_ms) {
+        known.run = record.started_ms;
+        known.latest_run = std::max(known.latest_run, record.started_ms);
+        known.run_listed = now;
     }
+    known.gone = false;
+    known.doubted_run.reset();
     if (const auto found = missing_.find(record.id); found != missing_.end()) {
         missing_.erase(found);
     }
-    started_.insert_or_assign(record.id, record.started_ms);
     if (record.draining) {
-        draining_.insert_or_assign(record.id, record.started_ms);
+        known.draining_run = record.started_ms;
     }
-    const auto draining_run = draining_.find(record.id);
-    record.draining = draining_run != draining_.end() && draining_run->second == record.started_ms;
+    record.draining = known.draining_run == record.started_ms;
     return record;
 }
 
-bool endpoint_watch::on_draining_reported(std::string_view endpoint, std::uint64_t started_ms) {
-    const auto started = started_.find(endpoint);
-    if (started != started_.end() && started->second > started_ms) {
+/// Returns whether a record of this run is valid, and otherwise remembers that it was listed.
+bool endpoint_watch::accepts(known_endpoint& known, std::uint64_t run, time_point now) const {
+    if (!known.run || run > known.latest_run) {
+        return true;
+    }
+    const bool in_force = run == *known.run;
+    if (in_force && !known.gone) {
+        return true;
+    }
+    if (restoring_) {
         return false;
     }
-    const auto draining_run = draining_.find(endpoint);
-    if (draining_run != draining_.end() && draining_run->second >= started_ms) {
+    const bool repeated = std::exchange(known.doubted_run, run) == run;
+    return repeated && (in_force || now >= known.run_listed + late_write_time);
+}
+
+bool endpoint_watch::on_draining_reported(std::string_view endpoint, std::uint64_t started_ms) {
+    auto found = endpoints_.find(endpoint);
+    if (found == endpoints_.end()) {
+        found = endpoints_.emplace(std::string(endpoint), known_endpoint{}).first;
+    }
+    auto& known = found->second;
+    const bool former = known.run && started_ms != *known.run && started_ms <= known.latest_run;
+    if (former || known.draining_run == started_ms) {
         return false;
     }
-    draining_.insert_or_assign(std::string(endpoint), started_ms);
+    known.draining_run = started_ms;
     return true;
 }
 
@@ -85,9 +96,9 @@
             continue;
         }
         gone.push_back(entry->first);
-        if (const auto started = started_.find(entry->first); started != started_.end()) {
-            gone_.insert_or_assign(entry->first, started->second);
-            started_.erase(started);
+        if (const auto known = endpoints_.find(entry->first); known != endpoints_.end()) {
+            known->second.gone = true;
+            known->second.doubted_run.reset();
         }
         entry = missing_.erase(entry);
     }
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -118,9 +118,10 @@
             counters_.increment("records_damaged_total", "endpoint");
             continue;
         }
-        decoded = watch_.on_listed(std::move(*decoded));
+        const auto started_ms = decoded->started_ms;
+        decoded = watch_.on_listed(std::move(*decoded), now);
         if (!decoded) {
-            counters_.increment("records_doubted_total", "endpoint");
+            note_doubted_record(record, started_ms);
             continue;
         }
         const auto* previous = view_.dispatcher.find(decoded->id);
@@ -129,6 +130,7 @@
             support::log_change("endpoint", {{"endpoint", decoded->id},
                                              {"service", decoded->service},
                                              {"address", decoded->address},
+                                             {"started_ms", std::to_string(decoded->started_ms)},
                                              {"state", decoded->draining ? "leaving" : "ready"},
                                              {"offset", std::to_string(record.offset)}});
         }
@@ -149,6 +151,19 @@
     pump();
 }
 
+/// Records an entry that is not believed, since it may be older than the run in force.
+void gateway::impl::note_doubted_record(const fleet::keyed_record& record,
+                                        std::uint64_t started_ms) {
+    const auto* in_force = view_.dispatcher.find(record.key);
+    counters_.increment("records_doubted_total", "endpoint");
+    support::log_request(
+        "endpoint_record_doubted",
+        {{"endpoint", record.key},
+         {"started_ms", std::to_string(started_ms)},
+         {"run_in_force", in_force == nullptr ? "none" : std::to_string(in_force->started_ms)},
+         {"offset", std::to_string(record.offset)}});
+}
+
 void gateway::impl::remove_gone_endpoints() {
     for (const auto& id : watch_.take_gone(boot_clock::now())) {
         support::log_change("endpoint", {{"endpoint", id}, {"state", "gone"}});
