Keep what an endpoint said of leaving with the right run

Callers saw, by the tests: an endpoint that leaves gets calls again, or one that has started anew gets none for good.

Cause: answers name no run, so a node files them under the run that it has listed. (a) A run that says it leaves before its first heartbeat is executed was taken for its predecessor, and its entry ended the leaving (DRAIN). (b) A run with an earlier start than its predecessor, whose clock was set back, was not believed when it said that it leaves (DRAIN). (c) A run with the same start as one that had left stayed out of use for good. (d) A peer's notice of a later run replaced the note that the present one leaves.

Change: the note belongs to the run in force. What an answer told in the last 8 s holds for the next run as well, unless the list explains it: the former run was listed as leaving, or removed. An entry that says "draining" is believed even if its run is doubted. Two entries in a row that say "ready" and were written later than that end the note, so neither error lasts.

--- a/include/dragonflystair/fleet/endpoint_watch.h
+++ b/include/dragonflystair/fleet/endpoint_watch.h
@@ -19,11 +19,15 @@
 /// endpoints again and lacks recent ones; both are corrected within the same two seconds.
 ///
 /// Heartbeats may be written late, so an entry may be older than the previous one, and of a former
-/// run of its endpoint. A draining endpoint stays draining for the rest of its run, and a removed
-/// one is accepted again only at its second heartbeat. A run that did not start later than all
-/// others is accepted at its second heartbeat in a row, once nothing that was written before the
-/// run in force began can still arrive: its clock may have been set back. Has no clock and does no
-/// I/O.
+/// run of its endpoint. A removed endpoint is accepted again only at its second heartbeat. A run
+/// that did not start later than all others is accepted at its second heartbeat in a row, once
+/// nothing that was written before the run in force began can still arrive: its clock may have been
+/// set back.
+///
+/// A draining endpoint stays draining for the rest of its run. An answer does not tell which run
+/// gave it, so what it told just before another run is listed holds for that run too. Two entries
+/// in a row that were written after the endpoint was last said to be draining show that it is not.
+/// Has no clock and does no I/O.
 class endpoint_watch {
 public:
     /// Time after the store's recovery by which entries are listed again; specified by the
@@ -36,7 +40,12 @@
     std::optional<endpoint_record> on_listed(endpoint_record record, support::time_point now);
     /// Records that the run of the endpoint that started at `started_ms` reported in an answer that
     /// it is draining. Returns whether that is new; reports of previous runs are ignored.
-    bool on_draining_reported(std::string_view endpoint, std::uint64_t started_ms);
+    bool on_draining_reported(std::string_view endpoint, std::uint64_t started_ms,
+                              support::time_point now);
+    /// Returns whether the run in force is draining, as far as is known.
+    [[nodiscard]] bool is_draining(std::string_view endpoint) const;
+    /// Returns whether a run of the endpoint is known to be none that is or will be in force.
+    [[nodiscard]] bool is_former_run(std::string_view endpoint, std::uint64_t started_ms) const;
     void on_missing(std::string_view endpoint, support::time_point now);
     void set_store_reachable(bool reachable, support::time_point now);
     /// Records that the store was restored from a copy.
@@ -47,6 +56,12 @@
     [[nodiscard]] std::optional<support::time_point> next_due() const;
 
 private:
+    struct draining_notice {
+        support::time_point last_told;
+        bool listed = false;       ///< By a record of the run itself, not only told in an answer.
+        bool ready_listed = false; ///< The last record was written since then and says otherwise.
+    };
+
     /// What is known of one endpoint. A run is identified by its start time.
     struct known_endpoint {
         std::optional<std::uint64_t> run; ///< In force, or the last one if gone; empty if unlisted.
@@ -54,11 +69,19 @@
         support::time_point run_listed;   ///< When the run in force was first listed.
         bool gone = false;
         std::optional<std::uint64_t> doubted_run; ///< Of the last record, if that was not accepted.
-        std::optional<std::uint64_t> draining_run;
+        std::optional<draining_notice> draining;  ///< Of the run in force.
+        std::optional<std::uint64_t> draining_unlisted_run; ///< A later one, by a peer's answer.
+
+        [[nodiscard]] bool is_former(std::uint64_t started_ms) const {
+            return run && started_ms != *run && started_ms <= latest_run;
+        }
     };
 
     [[nodiscard]] bool accepts(known_endpoint& known, std::uint64_t run,
                                support::time_point now) const;
+    static void begin_run(known_endpoint& known, std::uint64_t run, support::time_point now);
+    static void update_draining(known_endpoint& known, bool listed_draining,
+                                support::time_point now);
     [[nodiscard]] support::time_point gone_at(support::time_point missing_since) const;
 
     std::map<std::string, known_endpoint, std::less<>> endpoints_;
--- a/lib/fleet/endpoint_watch.cpp
+++ b/lib/fleet/endpoint_watch.cpp
@@ -10,25 +10,52 @@
 std::optional<endpoint_record> endpoint_watch::on_listed(endpoint_record record, time_point now) {
     auto& known = endpoints_[record.id];
     if (!accepts(known, record.started_ms, now)) {
+        if (record.draining && !restoring_ && !known.draining) {
+            // It may be the present run.
+            known.draining = draining_notice{now};
+        }
         return std::nullopt;
     }
     if (known.run != record.started_ms) {
-        known.run = record.started_ms;
-        known.latest_run = std::max(known.latest_run, record.started_ms);
-        known.run_listed = now;
+        begin_run(known, record.started_ms, now);
     }
     known.gone = false;
     known.doubted_run.reset();
     if (const auto found = missing_.find(record.id); found != missing_.end()) {
         missing_.erase(found);
     }
-    if (record.draining) {
-        known.draining_run = record.started_ms;
-    }
-    record.draining = known.draining_run == record.started_ms;
+    update_draining(known, record.draining, now);
+    record.draining = known.draining.has_value();
     return record;
 }
 
+void endpoint_watch::begin_run(known_endpoint& known, std::uint64_t run, time_point now) {
+    const bool may_be_its_own = known.draining && !known.draining->listed && !known.gone &&
+                                now < known.draining->last_told + late_write_time;
+    if (!may_be_its_own) {
+        known.draining.reset();
+    }
+    if (known.draining_unlisted_run == run) {
+        known.draining = draining_notice{now};
+    }
+    known.run = run;
+    known.latest_run = std::max(known.latest_run, run);
+    known.run_listed = now;
+    if (known.draining_unlisted_run && *known.draining_unlisted_run <= known.latest_run) {
+        known.draining_unlisted_run.reset();
+    }
+}
+
+/// Applies what a valid record says about draining.
+void endpoint_watch::update_draining(known_endpoint& known, bool listed_draining, time_point now) {
+    if (listed_draining) {
+        known.draining = draining_notice{now, true};
+    } else if (known.draining && now >= known.draining->last_told + late_write_time &&
+               std::exchange(known.draining->ready_listed, true)) {
+        known.draining.reset();
+    }
+}
+
 /// Returns whether a record of this run is valid, and otherwise remembers that it was listed.
 bool endpoint_watch::accepts(known_endpoint& known, std::uint64_t run, time_point now) const {
     if (!known.run || run > known.latest_run) {
@@ -45,18 +72,33 @@
     return repeated && (in_force || now >= known.run_listed + late_write_time);
 }
 
-bool endpoint_watch::on_draining_reported(std::string_view endpoint, std::uint64_t started_ms) {
+bool endpoint_watch::on_draining_reported(std::string_view endpoint, std::uint64_t started_ms,
+                                          time_point now) {
     auto found = endpoints_.find(endpoint);
     if (found == endpoints_.end()) {
         found = endpoints_.emplace(std::string(endpoint), known_endpoint{}).first;
     }
     auto& known = found->second;
-    const bool former = known.run && started_ms != *known.run && started_ms <= known.latest_run;
-    if (former || known.draining_run == started_ms) {
+    if (known.is_former(started_ms)) {
         return false;
     }
-    known.draining_run = started_ms;
-    return true;
+    if (known.run == started_ms) {
+        const bool is_new = !known.draining;
+        const bool listed = known.draining && known.draining->listed;
+        known.draining = draining_notice{now, listed};
+        return is_new;
+    }
+    return std::exchange(known.draining_unlisted_run, started_ms) != started_ms;
+}
+
+bool endpoint_watch::is_draining(std::string_view endpoint) const {
+    const auto found = endpoints_.find(endpoint);
+    return found != endpoints_.end() && found->second.draining;
+}
+
+bool endpoint_watch::is_former_run(std::string_view endpoint, std::uint64_t started_ms) const {
+    const auto found = endpoints_.find(endpoint);
+    return found != endpoints_.end() && found->second.is_former(started_ms);
 }
 
 void endpoint_watch::on_missing(std::string_view endpoint, time_point now) {
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -125,6 +125,7 @@
                    const platform::endpoint_notice& notice, support::time_point sent);
     void on_peer_notice(std::string_view peer, const support::json& frame);
     bool mark_leaving(std::string_view endpoint, std::uint64_t started_ms, std::string_view source);
+    void apply_leaving(const fleet::endpoint_record& record, std::string_view source);
     void apply_pause(std::string_view endpoint, support::time_point until, std::string_view source);
 
     // Crashes of endpoints (gateway_crashes.cpp).
--- a/lib/gateway/gateway_notices.cpp
+++ b/lib/gateway/gateway_notices.cpp
@@ -69,25 +69,34 @@
 /// earlier run of the endpoint.
 bool gateway::impl::mark_leaving(std::string_view endpoint, std::uint64_t started_ms,
                                  std::string_view source) {
-    if (!watch_.on_draining_reported(endpoint, started_ms)) {
+    if (!watch_.on_draining_reported(endpoint, started_ms, boot_clock::now())) {
         return false;
     }
     const auto* record = view_.dispatcher.find(endpoint);
-    if (record == nullptr || record->started_ms != started_ms || record->draining) {
-        return true;
+    if (record != nullptr && record->started_ms == started_ms) {
+        apply_leaving(*record, source);
     }
+    return true;
+}
+
+/// Stops using an endpoint whose run in force leaves.
+void gateway::impl::apply_leaving(const fleet::endpoint_record& record, std::string_view source) {
+    if (record.draining) {
+        return;
+    }
+    const auto endpoint = record.id;
     counters_.increment("endpoints_leaving_total", source);
-    support::log_change("endpoint", {{"endpoint", std::string(endpoint)},
-                                     {"address", record->address},
+    support::log_change("endpoint", {{"endpoint", endpoint},
+                                     {"address", record.address},
+                                     {"started_ms", std::to_string(record.started_ms)},
                                      {"state", "leaving"},
                                      {"source", std::string(source)}});
-    view_.endpoints.close_idle(record->address);
+    view_.endpoints.close_idle(record.address);
     view_.dispatcher.set_draining(endpoint);
     for (const auto& [name, holder] : holders_) {
         holder->planner().set_draining(endpoint);
     }
     pump();
-    return true;
 }
 
 void gateway::impl::apply_pause(std::string_view endpoint, support::time_point until,
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -162,6 +162,9 @@
          {"started_ms", std::to_string(started_ms)},
          {"run_in_force", in_force == nullptr ? "none" : std::to_string(in_force->started_ms)},
          {"offset", std::to_string(record.offset)}});
+    if (in_force != nullptr && watch_.is_draining(record.key)) {
+        apply_leaving(*in_force, "list");
+    }
 }
 
 void gateway::impl::remove_gone_endpoints() {
--- a/unittests/fleet/endpoint_notices_test.cpp
+++ b/unittests/fleet/endpoint_notices_test.cpp
@@ -118,25 +118,25 @@
 public:
     void draining_answer_overrides_the_list() {
         watch_.on_listed(listed(first_run), start);
-        CPPUNIT_ASSERT(watch_.on_draining_reported("a", first_run));
+        CPPUNIT_ASSERT(watch_.on_draining_reported("a", first_run, start));
         CPPUNIT_ASSERT(watch_.on_listed(listed(first_run), start)->draining);
     }
 
     void draining_answer_of_a_previous_run_is_ignored() {
         watch_.on_listed(listed(second_run), start);
-        CPPUNIT_ASSERT(!watch_.on_draining_reported("a", first_run));
+        CPPUNIT_ASSERT(!watch_.on_draining_reported("a", first_run, start));
         CPPUNIT_ASSERT(!watch_.on_listed(listed(second_run), start)->draining);
     }
 
     void draining_answer_before_the_entry_is_kept() {
-        CPPUNIT_ASSERT(watch_.on_draining_reported("a", first_run));
+        CPPUNIT_ASSERT(watch_.on_draining_reported("a", first_run, start));
         CPPUNIT_ASSERT(watch_.on_listed(listed(first_run), start)->draining);
     }
 
     void draining_answer_is_new_once() {
         watch_.on_listed(listed(first_run), start);
-        CPPUNIT_ASSERT(watch_.on_draining_reported("a", first_run));
-        CPPUNIT_ASSERT(!watch_.on_draining_reported("a", first_run));
+        CPPUNIT_ASSERT(watch_.on_draining_reported("a", first_run, start));
+        CPPUNIT_ASSERT(!watch_.on_draining_reported("a", first_run, start));
     }
 
 private:
--- a/unittests/fleet/endpoint_watch_test.cpp
+++ b/unittests/fleet/endpoint_watch_test.cpp
@@ -37,6 +37,12 @@
     CPPUNIT_TEST(run_with_earlier_start_is_accepted_after_a_restoration);
     CPPUNIT_TEST(removed_endpoint_with_earlier_start_is_accepted_at_its_second_entry);
     CPPUNIT_TEST(entries_of_two_runs_in_turn_keep_the_run_in_force);
+    CPPUNIT_TEST(answer_just_before_a_run_is_listed_holds_for_that_run);
+    CPPUNIT_TEST(run_after_a_listed_leaving_or_a_removal_is_ready);
+    CPPUNIT_TEST(endpoint_that_starts_again_with_equal_start_is_ready_in_time);
+    CPPUNIT_TEST(draining_of_run_with_earlier_start_is_believed);
+    CPPUNIT_TEST(draining_entry_of_doubted_run_is_believed_for_a_while);
+    CPPUNIT_TEST(draining_of_a_later_run_does_not_lift_that_of_the_present_one);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -151,11 +157,11 @@
     void late_entries_of_former_run_do_not_lift_what_the_present_run_said() {
         watch_.on_listed(listed(false, 1), start);
         watch_.on_listed(listed(false, 2), start + milliseconds{1'000});
-        watch_.on_draining_reported("a", 2);
+        watch_.on_draining_reported("a", 2, start);
         for (int ms = 1'100; ms <= 7'000; ms += 100) {
             CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 1), start + milliseconds{ms}));
         }
-        CPPUNIT_ASSERT(!watch_.on_draining_reported("a", 2));
+        CPPUNIT_ASSERT(!watch_.on_draining_reported("a", 2, start));
     }
 
     /// Guards against calls to an endpoint that is gone: its former run is another one than the
@@ -215,6 +221,65 @@
         }
     }
 
+    /// Guards against calls to an endpoint that said that it leaves before its run was listed: its
+    /// first heartbeat was written late.
+    void answer_just_before_a_run_is_listed_holds_for_that_run() {
+        watch_.on_listed(listed(false, 1), start);
+        watch_.on_draining_reported("a", 1, start);
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 2), start + milliseconds{5'000})->draining);
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 2), start + milliseconds{6'200})->draining);
+        // If it was the former run that left, the present one goes on writing heartbeats.
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 2), later(0))->draining);
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 2), later(1'200))->draining);
+    }
+
+    void run_after_a_listed_leaving_or_a_removal_is_ready() {
+        watch_.on_listed(listed(false, 1), start);
+        watch_.on_draining_reported("a", 1, start);
+        watch_.on_listed(listed(true, 1), start);
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 2), start)->draining);
+        watch_.on_draining_reported("a", 2, start);
+        watch_.on_missing("a", start);
+        watch_.take_gone(start);
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 3), start)->draining);
+    }
+
+    /// Guards against an endpoint that gets no calls in its second run, which cannot be told from
+    /// the first.
+    void endpoint_that_starts_again_with_equal_start_is_ready_in_time() {
+        watch_.on_listed(listed(true, 1), start);
+        watch_.on_missing("a", start);
+        watch_.take_gone(start);
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 1), start + milliseconds{4'000}));
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 1), start + milliseconds{5'200})->draining);
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 1), later(0))->draining);
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 1), later(1'200))->draining);
+    }
+
+    /// Guards against calls to an endpoint that leaves, whose clock was set back (DRAIN).
+    void draining_of_run_with_earlier_start_is_believed() {
+        watch_.on_listed(listed(false, 2), start);
+        watch_.on_listed(listed(false, 1), later(0));
+        watch_.on_listed(listed(false, 1), later(1'200));
+        CPPUNIT_ASSERT(watch_.on_draining_reported("a", 1, later(1'300)));
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 1), later(2'400))->draining);
+    }
+
+    void draining_entry_of_doubted_run_is_believed_for_a_while() {
+        watch_.on_listed(listed(false, 2), start);
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(true, 1), start));
+        CPPUNIT_ASSERT(watch_.is_draining("a"));
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 2), later(0))->draining);
+        CPPUNIT_ASSERT(!watch_.on_listed(listed(false, 2), later(1'200))->draining);
+    }
+
+    void draining_of_a_later_run_does_not_lift_that_of_the_present_one() {
+        watch_.on_listed(listed(true, 1), start);
+        CPPUNIT_ASSERT(watch_.on_draining_reported("a", 2, start));
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 1), start)->draining);
+        CPPUNIT_ASSERT(watch_.on_listed(listed(false, 2), start)->draining);
+    }
+
     void entry_missing_from_restored_list_is_kept_until_it_is_listed_again() {
         watch_.on_listed(listed(false, 1), start);
         watch_.on_store_restored(start);
