Ignore reports and outcomes of an engine's former run

Callers saw, by the tests: calls to an engine for adapters that it had lost in its restart (421, and a second try), and orders with a count that the engine does not have, which it rejects.

Cause: the adapter planner matched reports by the engine's id alone and outcomes by the count of orders. A report that was under way while the engine restarted under its id replaced the state of the new run; an outcome with the same count, often 0, ended the order to the new run that was in flight and changed its adapters.

Change: orders carry the run that they are meant for. Outcomes for another run only raise the count that an order without an answer can lead to. A report names its run ("born"); one of a run that is not listed counts as failed and is requested again.

--- a/include/dragonflystair/fleet/adapter_planner.h
+++ b/include/dragonflystair/fleet/adapter_planner.h
@@ -26,6 +26,7 @@
 struct planned_order {
     std::string endpoint;
     std::string address;
+    std::uint64_t started_ms = 0; ///< Start time of the run of the engine that it is meant for.
     order_kind kind = order_kind::load;
     model_name model;
     std::optional<std::uint64_t> version;
@@ -125,7 +126,11 @@
 
     /// Returns the orders to send, at most one for each engine without an order in flight.
     std::vector<planned_order> plan(support::time_point now);
+    /// Returns whether an order was meant for the run of its engine that is in force. What comes of
+    /// other orders changes nothing of that run's state.
+    [[nodiscard]] bool concerns_present_run(const planned_order& order) const;
     void on_outcome(const planned_order& order, order_outcome outcome, support::time_point now);
+    /// Applies a report. One of another run than the record's counts as failed.
     void on_report(std::string_view endpoint, const engine_report& report, support::time_point now);
     void on_report_failed(std::string_view endpoint, support::time_point now);
 
--- a/lib/fleet/adapter_planner_orders.cpp
+++ b/lib/fleet/adapter_planner_orders.cpp
@@ -63,6 +63,7 @@
     planned_order order;
     order.endpoint = target.record.id;
     order.address = target.record.address;
+    order.started_ms = target.record.started_ms;
     order.kind = kind;
     order.model = model;
     order.orders_accepted = target.orders_accepted;
--- a/lib/fleet/adapter_planner_outcomes.cpp
+++ b/lib/fleet/adapter_planner_outcomes.cpp
@@ -183,6 +183,11 @@
     }
 }
 
+bool adapter_planner::concerns_present_run(const planned_order& order) const {
+    const auto found = impl_->engines.find(order.endpoint);
+    return found != impl_->engines.end() && found->second.record.started_ms == order.started_ms;
+}
+
 void adapter_planner::on_outcome(const planned_order& order, order_outcome outcome,
                                  time_point now) {
     const auto found = impl_->engines.find(order.endpoint);
@@ -190,8 +195,13 @@
         return;
     }
     auto& target = found->second;
+    if (order.started_ms != target.record.started_ms) {
+        // The present run may still execute an order that its predecessor did not answer.
+        target.reachable_count = std::max(target.reachable_count, order.orders_accepted + 1);
+        return;
+    }
     if (order.orders_accepted != target.orders_accepted) {
-        // A report or a restart came first, so the outcome tells nothing about the present count.
+        // A report came first, so the outcome tells nothing about the present count.
         target.reachable_count = std::max(target.reachable_count, order.orders_accepted + 1);
         impl_->revert_order(target, order);
         return;
@@ -242,6 +252,11 @@
         return;
     }
     auto& target = found->second;
+    const bool names_runs = report.started_ms != 0 && target.record.started_ms != 0;
+    if (names_runs && report.started_ms != target.record.started_ms) {
+        on_report_failed(endpoint, now);
+        return;
+    }
     target.order_in_flight = false;
     target.needs_report = false;
     target.unanswered = 0;
--- a/lib/gateway/placement_holder.cpp
+++ b/lib/gateway/placement_holder.cpp
@@ -180,12 +180,18 @@
         net::log_unhandled("order", std::current_exception());
     }
     if (is_report) {
-        planner_.on_report_failed(order.endpoint, boot_clock::now());
+        on_report_failed(order);
     } else {
         planner_.on_outcome(order, fleet::order_outcome::failed, boot_clock::now());
     }
 }
 
+void placement_holder::on_report_failed(const fleet::planned_order& order) {
+    if (planner_.concerns_present_run(order)) {
+        planner_.on_report_failed(order.endpoint, boot_clock::now());
+    }
+}
+
 net::awaitable<void> placement_holder::send_order(fleet::planned_order order) {
     const auto self = shared_from_this();
     if (!view_.may_send(order.endpoint, boot_clock::now()) || !on_.take_permit(order.endpoint)) {
@@ -240,15 +246,15 @@
 net::awaitable<void> placement_holder::request_report(fleet::planned_order order) {
     const auto self = shared_from_this();
     if (!view_.may_send(order.endpoint, boot_clock::now()) || !on_.take_permit(order.endpoint)) {
-        planner_.on_report_failed(order.endpoint, boot_clock::now());
+        on_report_failed(order);
         co_return;
     }
     view_.note_sent(order.endpoint, fleet::request_kind::report);
     const auto report = co_await engines_.report(order.address, order.endpoint, report_timeout);
-    if (report) {
+    if (!report) {
+        on_report_failed(order);
+    } else if (planner_.concerns_present_run(order)) {
         planner_.on_report(order.endpoint, report.value(), boot_clock::now());
-    } else {
-        planner_.on_report_failed(order.endpoint, boot_clock::now());
     }
     pump();
 }
--- a/lib/gateway/placement_holder.h
+++ b/lib/gateway/placement_holder.h
@@ -52,6 +52,7 @@
     net::awaitable<void> run_order(fleet::planned_order order);
     net::awaitable<void> send_order(fleet::planned_order order);
     net::awaitable<void> request_report(fleet::planned_order order);
+    void on_report_failed(const fleet::planned_order& order);
     /// Logs and reports a change of the lease since `held_before`. Starts a term of the planner if
     /// the lease was acquired.
     void on_lease_changed(bool held_before);
