Ignore notices of an endpoint's former run

Cause: a pause and a leaving were applied by the endpoint's id. An answer to a call that was sent before the restart was applied to the run that was listed when it arrived; answers to orders and reports were even filed under that run.

Change: the run of a notice is the one that was in force when the request was sent, for orders too. If another one is listed by now, the notice is dropped and counted (endpoint_notices_outdated_total); the next answer tells about the present run.

For orders there is no test of the whole path; the run is passed on by value.

--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -105,10 +105,8 @@
                    std::string(platform::request_id_header)),
       store_(store_http_, settings.store_address, [this](std::uint64_t era) { on_store_era(era); }),
       engines_(engine_http_,
-               [this](std::string_view endpoint, const auto& notice, support::time_point sent) {
-                   if (const auto* record = view_.dispatcher.find(endpoint)) {
-                       on_notice(endpoint, record->started_ms, notice, sent);
-                   }
+               [this](const auto& receiver, const auto& notice, support::time_point sent) {
+                   on_notice(receiver.endpoint, receiver.started_ms, notice, sent);
                }),
       readers_(settings.name),
       placer_(view_, {[this](std::string_view peer, const support::json& frame) {
--- a/lib/gateway/gateway_notices.cpp
+++ b/lib/gateway/gateway_notices.cpp
@@ -15,6 +15,12 @@
 void gateway::impl::on_notice(std::string_view endpoint, std::uint64_t started_ms,
                               const platform::endpoint_notice& notice, support::time_point sent) {
     const auto now = boot_clock::now();
+    if (const auto* record = view_.dispatcher.find(endpoint);
+        record != nullptr && record->started_ms != started_ms) {
+        // The endpoint was listed as restarted meanwhile; the next response tells about its run.
+        counters_.increment("endpoint_notices_outdated_total");
+        return;
+    }
     if (notice.malformed) {
         counters_.increment("endpoint_notices_damaged_total");
         support::log_request("endpoint_notice_damaged", {{"endpoint", std::string(endpoint)}});
--- a/lib/gateway/placement_holder.cpp
+++ b/lib/gateway/placement_holder.cpp
@@ -45,6 +45,10 @@
     return fleet::order_outcome::failed;
 }
 
+platform::engine_run receiver_of(const fleet::planned_order& order) {
+    return {order.address, order.endpoint, order.started_ms};
+}
+
 platform::engine_order to_engine_order(const fleet::planned_order& order, std::string holder,
                                        std::uint64_t fence) {
     platform::engine_order result;
@@ -202,7 +206,7 @@
                     order.check ? fleet::request_kind::check : fleet::request_kind::order);
     auto engine_order = to_engine_order(order, view_.settings.name, lease_.fence());
     const auto result =
-        co_await engines_.order(order.address, order.endpoint, std::move(engine_order),
+        co_await engines_.order(receiver_of(order), std::move(engine_order),
                                 fleet::adapter_planner::answer_time);
     record_order(order, platform::to_string(result));
     if (result == platform::order_result::fenced) {
@@ -250,7 +254,7 @@
         co_return;
     }
     view_.note_sent(order.endpoint, fleet::request_kind::report);
-    const auto report = co_await engines_.report(order.address, order.endpoint, report_timeout);
+    const auto report = co_await engines_.report(receiver_of(order), report_timeout);
     if (!report) {
         on_report_failed(order);
     } else if (planner_.concerns_present_run(order)) {
--- a/unittests/gateway_restored/former_run_test.cpp
+++ b/unittests/gateway_restored/former_run_test.cpp
@@ -1,7 +1,14 @@
 #include "restored_store_fixture.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <atomic>
 #include <cstdint>
+#include <future>
 #include <string>
+#include <utility>
 
 namespace {
 
@@ -19,10 +26,24 @@
     CPPUNIT_TEST(endpoint_listed_as_leaving_gets_no_calls_after_late_entry_of_former_run);
     CPPUNIT_TEST(removed_endpoint_gets_no_calls_after_late_entries_of_former_run);
     CPPUNIT_TEST(address_of_former_run_gets_no_calls_after_its_late_entry);
+    CPPUNIT_TEST(pause_that_former_run_requested_does_not_hold_for_the_present_one);
     CPPUNIT_TEST(leaving_said_before_its_run_is_listed_holds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Guards against an endpoint that gets no calls for a time that its former run named.
+    void pause_that_former_run_requested_does_not_hold_for_the_present_one() {
+        hold_first_answer(503, {{"Not-Run", "1"}, {"Retry-After", "30"}});
+        list_held("register");
+        auto held = std::async(std::launch::async, [this] { call_held("/stamps/1"); });
+        eventually("a call", [this] { return calls_of("endpoint-1") == 1; });
+        put_run("endpoint-1", present_run);
+        expect_endpoints_are_read();
+        released_ = true;
+        held.get();
+        expect_served("/stamps/1");
+    }
+
     /// Guards against calls to an endpoint that leaves, whose first heartbeat is written late
     /// (DRAIN).
     void leaving_said_before_its_run_is_listed_holds() {
@@ -86,6 +107,51 @@
                    endpoint_record(service, endpoints.at(id)->address(), state, 0, 6, started_ms));
     }
 
+    /// Adds endpoint-1, which answers its first call like this once `released_` is set, and all
+    /// other calls with an event.
+    void hold_first_answer(int status, const net::http_headers& headers) {
+        released_ = false;
+        add_endpoint("endpoint-1", [this, status, headers](net::http_exchange& exchange) {
+            return serve_when_released(exchange, status, headers);
+        });
+    }
+
+    net::awaitable<void> serve_when_released(net::http_exchange& exchange, int status,
+                                             const net::http_headers& headers) {
+        auto response =
+            released_ ? response_to(exchange, 200, {}) : response_to(exchange, status, headers);
+        boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor);
+        while (!released_) {
+            pause.expires_after(milliseconds{5});
+            co_await pause.async_wait(boost::asio::use_awaitable);
+        }
+        co_await exchange.respond(std::move(response));
+    }
+
+    static net::http_response response_to(const net::http_exchange& exchange, int status,
+                                          const net::http_headers& headers) {
+        auto response = endpoint_stand_in::signed_head(exchange);
+        response.status = status;
+        response.headers.insert(headers.begin(), headers.end());
+        response.body = "data: token\n\n";
+        return response;
+    }
+
+    void list_held(const std::string& service) {
+        put_run("endpoint-1", former_run, "ready", service);
+        start_gateway_with(1);
+    }
+
+    /// Makes a call on a connection of its own; its result is not judged.
+    void call_held(const std::string& path, const std::string& model = {}) const {
+        auto connection = net::raw_connection::to(address);
+        connection.write("POST " + path +
+                         " HTTP/1.1\r\nHost: desk\r\nRequest-Id: held\r\nDeadline-Ms: 9000\r\n" +
+                         (model.empty() ? "" : "Model: " + model + "\r\n") +
+                         "Connection: close\r\nContent-Length: 0\r\n\r\n");
+        connection.read_all();
+    }
+
     /// Starts a gateway that knows the present run of endpoint-1, whose answers have the headers,
     /// and endpoint-2.
     void start(const net::http_headers& headers) {
@@ -106,6 +172,8 @@
         expect_served("/stamps/1");
         CPPUNIT_ASSERT_EQUAL(before, calls_of(id));
     }
+
+    std::atomic<bool> released_{false};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(former_run_test);
--- a/unittests/platform/copied_answer_test.cpp
+++ b/unittests/platform/copied_answer_test.cpp
@@ -88,8 +88,9 @@
             connection.write(copy + make_response("200 OK", id, report_of(2)));
             connection.read_all();
         }});
-        const auto first = context_.run(client_.report(engine.address(), "engine", long_timeout));
-        const auto second = context_.run(client_.report(engine.address(), "engine", long_timeout));
+        const engine_run receiver{engine.address(), "engine", 1};
+        const auto first = context_.run(client_.report(receiver, long_timeout));
+        const auto second = context_.run(client_.report(receiver, long_timeout));
         http_.reset();
         CPPUNIT_ASSERT(first && second);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, first.value().orders_accepted);
@@ -123,7 +124,7 @@
         engine_order order;
         order.model = {"m", "a"};
         order.holder = "node";
-        return context_.run(client_.order(address, "engine", order, long_timeout));
+        return context_.run(client_.order({address, "engine", 1}, order, long_timeout));
     }
 
     net::test_context context_;
