Keep pauses and limits when a run is listed late

Callers saw, by the tests: calls to an endpoint that had just rejected them with Retry-After (BUDGET), or more than its Server-Limit allows (LIMIT), as soon as its new run was listed.

Cause: an endpoint that starts again under its id and address answers calls up to a second before its entry is read. What it says was filed under its former run and forgotten with the entry. A limit of a run with an earlier start than its predecessor was ignored for good.

Change: when another run is listed, a rejection or a limit of the last 8 s holds for it, a rejection for 8 s at most and a limit until the first answer without one. Limits of former runs that peers pass on are ignored.

--- a/include/dragonflystair/fleet/announced_limits.h
+++ b/include/dragonflystair/fleet/announced_limits.h
@@ -49,6 +49,11 @@
 
     /// Returns whether the limit that is in force for this run of the endpoint has changed.
     bool observe(std::string_view endpoint, const limit_observation& observed);
+    /// Records that another run of the endpoint is listed. An observation of the last seconds may
+    /// be of that run, since a response does not tell which run gave it, and holds for it until it
+    /// says otherwise; an older one ends.
+    void on_run_listed(std::string_view endpoint, std::uint64_t former_started_ms,
+                       std::uint64_t started_ms, support::time_point now);
     void remove(std::string_view endpoint);
 
     /// Returns the limit in force for this run of the endpoint in requests a second, if any.
--- a/lib/fleet/announced_limits.cpp
+++ b/lib/fleet/announced_limits.cpp
@@ -1,5 +1,7 @@
 #include "dragonflystair/fleet/announced_limits.h"
 
+#include "dragonflystair/fleet/endpoint_watch.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -66,6 +68,20 @@
     return true;
 }
 
+void announced_limits::on_run_listed(std::string_view endpoint, std::uint64_t former_started_ms,
+                                     std::uint64_t started_ms, support::time_point now) {
+    const auto found = entries_.find(endpoint);
+    if (found == entries_.end() || found->second.latest.started_ms != former_started_ms) {
+        return;
+    }
+    auto& latest = found->second.latest;
+    if (now < latest.received_at + endpoint_watch::late_write_time) {
+        latest.started_ms = started_ms;
+    } else {
+        entries_.erase(found);
+    }
+}
+
 void announced_limits::remove(std::string_view endpoint) {
     if (const auto found = entries_.find(endpoint); found != entries_.end()) {
         entries_.erase(found);
--- a/lib/fleet/endpoint_backoff.cpp
+++ b/lib/fleet/endpoint_backoff.cpp
@@ -1,5 +1,6 @@
 #include "dragonflystair/fleet/endpoint_backoff.h"
 
+#include "dragonflystair/fleet/endpoint_watch.h"
 #include "dragonflystair/support/hash.h"
 
 #include <algorithm>
@@ -39,6 +40,25 @@
     return until;
 }
 
+std::optional<time_point> endpoint_backoff::on_run_listed(std::string_view endpoint,
+                                                          std::uint64_t former_started_ms,
+                                                          std::uint64_t started_ms,
+                                                          time_point now) {
+    const auto known = entries_.find(endpoint);
+    if (known == entries_.end() || known->second.started_ms != former_started_ms) {
+        return std::nullopt;
+    }
+    auto& current = known->second;
+    const auto until =
+        std::min(current.until, current.answered_at + endpoint_watch::late_write_time);
+    if (until <= now) {
+        return std::nullopt;
+    }
+    current.started_ms = started_ms;
+    current.until = until;
+    return until;
+}
+
 bool endpoint_backoff::allows(std::string_view endpoint, std::uint64_t started_ms,
                               time_point now) const {
     const auto known = entries_.find(endpoint);
--- a/lib/gateway/gateway_limits.cpp
+++ b/lib/gateway/gateway_limits.cpp
@@ -33,7 +33,8 @@
 /// relayed, at a peer. Returns whether that is new.
 bool gateway::impl::on_limit(std::string_view endpoint, const fleet::limit_observation& observed,
                              std::string_view source) {
-    if (!view_.limits.observe(endpoint, observed)) {
+    if (watch_.is_former_run(endpoint, observed.started_ms) ||
+        !view_.limits.observe(endpoint, observed)) {
         return false;
     }
     counters_.increment("endpoint_limits_total", source);
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -125,8 +125,9 @@
             continue;
         }
         const auto* previous = view_.dispatcher.find(decoded->id);
+        const auto former_run = previous == nullptr ? decoded->started_ms : previous->started_ms;
         if (previous == nullptr || previous->draining != decoded->draining ||
-            previous->started_ms != decoded->started_ms) {
+            former_run != decoded->started_ms) {
             support::log_change("endpoint", {{"endpoint", decoded->id},
                                              {"service", decoded->service},
                                              {"address", decoded->address},
@@ -145,12 +146,26 @@
                 holder->second->planner().update(*decoded);
             }
         }
+        if (former_run != decoded->started_ms) {
+            carry_over_notices(*decoded, former_run);
+        }
         apply_limit(decoded->id);
     }
     remove_gone_endpoints();
     pump();
 }
 
+/// Applies to a run that is listed now what it may itself have said before.
+void gateway::impl::carry_over_notices(const fleet::endpoint_record& record,
+                                       std::uint64_t former_run) {
+    const auto now = boot_clock::now();
+    view_.limits.on_run_listed(record.id, former_run, record.started_ms, now);
+    if (const auto until =
+            view_.backoff.on_run_listed(record.id, former_run, record.started_ms, now)) {
+        apply_pause(record.id, *until, "former_run");
+    }
+}
+
 /// Records an entry that is not believed, since it may be older than the run in force.
 void gateway::impl::note_doubted_record(const fleet::keyed_record& record,
                                         std::uint64_t started_ms) {
--- a/unittests/fleet/announced_limits_test.cpp
+++ b/unittests/fleet/announced_limits_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(old_observation_of_peer_does_not_restore_ended_limit);
     CPPUNIT_TEST(endpoint_that_names_limit_in_every_other_response_does_not_flip_it);
     CPPUNIT_TEST(restart_ends_limit);
+    CPPUNIT_TEST(limit_named_just_before_a_run_is_listed_holds_for_it);
+    CPPUNIT_TEST(limit_of_run_with_earlier_start_is_observed);
     CPPUNIT_TEST(requests_are_counted_by_kind_while_limit_is_in_force);
     CPPUNIT_TEST_SUITE_END();
 
@@ -89,6 +91,26 @@
         CPPUNIT_ASSERT(!limits_.per_s("e", first_start + 1));
     }
 
+    /// Guards against a burst at an endpoint whose run is listed after its first answers (LIMIT).
+    void limit_named_just_before_a_run_is_listed_holds_for_it() {
+        observe(0, 10, 2.5);
+        limits_.on_run_listed("e", first_start, first_start + 1, at(600));
+        CPPUNIT_ASSERT(limits_.per_s("e", first_start + 1).has_value());
+        CPPUNIT_ASSERT(limits_.observe("e", {first_start + 1, {}, at(700), at(710)}));
+        CPPUNIT_ASSERT(!limits_.per_s("e", first_start + 1));
+        observe_run(first_start + 1, 2.5);
+        limits_.on_run_listed("e", first_start + 1, first_start + 2, at(60'000));
+        CPPUNIT_ASSERT(!limits_.per_s("e", first_start + 2));
+    }
+
+    /// Guards against a limit that is ignored since the endpoint's clock was set back (LIMIT).
+    void limit_of_run_with_earlier_start_is_observed() {
+        observe(0, 10, 2.5);
+        limits_.on_run_listed("e", first_start, first_start - 1, at(60'000));
+        CPPUNIT_ASSERT(observe_run(first_start - 1, 4.0));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(4.0, *limits_.per_s("e", first_start - 1), 1e-9);
+    }
+
     void requests_are_counted_by_kind_while_limit_is_in_force() {
         limits_.on_sent("e", request_kind::first_try);
         CPPUNIT_ASSERT(limits_.take_use().empty());
@@ -112,6 +134,9 @@
     bool observe(int sent_ms, int received_ms, std::optional<double> per_s) {
         return limits_.observe("e", {first_start, per_s, at(sent_ms), at(received_ms)});
     }
+    bool observe_run(std::uint64_t started_ms, double per_s) {
+        return limits_.observe("e", {started_ms, per_s, at(20'000), at(20'010)});
+    }
     std::optional<double> per_s() const { return limits_.per_s("e", first_start); }
 
     announced_limits limits_;
--- a/unittests/fleet/endpoint_notices_test.cpp
+++ b/unittests/fleet/endpoint_notices_test.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(shorter_backoff_of_an_older_request_is_ignored);
     CPPUNIT_TEST(shorter_backoff_of_a_later_request_shortens_the_pause);
     CPPUNIT_TEST(restarted_endpoint_has_no_backoff);
+    CPPUNIT_TEST(rejection_just_before_a_run_is_listed_holds_for_it);
+    CPPUNIT_TEST(long_backoff_holds_for_seconds_after_a_run_is_listed);
     CPPUNIT_TEST(backoff_beyond_a_day_ends_after_a_day);
     CPPUNIT_TEST(nodes_return_at_different_times);
     CPPUNIT_TEST_SUITE_END();
@@ -86,6 +88,26 @@
         CPPUNIT_ASSERT(backoff_.allows("a", second_run, start + milliseconds{1}));
     }
 
+    /// Guards against calls to an endpoint that has restarted and rejects calls before its run is
+    /// listed (BUDGET).
+    void rejection_just_before_a_run_is_listed_holds_for_it() {
+        backoff_.on_refused("a", first_run, seconds{4}, start, start);
+        CPPUNIT_ASSERT(
+            backoff_.on_run_listed("a", first_run, second_run, start + milliseconds{600}));
+        CPPUNIT_ASSERT(!backoff_.allows("a", second_run, start + seconds{3}));
+        CPPUNIT_ASSERT(backoff_.allows("a", second_run, start + seconds{5}));
+    }
+
+    /// Guards against an endpoint that stays out of use for what its former run said.
+    void long_backoff_holds_for_seconds_after_a_run_is_listed() {
+        backoff_.on_refused("a", first_run, std::chrono::hours{1}, start, start);
+        backoff_.on_run_listed("a", first_run, second_run, start + milliseconds{600});
+        CPPUNIT_ASSERT(!backoff_.allows("a", second_run, start + seconds{7}));
+        CPPUNIT_ASSERT(backoff_.allows("a", second_run, start + seconds{9}));
+        backoff_.on_refused("b", first_run, std::chrono::hours{1}, start, start);
+        CPPUNIT_ASSERT(!backoff_.on_run_listed("b", first_run, second_run, start + seconds{9}));
+    }
+
     void backoff_beyond_a_day_ends_after_a_day() {
         backoff_.on_refused("a", first_run, std::chrono::hours{48}, start, start);
         CPPUNIT_ASSERT(backoff_.allows("a", first_run, start + std::chrono::hours{25}));
--- a/unittests/gateway_restored/former_run_test.cpp
+++ b/unittests/gateway_restored/former_run_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(removed_endpoint_gets_no_calls_after_late_entries_of_former_run);
     CPPUNIT_TEST(address_of_former_run_gets_no_calls_after_its_late_entry);
     CPPUNIT_TEST(pause_that_former_run_requested_does_not_hold_for_the_present_one);
+    CPPUNIT_TEST(pause_requested_before_its_run_is_listed_holds);
     CPPUNIT_TEST(leaving_said_before_its_run_is_listed_holds);
     CPPUNIT_TEST_SUITE_END();
 
@@ -44,6 +45,20 @@
         expect_served("/stamps/1");
     }
 
+    /// Guards against calls to an endpoint that rejects them, as soon as its run is listed (BUDGET).
+    void pause_requested_before_its_run_is_listed_holds() {
+        add_endpoint("endpoint-1", endpoint_stand_in::answer_with(
+                                       "", 503, {{"Not-Run", "1"}, {"Retry-After", "30"}}));
+        put_run("endpoint-1", former_run);
+        start_gateway_with(1);
+        call("/stamps/1", "first");
+        output->expect({"event=endpoint_paused", "endpoint=endpoint-1"});
+        put_run("endpoint-1", present_run);
+        expect_endpoints_are_read();
+        CPPUNIT_ASSERT_EQUAL(503, call("/stamps/1", "second").status);
+        CPPUNIT_ASSERT_EQUAL(1, calls_of("endpoint-1"));
+    }
+
     /// Guards against calls to an endpoint that leaves, whose first heartbeat is written late
     /// (DRAIN).
     void leaving_said_before_its_run_is_listed_holds() {
