Ignore outcomes of calls to an endpoint's former run

Callers saw, by the test: calls waited for an adapter that their engine had, and were refused.

Cause: a 421, a refused connection or a failure changed the endpoint that is listed under the id when it arrives, at the node and at its lead.

Change: the node compares the run that it sent the call to, the lead the run on which it placed the call.

Before: adapter_that_former_run_lacks_is_not_absent_from_the_present_one failed on with 503, and with the guard of the lead removed outcome_on_former_run_of_an_engine_tells_its_lead_nothing failed (1 call placed of 2).

--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -136,7 +136,9 @@
     const auto endpoint = call.decision->endpoint;
     if (!exchange.head) {
         if (exchange.end == net::exchange_end::not_sent) {
-            view_.dispatcher.suspend(endpoint, boot_clock::now() + refused_connection_backoff);
+            if (sent_to_present_run(call)) {
+                view_.dispatcher.suspend(endpoint, boot_clock::now() + refused_connection_backoff);
+            }
             if (exchange.connection_lost) {
                 view_.crashes.on_gone(endpoint, boot_clock::now());
             }
@@ -152,8 +154,10 @@
         record_endpoint_refusal(call);
         if (exchange.head->status == 421 && !call.request.model.adapter.empty()) {
             call.last_send = send_outcome::not_resident;
-            view_.dispatcher.set_residency(endpoint, call.request.model, fleet::residency::absent,
-                                           0);
+            if (sent_to_present_run(call)) {
+                view_.dispatcher.set_residency(endpoint, call.request.model,
+                                               fleet::residency::absent, 0);
+            }
         }
         return attempt_end::not_run;
     }
@@ -170,8 +174,7 @@
         return handle_failure(call, "error response without a signature");
     }
     if (exchange.head->status >= 500) {
-        call.last_send = send_outcome::failed;
-        view_.dispatcher.on_failed(endpoint, boot_clock::now());
+        note_failed(call);
         view_.counters.increment("endpoint_failures_total", "error_status");
         if (call.route->idempotent() && call.runs < call.route->attempts) {
             return attempt_end::failed;
@@ -180,6 +183,20 @@
     return attempt_end::answered;
 }
 
+/// Returns whether the run of the endpoint to which the call was sent is still in force. Otherwise
+/// the outcome tells nothing of the endpoint.
+bool call_relay::sent_to_present_run(const open_call& call) const {
+    const auto* record = view_.dispatcher.find(call.decision->endpoint);
+    return record != nullptr && record->started_ms == call.endpoint_started;
+}
+
+void call_relay::note_failed(open_call& call) {
+    call.last_send = send_outcome::failed;
+    if (sent_to_present_run(call)) {
+        view_.dispatcher.on_failed(call.decision->endpoint, boot_clock::now());
+    }
+}
+
 void call_relay::record_endpoint_refusal(const open_call& call) {
     const auto status = std::to_string(call.exchange->head->status);
     view_.counters.increment("endpoint_refusals_total", status);
@@ -198,8 +215,7 @@
 /// Records that the endpoint gave no usable response although it may have run the call. Returns
 /// `failed`.
 call_relay::attempt_end call_relay::handle_failure(open_call& call, std::string_view fault) {
-    call.last_send = send_outcome::failed;
-    view_.dispatcher.on_failed(call.decision->endpoint, boot_clock::now());
+    note_failed(call);
     if (call.exchange->connection_lost) {
         note_connection_lost(call);
     }
--- a/lib/gateway/call_placer.cpp
+++ b/lib/gateway/call_placer.cpp
@@ -173,6 +173,7 @@
 void call_placer::answer_peer(peer_call& call, const fleet::dispatch_decision& decision) {
     call.decided = true;
     call.endpoint = decision.endpoint;
+    call.endpoint_run = run_of(decision.endpoint);
     placement_answer answer;
     answer.decision = decision;
     answer.decision.number = call.number;
@@ -265,6 +266,12 @@
     }
 }
 
+/// Returns the start time of the run of an endpoint that is in force; 0 if it is unknown.
+std::uint64_t call_placer::run_of(std::string_view endpoint) const {
+    const auto* record = view_.dispatcher.find(endpoint);
+    return record == nullptr ? 0 : record->started_ms;
+}
+
 /// Releases the slot of a peer's call and applies its outcome to the endpoint's state.
 void call_placer::end_peer_call(std::uint64_t number, send_outcome outcome) {
     auto node = peer_calls_.extract(number);
@@ -273,7 +280,9 @@
     }
     const auto& call = node.mapped();
     const auto now = on_.now();
-    switch (outcome) {
+    // The outcome on a former run tells nothing of the endpoint.
+    const bool same_run = call.endpoint_run == run_of(call.endpoint);
+    switch (same_run ? outcome : send_outcome::none) {
     case send_outcome::none:
         break;
     case send_outcome::failed:
--- a/lib/gateway/call_placer.h
+++ b/lib/gateway/call_placer.h
@@ -78,7 +78,8 @@
         std::string peer;
         std::uint64_t number = 0; ///< Assigned by the peer.
         bool decided = false;
-        std::string endpoint; ///< Empty until it is placed.
+        std::string endpoint;           ///< Empty until it is placed.
+        std::uint64_t endpoint_run = 0; ///< Start time of the endpoint when the call was placed.
         fleet::model_name model;
     };
 
@@ -96,6 +97,7 @@
     [[nodiscard]] std::optional<std::uint64_t> peer_call_number(std::string_view peer,
                                                                 const support::json& frame) const;
     void end_peer_call(std::uint64_t number, send_outcome outcome);
+    [[nodiscard]] std::uint64_t run_of(std::string_view endpoint) const;
 
     node_view& view_;
     hooks on_;
--- a/lib/gateway/call_relay.h
+++ b/lib/gateway/call_relay.h
@@ -103,6 +103,8 @@
     attempt_end handle_failure(open_call& call, std::string_view fault);
     attempt_end classify(open_call& call);
     void report_response(const open_call& call);
+    [[nodiscard]] bool sent_to_present_run(const open_call& call) const;
+    void note_failed(open_call& call);
     void record_endpoint_refusal(const open_call& call);
     bool may_retry(open_call& call, attempt_end end, bool started);
     void end_attempt(open_call& call);
--- a/unittests/gateway/call_placer_test.cpp
+++ b/unittests/gateway/call_placer_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(late_placement_answer_does_not_send_call_twice);
     CPPUNIT_TEST(adapter_in_other_data_centre_is_requested_from_its_lead);
     CPPUNIT_TEST(call_end_is_reported_to_lead_that_placed_it);
+    CPPUNIT_TEST(outcome_on_former_run_of_an_engine_tells_its_lead_nothing);
     CPPUNIT_TEST(missing_lead_calls_are_placed_locally);
     CPPUNIT_TEST(damaged_frames_are_counted_and_ignored);
     CPPUNIT_TEST_SUITE_END();
@@ -142,6 +143,22 @@
         CPPUNIT_ASSERT(node("far").dispatcher().own_loads().empty());
     }
 
+    /// Guards against calls that wait for an adapter that their engine has: its former run rejected
+    /// a call, and the lead knows the next one already.
+    void outcome_on_former_run_of_an_engine_tells_its_lead_nothing() {
+        submit("one", 1);
+        deliver();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node("one").placed());
+        auto restarted = sample_engine("engine", "north");
+        restarted.started_ms += 1;
+        node("lead").dispatcher().update(restarted);
+        node("one").placer().finish(1, send_outcome::not_resident);
+        deliver();
+        submit("one", 2);
+        deliver();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, node("one").placed());
+    }
+
     void missing_lead_calls_are_placed_locally() {
         network_->leads.clear();
         submit("one", 1);
--- a/unittests/gateway_restored/former_run_test.cpp
+++ b/unittests/gateway_restored/former_run_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(removed_endpoint_gets_no_calls_after_late_entries_of_former_run);
     CPPUNIT_TEST(address_of_former_run_gets_no_calls_after_its_late_entry);
     CPPUNIT_TEST(pause_that_former_run_requested_does_not_hold_for_the_present_one);
+    CPPUNIT_TEST(adapter_that_former_run_lacks_is_not_absent_from_the_present_one);
     CPPUNIT_TEST(pause_requested_before_its_run_is_listed_holds);
     CPPUNIT_TEST(leaving_said_before_its_run_is_listed_holds);
     CPPUNIT_TEST_SUITE_END();
@@ -45,6 +46,21 @@
         expect_served("/stamps/1");
     }
 
+    /// Guards against calls that wait for an adapter that their engine has.
+    void adapter_that_former_run_lacks_is_not_absent_from_the_present_one() {
+        hold_first_answer(421, {{"Not-Run", "1"}});
+        list_held("assistant");
+        auto held =
+            std::async(std::launch::async, [this] { call_held("/patterns/1", "base/known"); });
+        eventually("a call", [this] { return calls_of("endpoint-1") == 1; });
+        put_run("endpoint-1", present_run, "ready", "assistant");
+        expect_endpoints_are_read();
+        endpoints.at("endpoint-1")->set_order_status(503);
+        released_ = true;
+        held.get();
+        CPPUNIT_ASSERT_EQUAL(200, call("/patterns/1", "second", "base/known").status);
+    }
+
     /// Guards against calls to an endpoint that rejects them, as soon as its run is listed (BUDGET).
     void pause_requested_before_its_run_is_listed_holds() {
         add_endpoint("endpoint-1", endpoint_stand_in::answer_with(
