Judge an endpoint by its present run

Callers saw, by the tests: an endpoint that was back after a crash was avoided for some ten seconds.

Cause: a restart cleared the learned speed but not the health, calls that were placed before it gave samples for it, and a late record lowered the count of orders, so that the next late one counted as newer and removed models that the engine has.

Change: a restart clears the health, a call gives a sample only to the run on which it was placed, and the count of orders never goes back in a run.

--- a/lib/fleet/dispatcher.cpp
+++ b/lib/fleet/dispatcher.cpp
@@ -167,6 +167,9 @@
         own.pending_prefill_tokens -=
             std::min(own.pending_prefill_tokens, open.pending_prefill_tokens);
         impl_->loads_changed = true;
+        if (open.endpoint_run != target->second.record.started_ms) {
+            return; // The time that it took includes the restart.
+        }
         const double took_ms = to_ms(now - open.placed_at);
         impl_->health.on_sample(open.endpoint, took_ms / open.expected_ms, now);
         impl_->learn_speed(open, target->second, took_ms, now);
--- a/lib/fleet/dispatcher_choice.cpp
+++ b/lib/fleet/dispatcher_choice.cpp
@@ -235,6 +235,7 @@
     auto& target = *chosen.target;
     open.state = call_state::placed;
     open.endpoint = target.record.id;
+    open.endpoint_run = target.record.started_ms;
     open.placed_at = now;
     open.pending_prefill_tokens = chosen.pending_prefill_tokens;
     open.tokens_ahead = chosen.tokens_ahead;
--- a/lib/fleet/dispatcher_endpoints.cpp
+++ b/lib/fleet/dispatcher_endpoints.cpp
@@ -17,12 +17,15 @@
         target.suspended_until = {};
         target.paused_until.reset();
         impl_->speeds.forget(record.id);
+        impl_->health.erase(record.id);
     }
-    const bool older = !restarted && record.orders_accepted < target.record.orders_accepted;
+    const auto known_orders = restarted ? 0 : target.record.orders_accepted;
     target.out_of_service = record.draining;
     target.record = record;
     impl_->member_index.clear();
-    if (older) {
+    if (record.orders_accepted < known_orders) {
+        // Records may be written late and in any order.
+        target.record.orders_accepted = known_orders;
         return;
     }
     target.models.clear();
--- a/lib/fleet/dispatcher_impl.h
+++ b/lib/fleet/dispatcher_impl.h
@@ -107,6 +107,7 @@
     pending_call call;
     call_state state = call_state::waiting;
     std::string endpoint;
+    std::uint64_t endpoint_run = 0; ///< Start time of the endpoint when the call was placed.
     time_point placed_at;
     std::size_t pending_prefill_tokens = 0; ///< Prompt tokens without cached prefix, at dispatch.
     std::size_t tokens_ahead = 0;           ///< Pending prefill tokens of other calls, at dispatch.
