Keep evidence of crashes by run

Callers saw nothing yet: found by reading each path that notes what an endpoint does.

Cause: crash_observer had one entry for an endpoint. A connection to a former run that was found lost late replaced the evidence of the present run, and a connection that the former run refused blamed the present run's requests.

Change: entries are kept by run.

--- a/include/dragonflystair/fleet/crash_observer.h
+++ b/include/dragonflystair/fleet/crash_observer.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace dragonflystair::fleet {
@@ -28,8 +29,9 @@
     /// A response that is delimited by its connection has ended.
     void on_ended_with_connection(std::string_view endpoint, std::uint64_t started_ms,
                                   const request_traits& request, support::time_point now);
-    /// The endpoint refused a connection, or was removed from the list without having left.
-    void on_gone(std::string_view endpoint, support::time_point now);
+    /// This run of the endpoint refused a connection, or was removed from the list without having
+    /// left.
+    void on_gone(std::string_view endpoint, std::uint64_t started_ms, support::time_point now);
     /// Bytes of a response have arrived.
     void on_response(std::string_view endpoint, std::uint64_t started_ms, support::time_point now);
 
@@ -45,15 +47,22 @@
     };
 
     struct entry {
-        std::uint64_t started_ms = 0;
         std::optional<support::time_point> lost_at; ///< Of the first lost connection.
         std::vector<request_traits> lost;
         std::vector<ended_request> ended;
     };
 
+    /// An endpoint and the start time of its run.
+    using run_view = std::pair<std::string_view, std::uint64_t>;
+    struct run_order {
+        using is_transparent = void;
+        bool operator()(const run_view& left, const run_view& right) const { return left < right; }
+    };
+
     entry* entry_for(std::string_view endpoint, std::uint64_t started_ms);
 
-    std::map<std::string, entry, std::less<>> entries_;
+    /// By run, since connections to a former run may be found lost after its successor has begun.
+    std::map<std::pair<std::string, std::uint64_t>, entry, run_order> entries_;
     std::vector<request_traits> served_;
 };
 
--- a/lib/fleet/crash_observer.cpp
+++ b/lib/fleet/crash_observer.cpp
@@ -20,8 +20,8 @@
 /// Time after which it stays open whether a request was served.
 constexpr seconds open_time{10};
 
-constexpr std::size_t max_endpoints = 1'024;
-constexpr std::size_t max_requests_per_endpoint = 256;
+constexpr std::size_t max_runs = 1'024;
+constexpr std::size_t max_requests_per_run = 256;
 
 } // namespace
 
@@ -37,20 +37,15 @@
     return traits;
 }
 
-/// Returns the entry for a run of an endpoint, which replaces that of an earlier run; null if there
-/// are too many.
+/// Returns the entry for a run of an endpoint; null if there are too many.
 crash_observer::entry* crash_observer::entry_for(std::string_view endpoint,
                                                  std::uint64_t started_ms) {
-    auto found = entries_.find(endpoint);
+    auto found = entries_.find(run_view{endpoint, started_ms});
     if (found == entries_.end()) {
-        if (entries_.size() >= max_endpoints) {
+        if (entries_.size() >= max_runs) {
             return nullptr;
         }
-        found = entries_.emplace(std::string(endpoint), entry{}).first;
-    }
-    if (found->second.started_ms != started_ms) {
-        found->second = entry{};
-        found->second.started_ms = started_ms;
+        found = entries_.emplace(std::pair(std::string(endpoint), started_ms), entry{}).first;
     }
     return &found->second;
 }
@@ -58,7 +53,7 @@
 void crash_observer::on_connection_lost(std::string_view endpoint, std::uint64_t started_ms,
                                         const request_traits& request, time_point now) {
     auto* run = entry_for(endpoint, started_ms);
-    if (run == nullptr || run->lost.size() >= max_requests_per_endpoint) {
+    if (run == nullptr || run->lost.size() >= max_requests_per_run) {
         return;
     }
     run->lost.push_back(request);
@@ -68,13 +63,13 @@
 void crash_observer::on_ended_with_connection(std::string_view endpoint, std::uint64_t started_ms,
                                               const request_traits& request, time_point now) {
     auto* run = entry_for(endpoint, started_ms);
-    if (run != nullptr && run->ended.size() < max_requests_per_endpoint) {
+    if (run != nullptr && run->ended.size() < max_requests_per_run) {
         run->ended.push_back({now, request});
     }
 }
 
-void crash_observer::on_gone(std::string_view endpoint, time_point now) {
-    const auto found = entries_.find(endpoint);
+void crash_observer::on_gone(std::string_view endpoint, std::uint64_t started_ms, time_point now) {
+    const auto found = entries_.find(run_view{endpoint, started_ms});
     if (found != entries_.end() && !found->second.ended.empty()) {
         // The last response is taken to have been ended by the crash.
         auto& run = found->second;
@@ -84,8 +79,8 @@
 
 void crash_observer::on_response(std::string_view endpoint, std::uint64_t started_ms,
                                  time_point now) {
-    const auto found = entries_.find(endpoint);
-    if (found == entries_.end() || found->second.started_ms != started_ms) {
+    const auto found = entries_.find(run_view{endpoint, started_ms});
+    if (found == entries_.end()) {
         return;
     }
     auto& run = found->second;
@@ -108,11 +103,11 @@
 std::vector<endpoint_crash> crash_observer::take_crashes(time_point now) {
     std::vector<endpoint_crash> crashes;
     for (auto it = entries_.begin(); it != entries_.end();) {
-        auto& [endpoint, run] = *it;
+        auto& [id, run] = *it;
         if (run.lost_at && now >= *run.lost_at + collection_time) {
             endpoint_crash crash;
-            crash.endpoint = endpoint;
-            crash.started_ms = run.started_ms;
+            crash.endpoint = id.first;
+            crash.started_ms = id.second;
             crash.age = std::chrono::duration_cast<milliseconds>(now - *run.lost_at);
             crash.requests = std::move(run.lost);
             for (auto& ended : run.ended) {
--- a/lib/gateway/call_attempt.cpp
+++ b/lib/gateway/call_attempt.cpp
@@ -140,7 +140,7 @@
                 view_.dispatcher.suspend(endpoint, boot_clock::now() + refused_connection_backoff);
             }
             if (exchange.connection_lost) {
-                view_.crashes.on_gone(endpoint, boot_clock::now());
+                view_.crashes.on_gone(endpoint, call.endpoint_started, boot_clock::now());
             }
             call.last_send = send_outcome::unreachable;
             view_.counters.increment("endpoint_failures_total", "not_sent");
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -188,7 +188,7 @@
         if (const auto* record = view_.dispatcher.find(id)) {
             view_.endpoints.close_idle(record->address);
             if (!record->draining) {
-                view_.crashes.on_gone(id, boot_clock::now());
+                view_.crashes.on_gone(id, record->started_ms, boot_clock::now());
             }
         }
         view_.dispatcher.remove(id);
