Tell the runs of engines in residency frames

Callers saw nothing yet: a lead that has not read of an engine's restart reports adapters of its former run, and its nodes send calls for them, which the engine rejects (421). It is repaired by those rejections.

Change: a row of the frame ends with a short tag of the run. Rows of another run than the listed one are ignored and counted (residency_outdated_total). Nodes of the former version read the frames, and their rows hold for any run.

--- a/include/dragonflystair/fleet/adapter_planner.h
+++ b/include/dragonflystair/fleet/adapter_planner.h
@@ -68,8 +68,14 @@
     model_name model;
     residency state = residency::absent;
     std::uint64_t version = 0;
+    std::uint64_t run_tag = 0; ///< `run_tag_of` the engine's run; 0 if unknown.
 };
 
+/// Returns whether a change is of another run of the engine than the one that is listed.
+inline bool is_outdated(const residency_change& change, const endpoint_record& listed) {
+    return change.run_tag != 0 && change.run_tag != run_tag_of(listed.started_ms);
+}
+
 /// Decides which adapters the engines of one data centre load and unload. Run only by the holder of
 /// the data centre's placement lease. At most one order is in flight to each engine. Each order
 /// carries the number of orders that the engine is expected to have accepted; the engine rejects
--- a/include/dragonflystair/fleet/endpoint_record.h
+++ b/include/dragonflystair/fleet/endpoint_record.h
@@ -35,6 +35,12 @@
     std::vector<resident_model> models;
 };
 
+/// Returns a short number, never 0, that tells the runs of one endpoint apart.
+inline std::uint64_t run_tag_of(std::uint64_t started_ms) {
+    constexpr std::uint64_t tags = 9'999;
+    return 1 + started_ms % tags;
+}
+
 /// The state that an engine reports on request; more recent than its record.
 struct engine_report {
     std::uint64_t started_ms = 0;
--- a/lib/fleet/adapter_planner.cpp
+++ b/lib/fleet/adapter_planner.cpp
@@ -292,11 +292,12 @@
 std::vector<residency_change> adapter_planner::residencies() const {
     std::vector<residency_change> result;
     for (const auto& [id, target] : impl_->engines) {
+        const auto run = run_tag_of(target.record.started_ms);
         for (const auto& [name, entry] : target.models) {
-            result.push_back({id, {name, {}}, to_residency(entry.state), entry.version});
+            result.push_back({id, {name, {}}, to_residency(entry.state), entry.version, run});
         }
         for (const auto& [model, entry] : target.adapters) {
-            result.push_back({id, model, to_residency(entry.state), entry.version});
+            result.push_back({id, model, to_residency(entry.state), entry.version, run});
         }
     }
     return result;
--- a/lib/fleet/adapter_planner_orders.cpp
+++ b/lib/fleet/adapter_planner_orders.cpp
@@ -41,7 +41,8 @@
 
 void adapter_planner::impl::record_change(const engine& target, const model_name& model,
                                           residency state, std::uint64_t version) {
-    changes.push_back({target.record.id, model, state, version});
+    changes.push_back(
+        {target.record.id, model, state, version, run_tag_of(target.record.started_ms)});
 }
 
 /// Adds a model and its adapters that an engine reports as resident.
--- a/lib/gateway/gateway_residency.cpp
+++ b/lib/gateway/gateway_residency.cpp
@@ -7,14 +7,19 @@
 namespace dragonflystair::gateway {
 
 /// Applies the residency changes that lease holders report. The planner of a lease that this node
-/// does not hold records which engine had which adapter, in case the node acquires the lease.
+/// does not hold records which engine had which adapter, in case the node acquires the lease. A
+/// holder may not know yet that an engine has restarted and lost its adapters.
 void gateway::impl::apply_residency(std::span<const fleet::residency_change> changes) {
     for (const auto& change : changes) {
+        const auto* engine = view_.dispatcher.find(change.endpoint);
+        if (engine != nullptr && fleet::is_outdated(change, *engine)) {
+            counters_.increment("residency_outdated_total");
+            continue;
+        }
         view_.dispatcher.set_residency(change.endpoint, change.model, change.state, change.version);
         if (change.state != fleet::residency::ready) {
             continue;
         }
-        const auto* engine = view_.dispatcher.find(change.endpoint);
         const auto holder = engine == nullptr ? holders_.end() : holders_.find(engine->data_centre);
         if (holder != holders_.end() && !holder->second->lease().holds()) {
             holder->second->planner().on_adapter_resident(change.endpoint, change.model);
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -199,7 +199,8 @@
     json rows = json::array();
     for (const auto& change : changes) {
         rows.push_back(json::array({change.endpoint, change.model.model, change.model.adapter,
-                                    static_cast<std::uint64_t>(change.state), change.version}));
+                                    static_cast<std::uint64_t>(change.state), change.version,
+                                    change.run_tag}));
     }
     return {{"type", "h"}, {"c", std::move(rows)}};
 }
@@ -212,7 +213,8 @@
             changes.push_back({text_at(row, 0),
                                {text_at(row, 1), text_at(row, 2)},
                                static_cast<fleet::residency>(state),
-                               number_at(row, 4)});
+                               number_at(row, 4),
+                               number_at(row, 5)});
         }
     }
     return changes;
