Let the soak execute reports of endpoints late

Half of the faults are these, beside faults of gateways and their links. No call that is sent later than 2.5 s after the store's acknowledgement may reach the endpoint, and after the last fault each endpoint is used again, so none is shut out.

--- a/unittests/soak/fault_plan.cpp
+++ b/unittests/soak/fault_plan.cpp
@@ -53,8 +53,16 @@
 constexpr int shortest_outage_ms = 300;
 constexpr int longest_outage_ms = 2'000;
 
+/// Endpoints that leave serve on for longer than the time after which no call may reach them.
+constexpr milliseconds min_late_report_time{9'500};
+constexpr int longest_late_report_gap_ms = 2'000;
+constexpr std::array late_report_kinds{
+    fault_kind::late_report,     fault_kind::late_report,          fault_kind::late_report,
+    fault_kind::late_report,     fault_kind::kill_gateway,         fault_kind::stop_gateway,
+    fault_kind::suspend_gateway, fault_kind::change_configuration, fault_kind::cut_store_link};
+
 /// By value of `fault_kind`.
-constexpr std::array<std::string_view, 29> kind_names{"kill_gateway",
+constexpr std::array<std::string_view, 30> kind_names{"kill_gateway",
                                                       "suspend_gateway",
                                                       "stop_gateway",
                                                       "hang_up_gateway",
@@ -82,7 +90,8 @@
                                                       "restore_store",
                                                       "replace_key",
                                                       "tenant_surge",
-                                                      "bad_callers"};
+                                                      "bad_callers",
+                                                      "late_report"};
 
 /// `below` returns a random number from 0 to below its argument.
 milliseconds draw_duration(fault_kind kind, fault_choice choice,
@@ -97,6 +106,8 @@
         return usual + min_repeat_time;
     case fault_kind::replace_key:
         return usual + min_unread_time;
+    case fault_kind::late_report:
+        return usual + min_late_report_time;
     case fault_kind::restore_store:
         return milliseconds(shortest_outage_ms + below(longest_outage_ms - shortest_outage_ms));
     default:
@@ -144,6 +155,10 @@
                             ? fault_kind::restore_store
                             : restored_store_kinds.at(random() % restored_store_kinds.size());
         }
+        if (choice == fault_choice::late_reports) {
+            at += milliseconds(below(longest_late_report_gap_ms));
+            item.kind = late_report_kinds.at(random() % late_report_kinds.size());
+        }
         if (choice == fault_choice::store_links) {
             // Each fault of a link is followed by an endpoint that leaves.
             const bool is_link = i % 2 == 0;
--- a/unittests/soak/fault_plan.h
+++ b/unittests/soak/fault_plan.h
@@ -46,6 +46,8 @@
     replace_key,  ///< A key of a tenant is revoked and another one is issued.
     tenant_surge, ///< A tenant sends many times its usual load.
     bad_callers,  ///< Callers do not finish what they send, or do not read responses.
+    late_report, ///< An endpoint restarts under its id, then leaves, and the store executes a report
+                 ///< of its former run seconds late. Drawn only by `fault_choice::late_reports`.
 };
 
 /// Number of kinds that `fault_choice::any` draws from.
@@ -65,6 +67,7 @@
     repeated_answers, ///< Copies of answers, with many restarts and rejections of endpoints.
     restored_store,   ///< A store that returns in an earlier state, among changes of what it holds.
     tenants,          ///< A third of the faults concern tenants, the others are of any kind.
+    late_reports,     ///< Half of the faults are late reports, among faults of gateways.
 };
 
 /// A fault with its start time, relative to the start of the plan, its duration and its target.
--- a/unittests/soak/guarantee_checker.cpp
+++ b/unittests/soak/guarantee_checker.cpp
@@ -86,7 +86,7 @@
     }
     ++violations_;
     on_violation_(fmt::format(
-        "{} {} reached an endpoint {} ms after the store had acknowledged that it is gone",
+        "{} {} reached an endpoint {} ms after the store had acknowledged that it leaves",
         to_string(found->second.kind), id,
         std::chrono::duration_cast<std::chrono::milliseconds>(gone_for).count()));
 }
--- a/unittests/soak/guarantee_checker.h
+++ b/unittests/soak/guarantee_checker.h
@@ -56,7 +56,7 @@
                   std::string_view body);
 
     /// Records that an endpoint got a call although the store had acknowledged `gone_for` ago that
-    /// the endpoint is gone.
+    /// the endpoint leaves or is gone.
     void note_arrival_at_gone_endpoint(const std::string& id, support::duration gone_for);
     /// Excuses the gateway or the store at `address` from checks with time bounds until `until`,
     /// since a fault affects it.
--- a/unittests/soak/main.cpp
+++ b/unittests/soak/main.cpp
@@ -32,7 +32,7 @@
 Usage:
   dragonflystair-soak [--seed N] [--seeds N] [--faults N] [--callers N]
                       [--planned | --limits | --store-links | --repeated-answers |
-                       --restored-store | --tenants]
+                       --restored-store | --tenants | --late-reports]
                       [--keep] PROGRAM
 
 Options:
@@ -45,6 +45,7 @@
   --store-links  Links to the store that fall silent just before an endpoint leaves.
   --repeated-answers  Endpoints that send answers twice, reject calls and restart.
   --restored-store  A store that returns in the state of some seconds before.
+  --late-reports  Reports of endpoints that the store executes after their next run has begun.
   --tenants    Tenants with keys and quotas, surges, and callers that behave badly.
   --keep       Keep the logs of a run that passed.
 )";
@@ -54,6 +55,22 @@
 constexpr std::size_t recovered_calls = 5;
 constexpr milliseconds recovery_time{60'000};
 
+/// Reports a violation if an endpoint runs no call from now on.
+void wait_every_endpoint_used(guarantee_checker& checked, const soak_cluster& cluster) {
+    const auto before = cluster.endpoint_runs();
+    const auto end = steady::now() + recovery_time;
+    for (std::size_t index = 0; index < before.size(); ++index) {
+        while (cluster.endpoint_runs()[index] == before[index]) {
+            if (steady::now() > end) {
+                checked.report_violation(
+                    fmt::format("endpoint {} gets no calls after the last fault", index));
+                return;
+            }
+            std::this_thread::sleep_for(milliseconds{20});
+        }
+    }
+}
+
 /// Time after the last fault until the newest configuration must be in force.
 constexpr milliseconds settling_time{7'500};
 
@@ -118,6 +135,7 @@
            : options["--repeated-answers"].asBool() ? fault_choice::repeated_answers
            : options["--restored-store"].asBool()   ? fault_choice::restored_store
            : options["--tenants"].asBool()          ? fault_choice::tenants
+           : options["--late-reports"].asBool()     ? fault_choice::late_reports
                                                     : fault_choice::any;
 }
 
@@ -147,12 +165,18 @@
         if (choice == fault_choice::restored_store) {
             cluster.watch_configurations();
         }
+        if (choice == fault_choice::late_reports) {
+            cluster.start_heartbeats();
+        }
         inject_faults(plan_faults(seed, number_of(options["--faults"]), choice),
                       [&](const fault& item) { return faults.begin(item); });
         if (choice == fault_choice::restored_store) {
             std::this_thread::sleep_for(settling_time);
         }
         wait_recovered(checked);
+        if (choice == fault_choice::late_reports) {
+            wait_every_endpoint_used(checked, cluster);
+        }
         if (used_tenants != nullptr) {
             faults.check_after_faults(checked);
         }
--- a/unittests/soak/soak_cluster.cpp
+++ b/unittests/soak/soak_cluster.cpp
@@ -40,6 +40,9 @@
 constexpr milliseconds min_copy_age{2'000};
 constexpr std::size_t copy_age_spread_ms = 7'000;
 constexpr milliseconds copy_interval{200};
+constexpr milliseconds heartbeat_interval{1'200};
+/// A write without a response is executed up to 6 s late, by the platform.
+constexpr milliseconds max_write_delay{6'000};
 /// Time in which lost records are written again; about two seconds at most by the platform.
 constexpr milliseconds write_again_time{1'500};
 
@@ -227,6 +230,77 @@
     }
 }
 
+net::awaitable<void> soak_cluster::write_heartbeats() {
+    boost::asio::steady_timer pause(context_);
+    while (beating_) {
+        for (const auto& item : endpoints_) {
+            pause.expires_after(heartbeat_interval / static_cast<int>(endpoints_.size()));
+            co_await pause.async_wait(boost::asio::use_awaitable);
+            item.self->heartbeat();
+        }
+    }
+}
+
+void soak_cluster::start_heartbeats() {
+    boost::asio::co_spawn(
+        context_, [this] { return write_heartbeats(); }, boost::asio::detached);
+}
+
+std::vector<std::size_t> soak_cluster::endpoint_runs() const {
+    std::vector<std::size_t> runs;
+    for (const auto& item : endpoints_) {
+        runs.push_back(item.self->runs());
+    }
+    return runs;
+}
+
+/// Lets an endpoint leave that has just restarted, and writes one or two records of its former run
+/// late. Of three endpoints one leaves without saying so. Two late heartbeats of the run that was
+/// removed last count as a return, so this writes two only if the next run started later.
+net::awaitable<void> soak_cluster::leave_beside_late_reports(std::size_t draw,
+                                                             soak_endpoint& target, std::string id,
+                                                             std::string former) {
+    const auto restarted = support::boot_clock::now();
+    boost::asio::steady_timer timer(context_);
+    timer.expires_after(milliseconds(100 + 150 * static_cast<int>(draw % 8)));
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    if (draw % 3 == 0) {
+        target.unlist(true);
+    } else {
+        target.announce_draining(true);
+    }
+    const auto late = milliseconds(1'500 + 400 * static_cast<int>(draw / 8 % 12));
+    const int writes = draw % 5 < 2 ? 1 : 2;
+    for (int number = 0; number < writes; ++number) {
+        const auto delay = std::min(late + 700 * milliseconds(number), max_write_delay);
+        timer.expires_after(
+            std::max<support::duration>(restarted + delay - support::boot_clock::now(), {}));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        write(endpoint_topic, id, former);
+    }
+}
+
+/// Restarts an endpoint under its id, with a start time that is earlier, equal or later.
+std::function<void()> soak_cluster::begin_late_report(const fault& item, linked_endpoint& target) {
+    if (std::exchange(target.restarts_late, true)) {
+        return [] {};
+    }
+    const auto draw = item.target / endpoints_.size();
+    auto [id, former] = target.self->record();
+    constexpr std::array clock_steps{-1'500, 0, 1'000, 2'000, 3'000};
+    target.self->restart_in_place(milliseconds(clock_steps.at(draw % clock_steps.size())));
+    boost::asio::co_spawn(
+        context_,
+        [this, draw, self = target.self.get(), id, former] {
+            return leave_beside_late_reports(draw, *self, id, former);
+        },
+        boost::asio::detached);
+    return [&target] {
+        target.self->restart_in_place(std::chrono::seconds{4});
+        target.restarts_late = false;
+    };
+}
+
 void soak_cluster::watch_configurations() {
     copies_.push_back(store_.copy());
     boost::asio::co_spawn(
@@ -262,6 +336,7 @@
     case fault_kind::endpoint_names_limit:
     case fault_kind::unlist_endpoint:
     case fault_kind::repeat_endpoint_answers:
+    case fault_kind::late_report:
         return begin_on_endpoint(item, endpoints_[item.target % endpoints_.size()]);
     default:
         return begin_with_excuse(item, *gateways_[item.target % gateways_.size()]);
@@ -289,6 +364,8 @@
     case fault_kind::endpoint_names_limit:
         target.self->name_limit(static_cast<double>(1 + item.target % 8));
         return [&target] { target.self->name_limit(std::nullopt); };
+    case fault_kind::late_report:
+        return begin_late_report(item, target);
     case fault_kind::unlist_endpoint:
         target.self->unlist(!checked_.excused(store_.address()));
         return [&target] { target.self->restart(); };
@@ -390,6 +467,7 @@
 
 void soak_cluster::stop() {
     copying_ = false;
+    beating_ = false;
     watch_.stop();
     for (const auto& item : gateways_) {
         reap(*item);
--- a/unittests/soak/soak_cluster.h
+++ b/unittests/soak/soak_cluster.h
@@ -55,6 +55,10 @@
     /// Checks from now on that gateways apply configurations in time and in order. Ends with
     /// `stop`.
     void watch_configurations();
+    /// Lets endpoints write heartbeats until `stop`.
+    void start_heartbeats();
+    /// Returns how many calls each endpoint has begun to run.
+    [[nodiscard]] std::vector<std::size_t> endpoint_runs() const;
     /// Ends all gateway processes; a process that had crashed is reported as a violation.
     void stop();
 
@@ -62,6 +66,7 @@
     struct linked_endpoint {
         std::unique_ptr<soak_endpoint> self;
         std::unique_ptr<scenarios::tcp_relay> link;
+        bool restarts_late = false; ///< A fault of kind `late_report` is in effect.
     };
 
     void add_endpoint(const net::executor& context, const std::string& service,
@@ -72,6 +77,10 @@
     void write_locked(const std::string& topic, const std::string& key, const std::string& value);
     net::awaitable<void> write_again(std::vector<written_record> lost, bool newest_only);
     net::awaitable<void> take_copies();
+    net::awaitable<void> write_heartbeats();
+    net::awaitable<void> leave_beside_late_reports(std::size_t draw, soak_endpoint& target,
+                                                   std::string id, std::string former);
+    std::function<void()> begin_late_report(const fault& item, linked_endpoint& target);
     std::function<void()> begin_restoration(const fault& item);
     std::function<void()> begin_with_excuse(const fault& item, soak_gateway& target);
     std::function<void()> begin_on_gateway(const fault& item, soak_gateway& target);
@@ -88,6 +97,7 @@
     bool store_down_ = false;
     std::deque<gateway::store_copy> copies_; ///< Former states of the store, in order.
     std::atomic<bool> copying_{true};
+    std::atomic<bool> beating_{true};
     std::set<std::string> written_; ///< Keys since the last restoration.
     std::vector<linked_endpoint> endpoints_;
     std::vector<std::unique_ptr<soak_gateway>> gateways_;
--- a/unittests/soak/soak_endpoint.cpp
+++ b/unittests/soak/soak_endpoint.cpp
@@ -85,8 +85,9 @@
         const std::lock_guard lock(mutex_);
         advertised_ = advertised;
         id_ = fmt::format("{}-{}", name_, ++starts_);
+        listed_ = true;
     }
-    publish_record("ready");
+    publish_record();
 }
 
 void soak_endpoint::set_failure(endpoint_failure failure) {
@@ -123,12 +124,16 @@
     }
 }
 
-void soak_endpoint::announce_draining() {
+void soak_endpoint::announce_draining(bool checked) {
     {
         const std::lock_guard lock(mutex_);
         draining_ = true;
     }
-    publish_record("draining");
+    publish_record();
+    const std::lock_guard lock(mutex_);
+    if (checked) {
+        withdrawn_at_ = support::boot_clock::now();
+    }
 }
 
 void soak_endpoint::unlist(bool store_stable) {
@@ -136,44 +141,77 @@
     {
         const std::lock_guard lock(mutex_);
         id = id_;
+        listed_ = false;
     }
     publish_(id, "");
     const std::lock_guard lock(mutex_);
     if (store_stable) {
-        unlisted_at_ = support::boot_clock::now();
+        withdrawn_at_ = support::boot_clock::now();
     }
 }
 
+/// Forgets everything, as an endpoint does that starts.
+void soak_endpoint::clear_state_locked() {
+    listed_ = true;
+    draining_ = false;
+    withdrawn_at_.reset();
+    limit_per_s_.reset();
+    limit_named_at_.reset();
+    arrivals_.clear();
+    adapters_.clear();
+    holders_.clear();
+    orders_accepted_ = 0;
+    highest_fence_ = 0;
+}
+
 void soak_endpoint::restart() {
     std::string former;
     {
         const std::lock_guard lock(mutex_);
         former = std::exchange(id_, fmt::format("{}-{}", name_, ++starts_));
-        draining_ = false;
-        unlisted_at_.reset();
-        limit_per_s_.reset();
-        limit_named_at_.reset();
-        arrivals_.clear();
-        adapters_.clear();
-        holders_.clear();
-        orders_accepted_ = 0;
-        highest_fence_ = 0;
+        started_ += std::chrono::seconds{1};
+        clear_state_locked();
     }
     publish_(former, "");
-    publish_record("ready");
+    publish_record();
 }
 
-void soak_endpoint::publish_record(const std::string& state) {
-    json record;
-    std::string id;
+void soak_endpoint::restart_in_place(milliseconds clock_step) {
     {
         const std::lock_guard lock(mutex_);
-        id = id_;
-        record = {{"service", service_}, {"addr", advertised_},      {"zone", data_centre_},
-                  {"slots", slots},      {"state", state},           {"seq", orders_accepted_},
-                  {"born", starts_},     {"models", models_locked()}};
+        started_ += clock_step;
+        clear_state_locked();
+    }
+    publish_record();
+}
+
+void soak_endpoint::heartbeat() {
+    bool listed = false;
+    {
+        const std::lock_guard lock(mutex_);
+        listed = listed_;
+    }
+    if (listed) {
+        publish_record();
     }
-    publish_(id, record.dump());
+}
+
+std::pair<std::string, std::string> soak_endpoint::record() {
+    const std::lock_guard lock(mutex_);
+    return {id_, json{{"service", service_},
+                      {"addr", advertised_},
+                      {"zone", data_centre_},
+                      {"slots", slots},
+                      {"state", draining_ ? "draining" : "ready"},
+                      {"seq", orders_accepted_},
+                      {"born", started_.count()},
+                      {"models", models_locked()}}
+                     .dump()};
+}
+
+void soak_endpoint::publish_record() {
+    const auto [id, text] = record();
+    publish_(id, text);
 }
 
 json soak_endpoint::models_locked() const {
@@ -195,6 +233,7 @@
     response.body = json{{"stage", "mixed"},
                          {"busy", false},
                          {"seq", orders_accepted_},
+                         {"born", started_.count()},
                          {"models", models_locked()}}
                         .dump();
     return response;
@@ -252,9 +291,9 @@
     }
 }
 
-std::optional<support::time_point> soak_endpoint::unlisted_since() {
+std::optional<support::time_point> soak_endpoint::withdrawn_since() {
     const std::lock_guard lock(mutex_);
-    return unlisted_at_;
+    return withdrawn_at_;
 }
 
 /// Returns whether a request is addressed to another incarnation of this endpoint.
@@ -312,7 +351,8 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    if (const auto since = unlisted_since()) {
+    ++runs_;
+    if (const auto since = withdrawn_since()) {
         checked_.note_arrival_at_gone_endpoint(id, support::boot_clock::now() - *since);
     }
     checked_.note_run(id, service_, first_event_of(request));
--- a/unittests/soak/soak_endpoint.h
+++ b/unittests/soak/soak_endpoint.h
@@ -7,6 +7,9 @@
 
 #include "guarantee_checker.h"
 
+#include <atomic>
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -56,13 +59,22 @@
     /// the former one. Reports a violation if more requests arrive than the rule LIMIT allows.
     void name_limit(std::optional<double> per_s);
     /// Announces in the store and in all answers that the endpoint is draining; it continues to
-    /// serve.
-    void announce_draining();
+    /// serve. Calls that reach it later are checked if the store is stable and `checked`.
+    void announce_draining(bool checked = false);
     /// Removes the endpoint's record; it continues to serve and says nothing. Calls that reach it
     /// later are checked if the store is stable.
     void unlist(bool store_stable);
     /// Restarts under a new id with only the base model loaded.
     void restart();
+    /// The same under its id, with a start time that differs by `clock_step` from that of its
+    /// former run, as after a crash.
+    void restart_in_place(std::chrono::milliseconds clock_step);
+    /// Writes its record again, unless it was removed.
+    void heartbeat();
+    /// Returns its id and its record.
+    [[nodiscard]] std::pair<std::string, std::string> record();
+    /// Number of calls that it has begun to run.
+    [[nodiscard]] std::size_t runs() const { return runs_; }
 
 private:
     struct adapter {
@@ -83,10 +95,11 @@
     net::http_response take_order(const support::json& order);
     net::http_response report();
     bool misdirected(const net::http_request& request);
-    std::optional<support::time_point> unlisted_since();
+    std::optional<support::time_point> withdrawn_since();
     /// Returns the HTTP status with which a call is rejected, or 0 if it is to run.
     int rejection(const net::http_request& request);
-    void publish_record(const std::string& state);
+    void publish_record();
+    void clear_state_locked();
     void check_limit();
     /// Adds the endpoint's state headers (draining, limit, Retry-After) to a response.
     void add_notice(net::http_response& response);
@@ -103,11 +116,15 @@
     std::string id_;
     std::string advertised_;
     int starts_ = 0;
+    std::chrono::milliseconds started_{1'000'000}; ///< As its clock shows.
+    std::atomic<std::size_t> runs_{0};
+    bool listed_ = false;
     std::size_t held_ = 0; ///< Calls that run or wait for a slot.
     std::size_t running_ = 0;
     std::size_t queue_places_ = 0;
     bool draining_ = false;
-    std::optional<support::time_point> unlisted_at_;
+    /// When the store acknowledged that it leaves or is gone, if calls are checked.
+    std::optional<support::time_point> withdrawn_at_;
     endpoint_failure failure_ = endpoint_failure::none;
     std::optional<double> limit_per_s_;
     /// When the first answer named the current limit.
