Notice in `node` that a VM was replaced under its id

Cause: `node` reads the VM list once a second, and the list names no runs. A VM that was replaced under its id between two reads never went missing, so it stayed leaving for good, with the load report, the health and, at its owner, the address of the former VM.

Change: an id that is listed at another address belongs to another VM. Its reports and samples are dropped, and its owner takes it over anew. A VM that is replaced at the same address between two reads can still not be told.

--- a/include/dragonflystair/membership/endpoint_view.h
+++ b/include/dragonflystair/membership/endpoint_view.h
@@ -46,8 +46,9 @@
     static constexpr std::chrono::minutes gone_retention{60};
 
     /// Replaces the VM list. A VM that is absent from it is gone. An id that was leaving once stays
-    /// leaving until it has been absent from the list; an id that then reappears is a replaced VM.
-    void update_list(std::span<const listed_vm> vms, support::time_point now);
+    /// leaving until it has been absent from the list; an id that then reappears is a replaced VM,
+    /// and so is one that is listed at another address. Returns the ids of replaced VMs.
+    std::vector<std::string> update_list(std::span<const listed_vm> vms, support::time_point now);
 
     /// Replaces the data centres per service and the region per data centre with those of the
     /// published deployment. An endpoint is leaving while the deployment in force does not list the
@@ -81,10 +82,10 @@
         listed_vm vm;
         support::time_point last_heartbeat;
         bool leaving = false;  ///< Reported by the VM list or a peer; permanent.
-        bool replaced = false; ///< The id was leaving, then absent, and reappeared.
+        bool replaced = false; ///< The id was leaving and belongs to another VM now.
         std::optional<support::time_point> gone_since;
     };
-    void add_or_update(const listed_vm& vm, support::time_point now);
+    bool add_or_update(const listed_vm& vm, support::time_point now);
     [[nodiscard]] bool leaving_by_deployment(const listed_vm& vm) const;
     [[nodiscard]] endpoint_status status_of(const endpoint_entry& entry,
                                             support::time_point now) const;
--- a/lib/membership/endpoint_view.cpp
+++ b/lib/membership/endpoint_view.cpp
@@ -4,11 +4,15 @@
 
 namespace dragonflystair::membership {
 
-void endpoint_view::update_list(std::span<const listed_vm> vms, support::time_point now) {
+std::vector<std::string> endpoint_view::update_list(std::span<const listed_vm> vms,
+                                                    support::time_point now) {
     std::set<std::string, std::less<>> listed;
+    std::vector<std::string> replaced;
     for (const auto& vm : vms) {
         listed.insert(vm.id);
-        add_or_update(vm, now);
+        if (add_or_update(vm, now)) {
+            replaced.push_back(vm.id);
+        }
     }
     for (auto& [id, entry] : entries_) {
         if (!entry.gone_since && !listed.contains(id)) {
@@ -19,21 +23,25 @@
         const auto& gone = entry.second.gone_since;
         return gone && now - *gone >= gone_retention;
     });
+    return replaced;
 }
 
-void endpoint_view::add_or_update(const listed_vm& vm, support::time_point now) {
+/// Returns whether the VM is another one than its id belonged to before.
+bool endpoint_view::add_or_update(const listed_vm& vm, support::time_point now) {
     const auto found = entries_.find(vm.id);
     if (found == entries_.end()) {
         entries_[vm.id] = {vm, now, vm.leaving, false, std::nullopt};
-        return;
+        return false;
     }
     auto& entry = found->second;
-    if (entry.gone_since) {
+    // A VM may be replaced between two reads of the list, which then never lacks its id.
+    if (entry.gone_since || entry.vm.address != vm.address) {
         entry = {vm, now, vm.leaving, entry.leaving || entry.replaced, std::nullopt};
-        return;
+        return true;
     }
     entry.vm = vm;
     entry.leaving = entry.leaving || vm.leaving;
+    return false;
 }
 
 void endpoint_view::update_deployment(
--- a/lib/node/endpoint_directory.cpp
+++ b/lib/node/endpoint_directory.cpp
@@ -11,7 +11,11 @@
 void endpoint_directory::update_list(std::span<const membership::listed_vm> vms,
                                      support::time_point now) {
     const std::lock_guard lock(mutex_);
-    view_.update_list(vms, now);
+    for (const auto& id : view_.update_list(vms, now)) {
+        // Neither the reports nor the samples are of the VM that has the id now.
+        reports_.erase(id);
+        health_.erase(id);
+    }
     // Endpoints of plain services have no owner that reports their load. Their entry in the VM list
     // counts as a heartbeat, and failed calls lower their weight.
     for (const auto& vm : vms) {
--- a/lib/node/owner_table.cpp
+++ b/lib/node/owner_table.cpp
@@ -60,7 +60,9 @@
     {
         const std::lock_guard lock(mutex_);
         auto& slot = owned_[endpoint];
-        if (slot && slot->setup().fence == fence) {
+        // The id may belong to another VM than when this node took the endpoint over.
+        if (slot && slot->setup().fence == fence &&
+            slot->setup().address == row->status.vm.address) {
             return;
         }
         if (slot) {
--- a/unittests/membership/membership_test.cpp
+++ b/unittests/membership/membership_test.cpp
@@ -193,6 +193,7 @@
     CPPUNIT_TEST(endpoint_reported_leaving_once_stays_leaving);
     CPPUNIT_TEST(endpoint_absent_and_relisted_is_live);
     CPPUNIT_TEST(replaced_endpoint_ignores_stale_peer_reports);
+    CPPUNIT_TEST(endpoint_listed_at_another_address_is_replaced);
     CPPUNIT_TEST(endpoint_of_unlisted_data_centre_is_leaving_until_next_deployment);
     CPPUNIT_TEST(endpoint_without_heartbeat_is_suspected_but_listed);
     CPPUNIT_TEST_SUITE_END();
@@ -246,6 +247,18 @@
         CPPUNIT_ASSERT(state(at(3s)) == endpoint_state::leaving);
     }
 
+    /// Guards against a VM that gets no work since the former VM of its id was leaving: it was
+    /// replaced between two reads of the list.
+    void endpoint_listed_at_another_address_is_replaced() {
+        list_vm(true, at(0s));
+        const listed_vm other{"vm", "127.0.0.1:2", "a", "s", false};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view_.update_list({&other, 1}, at(1s)).size());
+        CPPUNIT_ASSERT(state(at(1s)) == endpoint_state::live);
+        view_.on_peer_reported_leaving("vm");
+        CPPUNIT_ASSERT(state(at(1s)) == endpoint_state::live);
+        CPPUNIT_ASSERT(view_.update_list({&other, 1}, at(2s)).empty());
+    }
+
     void endpoint_of_unlisted_data_centre_is_leaving_until_next_deployment() {
         list_vm(false, at(0s));
         view_.update_deployment({{"s", {"b"}}}, {{"a", "north"}});
--- a/unittests/node/endpoint_directory_test.cpp
+++ b/unittests/node/endpoint_directory_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(endpoint_with_slow_steps_loses_weight);
     CPPUNIT_TEST(endpoint_without_samples_keeps_weight_beside_fast_ones);
     CPPUNIT_TEST(leaving_endpoint_is_in_grace_for_three_seconds);
+    CPPUNIT_TEST(replaced_vm_has_neither_load_nor_health_of_the_former_one);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -61,6 +62,19 @@
         CPPUNIT_ASSERT(!directory_.find("b", now_)->in_leaving_grace());
     }
 
+    /// Guards against requests for adapters that only the former VM of an id had.
+    void replaced_vm_has_neither_load_nor_health_of_the_former_one() {
+        sample_all(20ms, 200ms);
+        policy::endpoint_load load;
+        load.resident = {"assistant/a1@1"};
+        directory_.on_report("a", "owner", load, now_);
+        CPPUNIT_ASSERT(directory_.find("a", now_)->load.has_value());
+        vms_[0].address = "127.0.0.1:9";
+        directory_.update_list(vms_, now_);
+        CPPUNIT_ASSERT(!directory_.find("a", now_)->load);
+        CPPUNIT_ASSERT(weight("a") > 0.9);
+    }
+
 private:
     static config::deployment deployment_in(std::vector<std::string> data_centres) {
         config::deployment result;
