--- a/include/dragonflystair/fleet/endpoint_backoff.h
+++ b/include/dragonflystair/fleet/endpoint_backoff.h
@@ -36,8 +36,8 @@
                support::time_point sent, support::time_point now);
 
     /// Records that another run of the endpoint is listed. A rejection of the last seconds may be
-    /// its own, since an answer does not tell which run gave it, and holds for it that long. Returns
-    /// the end of its backoff, if any.
+    /// its own, since an answer does not tell which run gave it, and holds for it that long.
+    /// Returns the end of its backoff, if any.
     std::optional<support::time_point> on_run_listed(std::string_view endpoint,
                                                      std::uint64_t former_started_ms,
                                                      std::uint64_t started_ms,
--- a/lib/gateway/placement_holder.cpp
+++ b/lib/gateway/placement_holder.cpp
@@ -205,9 +205,8 @@
     view_.note_sent(order.endpoint,
                     order.check ? fleet::request_kind::check : fleet::request_kind::order);
     auto engine_order = to_engine_order(order, view_.settings.name, lease_.fence());
-    const auto result =
-        co_await engines_.order(receiver_of(order), std::move(engine_order),
-                                fleet::adapter_planner::answer_time);
+    const auto result = co_await engines_.order(receiver_of(order), std::move(engine_order),
+                                                fleet::adapter_planner::answer_time);
     record_order(order, platform::to_string(result));
     if (result == platform::order_result::fenced) {
         const bool held_before = lease_.holds();
--- a/unittests/fleet/endpoint_watch_test.cpp
+++ b/unittests/fleet/endpoint_watch_test.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(draining_of_run_with_earlier_start_is_believed);
     CPPUNIT_TEST(draining_entry_of_doubted_run_is_believed_for_a_while);
     CPPUNIT_TEST(draining_of_a_later_run_does_not_lift_that_of_the_present_one);
+    CPPUNIT_TEST(only_runs_that_were_in_force_or_are_earlier_are_former_ones);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -280,6 +281,16 @@
         CPPUNIT_ASSERT(watch_.on_listed(listed(false, 2), start)->draining);
     }
 
+    /// What peers tell of a run that this node has not read of yet is kept.
+    void only_runs_that_were_in_force_or_are_earlier_are_former_ones() {
+        CPPUNIT_ASSERT(!watch_.is_former_run("a", 1));
+        watch_.on_listed(listed(false, 1), start);
+        watch_.on_listed(listed(false, 2), start);
+        CPPUNIT_ASSERT(watch_.is_former_run("a", 1));
+        CPPUNIT_ASSERT(!watch_.is_former_run("a", 2));
+        CPPUNIT_ASSERT(!watch_.is_former_run("a", 3));
+    }
+
     void entry_missing_from_restored_list_is_kept_until_it_is_listed_again() {
         watch_.on_listed(listed(false, 1), start);
         watch_.on_store_restored(start);
--- a/unittests/gateway/endpoint_stand_in.h
+++ b/unittests/gateway/endpoint_stand_in.h
@@ -24,7 +24,7 @@
     if (service == "assistant") {
         models.push_back({{"name", "base"}, {"version", 1}, {"adapters", {"known@1"}}});
     }
-    return support::json{{"service", service}, {"addr", address}, {"zone", "north"},
+    return support::json{{"service", service}, {"addr", address},    {"zone", "north"},
                          {"slots", slots},     {"born", started_ms}, {"seq", heartbeat},
                          {"state", state},     {"models", models}}
         .dump();
--- a/unittests/gateway/residency_frames_test.cpp
+++ b/unittests/gateway/residency_frames_test.cpp
@@ -44,8 +44,8 @@
 
 private:
     static fleet::residency_change change_of(std::uint64_t started_ms) {
-        return {"engine", {"base", "known"}, fleet::residency::ready, 2,
-                fleet::run_tag_of(started_ms)};
+        return {
+            "engine", {"base", "known"}, fleet::residency::ready, 2, fleet::run_tag_of(started_ms)};
     }
 
     static fleet::residency_change received(std::uint64_t started_ms) {
--- a/unittests/gateway_restored/former_run_test.cpp
+++ b/unittests/gateway_restored/former_run_test.cpp
@@ -19,7 +19,8 @@
 constexpr std::uint64_t present_run = 20;
 
 /// Calls before an endpoint that starts again under its id: entries of its former run reach the
-/// store late, answers arrive after its next run is listed, or that run answers before it is listed.
+/// store late, answers arrive after its next run is listed, or that run answers before it is
+/// listed.
 class former_run_test : public restored_store_fixture {
     CPPUNIT_TEST_SUITE(former_run_test);
     CPPUNIT_TEST(endpoint_that_leaves_gets_no_calls_after_late_entry_of_former_run);
@@ -61,7 +62,8 @@
         CPPUNIT_ASSERT_EQUAL(200, call("/patterns/1", "second", "base/known").status);
     }
 
-    /// Guards against calls to an endpoint that rejects them, as soon as its run is listed (BUDGET).
+    /// Guards against calls to an endpoint that rejects them, as soon as its run is listed
+    /// (BUDGET).
     void pause_requested_before_its_run_is_listed_holds() {
         add_endpoint("endpoint-1", endpoint_stand_in::answer_with(
                                        "", 503, {{"Not-Run", "1"}, {"Retry-After", "30"}}));
