Keep evidence of a crash when the next run answers early

Callers saw nothing yet: found by asking of each path which run it learns from.

Cause: a response shows that its endpoint had not crashed before. An engine that starts again under its id answers calls before its run is listed, and those answers were filed under the run that had crashed, so they removed the evidence.

Before: response_just_before_the_next_run_is_listed_refutes_no_crash fails without the records being restored.

--- a/include/dragonflystair/fleet/crash_suspects.h
+++ b/include/dragonflystair/fleet/crash_suspects.h
@@ -77,6 +77,10 @@
     void on_served(const request_traits& request, support::time_point now);
     /// An endpoint responded to a request that was sent at `sent`, so it had not crashed before.
     void on_response(std::string_view endpoint, std::uint64_t started_ms, support::time_point sent);
+    /// Another run of the endpoint is listed, so the former one has ended, and a response of the
+    /// last seconds may have been the present one's.
+    void on_run_listed(std::string_view endpoint, std::uint64_t former_started_ms,
+                       support::time_point now);
     /// Adds what a peer tells. Returns whether its conclusions are new to this node.
     bool on_notice(const crash_notice& notice, support::time_point now);
 
--- a/lib/fleet/crash_records.cpp
+++ b/lib/fleet/crash_records.cpp
@@ -40,10 +40,8 @@
     if (found == records_.end() || at > found->at + max_report_spread) {
         if (found != records_.end()) {
             records_.erase(found);
-        } else if (records_.size() >= max_records) {
-            records_.pop_front();
         }
-        records_.push_back({crash.endpoint, crash.started_ms, at, {}});
+        append({crash.endpoint, crash.started_ms, at, {}});
         found = std::prev(records_.end());
     }
     found->at = std::min(found->at, at);
@@ -56,15 +54,44 @@
     return *found;
 }
 
-void crash_records::remove(std::string_view endpoint, std::uint64_t started_ms,
-                           support::time_point before) {
-    std::erase_if(records_, [&](const auto& record) {
-        return record.at < before && record.started_ms == started_ms && record.endpoint == endpoint;
+void crash_records::append(crash_record record) {
+    if (records_.size() >= max_records) {
+        records_.pop_front();
+    }
+    records_.push_back(std::move(record));
+}
+
+void crash_records::refute(std::string_view endpoint, std::uint64_t started_ms,
+                           support::time_point response_to) {
+    std::erase_if(records_, [&](auto& record) {
+        const bool refuted = record.at < response_to && record.started_ms == started_ms &&
+                             record.endpoint == endpoint;
+        if (refuted) {
+            if (refuted_.size() >= max_records) {
+                refuted_.pop_front();
+            }
+            refuted_.push_back({response_to, std::move(record)});
+        }
+        return refuted;
+    });
+}
+
+void crash_records::restore(std::string_view endpoint, std::uint64_t started_ms,
+                            support::time_point since) {
+    std::erase_if(refuted_, [&](auto& refuted) {
+        auto& record = refuted.record;
+        const bool restored =
+            refuted.at >= since && record.started_ms == started_ms && record.endpoint == endpoint;
+        if (restored) {
+            append(std::move(record));
+        }
+        return restored;
     });
 }
 
 void crash_records::expire(support::time_point before) {
     std::erase_if(records_, [before](const auto& record) { return record.at < before; });
+    std::erase_if(refuted_, [before](const auto& refuted) { return refuted.record.at < before; });
 }
 
 void served_traits::add(const trait& what, support::time_point at) {
--- a/lib/fleet/crash_records.h
+++ b/lib/fleet/crash_records.h
@@ -35,15 +35,27 @@
     /// Adds a report of a crash; reports of the same crash by several nodes are joined. Returns the
     /// record.
     const crash_record& add(const endpoint_crash& crash, support::time_point now);
-    /// Removes the record of a run of an endpoint if it is of an earlier time.
-    void remove(std::string_view endpoint, std::uint64_t started_ms, support::time_point before);
+    /// Removes the record of a run of an endpoint if it is of a time before `response_to`, when a
+    /// request was sent that was responded to.
+    void refute(std::string_view endpoint, std::uint64_t started_ms,
+                support::time_point response_to);
+    /// Adds the records of a run again that were removed since a time.
+    void restore(std::string_view endpoint, std::uint64_t started_ms, support::time_point since);
     /// Drops the records from before a time.
     void expire(support::time_point before);
 
     [[nodiscard]] const std::deque<crash_record>& all() const { return records_; }
 
 private:
+    struct refuted_record {
+        support::time_point at; ///< When the request was sent whose response refuted the record.
+        crash_record record;
+    };
+
+    void append(crash_record record);
+
     std::deque<crash_record> records_;
+    std::deque<refuted_record> refuted_;
 };
 
 /// When traits were last served, for a bounded number of traits.
--- a/lib/fleet/crash_suspects.cpp
+++ b/lib/fleet/crash_suspects.cpp
@@ -1,5 +1,7 @@
 #include "dragonflystair/fleet/crash_suspects.h"
 
+#include "dragonflystair/fleet/endpoint_watch.h"
+
 #include "crash_suspects_impl.h"
 
 #include <algorithm>
@@ -58,7 +60,13 @@
 
 void crash_suspects::on_response(std::string_view endpoint, std::uint64_t started_ms,
                                  time_point sent) {
-    impl_->records.remove(endpoint, started_ms, sent);
+    impl_->records.refute(endpoint, started_ms, sent);
+}
+
+void crash_suspects::on_run_listed(std::string_view endpoint, std::uint64_t former_started_ms,
+                                   time_point now) {
+    impl_->records.restore(endpoint, former_started_ms, now - endpoint_watch::late_write_time);
+    impl_->schedule(now + settle_time);
 }
 
 /// Records that a request with the trait was served, and tells the nodes that suspect it.
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -64,7 +64,7 @@
     void on_node_records(std::span<const fleet::keyed_record> records);
     void on_configuration(const fleet::keyed_record& record);
     void on_version(const fleet::keyed_record& record);
-    void carry_over_notices(const fleet::endpoint_record& record, std::uint64_t former_run);
+    void reattribute_answers(const fleet::endpoint_record& record, std::uint64_t former_run);
     void note_doubted_record(const fleet::keyed_record& record, std::uint64_t started_ms);
     void remove_gone_endpoints();
     net::awaitable<void> register_node();
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -147,7 +147,7 @@
             }
         }
         if (former_run != decoded->started_ms) {
-            carry_over_notices(*decoded, former_run);
+            reattribute_answers(*decoded, former_run);
         }
         apply_limit(decoded->id);
     }
@@ -155,11 +155,12 @@
     pump();
 }
 
-/// Applies to a run that is listed now what it may itself have said before.
-void gateway::impl::carry_over_notices(const fleet::endpoint_record& record,
-                                       std::uint64_t former_run) {
+/// Corrects what was concluded from answers that the run which is listed now may have given itself.
+void gateway::impl::reattribute_answers(const fleet::endpoint_record& record,
+                                        std::uint64_t former_run) {
     const auto now = boot_clock::now();
     view_.limits.on_run_listed(record.id, former_run, record.started_ms, now);
+    view_.suspects.on_run_listed(record.id, former_run, now);
     if (const auto until =
             view_.backoff.on_run_listed(record.id, former_run, record.started_ms, now)) {
         apply_pause(record.id, *until, "former_run");
--- a/unittests/fleet/crash_suspects_test.cpp
+++ b/unittests/fleet/crash_suspects_test.cpp
@@ -170,6 +170,7 @@
     CPPUNIT_TEST(objection_of_peer_that_served_the_part_prevents_the_block);
     CPPUNIT_TEST(crash_reported_by_several_nodes_counts_once);
     CPPUNIT_TEST(endpoint_that_responds_afterwards_has_not_crashed);
+    CPPUNIT_TEST(response_just_before_the_next_run_is_listed_refutes_no_crash);
     CPPUNIT_TEST(crashes_longer_ago_than_the_lifetime_do_not_count);
     CPPUNIT_TEST(one_request_tests_a_block_after_its_end);
     CPPUNIT_TEST(test_that_crashes_extends_the_block_of_all_nodes);
@@ -235,6 +236,23 @@
         CPPUNIT_ASSERT(!node_.refused_for({7, {1}}, now_));
     }
 
+    /// Guards against a part that crashes engines for good: an engine starts again under its id and
+    /// answers calls before its run is listed.
+    void response_just_before_the_next_run_is_listed_refutes_no_crash() {
+        for (std::size_t count = 0; count < crash_suspects::min_episodes; ++count) {
+            crash(node_, {{next_request(), {1}}});
+            node_.on_response("engine", last_run_, now_);
+            now_ += milliseconds{600};
+            node_.on_run_listed("engine", last_run_, now_);
+        }
+        for (int tick = 0; tick < 20; ++tick) {
+            now_ += milliseconds{50};
+            node_.update(now_);
+        }
+        CPPUNIT_ASSERT(node_.refused_for({next_request(), {1}}, now_));
+        CPPUNIT_ASSERT(!node_.refused_for({next_request(), {2}}, now_));
+    }
+
     void crashes_longer_ago_than_the_lifetime_do_not_count() {
         crash(node_, {{7, {1}}});
         crash(node_, {{8, {1}}});
