Believe notices that arrive across a restart for seconds

Callers would see, by the test: calls to an endpoint that said that it leaves, later than 2.5 s after a node had passed that on (DRAIN).

Cause: drops a notice if another run was listed while the call was under way, and before that it was filed under the former run. When the entry is read, the former run has ended, so most such answers are the present run's.

--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -123,7 +123,7 @@
 
     // Notices of endpoints in their responses (gateway_notices.cpp).
     void on_notice(std::string_view endpoint, std::uint64_t started_ms,
-                   const platform::endpoint_notice& notice, support::time_point sent);
+                   platform::endpoint_notice notice, support::time_point sent);
     void on_peer_notice(std::string_view peer, const support::json& frame);
     bool mark_leaving(std::string_view endpoint, std::uint64_t started_ms, std::string_view source);
     void apply_leaving(const fleet::endpoint_record& record, std::string_view source);
--- a/lib/gateway/gateway_notices.cpp
+++ b/lib/gateway/gateway_notices.cpp
@@ -13,13 +13,17 @@
 /// Applies the notice of a response about its endpoint and sends it to the nodes that may send
 /// calls there: those of this data centre and the leads of others, which forward it.
 void gateway::impl::on_notice(std::string_view endpoint, std::uint64_t started_ms,
-                              const platform::endpoint_notice& notice, support::time_point sent) {
+                              platform::endpoint_notice notice, support::time_point sent) {
     const auto now = boot_clock::now();
     if (const auto* record = view_.dispatcher.find(endpoint);
         record != nullptr && record->started_ms != started_ms) {
-        // The endpoint was listed as restarted meanwhile; the next response tells about its run.
-        counters_.increment("endpoint_notices_outdated_total");
-        return;
+        // Another run was listed since the request was sent, and either may have responded.
+        counters_.increment("endpoint_notices_of_unclear_run_total");
+        started_ms = record->started_ms;
+        if (notice.retry_after) {
+            notice.retry_after =
+                std::min<milliseconds>(*notice.retry_after, fleet::endpoint_watch::late_write_time);
+        }
     }
     if (notice.malformed) {
         counters_.increment("endpoint_notices_damaged_total");
--- a/unittests/soak/fault_plan.h
+++ b/unittests/soak/fault_plan.h
@@ -47,8 +47,8 @@
     tenant_surge, ///< A tenant sends many times its usual load.
     bad_callers,  ///< Callers do not finish what they send, or do not read responses.
     late_report,  ///< An endpoint restarts under its id, then leaves, and the store executes a
-                 ///< report of its former run seconds late. Drawn only by
-                 ///< `fault_choice::late_reports`.
+                  ///< report of its former run seconds late. Drawn only by
+                  ///< `fault_choice::late_reports`.
 };
 
 /// Number of kinds that `fault_choice::any` draws from.
