Tell a node that has just started of recent removals

Cause: a node that starts after the removal of an entry has no memory of it. A heartbeat that the store executes late then is all that it knows of the endpoint, and looks like that of a new one. The other nodes doubted it.

--- a/include/dragonflystair/fleet/endpoint_watch.h
+++ b/include/dragonflystair/fleet/endpoint_watch.h
@@ -13,6 +13,12 @@
 
 namespace dragonflystair::fleet {
 
+/// An endpoint whose entry was removed.
+struct removed_endpoint {
+    std::string id;
+    std::uint64_t started_ms = 0; ///< Of its last run.
+};
+
 /// Decides which entries of the VM list are valid, and which run of an endpoint is in force. While
 /// the store is unavailable, entries expire although their endpoints are running; they are listed
 /// again within two seconds of its recovery. A store that was restored from a copy may list removed
@@ -53,6 +59,11 @@
 
     /// Returns the endpoints that count as gone now, each once.
     std::vector<std::string> take_gone(support::time_point now);
+    /// Returns the endpoints that went so recently that an entry may still be written late, for a
+    /// node that has started since.
+    [[nodiscard]] std::vector<removed_endpoint> recently_gone(support::time_point now) const;
+    /// Records what a peer tells of a removal. Changes nothing if the endpoint is known.
+    void on_removal_told(const removed_endpoint& removed, support::time_point now);
     [[nodiscard]] std::optional<support::time_point> next_due() const;
 
 private:
@@ -68,6 +79,7 @@
         std::uint64_t latest_run = 0;     ///< Of all that were in force.
         support::time_point run_listed;   ///< When the run in force was first listed.
         bool gone = false;
+        support::time_point gone_since;
         std::optional<std::uint64_t> doubted_run; ///< Of the last record, if that was not accepted.
         std::optional<draining_notice> draining;  ///< Of the run in force.
         std::optional<std::uint64_t> draining_unlisted_run; ///< A later one, by a peer's answer.
--- a/lib/fleet/endpoint_watch.cpp
+++ b/lib/fleet/endpoint_watch.cpp
@@ -140,6 +140,7 @@
         gone.push_back(entry->first);
         if (const auto known = endpoints_.find(entry->first); known != endpoints_.end()) {
             known->second.gone = true;
+            known->second.gone_since = now;
             known->second.doubted_run.reset();
         }
         entry = missing_.erase(entry);
@@ -147,6 +148,26 @@
     return gone;
 }
 
+std::vector<removed_endpoint> endpoint_watch::recently_gone(time_point now) const {
+    std::vector<removed_endpoint> removed;
+    for (const auto& [id, known] : endpoints_) {
+        if (known.gone && known.run && now < known.gone_since + late_write_time) {
+            removed.push_back({id, *known.run});
+        }
+    }
+    return removed;
+}
+
+void endpoint_watch::on_removal_told(const removed_endpoint& removed, time_point now) {
+    auto& known = endpoints_[removed.id];
+    if (known.run) {
+        return;
+    }
+    begin_run(known, removed.started_ms, now);
+    known.gone = true;
+    known.gone_since = now;
+}
+
 std::optional<time_point> endpoint_watch::next_due() const {
     std::optional<time_point> earliest;
     if (!reachable_) {
--- a/lib/gateway/gateway_impl.cpp
+++ b/lib/gateway/gateway_impl.cpp
@@ -133,6 +133,7 @@
           {[this](std::string_view peer, const support::json& frame) { on_frame(peer, frame); },
            [this](std::string_view peer) {
                network_.send(peer, status_frame(own_status()));
+               send_removals(peer);
                send_limits(peer);
                send_blocks(peer);
                send_all_residency(peer);
--- a/lib/gateway/gateway_impl.h
+++ b/lib/gateway/gateway_impl.h
@@ -67,6 +67,8 @@
     void reattribute_answers(const fleet::endpoint_record& record, std::uint64_t former_run);
     void note_doubted_record(const fleet::keyed_record& record, std::uint64_t started_ms);
     void remove_gone_endpoints();
+    void send_removals(std::string_view peer);
+    void on_removals(const support::json& frame);
     net::awaitable<void> register_node();
     void on_store_era(std::uint64_t era);
     void restore_registration();
--- a/lib/gateway/gateway_peers.cpp
+++ b/lib/gateway/gateway_peers.cpp
@@ -93,6 +93,7 @@
          [](self& node, auto peer, const json& frame) { node.on_records_request(peer, frame); }},
         {"r", [](self& node, auto peer, const json& frame) { node.on_records(peer, frame); }},
         {"n", [](self& node, auto peer, const json& frame) { node.on_peer_notice(peer, frame); }},
+        {"u", [](self& node, auto, const json& frame) { node.on_removals(frame); }},
         {"m", [](self& node, auto peer, const json& frame) { node.on_peer_limit(peer, frame); }},
         {"a",
          [](self& node, auto peer, const json& frame) { node.on_permit_requests(peer, frame); }},
--- a/lib/gateway/gateway_records.cpp
+++ b/lib/gateway/gateway_records.cpp
@@ -201,6 +201,20 @@
     }
 }
 
+/// Tells a new peer, which may just have started, of entries that may still come back late.
+void gateway::impl::send_removals(std::string_view peer) {
+    const auto removed = watch_.recently_gone(boot_clock::now());
+    if (!removed.empty()) {
+        network_.send(peer, removals_frame(removed));
+    }
+}
+
+void gateway::impl::on_removals(const support::json& frame) {
+    for (const auto& removed : decode_removals(frame)) {
+        watch_.on_removal_told(removed, boot_clock::now());
+    }
+}
+
 void gateway::impl::on_node_records(std::span<const fleet::keyed_record> records) {
     for (const auto& record : records) {
         const auto value = record.value ? net::parse_json(*record.value) : support::json();
--- a/lib/gateway/peer_frames.cpp
+++ b/lib/gateway/peer_frames.cpp
@@ -269,6 +269,24 @@
     return page;
 }
 
+json removals_frame(std::span<const fleet::removed_endpoint> removed) {
+    json rows = json::array();
+    for (const auto& endpoint : removed) {
+        rows.push_back(json::array({endpoint.id, endpoint.started_ms}));
+    }
+    return {{"type", "u"}, {"e", std::move(rows)}};
+}
+
+std::vector<fleet::removed_endpoint> decode_removals(const json& frame) {
+    std::vector<fleet::removed_endpoint> removed;
+    for (const auto& row : rows_of(frame, "e")) {
+        if (auto id = text_at(row, 0); !id.empty()) {
+            removed.push_back({std::move(id), number_at(row, 1)});
+        }
+    }
+    return removed;
+}
+
 json forwarded_notice_frame(const forwarded_notice& notice) {
     return {{"type", "n"},
             {"e", notice.endpoint},
--- a/lib/gateway/peer_frames.h
+++ b/lib/gateway/peer_frames.h
@@ -3,6 +3,7 @@
 #include "dragonflystair/fleet/adapter_planner.h"
 #include "dragonflystair/fleet/announced_limits.h"
 #include "dragonflystair/fleet/dispatcher.h"
+#include "dragonflystair/fleet/endpoint_watch.h"
 #include "dragonflystair/fleet/keyed_record.h"
 #include "dragonflystair/fleet/load_reports.h"
 #include "dragonflystair/support/json.h"
@@ -79,6 +80,10 @@
 bool was_just_read(const support::json& frame);
 fleet::keyed_page decode_records(const support::json& frame);
 
+/// Endpoints that were removed just before a peer was connected.
+support::json removals_frame(std::span<const fleet::removed_endpoint> removed);
+std::vector<fleet::removed_endpoint> decode_removals(const support::json& frame);
+
 /// Notice about itself that an endpoint included in a response to a peer.
 struct forwarded_notice {
     std::string endpoint;
--- a/unittests/fleet/endpoint_watch_test.cpp
+++ b/unittests/fleet/endpoint_watch_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(draining_entry_of_doubted_run_is_believed_for_a_while);
     CPPUNIT_TEST(draining_of_a_later_run_does_not_lift_that_of_the_present_one);
     CPPUNIT_TEST(only_runs_that_were_in_force_or_are_earlier_are_former_ones);
+    CPPUNIT_TEST(node_that_started_since_learns_of_a_removal);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -291,6 +292,27 @@
         CPPUNIT_ASSERT(!watch_.is_former_run("a", 3));
     }
 
+    /// Guards against calls to an endpoint that is gone: a late entry is all that a node that has
+    /// just started knows of it (DRAIN).
+    void node_that_started_since_learns_of_a_removal() {
+        watch_.on_listed(listed(false, 1), start);
+        watch_.on_listed(listed(false, 2), start);
+        watch_.on_missing("a", start);
+        watch_.take_gone(start);
+        const auto removed = watch_.recently_gone(start + milliseconds{1'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, removed.size());
+        CPPUNIT_ASSERT(watch_.recently_gone(later(0)).empty());
+
+        endpoint_watch started;
+        started.on_removal_told(removed.front(), start);
+        CPPUNIT_ASSERT(!started.on_listed(listed(false, 1), start));
+        CPPUNIT_ASSERT(!started.on_listed(listed(false, 1), start));
+        CPPUNIT_ASSERT(!started.on_listed(listed(false, 2), start));
+        CPPUNIT_ASSERT(started.on_listed(listed(false, 3), start).has_value());
+        started.on_removal_told(removed.front(), start);
+        CPPUNIT_ASSERT(started.on_listed(listed(false, 3), start).has_value());
+    }
+
     void entry_missing_from_restored_list_is_kept_until_it_is_listed_again() {
         watch_.on_listed(listed(false, 1), start);
         watch_.on_store_restored(start);
--- a/unittests/gateway/record_frames_test.cpp
+++ b/unittests/gateway/record_frames_test.cpp
@@ -3,7 +3,10 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <string>
+#include <vector>
 
 namespace {
 
@@ -21,9 +24,21 @@
     CPPUNIT_TEST(frames_are_read_by_a_peer_without_eras);
     CPPUNIT_TEST(damaged_eras_count_as_0);
     CPPUNIT_TEST(page_with_damaged_bounds_implies_nothing);
+    CPPUNIT_TEST(removals_are_told_without_damaged_rows);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void removals_are_told_without_damaged_rows() {
+        const std::vector<fleet::removed_endpoint> removed{{"a", 7}, {"b", 9}};
+        auto frame = removals_frame(removed);
+        frame["e"].push_back(support::json::array({3, "c"}));
+        frame["e"].push_back("d");
+        const auto told = decode_removals(frame);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, told.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), told[1].id);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, told[1].started_ms);
+    }
+
     void records_keep_their_era_and_offsets() {
         const fleet::keyed_page page{{{"a", "x", 4}, {"b", {}, 5, true}, {"c", "", 6}}, 7, 2, 3};
         const auto read = decode_records(records_frame("keyed.op", page));
--- a/unittests/soak/main.cpp
+++ b/unittests/soak/main.cpp
@@ -55,19 +55,15 @@
 constexpr std::size_t recovered_calls = 5;
 constexpr milliseconds recovery_time{60'000};
 
-/// Reports a violation if an endpoint runs no call from now on.
-void wait_every_endpoint_used(guarantee_checker& checked, const soak_cluster& cluster) {
-    const auto before = cluster.endpoint_runs();
+/// Reports a violation if a gateway shuts an endpoint out that runs.
+void wait_endpoints_in_use(guarantee_checker& checked, const soak_cluster& cluster) {
     const auto end = steady::now() + recovery_time;
-    for (std::size_t index = 0; index < before.size(); ++index) {
-        while (cluster.endpoint_runs()[index] == before[index]) {
-            if (steady::now() > end) {
-                checked.report_violation(
-                    fmt::format("endpoint {} gets no calls after the last fault", index));
-                return;
-            }
-            std::this_thread::sleep_for(milliseconds{20});
+    while (!cluster.endpoints_in_use()) {
+        if (steady::now() > end) {
+            checked.report_violation("a gateway lists an endpoint that runs as gone or leaving");
+            return;
         }
+        std::this_thread::sleep_for(milliseconds{100});
     }
 }
 
@@ -175,7 +171,7 @@
         }
         wait_recovered(checked);
         if (choice == fault_choice::late_reports) {
-            wait_every_endpoint_used(checked, cluster);
+            wait_endpoints_in_use(checked, cluster);
         }
         if (used_tenants != nullptr) {
             faults.check_after_faults(checked);
--- a/unittests/soak/soak_cluster.cpp
+++ b/unittests/soak/soak_cluster.cpp
@@ -246,12 +246,12 @@
         context_, [this] { return write_heartbeats(); }, boost::asio::detached);
 }
 
-std::vector<std::size_t> soak_cluster::endpoint_runs() const {
-    std::vector<std::size_t> runs;
-    for (const auto& item : endpoints_) {
-        runs.push_back(item.self->runs());
-    }
-    return runs;
+bool soak_cluster::endpoints_in_use() const {
+    return std::ranges::all_of(gateways_, [this](const auto& item) {
+        return std::ranges::all_of(endpoints_, [&](const auto& endpoint) {
+            return endpoint.self->is_ready_by(item->last_line_with(endpoint.self->log_prefix()));
+        });
+    });
 }
 
 /// Lets an endpoint leave that has just restarted, and writes one or two records of its former run
@@ -278,6 +278,9 @@
         co_await timer.async_wait(boost::asio::use_awaitable);
         write(endpoint_topic, id, former);
     }
+    timer.expires_after(3 * heartbeat_interval);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    target.expire_record();
 }
 
 /// Restarts an endpoint under its id, with a start time that is earlier, equal or later.
--- a/unittests/soak/soak_cluster.h
+++ b/unittests/soak/soak_cluster.h
@@ -57,8 +57,8 @@
     void watch_configurations();
     /// Lets endpoints write heartbeats until `stop`.
     void start_heartbeats();
-    /// Returns how many calls each endpoint has begun to run.
-    [[nodiscard]] std::vector<std::size_t> endpoint_runs() const;
+    /// Returns whether each gateway lists the present run of each endpoint as ready.
+    [[nodiscard]] bool endpoints_in_use() const;
     /// Ends all gateway processes; a process that had crashed is reported as a violation.
     void stop();
 
--- a/unittests/soak/soak_endpoint.cpp
+++ b/unittests/soak/soak_endpoint.cpp
@@ -196,6 +196,18 @@
     }
 }
 
+void soak_endpoint::expire_record() {
+    std::string id;
+    {
+        const std::lock_guard lock(mutex_);
+        if (listed_) {
+            return;
+        }
+        id = id_;
+    }
+    publish_(id, "");
+}
+
 std::pair<std::string, std::string> soak_endpoint::record() {
     const std::lock_guard lock(mutex_);
     return {id_, json{{"service", service_},
@@ -209,6 +221,17 @@
                      .dump()};
 }
 
+std::string soak_endpoint::log_prefix() {
+    const std::lock_guard lock(mutex_);
+    return fmt::format("event=endpoint endpoint={} ", id_);
+}
+
+bool soak_endpoint::is_ready_by(std::string_view line) {
+    const std::lock_guard lock(mutex_);
+    return line.find(fmt::format(" started_ms={} state=ready", started_.count())) !=
+           std::string_view::npos;
+}
+
 void soak_endpoint::publish_record() {
     const auto [id, text] = record();
     publish_(id, text);
@@ -351,7 +374,6 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    ++runs_;
     if (const auto since = withdrawn_since()) {
         checked_.note_arrival_at_gone_endpoint(id, support::boot_clock::now() - *since);
     }
--- a/unittests/soak/soak_endpoint.h
+++ b/unittests/soak/soak_endpoint.h
@@ -7,7 +7,6 @@
 
 #include "guarantee_checker.h"
 
-#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -17,6 +16,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace dragonflystair::soak {
@@ -71,10 +71,15 @@
     void restart_in_place(std::chrono::milliseconds clock_step);
     /// Writes its record again, unless it was removed.
     void heartbeat();
+    /// Removes a record that was written after its removal, as the platform does after three
+    /// heartbeat intervals of silence.
+    void expire_record();
     /// Returns its id and its record.
     [[nodiscard]] std::pair<std::string, std::string> record();
-    /// Number of calls that it has begun to run.
-    [[nodiscard]] std::size_t runs() const { return runs_; }
+    /// Returns whether that line of a gateway's log lists its present run as ready.
+    [[nodiscard]] bool is_ready_by(std::string_view line);
+    /// Returns the beginning of such lines, up to its id.
+    [[nodiscard]] std::string log_prefix();
 
 private:
     struct adapter {
@@ -117,7 +122,6 @@
     std::string advertised_;
     int starts_ = 0;
     std::chrono::milliseconds started_{1'000'000}; ///< As its clock shows.
-    std::atomic<std::size_t> runs_{0};
     bool listed_ = false;
     std::size_t held_ = 0; ///< Calls that run or wait for a slot.
     std::size_t running_ = 0;
--- a/unittests/soak/soak_gateway.cpp
+++ b/unittests/soak/soak_gateway.cpp
@@ -87,6 +87,13 @@
     return contents(folder_ + "/" + location_.name + ".log").find(text) != std::string::npos;
 }
 
+std::string soak_gateway::last_line_with(std::string_view text) const {
+    const auto log = contents(folder_ + "/" + location_.name + ".log");
+    const auto found = log.rfind(text);
+    return found == std::string::npos ? std::string{}
+                                      : log.substr(found, log.find('\n', found) - found);
+}
+
 void soak_gateway::start() {
     if (process_) {
         return;
--- a/unittests/soak/soak_gateway.h
+++ b/unittests/soak/soak_gateway.h
@@ -53,6 +53,8 @@
     [[nodiscard]] std::size_t peak_memory_mb() const;
     /// Returns whether the log of all starts contains a text.
     [[nodiscard]] bool has_logged(std::string_view text) const;
+    /// Returns the last line of that log that contains a text; empty if none does.
+    [[nodiscard]] std::string last_line_with(std::string_view text) const;
     [[nodiscard]] bool started() const { return process_ != nullptr; }
     /// Returns whether SIGTERM has been sent to the running process.
     [[nodiscard]] bool stopping() const { return stopping_; }
